--- /dev/null
+++ b/lib/base/include/currantpost/base/logging.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "currantpost/base/enum_names.h"
+
+namespace currantpost {
+
+/// How much a log line matters.
+enum class Severity { kInfo, kWarning, kError };
+
+inline constexpr EnumNames kSeverityNames(std::to_array<EnumName<Severity>>({
+    {Severity::kInfo, "info"},
+    {Severity::kWarning, "warning"},
+    {Severity::kError, "error"},
+}));
+
+/// One field of a log line.
+struct LogField {
+  std::string name;
+  std::string value;
+};
+
+/// Sends all log lines to standard error. Call once, before the first line is written.
+void SetUpLogging(Severity least);
+
+/// Writes one line: time, severity, "[part]", a short sentence, and the fields as name=value.
+/// Usable from any thread.
+void WriteLog(Severity severity, std::string_view part, std::string_view sentence,
+              const std::vector<LogField>& fields = {});
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/control/include/currantpost/control/state.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+
+#include "currantpost/base/ids.h"
+#include "currantpost/base/time.h"
+#include "currantpost/control/configuration_state.h"
+#include "currantpost/control/control_settings.h"
+#include "currantpost/control/membership_state.h"
+#include "currantpost/control/shutdown_state.h"
+#include "currantpost/control/upstream_state.h"
+#include "currantpost/control/work_state.h"
+
+namespace currantpost {
+
+/// Everything that the control thread knows. Nothing of it outlives the process.
+struct State {
+  explicit State(ControlSettings settings) : settings(std::move(settings)) {}
+
+  ControlSettings settings;
+  /// Time of the event being reduced.
+  Millis now;
+  /// Time of the event before; a long gap means that the process was paused.
+  Millis previous;
+  RequestId next_request = 1;
+
+  ConfigurationState configuration;
+  MembershipState membership;
+  UpstreamState upstreams;
+  WorkState work;
+  ShutdownState shutdown;
+};
+
+/// Returns a request id that was not used before.
+RequestId NextRequest(State& state);
+
+/// Returns a change id for a write that the process makes by itself.
+std::string NextChangeId(State& state);
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/control/source/upstream_feature.cc
@@ -0,0 +1,14 @@
+#include "feature.h"
+
+namespace currantpost {
+namespace {
+
+void Handle(State& /*state*/, const Event& /*event*/, Effects& /*effects*/) {}
+
+nlohmann::json Dump(const State& /*state*/) { return nlohmann::json::object(); }
+
+}  // namespace
+
+const Feature kUpstreamFeature = {.name = "upstream", .handle = Handle, .dump = Dump};
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/model/source/codec.cc
@@ -0,0 +1,105 @@
+#include "currantpost/model/codec.h"
+
+#include <algorithm>
+
+#include "currantpost/model/json.h"
+
+namespace currantpost {
+namespace {
+
+constexpr int32_t kMostTasksPerJob = 100'000;
+constexpr size_t kLongestName = 200;
+
+template <typename Value>
+std::string EncodeAny(const Value& value) {
+  // Text that is not UTF-8 is replaced, as a dump must never throw.
+  return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+template <typename Value>
+Result<Value> DecodeAny(std::string_view text) {
+  try {
+    return nlohmann::json::parse(text).get<Value>();
+  } catch (const nlohmann::json::exception& exception) {
+    return Fail(ErrorCode::kMalformed, exception.what());
+  }
+}
+
+bool IsName(const std::string& text) {
+  const auto is_allowed = [](char character) {
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
+           (character >= '0' && character <= '9') || character == '-' || character == '_' ||
+           character == '.';
+  };
+
+  return !text.empty() && text.size() <= kLongestName && std::ranges::all_of(text, is_allowed);
+}
+
+Error CheckSpec(const JobSpec& spec) {
+  // A job's name is part of a key, so it must not hold a slash.
+  if (!IsName(spec.job.Text())) return MakeError(ErrorCode::kInvalidArgument, "job");
+  if (!IsName(spec.team.Text())) return MakeError(ErrorCode::kInvalidArgument, "team");
+  if (!IsName(spec.kind)) return MakeError(ErrorCode::kInvalidArgument, "kind");
+
+  if (spec.task_count < 1 || spec.task_count > kMostTasksPerJob) {
+    return MakeError(ErrorCode::kOutOfRange, "task_count");
+  }
+
+  if (!FitsWithin(Resources{}, spec.declared)) return MakeError(ErrorCode::kOutOfRange, "declared");
+  if (spec.declared.millicores == 0) return MakeError(ErrorCode::kOutOfRange, "millicores");
+  if (spec.run_time < Millis(0)) return MakeError(ErrorCode::kOutOfRange, "run_time_ms");
+
+  return Error{};
+}
+
+}  // namespace
+
+std::string Encode(const Resources& resources) { return EncodeAny(resources); }
+std::string Encode(const JobSpec& spec) { return EncodeAny(spec); }
+std::string Encode(const JobRecord& record) { return EncodeAny(record); }
+std::string Encode(const PartRecord& record) { return EncodeAny(record); }
+std::string Encode(const RackRecord& record) { return EncodeAny(record); }
+std::string Encode(const Preset& preset) { return EncodeAny(preset); }
+std::string Encode(const Configuration& configuration) { return EncodeAny(configuration); }
+std::string Encode(const std::vector<VmRecord>& list) { return EncodeAny(list); }
+std::string Encode(const WorkerTable& table) { return EncodeAny(table); }
+
+Result<JobSpec> DecodeJobSpec(std::string_view text) {
+  Result<JobSpec> spec = DecodeAny<JobSpec>(text);
+  if (!spec) return spec;
+
+  if (Error error = CheckSpec(*spec); error.code) return tl::unexpected<Error>(error);
+
+  return spec;
+}
+
+Result<JobRecord> DecodeJobRecord(std::string_view text) { return DecodeAny<JobRecord>(text); }
+
+Result<PartRecord> DecodePartRecord(std::string_view text) { return DecodeAny<PartRecord>(text); }
+
+Result<RackRecord> DecodeRackRecord(std::string_view text) { return DecodeAny<RackRecord>(text); }
+
+Result<Preset> DecodePreset(std::string_view text) { return DecodeAny<Preset>(text); }
+
+Result<Configuration> DecodeConfiguration(std::string_view text) {
+  Result<Configuration> configuration = DecodeAny<Configuration>(text);
+  if (!configuration) return configuration;
+
+  if (Error error = CheckConfiguration(*configuration); error.code) {
+    return tl::unexpected<Error>(error);
+  }
+
+  return configuration;
+}
+
+Result<std::vector<VmRecord>> DecodeVmList(std::string_view text) {
+  return DecodeAny<std::vector<VmRecord>>(text);
+}
+
+Result<WorkerTable> DecodeWorkerTable(std::string_view text) {
+  return DecodeAny<WorkerTable>(text);
+}
+
+Result<Resources> DecodeResources(std::string_view text) { return DecodeAny<Resources>(text); }
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/platform/source/package.cc
@@ -0,0 +1,1 @@
+namespace currantpost {}
--- /dev/null
+++ b/main/currantpost/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
