--- a/lib/control/include/currantpost/control/control_settings.h
+++ b/lib/control/include/currantpost/control/control_settings.h
@@ -36,7 +36,9 @@
 
   Millis heartbeat_interval = Millis(500);
   /// Silence after which a peer is taken for dead.
-  Millis peer_timeout = Millis(3'000);
+  Millis peer_timeout = Millis(2'000);
+  /// How long a stopping entry goes on taking requests, so that the balancer can notice.
+  Millis shutdown_grace = Millis(2'000);
   /// How long a task goes on without renewal.
   Millis task_lease = Millis(10'000);
   /// Most by which the clocks of worker and entry may drift apart during one lease.
--- a/lib/model/include/currantpost/model/configuration.h
+++ b/lib/model/include/currantpost/model/configuration.h
@@ -51,6 +51,8 @@
 struct Configuration {
   int64_t revision = 0;
   std::string change_id;
+  /// Ids of the last accepted changes, oldest first, this one among them.
+  std::vector<std::string> recent_changes;
   std::string in_force;
   std::map<std::string, Preset> presets;
   /// Most that the batch tasks of a team may hold within one data centre, by team.
--- a/lib/model/include/currantpost/model/peer.h
+++ b/lib/model/include/currantpost/model/peer.h
@@ -45,6 +45,10 @@
   std::vector<LeavingUpstream> leaving_upstreams;
   /// The sender's configuration as JSON; empty unless the receiver is known to be behind.
   std::string configuration;
+  /// The sender started while the platform could not be reached, and asks for the list of VMs.
+  bool wants_vm_list = false;
+  /// The sender's data centre's part of the list of VMs as JSON; empty unless it was asked for.
+  std::string vm_list;
 };
 
 }  // namespace currantpost
--- a/lib/model/source/json.cc
+++ b/lib/model/source/json.cc
@@ -224,6 +224,7 @@
 void to_json(json& out, const Configuration& configuration) {
   out = json{{"revision", configuration.revision},
              {"change_id", configuration.change_id},
+             {"recent_changes", configuration.recent_changes},
              {"in_force", configuration.in_force},
              {"presets", configuration.presets},
              {"quotas", configuration.quotas}};
@@ -232,6 +233,7 @@
 void from_json(const json& in, Configuration& configuration) {
   Read(in, "revision", configuration.revision);
   Read(in, "change_id", configuration.change_id);
+  ReadOptional(in, "recent_changes", configuration.recent_changes);
   Read(in, "in_force", configuration.in_force);
   Read(in, "presets", configuration.presets);
   Read(in, "quotas", configuration.quotas);
