Add the configuration, membership, upstream and shutdown features, and checked settings

Configuration changes go by compare-and-swap; a lost answer is settled by reading back, as every configuration keeps the ids of the last changes. A lower revision is never applied. Shares of an upstream's limits follow from the settings alone, so their sum holds whatever entries think of each other.

--- a/lib/control/include/currantpost/control/configuration_state.h
+++ b/lib/control/include/currantpost/control/configuration_state.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
+#include "currantpost/base/enum_names.h"
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
 #include "currantpost/control/events.h"
@@ -10,31 +12,54 @@
 
 namespace currantpost {
 
+/// What an operator's change waits for.
+enum class ChangeStep {
+  /// The configuration is being read, to build the new one on it.
+  kReading,
+  /// The new configuration is being written.
+  kWriting,
+  /// The write's answer was lost, and the configuration is being read back.
+  kReadingBack,
+};
+
+inline constexpr EnumNames kChangeStepNames(std::to_array<EnumName<ChangeStep>>({
+    {ChangeStep::kReading, "reading"},
+    {ChangeStep::kWriting, "writing"},
+    {ChangeStep::kReadingBack, "reading_back"},
+}));
+
 /// A change that an operator asked for and that has no answer yet.
 struct PendingChange {
   RequestId command = 0;
   std::string change_id;
   Command body;
-  /// Revision that the written configuration has.
-  int64_t revision = 0;
-  /// The write's answer was lost, and the key is being read back.
-  bool reading_back = false;
+  ChangeStep step = ChangeStep::kReading;
+  /// The configuration that is being written.
+  Configuration written;
+  /// Revision of the key that the write expects.
+  KvRevision expected = 0;
+  /// A write may have taken effect, so the change can no longer be called not applied.
+  bool maybe_written = false;
+  Millis received_at;
+  /// When to go on with the step after a failure.
+  Millis retry_at;
+  /// The call under way, 0 if there is none.
+  RequestId request = 0;
+  Millis request_at;
 };
 
 /// The configuration in force here, and the changes under way.
 struct ConfigurationState {
   Configuration present = BuiltInConfiguration();
-  /// Revision of the key that `present` was read from, if it was read from there.
-  KvRevision key_revision = 0;
-  /// Whether any configuration was ever seen, from the platform or a peer.
+  /// Whether any configuration was ever learned, from the platform or a peer.
   bool known = false;
-  /// Writes and read-backs that wait for the platform's answer.
+  /// Changes that wait for the platform, by command.
   std::map<RequestId, PendingChange> pending;
-  /// The read under way, 0 if there is none.
-  RequestId read_request = 0;
-  /// The watch under way, 0 if there is none.
-  RequestId watch_request = 0;
-  KvRevision watch_after = 0;
+
+  /// The read or watch under way, 0 if there is none.
+  RequestId request = 0;
+  bool watching = false;
+  Millis request_at;
   /// When to read again after a failure.
   Millis retry_at;
 };
--- a/lib/control/include/currantpost/control/shutdown_state.h
+++ b/lib/control/include/currantpost/control/shutdown_state.h
@@ -10,10 +10,12 @@
 struct ShutdownState {
   bool requested = false;
   Millis requested_at;
+  /// New requests are refused; those in flight are finished.
+  bool draining = false;
+  /// Reports of the traffic threads since draining began.
+  int32_t reports_since_draining = 0;
   /// Callers' requests without an answer, as last reported.
   int64_t requests_in_flight = 0;
-  /// A report of the traffic threads has come since the stop was requested.
-  bool reported_since = false;
   bool exited = false;
 };
 
--- a/lib/control/include/currantpost/control/upstream_state.h
+++ b/lib/control/include/currantpost/control/upstream_state.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
 #include "currantpost/model/peer.h"
-#include "currantpost/model/routing.h"
 #include "currantpost/model/vm.h"
 
 namespace currantpost {
@@ -13,23 +13,27 @@
 /// What is known of one upstream.
 struct UpstreamRecord {
   VmRecord vm;
-  /// Consecutive reports with failures and no completed request.
+  /// Reports in a row with failed attempts and no completed one.
   int32_t bad_reports = 0;
-  Millis ejected_until;
   /// Ejections in a row; each makes the next one longer.
   int32_t ejections = 0;
+  bool ejected = false;
+  Millis ejected_until;
+  /// Predicted slowdown by the batch tasks on the VM; 1.0 is undisturbed.
   double predicted_slowdown = 1.0;
 };
 
-/// The upstreams, and those of their lives that are leaving.
+/// The platform's VMs, the upstreams among them, and the lives of upstreams that are leaving.
 struct UpstreamState {
   std::map<VmId, UpstreamRecord> upstreams;
-  /// Lives of upstreams seen to leave, and when that was; sticky, as the platform's list lags.
+  /// Lives of upstreams known to leave, and since when; kept, as the platform's list lags.
   std::map<LeavingUpstream, Millis> leaving;
   /// The platform's list as last read, of all data centres.
   std::map<VmId, VmRecord> vms;
-  Millis list_read_at;
+  /// Whether the list was learned, from the platform or a peer.
   bool list_known = false;
+  /// Whether readiness was announced.
+  bool ready = false;
   int64_t snapshot_revision = 0;
   /// Something changed since the last snapshot.
   bool changed = true;
--- a/lib/control/source/membership_feature.cc
+++ b/lib/control/source/membership_feature.cc
@@ -1,14 +1,299 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "currantpost/model/codec.h"
 #include "feature.h"
+#include "membership.h"
+
+/// Learns which entries are up by heartbeats, and passes on what must reach them all.
 
 namespace currantpost {
 namespace {
 
-void Handle(State& /*state*/, const Event& /*event*/, Effects& /*effects*/) {}
+/// Peers of the own data centre that each round reaches.
+constexpr size_t kLocalFanOut = 4;
+/// Rounds between two heartbeats to another data centre.
+constexpr uint64_t kRemoteEvery = 2;
+/// Entries passed on in one heartbeat.
+constexpr size_t kKnownPerHeartbeat = 4;
+/// Leaving upstreams passed on in one heartbeat.
+constexpr size_t kLeavingPerHeartbeat = 64;
+/// Time after which a silent peer is forgotten.
+constexpr Millis kForgetAfter = Millis(600'000);
+
+bool IsSelf(const State& state, const EntryId& entry) {
+  return entry == state.settings.identity.entry;
+}
+
+bool IsLocal(const State& state, const PeerState& peer) {
+  return peer.known.data_centre == state.settings.identity.data_centre;
+}
+
+/// Returns how long a peer may be silent; longer where a round does not reach all peers.
+Millis SilenceAllowed(const State& state) {
+  const auto local =
+      static_cast<int64_t>(std::ranges::count_if(state.membership.peers, [&](const auto& named) {
+        return named.second.alive && IsLocal(state, named.second);
+      }));
+  const int64_t rounds = (local + static_cast<int64_t>(kLocalFanOut) - 1) / kLocalFanOut;
+
+  return state.settings.peer_timeout * std::max<int64_t>(1, rounds);
+}
+
+/// Takes in news of an entry that was heard `age` ago.
+void Learn(State& state, const KnownEntry& news, Millis age, Effects& effects) {
+  if (IsSelf(state, news.entry) || news.entry.Empty()) return;
+  if (age > kForgetAfter) return;
+
+  PeerState& peer = state.membership.peers[news.entry];
+  const bool is_older_life = news.incarnation < peer.known.incarnation;
+  if (is_older_life) return;
+
+  const bool is_new_life = news.incarnation > peer.known.incarnation;
+  const Millis heard_at = state.now - age;
+
+  if (is_new_life) {
+    peer = PeerState{.known = news, .heard_at = heard_at};
+  } else if (heard_at > peer.heard_at) {
+    const int64_t revision =
+        std::max(peer.known.configuration_revision, news.configuration_revision);
+    // A life that is leaving does not come back.
+    const bool leaving = peer.known.leaving || news.leaving;
+
+    peer.heard_at = heard_at;
+    peer.known = news;
+    peer.known.configuration_revision = revision;
+    peer.known.leaving = leaving;
+  }
+
+  const bool alive = state.now - peer.heard_at <= SilenceAllowed(state);
+
+  if (alive && !peer.alive) {
+    Log(effects, Severity::kInfo, Part::kMembership, "peer is up",
+        {{"peer", news.entry.Text()}, {"data_centre", news.data_centre.Text()}});
+  }
+
+  peer.alive = alive;
+}
+
+void OnHeartbeat(State& state, const Heartbeat& heartbeat, Effects& effects) {
+  Learn(state, heartbeat.sender, Millis(0), effects);
+
+  for (const KnownEntry& known : heartbeat.known) {
+    Learn(state, known, Millis(std::max<int64_t>(0, known.age_ms)), effects);
+  }
+
+  const auto sender = state.membership.peers.find(heartbeat.sender.entry);
+  if (sender == state.membership.peers.end()) return;
+
+  sender->second.racks = heartbeat.racks;
+  sender->second.wants_vm_list = heartbeat.wants_vm_list;
+}
+
+void MarkSilentPeers(State& state, Effects& effects) {
+  const Millis allowed = SilenceAllowed(state);
+
+  for (auto& [entry, peer] : state.membership.peers) {
+    if (!peer.alive || state.now - peer.heard_at <= allowed) continue;
+
+    peer.alive = false;
+    Log(effects, Severity::kWarning, Part::kMembership, "peer is silent",
+        {{"peer", entry.Text()}, {"data_centre", peer.known.data_centre.Text()}});
+  }
+
+  std::erase_if(state.membership.peers, [&](const auto& named) {
+    return state.now - named.second.heard_at > kForgetAfter;
+  });
+}
+
+std::string ListOfOwnDataCentre(const State& state) {
+  std::vector<VmRecord> own;
+
+  for (const auto& [vm, record] : state.upstreams.vms) {
+    if (record.data_centre == state.settings.identity.data_centre) own.push_back(record);
+  }
+
+  return own.empty() ? std::string() : Encode(own);
+}
+
+Heartbeat MakeHeartbeat(const State& state) {
+  Heartbeat heartbeat{.sender = DescribeSelf(state)};
+
+  for (const auto& [rack, epoch] : state.work.owned) {
+    heartbeat.racks.push_back(RackClaim{rack, epoch});
+  }
+
+  for (const auto& [life, since] : state.upstreams.leaving) {
+    if (heartbeat.leaving_upstreams.size() == kLeavingPerHeartbeat) break;
+    heartbeat.leaving_upstreams.push_back(life);
+  }
+
+  heartbeat.wants_vm_list = !state.upstreams.list_known;
+  return heartbeat;
+}
+
+void AddKnownEntries(const State& state, Heartbeat& heartbeat) {
+  const auto& peers = state.membership.peers;
+  const size_t count = std::min(kKnownPerHeartbeat, peers.size());
+
+  for (size_t offset = 0; offset < count; ++offset) {
+    const size_t turn = (state.membership.round * count + offset) % peers.size();
+    const PeerState& peer = std::next(peers.begin(), static_cast<std::ptrdiff_t>(turn))->second;
+    if (!peer.alive) continue;
+
+    heartbeat.known.push_back(peer.known);
+    heartbeat.known.back().age_ms = (state.now - peer.heard_at).Count();
+  }
+}
 
-nlohmann::json Dump(const State& /*state*/) { return nlohmann::json::object(); }
+/// Adds what only this receiver needs, and sends.
+void SendTo(const State& state, const PeerState& peer, Heartbeat heartbeat, Effects& effects) {
+  const Configuration& present = state.configuration.present;
+  const bool is_behind = peer.known.configuration_revision < present.revision;
+
+  if (is_behind) heartbeat.configuration = Encode(present);
+  if (peer.wants_vm_list && IsLocal(state, peer)) heartbeat.vm_list = ListOfOwnDataCentre(state);
+
+  effects.emplace_back(SendHeartbeat{peer.known.peer_address, std::move(heartbeat)});
+}
+
+/// Picks `count` peers, going on where the round before ended.
+std::vector<const PeerState*> TakeTurn(const std::vector<const PeerState*>& peers, size_t count,
+                                       uint64_t round) {
+  std::vector<const PeerState*> turn;
+
+  for (size_t offset = 0; offset < std::min(count, peers.size()); ++offset) {
+    turn.push_back(peers[(round * count + offset) % peers.size()]);
+  }
+
+  return turn;
+}
+
+void SendRound(State& state, Effects& effects) {
+  std::vector<const PeerState*> local;
+  std::vector<const PeerState*> remote;
+  std::set<Address> known_addresses = {state.settings.identity.peer_address};
+
+  for (const auto& [entry, peer] : state.membership.peers) {
+    known_addresses.insert(peer.known.peer_address);
+    (IsLocal(state, peer) ? local : remote).push_back(&peer);
+  }
+
+  MembershipState& membership = state.membership;
+  const Heartbeat brief = MakeHeartbeat(state);
+
+  for (const PeerState* peer : TakeTurn(local, kLocalFanOut, membership.round)) {
+    SendTo(state, *peer, brief, effects);
+  }
+
+  Heartbeat full = brief;
+  AddKnownEntries(state, full);
+
+  if (membership.round % kRemoteEvery == 0) {
+    for (const PeerState* peer : TakeTurn(remote, 1, membership.round / kRemoteEvery)) {
+      SendTo(state, *peer, full, effects);
+    }
+  }
+
+  // Seeds that no peer answers for yet; one a round is enough to find the others.
+  std::vector<Address> strangers;
+
+  for (const Address& seed : state.settings.seeds) {
+    if (!known_addresses.contains(seed)) strangers.push_back(seed);
+  }
+
+  if (!strangers.empty()) {
+    effects.emplace_back(SendHeartbeat{strangers[membership.round % strangers.size()], full});
+  }
+
+  ++membership.round;
+}
+
+/// Brings peers that are behind up to date at once; an accepted change must not wait its turn.
+void SpreadConfiguration(State& state, Effects& effects) {
+  const int64_t revision = state.configuration.present.revision;
+  if (revision == state.membership.spread_revision) return;
+
+  state.membership.spread_revision = revision;
+  const Heartbeat heartbeat = MakeHeartbeat(state);
+  size_t remote = 0;
+
+  for (const auto& [entry, peer] : state.membership.peers) {
+    if (!peer.alive || peer.known.configuration_revision >= revision) continue;
+    if (!IsLocal(state, peer) && ++remote > kLocalFanOut) continue;
+
+    SendTo(state, peer, heartbeat, effects);
+  }
+}
+
+void OnTick(State& state, Effects& effects) {
+  MarkSilentPeers(state, effects);
+  SpreadConfiguration(state, effects);
+
+  if (state.now < state.membership.next_heartbeat) return;
+
+  state.membership.next_heartbeat = state.now + state.settings.heartbeat_interval;
+  SendRound(state, effects);
+}
+
+void Handle(State& state, const Event& event, Effects& effects) {
+  std::visit(Overloaded{
+                 [&](const HeartbeatReceived& received) {
+                   OnHeartbeat(state, received.heartbeat, effects);
+                 },
+                 [&](const Tick&) { OnTick(state, effects); },
+                 [](const auto&) {},
+             },
+             event.body);
+}
+
+nlohmann::json DumpMembership(const State& state) {
+  nlohmann::json peers = nlohmann::json::object();
+
+  for (const auto& [entry, peer] : state.membership.peers) {
+    nlohmann::json racks = nlohmann::json::object();
+    for (const RackClaim& claim : peer.racks) racks[claim.rack.Text()] = claim.epoch;
+
+    peers[entry.Text()] = {{"data_centre", peer.known.data_centre.Text()},
+                           {"alive", peer.alive},
+                           {"leaving", peer.known.leaving},
+                           {"silent_for_ms", (state.now - peer.heard_at).Count()},
+                           {"configuration_revision", peer.known.configuration_revision},
+                           {"operator_host", peer.known.operator_address.host},
+                           {"operator_port", peer.known.operator_address.port},
+                           {"racks", racks}};
+  }
+
+  return {{"peers", peers}};
+}
 
 }  // namespace
 
-const Feature kMembershipFeature = {.name = "membership", .handle = Handle, .dump = Dump};
+KnownEntry DescribeSelf(const State& state) {
+  const EntryIdentity& identity = state.settings.identity;
+
+  return KnownEntry{.entry = identity.entry,
+                    .incarnation = identity.incarnation,
+                    .data_centre = identity.data_centre,
+                    .peer_address = identity.peer_address,
+                    .operator_address = identity.operator_address,
+                    .configuration_revision = state.configuration.present.revision,
+                    .leaving = state.shutdown.requested};
+}
+
+std::vector<EntryId> LiveEntries(const State& state) {
+  std::vector<EntryId> live;
+  if (!state.shutdown.requested) live.push_back(state.settings.identity.entry);
+
+  for (const auto& [entry, peer] : state.membership.peers) {
+    if (peer.alive && IsLocal(state, peer) && !peer.known.leaving) live.push_back(entry);
+  }
+
+  std::ranges::sort(live);
+  return live;
+}
+
+const Feature kMembershipFeature = {.name = "membership", .handle = Handle, .dump = DumpMembership};
 
 }  // namespace currantpost
--- /dev/null
+++ b/lib/settings/source/setting_table.cc
@@ -0,0 +1,220 @@
+#include "setting_table.h"
+
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "values.h"
+
+namespace currantpost {
+namespace {
+
+using Store = std::function<Error(std::string_view, DaemonSettings&)>;
+
+/// Makes a store for the member that `place` finds, out of a parser and a check.
+template <typename Parse, typename Place, typename Check>
+Store StoreChecked(Parse parse, Place place, Check is_allowed) {
+  return [=](std::string_view text, DaemonSettings& settings) -> Error {
+    const auto value = parse(text);
+    if (!value) return value.error();
+    if (!is_allowed(*value)) return MakeError(ErrorCode::kOutOfRange);
+
+    auto& target = place(settings);
+    target = static_cast<std::remove_reference_t<decltype(target)>>(*value);
+    return Error{};
+  };
+}
+
+template <typename Place>
+Store Number(Place place, int64_t least, int64_t most) {
+  return StoreChecked(ParseNumber, place,
+                      [=](int64_t value) { return value >= least && value <= most; });
+}
+
+template <typename Place>
+Store Duration(Place place, Millis least, Millis most) {
+  return StoreChecked(ParseDuration, place,
+                      [=](Millis value) { return value >= least && value <= most; });
+}
+
+template <typename Place>
+Store Bytes(Place place, int64_t least, int64_t most) {
+  return StoreChecked(ParseBytes, place,
+                      [=](int64_t value) { return value >= least && value <= most; });
+}
+
+template <typename Place>
+Store Share(Place place) {
+  return StoreChecked(ParseShare, place, [](double) { return true; });
+}
+
+template <typename Place>
+Store IpAddress(Place place) {
+  return StoreChecked(ParseAddress, place, [](const Address&) { return true; });
+}
+
+template <typename Place>
+Store Name(Place place) {
+  return [=](std::string_view text, DaemonSettings& settings) -> Error {
+    const Result<std::string> name = ParseName(text);
+    if (!name) return name.error();
+
+    auto& target = place(settings);
+    target = std::remove_reference_t<decltype(target)>(*name);
+    return Error{};
+  };
+}
+
+Error StoreSeeds(std::string_view text, DaemonSettings& settings) {
+  for (const auto part : absl::StrSplit(absl::string_view(text.data(), text.size()),
+                                        absl::ByAnyChar(", "), absl::SkipEmpty())) {
+    const Result<Address> seed = ParseAddress(std::string_view(part.data(), part.size()));
+    if (!seed) return seed.error();
+
+    settings.control.seeds.push_back(*seed);
+  }
+
+  return Error{};
+}
+
+/// Names a member of the settings for the table below.
+#define MEMBER(path) \
+  [](DaemonSettings & settings) -> auto& { return settings.path; }
+
+constexpr Millis kMinute = Millis(60'000);
+constexpr std::string_view kAnAddress = "IP number and port, such as 127.0.0.1:8080";
+constexpr std::string_view kAName = "letters, digits, '-', '_', '.'";
+
+const std::vector<Setting>& Table() {
+  static const std::vector<Setting> kTable = {
+      {"entry.name", true, kAName, Name(MEMBER(control.identity.entry))},
+      {"entry.data_centre", true, kAName, Name(MEMBER(control.identity.data_centre))},
+      {"entry.ordinal", true, "0 to 63, below entry.entries_per_data_centre",
+       Number(MEMBER(control.entry_ordinal), 0, 63)},
+      {"entry.entries_per_data_centre", true, "1 to 64, at most upstreams.slots",
+       Number(MEMBER(control.entries_per_data_centre), 1, 64)},
+
+      {"listen.callers", true, kAnAddress, IpAddress(MEMBER(traffic.listen))},
+      {"listen.operators", true, kAnAddress, IpAddress(MEMBER(control.identity.operator_address))},
+      {"listen.peers", true, kAnAddress, IpAddress(MEMBER(control.identity.peer_address))},
+
+      {"peers.seeds", false, "addresses of other entries, separated by commas", StoreSeeds},
+      {"peers.heartbeat_interval", false, "50ms to 10s",
+       Duration(MEMBER(control.heartbeat_interval), Millis(50), Millis(10'000))},
+      {"peers.timeout", false, "200ms to 1min, at least twice peers.heartbeat_interval",
+       Duration(MEMBER(control.peer_timeout), Millis(200), kMinute)},
+
+      {"platform.kv", true, kAnAddress, IpAddress(MEMBER(platform.kv))},
+      {"platform.vm_list", true, kAnAddress, IpAddress(MEMBER(platform.vm_list))},
+      {"platform.call_timeout", false, "50ms to 1min",
+       Duration(MEMBER(platform.call_timeout), Millis(50), kMinute)},
+      {"platform.watch_timeout", false, "500ms to 1min",
+       Duration(MEMBER(platform.watch_timeout), Millis(500), kMinute)},
+      {"platform.vm_list_interval", false, "50ms to 1min",
+       Duration(MEMBER(platform.vm_list_interval), Millis(50), kMinute)},
+      {"platform.kv_threads", false, "1 to 64", Number(MEMBER(platform.kv_threads), 1, 64)},
+
+      {"workers.timeout", false, "50ms to 1min",
+       Duration(MEMBER(platform.worker_timeout), Millis(50), kMinute)},
+      {"workers.threads", false, "1 to 256", Number(MEMBER(platform.worker_threads), 1, 256)},
+      {"workers.poll_interval", false, "50ms to 1min",
+       Duration(MEMBER(control.worker_poll_interval), Millis(50), kMinute)},
+      {"workers.task_lease", false, "500ms to 10min, at least three times workers.poll_interval",
+       Duration(MEMBER(control.task_lease), Millis(500), kMinute * 10)},
+      {"workers.clock_margin", false, "0ms to 1min",
+       Duration(MEMBER(control.clock_margin), Millis(0), kMinute)},
+      {"workers.capacity_reserve", false, "0 to 1", Share(MEMBER(control.capacity_reserve))},
+
+      {"jobs.completion_interval", false, "0ms to 1min",
+       Duration(MEMBER(control.completion_interval), Millis(0), kMinute)},
+      {"jobs.most_attempts", false, "1 to 1000", Number(MEMBER(control.most_attempts), 1, 1'000)},
+
+      {"upstreams.connections", false, "1 to 65536",
+       Number(MEMBER(control.upstream_connections), 1, 65'536)},
+      {"upstreams.slots", false, "1 to 65536", Number(MEMBER(control.upstream_slots), 1, 65'536)},
+
+      {"traffic.threads", false, "1 to 1024", Number(MEMBER(traffic.threads), 1, 1'024)},
+      {"traffic.largest_request", false, "1B to 64MiB",
+       Bytes(MEMBER(traffic.largest_request), 1, 67'108'864)},
+      {"traffic.largest_answer", false, "1B to 64MiB",
+       Bytes(MEMBER(traffic.largest_answer), 1, 67'108'864)},
+      {"traffic.connect_timeout", false, "10ms to 1min",
+       Duration(MEMBER(traffic.connect_timeout), Millis(10), kMinute)},
+      {"traffic.idle_age_limit", false, "0ms to 10min",
+       Duration(MEMBER(traffic.idle_age_limit), Millis(0), kMinute * 10)},
+      {"traffic.queue_timeout", false, "0ms to 1min",
+       Duration(MEMBER(traffic.queue_timeout), Millis(0), kMinute)},
+      {"traffic.queue_length", false, "0 to 65536",
+       Number(MEMBER(traffic.queue_length), 0, 65'536)},
+
+      {"shutdown.grace", false, "0ms to 1min",
+       Duration(MEMBER(control.shutdown_grace), Millis(0), kMinute)},
+  };
+
+  return kTable;
+}
+
+#undef MEMBER
+
+constexpr auto kJointRules = std::to_array<JointRule>({
+    {"entry.ordinal", "below entry.entries_per_data_centre",
+     [](const DaemonSettings& settings) {
+       return settings.control.entry_ordinal < settings.control.entries_per_data_centre;
+     }},
+    // With fewer slots than entries some entry would have no share of an upstream.
+    {"entry.entries_per_data_centre", "at most upstreams.slots and upstreams.connections",
+     [](const DaemonSettings& settings) {
+       return settings.control.entries_per_data_centre <=
+              std::min(settings.control.upstream_slots, settings.control.upstream_connections);
+     }},
+    {"peers.timeout", "at least twice peers.heartbeat_interval",
+     [](const DaemonSettings& settings) {
+       return settings.control.peer_timeout >= settings.control.heartbeat_interval * 2;
+     }},
+    {"workers.task_lease", "at least three times workers.poll_interval",
+     [](const DaemonSettings& settings) {
+       return settings.control.task_lease >= settings.control.worker_poll_interval * 3;
+     }},
+});
+
+std::string_view SectionOf(std::string_view key) { return key.substr(0, key.find('.')); }
+
+}  // namespace
+
+std::span<const Setting> SettingTable() { return Table(); }
+
+std::span<const JointRule> JointRules() { return kJointRules; }
+
+const Setting* FindSetting(std::string_view key) {
+  const auto found = std::ranges::find(Table(), key, &Setting::key);
+
+  return found == Table().end() ? nullptr : &*found;
+}
+
+std::string KeysOfSection(std::string_view key) {
+  std::string keys;
+  std::set<std::string_view> sections;
+
+  for (const Setting& setting : Table()) {
+    sections.insert(SectionOf(setting.key));
+    if (SectionOf(setting.key) != SectionOf(key)) continue;
+
+    if (!keys.empty()) keys += ", ";
+    keys += setting.key;
+  }
+
+  if (!keys.empty()) return keys;
+
+  for (const std::string_view section : sections) {
+    keys += (keys.empty() ? "[" : ", [") + std::string(section) + "]";
+  }
+
+  return keys;
+}
+
+}  // namespace currantpost
