Prove that accepted configurations hold

FakeWorld runs several reducers, the key-value service, workers and a lossy network in simulated time from one seed, and observes the workers' and the platform's own records.

--- /dev/null
+++ b/tests/control/fake_world.cc
@@ -0,0 +1,405 @@
+#include "fake_world.h"
+
+#include <algorithm>
+
+#include "currantpost/model/codec.h"
+
+namespace currantpost {
+namespace {
+
+constexpr Millis kTickInterval = Millis(100);
+constexpr Millis kListInterval = Millis(1'000);
+/// How long a caller waits for an answer before the outcome is unknown.
+constexpr Millis kCallTimeout = Millis(2'000);
+constexpr Millis kWatchTimeout = Millis(10'000);
+constexpr int64_t kLongestShortDelay = 8;
+
+}  // namespace
+
+FakeWorld::FakeWorld(uint64_t seed, WorldShape shape) : random_(seed), shape_(shape) {
+  AddWorkers();
+  AddEntries();
+  At(now_, [this] { TickAll(); });
+  At(now_, [this] { ReadLists(); });
+}
+
+void FakeWorld::AddWorkers() {
+  for (int32_t centre = 0; centre < shape_.data_centres; ++centre) {
+    for (int32_t number = 0; number < shape_.racks * shape_.workers; ++number) {
+      const std::string name = "vm" + std::to_string(centre) + std::to_string(number);
+      VmRecord vm{.vm = VmId(name),
+                  .incarnation = 1,
+                  .data_centre = DataCentreId("dc" + std::to_string(centre)),
+                  .rack = RackId("rack" + std::to_string(number / shape_.workers)),
+                  .capacity = shape_.capacity,
+                  .worker = {"127.0.0.1", 10'000 + centre * 100 + number},
+                  .upstream = {"127.0.0.1", 20'000 + centre * 100 + number}};
+
+      workers_.emplace(vm.vm, FakeWorker(vm));
+      vm_states_.emplace(vm.vm, VmState::kLive);
+    }
+  }
+}
+
+void FakeWorld::AddEntries() {
+  std::vector<Address> seeds;
+
+  for (int32_t centre = 0; centre < shape_.data_centres; ++centre) {
+    for (int32_t number = 0; number < shape_.entries; ++number) {
+      seeds.push_back({"127.0.0.1", 30'000 + centre * 100 + number});
+    }
+  }
+
+  for (int32_t centre = 0; centre < shape_.data_centres; ++centre) {
+    for (int32_t number = 0; number < shape_.entries; ++number) {
+      ControlSettings settings;
+      settings.identity.entry = EntryId("e" + std::to_string(centre) + std::to_string(number));
+      settings.identity.data_centre = DataCentreId("dc" + std::to_string(centre));
+      settings.identity.peer_address = {"127.0.0.1", 30'000 + centre * 100 + number};
+      settings.seeds = seeds;
+      settings.entry_ordinal = number;
+      settings.entries_per_data_centre = shape_.entries;
+      settings.task_lease = Millis(5'000);
+
+      nodes_[settings.identity.entry].settings = settings;
+      Start(settings.identity.entry);
+    }
+  }
+}
+
+void FakeWorld::Run(Millis span) {
+  const Millis end = now_ + span;
+
+  while (!happenings_.empty() && happenings_.top().at <= end) {
+    const Happening next = happenings_.top();
+    happenings_.pop();
+    now_ = std::max(now_, next.at);
+    next.action();
+  }
+
+  now_ = end;
+}
+
+void FakeWorld::At(Millis at, std::function<void()> action) {
+  happenings_.push(Happening{at, order_++, std::move(action)});
+}
+
+void FakeWorld::Kill(const EntryId& entry) { nodes_.at(entry).state.reset(); }
+
+void FakeWorld::Start(const EntryId& entry) {
+  Node& node = nodes_.at(entry);
+  node.settings.identity.incarnation = ++incarnations_;
+  node.state = std::make_unique<State>(node.settings);
+  node.held.clear();
+  node.paused = false;
+  node.exited = false;
+  node.highest_revision = 0;
+  node.routing = nullptr;
+}
+
+void FakeWorld::Pause(const EntryId& entry) { nodes_.at(entry).paused = true; }
+
+void FakeWorld::Resume(const EntryId& entry) {
+  Node& node = nodes_.at(entry);
+  node.paused = false;
+
+  const std::vector<Event> held = std::exchange(node.held, {});
+  for (const Event& event : held) Handle(node, event);
+}
+
+void FakeWorld::Shutdown(const EntryId& entry) {
+  Deliver(entry, Life(entry), Event{now_, ShutdownRequested{}});
+}
+
+void FakeWorld::SetVmState(const VmId& vm, VmState state) { vm_states_[vm] = state; }
+
+void FakeWorld::ReplaceWorker(const VmId& vm) { workers_.at(vm).Replace(now_); }
+
+void FakeWorld::FreezeList(bool frozen) { list_frozen_ = frozen; }
+
+size_t FakeWorld::Submit(const EntryId& entry, Command command) {
+  const RequestId id = 1'000'000 + commands_.size();
+  const std::string change_id = "change-" + std::to_string(id);
+  command_places_[id] = commands_.size();
+  commands_.push_back(CommandRecord{.entry = entry, .change_id = change_id, .body = command});
+
+  Deliver(entry, Life(entry), Event{now_, CommandReceived{id, change_id, std::move(command)}});
+  return commands_.size() - 1;
+}
+
+void FakeWorld::Report(const EntryId& entry, TrafficReported report) {
+  Deliver(entry, Life(entry), Event{now_, std::move(report)});
+}
+
+std::vector<EntryId> FakeWorld::Entries() const {
+  std::vector<EntryId> entries;
+  for (const auto& [entry, node] : nodes_) entries.push_back(entry);
+
+  return entries;
+}
+
+std::shared_ptr<const RoutingSnapshot> FakeWorld::Routing(const EntryId& entry) const {
+  return nodes_.at(entry).routing;
+}
+
+std::vector<int32_t> FakeWorld::CompletedTasks(const DataCentreId& data_centre,
+                                               const JobId& job) const {
+  std::vector<int32_t> completed;
+
+  for (const auto& [key, value] : kv_.Values("parts/" + data_centre.Text() + "/")) {
+    const Result<PartRecord> part = DecodePartRecord(value);
+    if (!part || part->job != job) continue;
+
+    completed.insert(completed.end(), part->completed.begin(), part->completed.end());
+  }
+
+  std::ranges::sort(completed);
+  return completed;
+}
+
+void FakeWorld::Deliver(const EntryId& entry, Incarnation life, Event event) {
+  Node& node = nodes_.at(entry);
+  // A message for an earlier life finds nobody.
+  if (!node.state || life != Life(entry)) return;
+
+  if (node.paused) {
+    node.held.push_back(std::move(event));
+    return;
+  }
+
+  Handle(node, std::move(event));
+}
+
+void FakeWorld::Handle(Node& node, Event event) {
+  if (!node.state || node.exited) return;
+
+  event.now = now_;
+  Effects effects;
+  Reduce(*node.state, event, effects);
+
+  const int64_t revision = node.state->configuration.present.revision;
+  if (revision < node.highest_revision) violations_.insert("a configuration reverted");
+  node.highest_revision = std::max(node.highest_revision, revision);
+
+  const EntryId entry = node.settings.identity.entry;
+  for (const Effect& effect : effects) CarryOut(entry, effect);
+}
+
+void FakeWorld::CarryOut(const EntryId& entry, const Effect& effect) {
+  if (const auto* kv_call = std::get_if<KvCall>(&effect)) return CarryOutKv(entry, *kv_call);
+  if (const auto* watch = std::get_if<KvWatch>(&effect)) return CarryOutWatch(entry, *watch);
+  if (const auto* order = std::get_if<WorkerCall>(&effect)) return CarryOutOrder(entry, *order);
+  if (const auto* send = std::get_if<SendHeartbeat>(&effect)) {
+    return CarryOutHeartbeat(entry, *send);
+  }
+
+  if (const auto* routing = std::get_if<PublishRouting>(&effect)) {
+    nodes_.at(entry).routing = routing->snapshot;
+  } else if (std::holds_alternative<ExitProcess>(effect)) {
+    nodes_.at(entry).exited = true;
+  } else if (const auto* reply = std::get_if<CommandReply>(&effect)) {
+    CommandRecord& record = commands_.at(command_places_.at(reply->command));
+    if (record.reply) violations_.insert("a command was answered twice");
+    record.reply = *reply;
+    record.replied_at = now_;
+  }
+}
+
+void FakeWorld::CarryOutKv(const EntryId& entry, const KvCall& call) {
+  ++kv_calls_;
+  const Incarnation life = Life(entry);
+  const auto answer = [=, this](Millis at, const KvReply& reply) {
+    At(at, [=, this] { Deliver(entry, life, Event{now_, KvAnswered{call.request, reply}}); });
+  };
+
+  if (kv_down_ || IsCut(entry.Text(), "kv")) {
+    return answer(now_ + Delay(), KvReply{.status = KvStatus::kUnavailable});
+  }
+
+  const KvReply unknown{.status = KvStatus::kUnknown};
+  if (Chance(faults_.lose)) return answer(now_ + kCallTimeout, unknown);
+
+  const Millis arrives = now_ + Delay();
+  const bool is_late = arrives >= now_ + kCallTimeout;
+  const bool answer_lost = Chance(faults_.lose) || IsCut("kv", entry.Text());
+  if (is_late || answer_lost) answer(now_ + kCallTimeout, unknown);
+
+  At(arrives, [=, this] {
+    const KvReply reply = kv_.Apply(call);
+    AnswerWatches();
+    if (is_late || answer_lost) return;
+
+    const Millis back = now_ + Delay();
+    answer(back, reply);
+    if (Chance(faults_.repeat)) answer(back + Delay(), reply);
+  });
+}
+
+void FakeWorld::CarryOutWatch(const EntryId& entry, const KvWatch& watch) {
+  ++kv_calls_;
+  const Incarnation life = Life(entry);
+  const bool lost = kv_down_ || IsCut(entry.Text(), "kv") || Chance(faults_.lose);
+
+  const auto answer = [=, this](KvReply reply) {
+    At(now_ + Delay(), [=, this] {
+      Deliver(entry, life, Event{now_, KvWatchAnswered{watch.request, reply}});
+    });
+  };
+
+  if (lost) return answer(KvReply{.status = KvStatus::kUnavailable});
+
+  watches_.push_back(Waiting{entry, life, watch});
+  AnswerWatches();
+
+  At(now_ + kWatchTimeout, [=, this] {
+    const auto waiting = std::ranges::find_if(watches_, [&](const Waiting& other) {
+      return other.entry == entry && other.life == life && other.watch.request == watch.request;
+    });
+    if (waiting == watches_.end()) return;
+
+    watches_.erase(waiting);
+    answer(kv_down_ ? KvReply{.status = KvStatus::kUnknown}
+                    : kv_.ChangesAfter(watch.prefix, watch.after));
+  });
+}
+
+void FakeWorld::AnswerWatches() {
+  if (kv_down_) return;
+
+  std::erase_if(watches_, [this](const Waiting& waiting) {
+    if (IsCut("kv", waiting.entry.Text())) return false;
+
+    const KvReply reply = kv_.ChangesAfter(waiting.watch.prefix, waiting.watch.after);
+    if (reply.entries.empty()) return false;
+
+    At(now_ + Delay(), [this, waiting, reply] {
+      Deliver(waiting.entry, waiting.life,
+              Event{now_, KvWatchAnswered{waiting.watch.request, reply}});
+    });
+    return true;
+  });
+}
+
+void FakeWorld::CarryOutOrder(const EntryId& entry, const WorkerCall& call) {
+  const Incarnation life = Life(entry);
+  const auto answer = [=, this](Millis at, const WorkerReply& reply) {
+    At(at, [=, this] {
+      Deliver(entry, life, Event{now_, WorkerAnswered{call.request, call.worker, reply}});
+    });
+  };
+
+  if (IsCut(entry.Text(), call.worker.Text())) {
+    return answer(now_ + Delay(), WorkerReply{.status = WorkerStatus::kUnreachable, .table = {}});
+  }
+
+  const WorkerReply unknown{.status = WorkerStatus::kUnknown, .table = {}};
+  if (Chance(faults_.lose)) return answer(now_ + kCallTimeout, unknown);
+
+  const Millis arrives = now_ + Delay();
+  const bool is_late = arrives >= now_ + kCallTimeout;
+  const bool answer_lost = Chance(faults_.lose) || IsCut(call.worker.Text(), entry.Text());
+  if (is_late || answer_lost) answer(now_ + kCallTimeout, unknown);
+
+  At(arrives, [=, this] {
+    const WorkerReply reply = workers_.at(call.worker).Order(call, now_);
+    Observe();
+    if (is_late || answer_lost) return;
+
+    const Millis back = now_ + Delay();
+    answer(back, reply);
+    if (Chance(faults_.repeat)) answer(back + Delay(), reply);
+  });
+}
+
+void FakeWorld::CarryOutHeartbeat(const EntryId& entry, const SendHeartbeat& send) {
+  for (const auto& [peer, node] : nodes_) {
+    if (node.settings.identity.peer_address != send.peer) continue;
+    if (IsCut(entry.Text(), peer.Text()) || Chance(faults_.lose)) return;
+
+    const EntryId receiver = peer;
+    At(now_ + Delay(), [=, this] {
+      Deliver(receiver, Life(receiver), Event{now_, HeartbeatReceived{send.heartbeat}});
+    });
+    return;
+  }
+}
+
+void FakeWorld::TickAll() {
+  for (auto& [vm, worker] : workers_) worker.Advance(now_);
+
+  for (const auto& [entry, node] : nodes_) {
+    // A paused process takes no ticks up, as they are made by its own clock.
+    if (node.state && !node.paused) Deliver(entry, Life(entry), Event{now_, Tick{}});
+  }
+
+  Observe();
+  At(now_ + kTickInterval, [this] { TickAll(); });
+}
+
+void FakeWorld::ReadLists() {
+  if (!list_frozen_) {
+    list_.clear();
+
+    for (const auto& [vm, worker] : workers_) {
+      list_.push_back(worker.Vm());
+      list_.back().state = vm_states_.at(vm);
+    }
+  }
+
+  for (const auto& [entry, node] : nodes_) {
+    const bool reached = !kv_down_ && !IsCut(entry.Text(), "kv");
+    if (reached && !node.paused) Deliver(entry, Life(entry), Event{now_, VmListRead{list_}});
+  }
+
+  At(now_ + kListInterval, [this] { ReadLists(); });
+}
+
+void FakeWorld::Observe() {
+  for (const auto& [vm, worker] : workers_) {
+    if (worker.IsOvercommitted()) violations_.insert("overcommitted " + vm.Text());
+  }
+
+  ObserveOnePlace();
+}
+
+void FakeWorld::ObserveOnePlace() {
+  std::map<TaskKey, VmId> running;
+
+  for (const auto& [vm, worker] : workers_) {
+    for (const auto& [task, row] : worker.Rows()) {
+      if (row.state != WorkerTaskState::kRunning) continue;
+
+      const auto [other, inserted] = running.emplace(task, vm);
+      if (inserted) continue;
+
+      violations_.insert(task.job.Text() + "/" + std::to_string(task.index) + " runs on " +
+                         other->second.Text() + " and " + vm.Text());
+    }
+  }
+}
+
+bool FakeWorld::IsCut(const std::string& from, const std::string& to) const {
+  return cuts_.contains({from, to}) || cuts_.contains({PlaceOf(from), to}) ||
+         cuts_.contains({from, PlaceOf(to)}) || cuts_.contains({PlaceOf(from), PlaceOf(to)});
+}
+
+std::string FakeWorld::PlaceOf(const std::string& name) const {
+  const auto node = nodes_.find(EntryId(name));
+  return node == nodes_.end() ? name : node->second.settings.identity.data_centre.Text();
+}
+
+bool FakeWorld::Chance(double probability) {
+  return std::uniform_real_distribution<>(0.0, 1.0)(random_) < probability;
+}
+
+Millis FakeWorld::Delay() {
+  const int64_t longest = Chance(faults_.delay) ? faults_.long_delay.Count() : kLongestShortDelay;
+
+  return Millis(std::uniform_int_distribution<int64_t>(1, longest)(random_));
+}
+
+Incarnation FakeWorld::Life(const EntryId& entry) const {
+  return nodes_.at(entry).settings.identity.incarnation;
+}
+
+}  // namespace currantpost
