--- a/lib/settings/source/setting_table.cc
+++ b/lib/settings/source/setting_table.cc
@@ -55,7 +55,7 @@
 
 template <typename Place>
 Store IpAddress(Place place) {
-  return StoreChecked(ParseAddress, place, [](const Address&) { return true; });
+  return StoreChecked(ReadAddress, place, [](const Address&) { return true; });
 }
 
 template <typename Place>
@@ -73,7 +73,7 @@
 Error StoreSeeds(std::string_view text, DaemonSettings& settings) {
   for (const auto part : absl::StrSplit(absl::string_view(text.data(), text.size()),
                                         absl::ByAnyChar(", "), absl::SkipEmpty())) {
-    const Result<Address> seed = ParseAddress(std::string_view(part.data(), part.size()));
+    const Result<Address> seed = ReadAddress(std::string_view(part.data(), part.size()));
     if (!seed) return seed.error();
 
     settings.control.seeds.push_back(*seed);
--- a/lib/settings/source/values.cc
+++ b/lib/settings/source/values.cc
@@ -84,7 +84,7 @@
 
 Result<int64_t> ParseBytes(std::string_view text) { return ParseWithUnit(text, kByteUnits); }
 
-Result<Address> ParseAddress(std::string_view text) {
+Result<Address> ReadAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return Fail(ErrorCode::kInvalidArgument);
 
--- a/lib/settings/source/values.h
+++ b/lib/settings/source/values.h
@@ -6,7 +6,7 @@
 
 #include "currantpost/base/error.h"
 #include "currantpost/base/time.h"
-#include "currantpost/model/vm.h"
+#include "currantpost/settings/address.h"
 
 /// Values as they stand in a settings file. Each fails with the type of its fault.
 
@@ -24,9 +24,6 @@
 /// Reads a number of bytes with its unit: B, KiB or MiB.
 Result<int64_t> ParseBytes(std::string_view text);
 
-/// Reads an IP number and a port, such as 127.0.0.1:8080 or [::1]:8080.
-Result<Address> ParseAddress(std::string_view text);
-
 /// Reads a name of letters, digits, '-', '_' and '.'.
 Result<std::string> ParseName(std::string_view text);
 
