Add the policy package: sizes, interference, placement, eviction, quotas

Pure decision modules for the reducer's work feature: time and seeds come in as arguments, nothing reads a clock or does input or output, and all state is bounded and a plain value.

- InterferenceModel: Kalman filter with diagonal covariance over the pairs of service kind and batch kind; ResidencyHistory attributes late reports to those who ran.
- EvictionPlanner: throttles first, evicts least lost progress last, budget for each rack and minute, acts only on reports measured after its last action.

--- /dev/null
+++ b/lib/policy/source/eviction_planner.cc
@@ -0,0 +1,190 @@
+#include "currantpost/policy/eviction_planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace currantpost {
+namespace {
+
+/// Span over which evictions are counted against a rack's budget.
+constexpr Millis kBudgetPeriod = Millis(60'000);
+
+PressureDecision Decide(PressureAction action, PressureReason reason,
+                        const BatchResident& resident) {
+  return PressureDecision{
+      .action = action, .reason = reason, .task = resident.task, .attempt = resident.attempt};
+}
+
+/// Orders by what an eviction costs: less urgent first, then the least lost progress.
+bool CheaperToEvict(const BatchResident* left, const BatchResident* right) {
+  return std::tuple(-static_cast<int>(left->priority), left->at_risk, left->task) <
+         std::tuple(-static_cast<int>(right->priority), right->at_risk, right->task);
+}
+
+bool MoreHarmful(const BatchResident* left, const BatchResident* right) {
+  return std::tuple(-left->harm, left->task) < std::tuple(-right->harm, right->task);
+}
+
+std::vector<const BatchResident*> Residents(const VmPressure& pressure, bool throttled) {
+  std::vector<const BatchResident*> residents;
+
+  for (const BatchResident& resident : pressure.batch) {
+    if (resident.throttled == throttled) residents.push_back(&resident);
+  }
+
+  return residents;
+}
+
+std::vector<const BatchResident*> InOrderOfEviction(const VmPressure& pressure) {
+  std::vector<const BatchResident*> residents;
+  for (const BatchResident& resident : pressure.batch) residents.push_back(&resident);
+
+  std::sort(residents.begin(), residents.end(), CheaperToEvict);
+  return residents;
+}
+
+/// Says whether taking the resident away helps against what the VM is short of.
+bool Relieves(const BatchResident& resident, const Resources& shortage) {
+  return (shortage.millicores > 0 && resident.committed.millicores > 0) ||
+         (shortage.memory_mib > 0 && resident.committed.memory_mib > 0) ||
+         (shortage.accelerators > 0 && resident.committed.accelerators > 0);
+}
+
+bool IsShort(const Resources& shortage) {
+  return shortage.millicores > 0 || shortage.memory_mib > 0 || shortage.accelerators > 0;
+}
+
+}  // namespace
+
+PressureLimits PressureLimitsOf(const Preset& preset) {
+  return PressureLimits{.slowdown_limit = preset.slowdown_limit,
+                        .evictions_per_minute = preset.evictions_per_minute,
+                        .eviction_hysteresis = preset.eviction_hysteresis};
+}
+
+std::vector<PressureDecision> EvictionPlanner::Plan(Millis now, const VmPressure& pressure,
+                                                    const PressureLimits& limits) {
+  Decisions decisions;
+  VmHistory& history = vms_[pressure.vm];
+  const bool news = !history.acted || pressure.measured_at > history.last_action;
+
+  if (news) RelieveOverCommitment(now, pressure, limits, decisions);
+  if (news && decisions.empty()) RelieveSlowdown(now, pressure, limits, history, decisions);
+  if (news && decisions.empty()) LetGo(now, pressure, limits, history, decisions);
+
+  if (!decisions.empty()) {
+    history.acted = true;
+    history.last_action = now;
+  }
+
+  return decisions;
+}
+
+int32_t EvictionPlanner::BudgetLeft(Millis now, const RackId& rack,
+                                    const PressureLimits& limits) const {
+  const auto found = evictions_.find(rack);
+  if (found == evictions_.end()) return limits.evictions_per_minute;
+
+  const auto spent = std::count_if(found->second.begin(), found->second.end(),
+                                   [now](Millis time) { return now - time < kBudgetPeriod; });
+
+  return std::max(0, limits.evictions_per_minute - static_cast<int32_t>(spent));
+}
+
+void EvictionPlanner::RelieveOverCommitment(Millis now, const VmPressure& pressure,
+                                            const PressureLimits& limits, Decisions& decisions) {
+  Resources shortage = pressure.committed - pressure.capacity;
+
+  // No hysteresis here: what the VM holds is a hard limit, while a slow service is not.
+  for (const BatchResident* resident : InOrderOfEviction(pressure)) {
+    if (!IsShort(shortage)) return;
+    if (!Relieves(*resident, shortage)) continue;
+    if (!SpendEviction(now, pressure.rack, limits)) return;
+
+    decisions.push_back(Decide(PressureAction::kEvict, PressureReason::kOverCommitted, *resident));
+    shortage -= resident->committed;
+  }
+}
+
+void EvictionPlanner::RelieveSlowdown(Millis now, const VmPressure& pressure,
+                                      const PressureLimits& limits, VmHistory& history,
+                                      Decisions& decisions) {
+  if (pressure.slowdown <= limits.slowdown_limit) {
+    history.slow = false;
+    return;
+  }
+
+  history.calm = false;
+
+  if (!history.slow) {
+    history.slow = true;
+    history.slow_since = now;
+  }
+
+  auto unthrottled = Residents(pressure, false);
+
+  if (!unthrottled.empty()) {
+    std::sort(unthrottled.begin(), unthrottled.end(), MoreHarmful);
+    double excess = pressure.slowdown - limits.slowdown_limit;
+
+    for (const BatchResident* resident : unthrottled) {
+      if (excess <= 0.0) break;
+
+      decisions.push_back(Decide(PressureAction::kThrottle, PressureReason::kSlowdown, *resident));
+      excess -= resident->harm;
+    }
+
+    // The delay before an eviction counts from the last throttling on.
+    history.slow_since = now;
+    return;
+  }
+
+  if (now - history.slow_since < settings_.eviction_delay) return;
+
+  for (const BatchResident* resident : InOrderOfEviction(pressure)) {
+    if (resident->age < limits.eviction_hysteresis) continue;
+    if (!SpendEviction(now, pressure.rack, limits)) return;
+
+    decisions.push_back(Decide(PressureAction::kEvict, PressureReason::kSlowdown, *resident));
+    history.slow_since = now;
+    return;
+  }
+}
+
+void EvictionPlanner::LetGo(Millis now, const VmPressure& pressure, const PressureLimits& limits,
+                            VmHistory& history, Decisions& decisions) {
+  const double calm_below = 1.0 + settings_.calm_share * (limits.slowdown_limit - 1.0);
+
+  if (pressure.slowdown >= calm_below) {
+    history.calm = false;
+    return;
+  }
+
+  if (!history.calm) {
+    history.calm = true;
+    history.calm_since = now;
+  }
+
+  if (now - history.calm_since < settings_.calm_period) return;
+
+  const auto throttled = Residents(pressure, true);
+  if (throttled.empty()) return;
+
+  // One at a time, the least harmful first, so that the next report shows what it did.
+  const auto least = std::max_element(throttled.begin(), throttled.end(), MoreHarmful);
+
+  decisions.push_back(Decide(PressureAction::kUnthrottle, PressureReason::kCalm, **least));
+  history.calm_since = now;
+}
+
+bool EvictionPlanner::SpendEviction(Millis now, const RackId& rack, const PressureLimits& limits) {
+  if (BudgetLeft(now, rack, limits) <= 0) return false;
+
+  std::deque<Millis>& spent = evictions_[rack];
+  while (!spent.empty() && now - spent.front() >= kBudgetPeriod) spent.pop_front();
+
+  spent.push_back(now);
+  return true;
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/policy/source/interference_model.cc
@@ -0,0 +1,150 @@
+#include "currantpost/policy/interference_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace currantpost {
+namespace {
+
+/// Deviation with which the base of a service is first known.
+constexpr double kBaseDeviation = 0.1;
+
+double Square(double value) { return value * value; }
+
+/// Removes the entry that was not observed for longest.
+template <typename Map>
+void ForgetOldest(Map& map) {
+  const auto oldest =
+      std::min_element(map.begin(), map.end(), [](const auto& left, const auto& right) {
+        return left.second.last_observed < right.second.last_observed;
+      });
+
+  if (oldest != map.end()) map.erase(oldest);
+}
+
+}  // namespace
+
+void AddLoad(std::vector<KindLoad>& loads, std::string_view kind, double load) {
+  for (KindLoad& known : loads) {
+    if (known.kind == kind) {
+      known.load += load;
+      return;
+    }
+  }
+
+  loads.push_back(KindLoad{.kind = std::string(kind), .load = load});
+}
+
+void InterferenceModel::Observe(const InterferenceObservation& observation) {
+  if (!std::isfinite(observation.slowdown) || observation.slowdown <= 0.0) return;
+
+  Service& service = Remember(observation.service_kind);
+  double expected = 1.0 + service.base.mean;
+  double variance = Square(settings_.noise_deviation) + service.base.variance;
+
+  std::vector<Coefficient*> coefficients;
+  coefficients.reserve(observation.batch.size());
+
+  for (const KindLoad& batch : observation.batch) {
+    Coefficient& coefficient = RememberKind(service, batch.kind);
+    expected += coefficient.mean * batch.load;
+    variance += coefficient.variance * Square(batch.load);
+    coefficients.push_back(&coefficient);
+  }
+
+  const double most = settings_.most_surprise * std::sqrt(variance);
+  const double error = std::clamp(observation.slowdown - expected, -most, most);
+
+  Correct(service.base, 1.0, error, variance);
+  for (size_t index = 0; index < coefficients.size(); ++index) {
+    Correct(*coefficients[index], observation.batch[index].load, error, variance);
+  }
+
+  while (service.by_kind.size() > settings_.most_kinds_per_service) ForgetOldest(service.by_kind);
+}
+
+double InterferenceModel::Predict(std::string_view service_kind,
+                                  std::span<const KindLoad> batch) const {
+  const Service* service = Find(service_kind);
+  double mean = service == nullptr ? 0.0 : service->base.mean;
+  double variance = 0.0;
+
+  for (const KindLoad& other : batch) {
+    const Coefficient coefficient = FindKind(service, other.kind);
+    mean += coefficient.mean * other.load;
+    variance += coefficient.variance * Square(other.load);
+  }
+
+  return std::max(1.0, 1.0 + mean + settings_.caution * std::sqrt(variance));
+}
+
+double InterferenceModel::Harm(std::string_view service_kind, std::string_view batch_kind,
+                               double load) const {
+  const Coefficient coefficient = FindKind(Find(service_kind), batch_kind);
+  const double deviation = std::sqrt(coefficient.variance);
+
+  return std::max(0.0, (coefficient.mean + settings_.caution * deviation) * load);
+}
+
+size_t InterferenceModel::Pairs() const {
+  size_t pairs = 0;
+  for (const auto& [kind, service] : services_) pairs += service.by_kind.size();
+
+  return pairs;
+}
+
+InterferenceModel::Service& InterferenceModel::Remember(std::string_view service_kind) {
+  auto found = services_.find(service_kind);
+
+  if (found == services_.end()) {
+    if (services_.size() >= settings_.most_services) ForgetOldest(services_);
+
+    Service service;
+    service.base.variance = Square(kBaseDeviation);
+    found = services_.emplace(std::string(service_kind), std::move(service)).first;
+  }
+
+  found->second.last_observed = ++observations_;
+  return found->second;
+}
+
+InterferenceModel::Coefficient& InterferenceModel::RememberKind(Service& service,
+                                                                std::string_view batch_kind) {
+  auto found = service.by_kind.find(batch_kind);
+
+  if (found == service.by_kind.end()) {
+    found = service.by_kind.emplace(std::string(batch_kind), Prior()).first;
+  }
+
+  found->second.last_observed = observations_;
+  return found->second;
+}
+
+const InterferenceModel::Service* InterferenceModel::Find(std::string_view service_kind) const {
+  const auto found = services_.find(service_kind);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+InterferenceModel::Coefficient InterferenceModel::FindKind(const Service* service,
+                                                           std::string_view batch_kind) const {
+  if (service == nullptr) return Prior();
+
+  const auto found = service->by_kind.find(batch_kind);
+  return found == service->by_kind.end() ? Prior() : found->second;
+}
+
+InterferenceModel::Coefficient InterferenceModel::Prior() const {
+  return Coefficient{.mean = settings_.prior_mean, .variance = Square(settings_.prior_deviation)};
+}
+
+void InterferenceModel::Correct(Coefficient& coefficient, double load, double error,
+                                double variance) const {
+  const double gain = coefficient.variance * load / variance;
+
+  coefficient.mean += gain * error;
+  coefficient.variance *= 1.0 - gain * load;
+  coefficient.variance += Square(settings_.drift_deviation);
+  coefficient.variance = std::min(coefficient.variance, Square(settings_.prior_deviation));
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/tests/policy/interference_model_test.cc
@@ -0,0 +1,129 @@
+#include "currantpost/policy/interference_model.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <limits>
+#include <random>
+#include <string>
+
+#include "currantpost/policy/residency_history.h"
+
+namespace currantpost {
+namespace {
+
+std::vector<KindLoad> Batch(double harmless, double harmful) {
+  return {{.kind = "menu", .load = harmless}, {.kind = "review", .load = harmful}};
+}
+
+/// A model that saw many measurements of a service on which only reviews weigh.
+InterferenceModel Trained() {
+  InterferenceModel model;
+  std::mt19937_64 generator(7);
+  std::uniform_real_distribution<double> load(0.0, 0.5);
+  std::normal_distribution<double> noise(0.0, 0.05);
+
+  for (int report = 0; report < 400; ++report) {
+    const auto batch = Batch(load(generator), load(generator));
+    const double slowdown = 1.0 + 0.9 * batch[1].load + noise(generator);
+    model.Observe({.service_kind = "board", .batch = batch, .slowdown = slowdown});
+  }
+
+  return model;
+}
+
+TEST(InterferenceModel, TellsHarmfulFromHarmlessBatchThatRanTogether) {
+  const InterferenceModel model = Trained();
+
+  EXPECT_NEAR(model.Predict("board", Batch(0.0, 0.4)), 1.36, 0.06);
+  EXPECT_NEAR(model.Predict("board", Batch(0.4, 0.0)), 1.0, 0.06);
+  EXPECT_GT(model.Harm("board", "review", 0.4), 5 * model.Harm("board", "menu", 0.4));
+}
+
+TEST(InterferenceModel, IsCautiousAboutWhatItHasNotSeen) {
+  const InterferenceModel model = Trained();
+  const std::vector<KindLoad> unseen = {{.kind = "inventory", .load = 0.3}};
+
+  EXPECT_GT(model.Predict("board", unseen), model.Predict("board", Batch(0.3, 0.0)));
+  EXPECT_LT(model.Predict("board", unseen), 1.3);
+}
+
+TEST(InterferenceModel, OneWildReportDoesLittle) {
+  InterferenceModel model = Trained();
+  const double before = model.Predict("board", Batch(0.3, 0.3));
+
+  model.Observe({.service_kind = "board", .batch = Batch(0.3, 0.3), .slowdown = 500.0});
+  EXPECT_LT(model.Predict("board", Batch(0.3, 0.3)), before + 0.2);
+}
+
+TEST(InterferenceModel, LeavesOutImpossibleReports) {
+  InterferenceModel model;
+
+  model.Observe({.service_kind = "board",
+                 .batch = Batch(0.1, 0.1),
+                 .slowdown = std::numeric_limits<double>::quiet_NaN()});
+  model.Observe({.service_kind = "board", .batch = Batch(0.1, 0.1), .slowdown = -1.0});
+
+  EXPECT_EQ(model.Pairs(), 0U);
+}
+
+TEST(InterferenceModel, IsBounded) {
+  InterferenceModel model({.most_services = 3, .most_kinds_per_service = 5});
+
+  for (int index = 0; index < 100; ++index) {
+    const std::vector<KindLoad> batch = {{.kind = std::to_string(index), .load = 0.1}};
+    model.Observe({.service_kind = std::to_string(index % 10), .batch = batch, .slowdown = 1.1});
+  }
+
+  EXPECT_LE(model.Pairs(), 15U);
+}
+
+RC_GTEST_PROP(InterferenceModelProperty, PredictsFiniteSlowdownsThatGrowWithLoad, ()) {
+  InterferenceModel model;
+
+  for (const int percent : *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100'000))) {
+    const double load = percent % 90 / 100.0;
+    model.Observe(
+        {.service_kind = "check", .batch = Batch(load, 0.9 - load), .slowdown = percent / 100.0});
+  }
+
+  const double light = model.Predict("check", Batch(0.1, 0.1));
+  const double heavy = model.Predict("check", Batch(0.5, 0.5));
+
+  RC_ASSERT(std::isfinite(heavy));
+  RC_ASSERT(light >= 1.0);
+  RC_ASSERT(model.Harm("check", "menu", 0.5) >= model.Harm("check", "menu", 0.1));
+}
+
+TEST(ResidencyHistory, AttributesToThoseWhoRanWhenMeasured) {
+  ResidencyHistory history(3);
+  history.Record(Millis(10), Batch(0.1, 0.0));
+  history.Record(Millis(20), Batch(0.0, 0.2));
+
+  EXPECT_EQ(history.At(Millis(9)), nullptr);
+  EXPECT_EQ(*history.At(Millis(19)), Batch(0.1, 0.0));
+  EXPECT_EQ(*history.At(Millis(20)), Batch(0.0, 0.2));
+  EXPECT_EQ(*history.At(Millis(99)), Batch(0.0, 0.2));
+
+  EXPECT_TRUE(history.SteadyBetween(Millis(10), Millis(19)));
+  EXPECT_FALSE(history.SteadyBetween(Millis(19), Millis(21)));
+}
+
+TEST(ResidencyHistory, ForgetsTheOldest) {
+  ResidencyHistory history(2);
+  for (int time = 1; time <= 3; ++time) history.Record(Millis(time), Batch(0.1 * time, 0.0));
+
+  EXPECT_EQ(history.At(Millis(1)), nullptr);
+  EXPECT_NE(history.At(Millis(2)), nullptr);
+}
+
+TEST(ResidencyHistory, LastOfOneInstantCounts) {
+  ResidencyHistory history;
+  history.Record(Millis(5), Batch(0.1, 0.0));
+  history.Record(Millis(5), Batch(0.2, 0.0));
+
+  EXPECT_EQ(*history.At(Millis(5)), Batch(0.2, 0.0));
+}
+
+}  // namespace
+}  // namespace currantpost
--- /dev/null
+++ b/tests/policy/quota_ledger_test.cc
@@ -0,0 +1,105 @@
+#include "currantpost/policy/quota_ledger.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace currantpost {
+namespace {
+
+constexpr Resources kOneCore{.millicores = 1'000};
+constexpr Resources kWhole{.millicores = 100'000, .memory_mib = 100'000};
+
+WaitingTask Waiting(const char* team, Priority priority = Priority::kNormal,
+                    Millis since = Millis(0)) {
+  return {.team = TeamId(team), .priority = priority, .size = kOneCore, .waiting_since = since};
+}
+
+TEST(QuotaLedger, AdmitsUpToTheQuota) {
+  QuotaLedger ledger;
+  ledger.SetQuota(TeamId("kitchen"), {.millicores = 2'000});
+
+  EXPECT_TRUE(ledger.Admits(TeamId("kitchen"), kOneCore));
+  ledger.Charge(TeamId("kitchen"), kOneCore);
+  ledger.Charge(TeamId("kitchen"), kOneCore);
+  EXPECT_FALSE(ledger.Admits(TeamId("kitchen"), kOneCore));
+
+  ledger.Release(TeamId("kitchen"), kOneCore);
+  EXPECT_TRUE(ledger.Admits(TeamId("kitchen"), kOneCore));
+  EXPECT_TRUE(ledger.Admits(TeamId("unlimited"), kWhole));
+}
+
+TEST(QuotaLedger, ReleasingTwiceDoesNotWidenAQuota) {
+  QuotaLedger ledger;
+  ledger.SetQuota(TeamId("kitchen"), kOneCore);
+  ledger.Charge(TeamId("kitchen"), kOneCore);
+
+  ledger.Release(TeamId("kitchen"), kOneCore);
+  ledger.Release(TeamId("kitchen"), kOneCore);
+
+  EXPECT_EQ(ledger.Used(TeamId("kitchen")), Resources{});
+  EXPECT_FALSE(ledger.Admits(TeamId("kitchen"), kOneCore + kOneCore));
+}
+
+TEST(QuotaLedger, UrgentWorkGoesFirst) {
+  QuotaLedger ledger;
+  ledger.Charge(TeamId("busy"), kWhole);
+  const std::vector<WaitingTask> waiting = {Waiting("idle"), Waiting("busy", Priority::kUrgent)};
+
+  EXPECT_EQ(ledger.NextTurn(waiting, kWhole), 1U);
+}
+
+TEST(QuotaLedger, ThenTheTeamThatHoldsTheSmallestShare) {
+  QuotaLedger ledger;
+  ledger.SetQuota(TeamId("small"), {.millicores = 2'000});
+  ledger.SetQuota(TeamId("large"), {.millicores = 50'000});
+  ledger.Charge(TeamId("small"), kOneCore);
+  ledger.Charge(TeamId("large"), {.millicores = 5'000});
+
+  const std::vector<WaitingTask> waiting = {Waiting("small"), Waiting("large")};
+  EXPECT_EQ(ledger.NextTurn(waiting, kWhole), 1U);
+}
+
+TEST(QuotaLedger, ThenTheLongestWaitThenTheName) {
+  const QuotaLedger ledger;
+
+  const std::vector<WaitingTask> waits = {Waiting("a", Priority::kLow, Millis(9)),
+                                          Waiting("b", Priority::kLow, Millis(3))};
+  EXPECT_EQ(ledger.NextTurn(waits, kWhole), 1U);
+
+  const std::vector<WaitingTask> alike = {Waiting("b"), Waiting("a")};
+  EXPECT_EQ(ledger.NextTurn(alike, kWhole), 1U);
+}
+
+TEST(QuotaLedger, TeamsWithoutRoomAreLeftOut) {
+  QuotaLedger ledger;
+  ledger.SetQuota(TeamId("none"), {});
+
+  EXPECT_EQ(ledger.NextTurn(std::vector{Waiting("none")}, kWhole), std::nullopt);
+}
+
+RC_GTEST_PROP(QuotaLedgerProperty, TurnsUseUpEachQuotaAndNoMore, ()) {
+  QuotaLedger ledger;
+  std::vector<WaitingTask> waiting;
+
+  for (const char* team : {"a", "b", "c"}) {
+    ledger.SetQuota(TeamId(team), {.millicores = *rc::gen::inRange<int64_t>(0, 12) * 1'000});
+    waiting.push_back(Waiting(team));
+  }
+
+  int turns = 0;
+  while (const auto next = ledger.NextTurn(waiting, kWhole)) {
+    ledger.Charge(waiting[*next].team, kOneCore);
+    ++turns;
+    RC_ASSERT(turns <= 36);
+  }
+
+  for (const WaitingTask& task : waiting) {
+    RC_ASSERT(ledger.Admits(task.team, {}));
+    RC_ASSERT(!ledger.Admits(task.team, kOneCore));
+  }
+}
+
+}  // namespace
+}  // namespace currantpost
