Add clients for the key-value service, the list of VMs and the workers

Each call is made once. A call counts as not made only if the connection could not be made or the service itself said so; all else without a whole answer is unknown.

--- /dev/null
+++ b/lib/platform/include/currantpost/platform/kv_protocol.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "currantpost/model/kv.h"
+
+/// JSON forms and paths of the key-value service's calls. See docs/design/platform-protocol.md.
+
+namespace currantpost::kv_protocol {
+
+inline constexpr const char* kGetPath = "/kv/get";
+inline constexpr const char* kListPath = "/kv/list";
+inline constexpr const char* kPutPath = "/kv/put";
+inline constexpr const char* kDeletePath = "/kv/delete";
+inline constexpr const char* kWatchPath = "/kv/watch";
+
+/// Largest value in bytes.
+inline constexpr size_t kLargestValue = 1'048'576;
+
+/// Writes the body of an answer.
+nlohmann::json ReplyJson(const KvReply& reply);
+
+/// Reads the body of an answer; the status stays as it is. Throws `nlohmann::json::exception`.
+void ReadReply(const nlohmann::json& json, KvReply& reply);
+
+}  // namespace currantpost::kv_protocol
--- /dev/null
+++ b/lib/platform/source/http_channel.cc
@@ -0,0 +1,113 @@
+#include "http_channel.h"
+
+#include <utility>
+
+#include "currantpost/platform/headers.h"
+
+namespace currantpost {
+namespace {
+
+/// Age after which an idle connection may have been forgotten by something on its way.
+constexpr Millis kIdleAgeLimit(5'000);
+/// Largest answer in bytes.
+constexpr size_t kLargestAnswer = 67'108'864;
+
+std::chrono::milliseconds Duration(Millis span) { return std::chrono::milliseconds(span.Count()); }
+
+std::unique_ptr<httplib::Client> MakeClient(const Address& address) {
+  auto client = std::make_unique<httplib::Client>(address.host, address.port);
+  client->set_tcp_nodelay(true);
+  client->set_keep_alive(true);
+  return client;
+}
+
+std::string NextRequestId() {
+  static std::atomic<uint64_t> last = 0;
+  return std::to_string(++last);
+}
+
+/// Says whether the request was surely never sent.
+bool IsNotSent(httplib::Error error) {
+  return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+}
+
+Exchange Run(httplib::Client& client, const HttpCall& call) {
+  client.set_connection_timeout(Duration(call.timeout));
+  client.set_read_timeout(Duration(call.timeout));
+  client.set_write_timeout(Duration(call.timeout));
+
+  httplib::Request request;
+  request.method = call.method;
+  request.path = call.path;
+  request.body = call.body;
+  if (!call.body.empty()) request.set_header("Content-Type", "application/json");
+
+  const std::string id = NextRequestId();
+  request.set_header(kRequestIdHeader, id);
+
+  // The library's timeouts bound each silence; this bounds the sum, and the size.
+  const MonotonicClock clock;
+  const Millis deadline = clock.Now() + call.timeout;
+  request.progress = [&](uint64_t current, uint64_t total) {
+    return clock.Now() <= deadline && current <= kLargestAnswer && total <= kLargestAnswer;
+  };
+
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+
+  if (!client.send(request, response, error)) {
+    return Exchange{IsNotSent(error) ? ExchangeStatus::kNotSent : ExchangeStatus::kUnknown};
+  }
+
+  const std::string echoed = response.get_header_value(kRequestIdHeader);
+  if (!echoed.empty() && echoed != id) return Exchange{};
+
+  return Exchange{ExchangeStatus::kAnswered, response.status,
+                  response.get_header_value(kNotAppliedHeader) == "1", std::move(response.body)};
+}
+
+}  // namespace
+
+Exchange ExchangeOnce(const Address& address, const HttpCall& call) {
+  const std::unique_ptr<httplib::Client> client = MakeClient(address);
+  client->set_keep_alive(false);
+  return Run(*client, call);
+}
+
+Exchange HttpChannel::Call(const HttpCall& call) {
+  std::unique_ptr<httplib::Client> client = Take();
+  Exchange exchange = Run(*client, call);
+
+  if (exchange.status == ExchangeStatus::kAnswered) {
+    Keep(std::move(client));
+  } else {
+    // Whatever silenced one connection may have silenced the others too.
+    DropIdle();
+  }
+
+  return exchange;
+}
+
+std::unique_ptr<httplib::Client> HttpChannel::Take() {
+  const std::lock_guard lock(mutex_);
+  const Millis oldest = clock_.Now() - kIdleAgeLimit;
+  std::erase_if(idle_, [&](const Connection& each) { return each.idle_since < oldest; });
+
+  if (idle_.empty()) return MakeClient(address_);
+
+  std::unique_ptr<httplib::Client> client = std::move(idle_.back().client);
+  idle_.pop_back();
+  return client;
+}
+
+void HttpChannel::Keep(std::unique_ptr<httplib::Client> client) {
+  const std::lock_guard lock(mutex_);
+  idle_.push_back(Connection{std::move(client), clock_.Now()});
+}
+
+void HttpChannel::DropIdle() {
+  const std::lock_guard lock(mutex_);
+  idle_.clear();
+}
+
+}  // namespace currantpost
