--- /dev/null
+++ b/lib/peer/include/currantpost/peer/peer_client.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "currantpost/base/error.h"
+#include "currantpost/base/time.h"
+#include "currantpost/model/peer.h"
+#include "currantpost/model/vm.h"
+#include "peer.grpc.pb.h"
+
+namespace currantpost {
+
+/// Exchanges heartbeats with peers.
+class PeerClient {
+ public:
+  virtual ~PeerClient() = default;
+
+  /// Sends a heartbeat and returns the peer's own. Usable from any thread.
+  virtual Result<Heartbeat> Exchange(const Address& peer, const Heartbeat& heartbeat) = 0;
+};
+
+/// Exchanges heartbeats over gRPC, one channel for each address.
+///
+/// A channel that failed is given up, so that a connection that has gone silent is never
+/// used twice: the next exchange makes a fresh one.
+class GrpcPeerClient final : public PeerClient {
+ public:
+  /// Takes the longest time for one exchange.
+  explicit GrpcPeerClient(Millis deadline);
+
+  Result<Heartbeat> Exchange(const Address& peer, const Heartbeat& heartbeat) override;
+
+ private:
+  struct Channel {
+    std::shared_ptr<wire::Peer::Stub> stub;
+    /// Rises with each use; the smallest one is the longest unused.
+    uint64_t used = 0;
+  };
+
+  std::shared_ptr<wire::Peer::Stub> StubFor(const Address& peer) ABSL_LOCKS_EXCLUDED(mutex_);
+  void GiveUp(const Address& peer, const std::shared_ptr<wire::Peer::Stub>& stub)
+      ABSL_LOCKS_EXCLUDED(mutex_);
+  void DropLongestUnused() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  const Millis deadline_;
+  absl::Mutex mutex_;
+  std::map<Address, Channel> channels_ ABSL_GUARDED_BY(mutex_);
+  uint64_t uses_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/peer/source/heartbeat_message.cc
@@ -0,0 +1,174 @@
+#include "currantpost/peer/heartbeat_message.h"
+
+#include <string>
+#include <utility>
+
+#include "target.h"
+
+namespace currantpost {
+namespace {
+
+constexpr size_t kLongestName = 256;
+constexpr size_t kLargestConfiguration = 1'048'576;
+constexpr int kMostKnownEntries = 4'096;
+constexpr int kMostRacks = 16'384;
+constexpr int kMostLeavingUpstreams = 16'384;
+constexpr int kHighestPort = 65'535;
+
+void Fill(wire::AddressMessage& message, const Address& address) {
+  message.set_host(address.host);
+  message.set_port(address.port);
+}
+
+void Fill(wire::KnownEntryMessage& message, const KnownEntry& known) {
+  message.set_entry(known.entry.Text());
+  message.set_incarnation(known.incarnation);
+  message.set_data_centre(known.data_centre.Text());
+  Fill(*message.mutable_peer_address(), known.peer_address);
+  Fill(*message.mutable_operator_address(), known.operator_address);
+  message.set_configuration_revision(known.configuration_revision);
+  message.set_age_ms(known.age_ms);
+  message.set_leaving(known.leaving);
+}
+
+Error CheckName(const std::string& name, const char* field) {
+  if (name.empty()) return MakeError(ErrorCode::kMalformed, field);
+  if (name.size() > kLongestName) return MakeError(ErrorCode::kTooLarge, field);
+
+  return {};
+}
+
+Error CheckAddress(const wire::AddressMessage& message, const char* field) {
+  if (!IsIpNumber(message.host())) return MakeError(ErrorCode::kMalformed, field);
+  if (message.port() < 1 || message.port() > kHighestPort) {
+    return MakeError(ErrorCode::kOutOfRange, field);
+  }
+
+  return {};
+}
+
+Error CheckKnown(const wire::KnownEntryMessage& message) {
+  if (Error error = CheckName(message.entry(), "entry"); error.code) return error;
+  if (Error error = CheckName(message.data_centre(), "data_centre"); error.code) return error;
+  if (Error error = CheckAddress(message.peer_address(), "peer_address"); error.code) return error;
+  if (Error error = CheckAddress(message.operator_address(), "operator_address"); error.code) {
+    return error;
+  }
+
+  if (message.age_ms() < 0) return MakeError(ErrorCode::kOutOfRange, "age_ms");
+  if (message.configuration_revision() < 0) {
+    return MakeError(ErrorCode::kOutOfRange, "configuration_revision");
+  }
+
+  return {};
+}
+
+Error CheckRack(const wire::RackClaimMessage& message) {
+  if (Error error = CheckName(message.rack(), "rack"); error.code) return error;
+  if (message.epoch() < 0) return MakeError(ErrorCode::kOutOfRange, "epoch");
+
+  return {};
+}
+
+/// Checks everything but the single entries of the lists.
+Error CheckSizes(const wire::HeartbeatMessage& message) {
+  if (!message.has_sender()) return MakeError(ErrorCode::kMalformed, "sender");
+  if (message.known_size() > kMostKnownEntries) return MakeError(ErrorCode::kTooLarge, "known");
+  if (message.racks_size() > kMostRacks) return MakeError(ErrorCode::kTooLarge, "racks");
+  if (message.leaving_upstreams_size() > kMostLeavingUpstreams) {
+    return MakeError(ErrorCode::kTooLarge, "leaving_upstreams");
+  }
+
+  if (message.configuration().size() > kLargestConfiguration) {
+    return MakeError(ErrorCode::kTooLarge, "configuration");
+  }
+
+  return {};
+}
+
+Error Check(const wire::HeartbeatMessage& message) {
+  if (Error error = CheckSizes(message); error.code) return error;
+  if (Error error = CheckKnown(message.sender()); error.code) return error;
+
+  for (const auto& known : message.known()) {
+    if (Error error = CheckKnown(known); error.code) return error;
+  }
+
+  for (const auto& rack : message.racks()) {
+    if (Error error = CheckRack(rack); error.code) return error;
+  }
+
+  for (const auto& leaving : message.leaving_upstreams()) {
+    if (Error error = CheckName(leaving.vm(), "vm"); error.code) return error;
+  }
+
+  return {};
+}
+
+Address AddressOf(const wire::AddressMessage& message) {
+  return Address{.host = message.host(), .port = message.port()};
+}
+
+KnownEntry KnownOf(const wire::KnownEntryMessage& message) {
+  return KnownEntry{
+      .entry = EntryId(message.entry()),
+      .incarnation = message.incarnation(),
+      .data_centre = DataCentreId(message.data_centre()),
+      .peer_address = AddressOf(message.peer_address()),
+      .operator_address = AddressOf(message.operator_address()),
+      .configuration_revision = message.configuration_revision(),
+      .age_ms = message.age_ms(),
+      .leaving = message.leaving(),
+  };
+}
+
+}  // namespace
+
+wire::HeartbeatMessage ToMessage(const Heartbeat& heartbeat) {
+  wire::HeartbeatMessage message;
+  Fill(*message.mutable_sender(), heartbeat.sender);
+
+  for (const KnownEntry& known : heartbeat.known) Fill(*message.add_known(), known);
+
+  for (const RackClaim& claim : heartbeat.racks) {
+    wire::RackClaimMessage& rack = *message.add_racks();
+    rack.set_rack(claim.rack.Text());
+    rack.set_epoch(claim.epoch);
+  }
+
+  for (const LeavingUpstream& upstream : heartbeat.leaving_upstreams) {
+    wire::LeavingUpstreamMessage& leaving = *message.add_leaving_upstreams();
+    leaving.set_vm(upstream.vm.Text());
+    leaving.set_incarnation(upstream.incarnation);
+  }
+
+  message.set_configuration(heartbeat.configuration);
+
+  return message;
+}
+
+Result<Heartbeat> FromMessage(const wire::HeartbeatMessage& message) {
+  if (Error error = Check(message); error.code) {
+    return tl::unexpected<Error>(std::move(error));
+  }
+
+  Heartbeat heartbeat;
+  heartbeat.sender = KnownOf(message.sender());
+
+  for (const auto& known : message.known()) heartbeat.known.push_back(KnownOf(known));
+
+  for (const auto& rack : message.racks()) {
+    heartbeat.racks.push_back(RackClaim{.rack = RackId(rack.rack()), .epoch = rack.epoch()});
+  }
+
+  for (const auto& leaving : message.leaving_upstreams()) {
+    heartbeat.leaving_upstreams.push_back(
+        LeavingUpstream{.vm = VmId(leaving.vm()), .incarnation = leaving.incarnation()});
+  }
+
+  heartbeat.configuration = message.configuration();
+
+  return heartbeat;
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/peer/source/peer_server.cc
@@ -0,0 +1,104 @@
+#include "currantpost/peer/peer_server.h"
+
+#include <grpcpp/resource_quota.h>
+#include <grpcpp/server_builder.h>
+
+#include <chrono>
+#include <utility>
+
+#include "currantpost/base/logging.h"
+#include "currantpost/peer/heartbeat_message.h"
+#include "target.h"
+
+namespace currantpost {
+namespace {
+
+constexpr std::string_view kPart = "peer";
+constexpr int kMostThreads = 6;
+constexpr size_t kMemoryQuota = 33'554'432;
+constexpr std::chrono::milliseconds kStopGrace(200);
+
+grpc::Status StatusOf(const Error& error) {
+  const bool callers_fault =
+      error.code == ErrorCode::kMalformed || error.code == ErrorCode::kOutOfRange ||
+      error.code == ErrorCode::kTooLarge || error.code == ErrorCode::kInvalidArgument;
+  const auto code =
+      callers_fault ? grpc::StatusCode::INVALID_ARGUMENT : grpc::StatusCode::UNAVAILABLE;
+
+  return {code, ErrorName(error.code) + ": " + error.detail};
+}
+
+/// Text of an address as a listener takes it.
+std::string ListenText(const Address& address) {
+  const bool is_version_6 = address.host.find(':') != std::string::npos;
+  const std::string host = is_version_6 ? "[" + address.host + "]" : address.host;
+
+  return host + ":" + std::to_string(address.port);
+}
+
+}  // namespace
+
+grpc::Status PeerServer::Service::Exchange(grpc::ServerContext* context,
+                                           const wire::HeartbeatMessage* request,
+                                           wire::HeartbeatMessage* response) {
+  const Result<Heartbeat> heartbeat = FromMessage(*request);
+
+  if (!heartbeat) {
+    WriteLog(Severity::kWarning, kPart, "Refused a malformed heartbeat.",
+             {{"from", context->peer()},
+              {"error", ErrorName(heartbeat.error().code)},
+              {"field", heartbeat.error().detail}});
+    return StatusOf(heartbeat.error());
+  }
+
+  const Result<Heartbeat> answer = handler_(*heartbeat);
+  if (!answer) return StatusOf(answer.error());
+
+  *response = ToMessage(*answer);
+  return grpc::Status::OK;
+}
+
+PeerServer::PeerServer(Address listen, HeartbeatHandler handler)
+    : listen_(std::move(listen)), service_(std::move(handler)) {}
+
+PeerServer::~PeerServer() { Stop(); }
+
+Result<int> PeerServer::Start() {
+  if (!IsIpNumber(listen_.host)) return Fail(ErrorCode::kInvalidArgument, "peer address");
+
+  grpc::ResourceQuota quota("peer");
+  quota.SetMaxThreads(kMostThreads);
+  quota.Resize(kMemoryQuota);
+
+  int port = 0;
+  grpc::ServerBuilder builder;
+  builder.SetResourceQuota(quota);
+  builder.SetSyncServerOption(grpc::ServerBuilder::SyncServerOption::NUM_CQS, 1);
+  builder.SetSyncServerOption(grpc::ServerBuilder::SyncServerOption::MIN_POLLERS, 1);
+  builder.SetSyncServerOption(grpc::ServerBuilder::SyncServerOption::MAX_POLLERS, 2);
+  builder.SetMaxReceiveMessageSize(static_cast<int>(kLargestPeerMessage));
+  builder.SetMaxSendMessageSize(static_cast<int>(kLargestPeerMessage));
+  // Two processes must never share the port of one.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddListeningPort(ListenText(listen_), grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(&service_);
+
+  server_ = builder.BuildAndStart();
+
+  if (server_ == nullptr || port == 0) {
+    server_.reset();
+    return Fail(ErrorCode::kUnavailable, ListenText(listen_));
+  }
+
+  return port;
+}
+
+void PeerServer::Stop() {
+  if (server_ == nullptr) return;
+
+  server_->Shutdown(std::chrono::system_clock::now() + kStopGrace);
+  server_->Wait();
+  server_.reset();
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/tests/peer/heartbeat_message_test.cc
@@ -0,0 +1,129 @@
+#include "currantpost/peer/heartbeat_message.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "sample_heartbeat.h"
+
+namespace currantpost {
+namespace {
+
+KnownEntry GenerateKnown() {
+  KnownEntry known = SampleKnown(*rc::gen::element<std::string>("entry-1", "entry-2", "entry-3"));
+  known.incarnation = *rc::gen::arbitrary<uint64_t>();
+  known.peer_address.port = *rc::gen::inRange(1, 65'536);
+  known.configuration_revision = *rc::gen::inRange<int64_t>(0, 1'000'000);
+  known.age_ms = *rc::gen::inRange<int64_t>(0, 1'000'000);
+  known.leaving = *rc::gen::arbitrary<bool>();
+
+  return known;
+}
+
+Heartbeat GenerateHeartbeat() {
+  Heartbeat heartbeat;
+  heartbeat.sender = GenerateKnown();
+
+  const int known_count = *rc::gen::inRange(0, 5);
+  for (int number = 0; number < known_count; ++number) heartbeat.known.push_back(GenerateKnown());
+
+  const int rack_count = *rc::gen::inRange(0, 5);
+  for (int number = 0; number < rack_count; ++number) {
+    heartbeat.racks.push_back(RackClaim{.rack = RackId("rack-" + std::to_string(number)),
+                                        .epoch = *rc::gen::inRange<Epoch>(0, 1'000)});
+    heartbeat.leaving_upstreams.push_back(
+        LeavingUpstream{.vm = VmId("vm-" + std::to_string(number)),
+                        .incarnation = *rc::gen::arbitrary<uint64_t>()});
+  }
+
+  heartbeat.configuration = *rc::gen::element<std::string>("", R"({"revision":7})");
+
+  return heartbeat;
+}
+
+RC_GTEST_PROP(HeartbeatMessage, ReadsBackWhatWasWritten, ()) {
+  const Heartbeat heartbeat = GenerateHeartbeat();
+  const wire::HeartbeatMessage message = ToMessage(heartbeat);
+
+  wire::HeartbeatMessage received;
+  RC_ASSERT(received.ParseFromString(message.SerializeAsString()));
+
+  const Result<Heartbeat> read = FromMessage(received);
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(ToMessage(*read).SerializeAsString() == message.SerializeAsString());
+  RC_ASSERT(read->sender.incarnation == heartbeat.sender.incarnation);
+  RC_ASSERT(read->racks.size() == heartbeat.racks.size());
+}
+
+struct MalformedRow {
+  const char* name;
+  ErrorCode expected;
+  std::function<void(wire::HeartbeatMessage&)> spoil;
+
+  friend void PrintTo(const MalformedRow& row, std::ostream* out) { *out << row.name; }
+};
+
+const std::vector<MalformedRow>& MalformedRows() {
+  static const std::vector<MalformedRow> rows = {
+      {"NoSender", ErrorCode::kMalformed, [](auto& message) { message.clear_sender(); }},
+      {"NoEntry", ErrorCode::kMalformed,
+       [](auto& message) { message.mutable_sender()->clear_entry(); }},
+      {"NoDataCentre", ErrorCode::kMalformed,
+       [](auto& message) { message.mutable_sender()->clear_data_centre(); }},
+      {"LongEntry", ErrorCode::kTooLarge,
+       [](auto& message) { message.mutable_sender()->set_entry(std::string(257, 'e')); }},
+      {"HostName", ErrorCode::kMalformed,
+       [](auto& message) {
+         message.mutable_sender()->mutable_peer_address()->set_host("localhost");
+       }},
+      {"PortZero", ErrorCode::kOutOfRange,
+       [](auto& message) { message.mutable_sender()->mutable_peer_address()->set_port(0); }},
+      {"PortTooHigh", ErrorCode::kOutOfRange,
+       [](auto& message) {
+         message.mutable_sender()->mutable_operator_address()->set_port(65'536);
+       }},
+      {"NegativeAge", ErrorCode::kOutOfRange,
+       [](auto& message) { message.mutable_known(0)->set_age_ms(-1); }},
+      {"NegativeRevision", ErrorCode::kOutOfRange,
+       [](auto& message) { message.mutable_sender()->set_configuration_revision(-1); }},
+      {"NoRack", ErrorCode::kMalformed, [](auto& message) { message.add_racks()->set_epoch(1); }},
+      {"NegativeEpoch", ErrorCode::kOutOfRange,
+       [](auto& message) { message.mutable_racks(0)->set_epoch(-1); }},
+      {"NoLeavingVm", ErrorCode::kMalformed,
+       [](auto& message) { message.add_leaving_upstreams(); }},
+      {"LargeConfiguration", ErrorCode::kTooLarge,
+       [](auto& message) { message.set_configuration(std::string(1'048'577, ' ')); }},
+      {"TooManyKnown", ErrorCode::kTooLarge,
+       [](auto& message) {
+         for (int number = 0; number < 4'097; ++number) {
+           *message.add_known() = message.sender();
+         }
+       }},
+  };
+
+  return rows;
+}
+
+class MalformedMessage : public testing::TestWithParam<MalformedRow> {};
+
+TEST_P(MalformedMessage, IsRefusedWithItsType) {
+  wire::HeartbeatMessage message = ToMessage(SampleHeartbeat("entry-1"));
+  ASSERT_TRUE(FromMessage(message).has_value());
+
+  GetParam().spoil(message);
+
+  const Result<Heartbeat> read = FromMessage(message);
+  ASSERT_FALSE(read.has_value());
+  EXPECT_EQ(read.error().code, GetParam().expected) << read.error().detail;
+  EXPECT_FALSE(read.error().detail.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, MalformedMessage, testing::ValuesIn(MalformedRows()),
+                         [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace currantpost
