--- /dev/null
+++ b/lib/control/source/job_questions.cc
@@ -0,0 +1,237 @@
+#include "work.h"
+
+/// What callers ask about jobs and tasks.
+
+namespace currantpost {
+namespace {
+
+/// Why a task is, or is not, where it is.
+enum class Whereabouts {
+  kUnknownJob,
+  kNoSuchTask,
+  kOwnedElsewhere,
+  kRackNotTaken,
+  kRackNotOpen,
+  kCompleted,
+  kGivenUp,
+  kCancelled,
+  kAtWorker,
+  kNoConfiguration,
+  kBackingOff,
+  kNoRoom,
+};
+
+constexpr EnumNames kWhereaboutsNames(std::to_array<EnumName<Whereabouts>>({
+    {Whereabouts::kUnknownJob, "unknown_job"},
+    {Whereabouts::kNoSuchTask, "no_such_task"},
+    {Whereabouts::kOwnedElsewhere, "owned_elsewhere"},
+    {Whereabouts::kRackNotTaken, "rack_not_taken"},
+    {Whereabouts::kRackNotOpen, "rack_not_open"},
+    {Whereabouts::kCompleted, "completed"},
+    {Whereabouts::kGivenUp, "given_up"},
+    {Whereabouts::kCancelled, "cancelled"},
+    {Whereabouts::kAtWorker, "at_worker"},
+    {Whereabouts::kNoConfiguration, "no_configuration"},
+    {Whereabouts::kBackingOff, "backing_off"},
+    {Whereabouts::kNoRoom, "no_room"},
+}));
+
+std::string ToText(const nlohmann::json& json) {
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+const JobPart* FindJobPart(const JobRecord& record, int32_t index) {
+  for (const JobPart& part : record.parts) {
+    if (index >= part.first_task && index - part.first_task < part.task_count) return &part;
+  }
+
+  return nullptr;
+}
+
+const PartState* FindOpenPart(const State& state, const RackId& home, const JobId& job) {
+  const auto rack = state.work.racks.find(home);
+  if (rack == state.work.racks.end() || rack->second.phase != RackPhase::kOpen) return nullptr;
+
+  const auto part = rack->second.parts.find(job);
+  return part == rack->second.parts.end() ? nullptr : &part->second;
+}
+
+void AnswerShow(Effects& effects, const PendingShow& show) {
+  const nlohmann::json body{{"job", show.job.Text()},
+                            {"tasks", show.record.spec.task_count},
+                            {"cancelled", show.record.cancelled},
+                            {"completed", show.completed},
+                            {"failed", show.failed},
+                            {"active_here", show.active},
+                            {"partial", show.partial}};
+  ReplyOk(effects, show.command, ToText(body));
+}
+
+/// Counts own parts, and asks the store for the others.
+void CountParts(State& state, Effects& effects, PendingShow& show) {
+  for (const JobPart& part : show.record.parts) {
+    if (const PartState* own = FindOpenPart(state, part.home, show.job)) {
+      show.completed += static_cast<int64_t>(own->recorded.completed.size());
+      show.failed += static_cast<int64_t>(own->recorded.failed.size());
+      show.active += static_cast<int64_t>(own->active.size());
+      continue;
+    }
+
+    show.part_requests.insert(CallKv(state, effects, ShowPartRead{show.command},
+                                     KvGet{PartKey(state, part.home, show.job)}));
+  }
+}
+
+void AnswerWhenCounted(State& state, Effects& effects, RequestId command) {
+  const auto show = state.work.shows.find(command);
+  if (show == state.work.shows.end() || !show->second.part_requests.empty()) return;
+
+  AnswerShow(effects, show->second);
+  state.work.shows.erase(show);
+}
+
+void FailShow(State& state, Effects& effects, RequestId command, Error error) {
+  ReplyError(effects, command, std::move(error));
+  state.work.shows.erase(command);
+}
+
+/// Finds the job's record: the one just read, or the last one seen if the store does not answer.
+Result<JobRecord> RecordFor(const State& state, const JobId& job, const KvReply& reply) {
+  if (reply.status == KvStatus::kOk) {
+    if (reply.entries.empty() || !reply.entries.front().value) {
+      return Fail(ErrorCode::kNotFound, job.Text());
+    }
+
+    return DecodeJobRecord(*reply.entries.front().value);
+  }
+
+  const auto known = state.work.jobs.find(job);
+  if (known == state.work.jobs.end()) return Fail(ErrorCode::kUnavailable, job.Text());
+
+  return known->second.record;
+}
+
+Whereabouts OfPart(const State& state, const PartState& part, int32_t index) {
+  if (part.recorded.completed.contains(index)) return Whereabouts::kCompleted;
+  if (part.recorded.failed.contains(index)) return Whereabouts::kGivenUp;
+  if (part.active.contains(index)) return Whereabouts::kAtWorker;
+  if (part.cancelled) return Whereabouts::kCancelled;
+  if (!state.configuration.known) return Whereabouts::kNoConfiguration;
+
+  const auto retry = part.retries.find(index);
+  if (retry != part.retries.end() && retry->second.not_before > state.now) {
+    return Whereabouts::kBackingOff;
+  }
+
+  return Whereabouts::kNoRoom;
+}
+
+Whereabouts Find(const State& state, const TaskKey& key) {
+  const auto job = state.work.jobs.find(key.job);
+  if (job == state.work.jobs.end()) return Whereabouts::kUnknownJob;
+
+  const JobPart* part = FindJobPart(job->second.record, key.index);
+  if (part == nullptr) return Whereabouts::kNoSuchTask;
+
+  const auto rack = state.work.racks.find(part->home);
+  if (rack == state.work.racks.end()) return Whereabouts::kRackNotTaken;
+
+  if (rack->second.phase == RackPhase::kNotOwned) {
+    return rack->second.record.owner.Empty() ? Whereabouts::kRackNotTaken
+                                             : Whereabouts::kOwnedElsewhere;
+  }
+
+  const PartState* open = FindOpenPart(state, part->home, key.job);
+  return open == nullptr ? Whereabouts::kRackNotOpen : OfPart(state, *open, key.index);
+}
+
+void DescribeHome(const State& state, const TaskKey& key, nlohmann::json& body) {
+  const auto job = state.work.jobs.find(key.job);
+  if (job == state.work.jobs.end()) return;
+
+  const JobPart* part = FindJobPart(job->second.record, key.index);
+  if (part == nullptr) return;
+
+  body["home"] = part->home.Text();
+  const auto rack = state.work.racks.find(part->home);
+  if (rack == state.work.racks.end()) return;
+
+  body["owner"] = rack->second.record.owner.Text();
+  const ActiveTask* task = FindActive(rack->second, key);
+  if (task == nullptr) return;
+
+  body["worker"] = task->worker.Text();
+  body["attempt"] = task->attempt;
+  body["phase"] = kTaskPhaseNames.Name(task->phase);
+}
+
+}  // namespace
+
+void HandleShow(State& state, Effects& effects, const CommandReceived& received,
+                const ShowJob& body) {
+  if (state.work.shows.contains(received.command)) return;
+
+  PendingShow& show = state.work.shows[received.command];
+  show.command = received.command;
+  show.job = body.job;
+  show.job_request =
+      CallKv(state, effects, ShowJobRead{received.command}, KvGet{JobKey(state, body.job)});
+}
+
+void HandleShowJobRead(State& state, Effects& effects, RequestId command, RequestId request,
+                       const KvReply& reply) {
+  const auto show = state.work.shows.find(command);
+  if (show == state.work.shows.end() || show->second.job_request != request) return;
+
+  Result<JobRecord> record = RecordFor(state, show->second.job, reply);
+
+  if (!record) {
+    FailShow(state, effects, command, record.error());
+    return;
+  }
+
+  show->second.job_request = 0;
+  show->second.partial = reply.status != KvStatus::kOk;
+  show->second.record = *std::move(record);
+  CountParts(state, effects, show->second);
+  AnswerWhenCounted(state, effects, command);
+}
+
+void HandleShowPartRead(State& state, Effects& effects, RequestId command, RequestId request,
+                        const KvReply& reply) {
+  const auto found = state.work.shows.find(command);
+  if (found == state.work.shows.end()) return;
+
+  PendingShow& show = found->second;
+  if (show.part_requests.erase(request) == 0) return;
+
+  if (reply.status != KvStatus::kOk) {
+    show.partial = true;
+  } else if (!reply.entries.empty() && reply.entries.front().value) {
+    const Result<PartRecord> part = DecodePartRecord(*reply.entries.front().value);
+    if (part) show.completed += static_cast<int64_t>(part->completed.size());
+    if (part) show.failed += static_cast<int64_t>(part->failed.size());
+    if (!part) show.partial = true;
+  }
+
+  AnswerWhenCounted(state, effects, command);
+}
+
+void HandleExplain(State& state, Effects& effects, const CommandReceived& received,
+                   const ExplainTask& body) {
+  const Whereabouts whereabouts = Find(state, body.task);
+
+  if (whereabouts == Whereabouts::kUnknownJob || whereabouts == Whereabouts::kNoSuchTask) {
+    ReplyError(effects, received.command,
+               MakeError(ErrorCode::kNotFound, std::string(kWhereaboutsNames.Name(whereabouts))));
+    return;
+  }
+
+  nlohmann::json answer{{"job", body.task.job.Text()},
+                        {"task", body.task.index},
+                        {"state", kWhereaboutsNames.Name(whereabouts)}};
+  DescribeHome(state, body.task, answer);
+  ReplyOk(effects, received.command, ToText(answer));
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/control/source/ownership.cc
@@ -0,0 +1,357 @@
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "work.h"
+
+/// Who owns a rack: claims, hand-over, release and loss.
+
+namespace currantpost {
+namespace {
+
+/// How much longer each less preferred entry waits before it takes an ownerless rack.
+constexpr Millis kRankDelay = Millis(5'000);
+/// How long a change of the record speaks for its owner, where the owner itself is not heard. Keeps
+/// two entries that do not hear each other from taking a rack from each other in turns.
+constexpr Millis kChangeGrace = Millis(15'000);
+/// How long this entry must be preferred before it takes a rack from a live owner.
+constexpr Millis kHandoverDelay = Millis(10'000);
+
+uint64_t Weight(const EntryId& entry, const RackId& rack) {
+  const std::string text = entry.Text() + "/" + rack.Text();
+  return XXH64(text.data(), text.size(), 0);
+}
+
+bool IsSelf(const State& state, const RackRecord& record) {
+  const EntryIdentity& identity = state.settings.identity;
+  return record.owner == identity.entry && record.incarnation == identity.incarnation;
+}
+
+/// Says whether another entry owns the rack and is alive. The own entry is no live owner of a rack
+/// that it does not order.
+bool HasLiveOwner(const State& state, const RackState& rack) {
+  const RackRecord& record = rack.record;
+  if (record.owner.Empty() || record.owner == state.settings.identity.entry) return false;
+
+  const auto peer = state.membership.peers.find(record.owner);
+  const bool known = peer != state.membership.peers.end();
+  if (known && peer->second.known.incarnation > record.incarnation) return false;
+  if (known && peer->second.alive) return true;
+
+  return rack.changed_at && state.now < *rack.changed_at + kChangeGrace;
+}
+
+/// Returns the own place among the preferred owners, 0 for the most preferred.
+std::optional<int64_t> OwnRank(const State& state, const RackId& rack) {
+  const std::vector<EntryId> owners = PreferredOwners(state, rack);
+  const auto self = std::ranges::find(owners, state.settings.identity.entry);
+  if (self == owners.end()) return std::nullopt;
+
+  return self - owners.begin();
+}
+
+/// Returns how long the entry must have wanted the rack before it takes it, or nothing if it does
+/// not want it.
+std::optional<Millis> ClaimDelay(const State& state, const RackState& rack) {
+  const std::optional<int64_t> rank = OwnRank(state, rack.rack);
+  if (!rank) return std::nullopt;
+
+  if (HasLiveOwner(state, rack)) {
+    if (*rank != 0) return std::nullopt;
+    return kHandoverDelay;
+  }
+
+  // A process that has just started has not heard of its peers yet.
+  const bool just_started =
+      state.now - *state.work.started_at < state.settings.peer_timeout + kRankDelay;
+  const Millis listening = just_started ? state.settings.heartbeat_interval * 2 : Millis(0);
+  const bool other_owner =
+      !rack.record.owner.Empty() && rack.record.owner != state.settings.identity.entry;
+
+  return kRankDelay * *rank +
+         (other_owner && just_started ? state.settings.peer_timeout : listening);
+}
+
+void SendRackWrite(State& state, Effects& effects, RackState& rack) {
+  RackWrite& write = *rack.write;
+  write.request = CallKv(state, effects, RackWritten{rack.rack},
+                         KvPut{RackKey(state, rack.rack), Encode(write.record), write.expected});
+}
+
+void StartWrite(State& state, Effects& effects, RackState& rack, RackWriteKind kind,
+                RackRecord record) {
+  record.change_id = NextChangeId(state);
+  rack.write = RackWrite{.kind = kind, .record = std::move(record), .expected = rack.revision};
+  SendRackWrite(state, effects, rack);
+}
+
+void Claim(State& state, Effects& effects, RackState& rack) {
+  RackRecord record = rack.record;
+  record.owner = state.settings.identity.entry;
+  record.incarnation = state.settings.identity.incarnation;
+  record.epoch = std::max(rack.record.epoch, rack.highest_epoch) + 1;
+  StartWrite(state, effects, rack, RackWriteKind::kClaim, std::move(record));
+}
+
+void Release(State& state, Effects& effects, RackState& rack) {
+  RackRecord record = rack.record;
+  record.owner = EntryId();
+  record.incarnation = 0;
+  StartWrite(state, effects, rack, RackWriteKind::kRelease, std::move(record));
+}
+
+void ConsiderClaim(State& state, Effects& effects, RackState& rack) {
+  const std::optional<Millis> delay = ClaimDelay(state, rack);
+
+  if (!delay) {
+    rack.wanted_since.reset();
+    return;
+  }
+
+  if (!rack.wanted_since) rack.wanted_since = state.now;
+  if (state.now < *rack.wanted_since + *delay) return;
+  if (!state.work.watch.synced) return;
+
+  Claim(state, effects, rack);
+}
+
+/// Clears all that only the owner knows.
+void ForgetWork(State& state, RackState& rack) {
+  for (auto& [id, worker] : rack.workers) DropOutstanding(state, worker);
+
+  state.work.owned.erase(rack.rack);
+  rack.phase = RackPhase::kNotOwned;
+  rack.wanted_since.reset();
+  rack.list_request = 0;
+  rack.workers.clear();
+  rack.parts.clear();
+  rack.recorded.clear();
+  rack.unrecorded.clear();
+  rack.last_fence = 0;
+}
+
+void TakeRack(State& state, Effects& effects, RackState& rack) {
+  ForgetWork(state, rack);
+  rack.phase = RackPhase::kRaising;
+  rack.epoch = rack.record.epoch;
+  rack.highest_epoch = std::max(rack.highest_epoch, rack.epoch);
+  state.work.owned[rack.rack] = rack.epoch;
+  for (const RackMember& member : rack.record.members) AddWorker(rack, member, true);
+
+  Log(effects, Severity::kInfo, Part::kOwnership, "took rack",
+      {{"rack", rack.rack.Text()}, {"epoch", std::to_string(rack.epoch)}});
+  UpdateWorkers(state, effects);
+}
+
+/// Marks the workers that the record names, and ends the tasks of those that it no longer names.
+void ApplyMembers(State& state, Effects& effects, RackState& rack) {
+  for (auto& [id, worker] : rack.workers) {
+    const bool named =
+        std::ranges::find(rack.record.members, worker.member) != rack.record.members.end();
+
+    if (worker.in_record && !named) {
+      ReleaseTasksOf(state, effects, rack, worker);
+      worker.ever_confirmed = false;
+      worker.confirmed = false;
+    }
+
+    worker.in_record = named;
+    worker.lapsed = false;
+  }
+
+  rack.placement_due = true;
+}
+
+void CommitWrite(State& state, Effects& effects, RackState& rack, KvRevision revision) {
+  const RackWrite write = std::move(*rack.write);
+  rack.write.reset();
+
+  // The write took effect, and a later one has replaced it already.
+  if (revision < rack.revision) return;
+
+  rack.record = write.record;
+  rack.revision = revision;
+
+  switch (write.kind) {
+    case RackWriteKind::kClaim:
+      TakeRack(state, effects, rack);
+      return;
+    case RackWriteKind::kMembers:
+      if (rack.phase != RackPhase::kNotOwned) ApplyMembers(state, effects, rack);
+      return;
+    case RackWriteKind::kRelease:
+      ForgetWork(state, rack);
+      Log(effects, Severity::kInfo, Part::kOwnership, "released rack",
+          {{"rack", rack.rack.Text()}});
+      return;
+  }
+}
+
+/// Gives a write up that surely has not taken effect.
+void DropWrite(State& state, RackState& rack) {
+  rack.write.reset();
+  rack.write_not_before = state.now + kKvRetryInterval;
+  for (auto& [id, worker] : rack.workers) worker.lapsed = false;
+}
+
+void HandleRackConflict(State& state, Effects& effects, RackState& rack, const KvReply& reply) {
+  if (reply.entries.empty() || !reply.entries.front().value) {
+    DropWrite(state, rack);
+    rack.revision = 0;
+    return;
+  }
+
+  const KvEntry& entry = reply.entries.front();
+  const Result<RackRecord> record = DecodeRackRecord(*entry.value);
+
+  if (!record) {
+    DropWrite(state, rack);
+    return;
+  }
+
+  if (record->change_id == rack.write->record.change_id) {
+    CommitWrite(state, effects, rack, entry.revision);
+    return;
+  }
+
+  DropWrite(state, rack);
+  ApplyRackRecord(state, effects, rack.rack, *record, entry.revision);
+}
+
+/// Returns the highest grant that a live peer says it has for a rack.
+Epoch HighestClaim(const State& state, const RackId& rack) {
+  Epoch highest = 0;
+
+  for (const auto& [id, peer] : state.membership.peers) {
+    if (!peer.alive || peer.known.data_centre != state.settings.identity.data_centre) continue;
+
+    for (const RackClaim& claim : peer.racks) {
+      if (claim.rack == rack) highest = std::max(highest, claim.epoch);
+    }
+  }
+
+  return highest;
+}
+
+void UpdateRack(State& state, Effects& effects, RackState& rack) {
+  if (rack.phase != RackPhase::kNotOwned && HighestClaim(state, rack.rack) > rack.epoch) {
+    LoseRack(state, effects, rack, "a peer has a newer grant");
+  }
+
+  if (rack.write) {
+    if (rack.write->request == 0 && state.now >= rack.write->retry_at) {
+      SendRackWrite(state, effects, rack);
+    }
+    return;
+  }
+
+  if (state.now < rack.write_not_before) return;
+
+  if (rack.phase == RackPhase::kNotOwned) {
+    ConsiderClaim(state, effects, rack);
+  } else if (state.shutdown.requested) {
+    Release(state, effects, rack);
+  }
+}
+
+/// Makes the racks that the platform's list names.
+void AddListedRacks(State& state) {
+  for (const auto& [id, vm] : state.upstreams.vms) {
+    if (vm.data_centre != state.settings.identity.data_centre) continue;
+    if (vm.worker.port == 0 || vm.rack.Empty()) continue;
+
+    state.work.racks[vm.rack].rack = vm.rack;
+  }
+}
+
+}  // namespace
+
+std::vector<EntryId> PreferredOwners(const State& state, const RackId& rack) {
+  const EntryIdentity& identity = state.settings.identity;
+  std::vector<std::pair<uint64_t, EntryId>> weighted;
+  if (!state.shutdown.requested) {
+    weighted.emplace_back(Weight(identity.entry, rack), identity.entry);
+  }
+
+  for (const auto& [id, peer] : state.membership.peers) {
+    if (!peer.alive || peer.known.leaving) continue;
+    if (peer.known.data_centre != identity.data_centre) continue;
+
+    weighted.emplace_back(Weight(id, rack), id);
+  }
+
+  std::ranges::sort(weighted, std::greater<>());
+
+  std::vector<EntryId> owners;
+  owners.reserve(weighted.size());
+  for (auto& [weight, entry] : weighted) owners.push_back(std::move(entry));
+  return owners;
+}
+
+void UpdateOwnership(State& state, Effects& effects) {
+  AddListedRacks(state);
+  for (auto& [id, rack] : state.work.racks) UpdateRack(state, effects, rack);
+}
+
+void LoseRack(State& state, Effects& effects, RackState& rack, std::string_view reason) {
+  Log(effects, Severity::kWarning, Part::kOwnership, "lost rack",
+      {{"rack", rack.rack.Text()},
+       {"epoch", std::to_string(rack.epoch)},
+       {"reason", std::string(reason)}});
+  ForgetWork(state, rack);
+  rack.write.reset();
+}
+
+void ApplyRackRecord(State& state, Effects& effects, const RackId& id, const RackRecord& record,
+                     KvRevision revision) {
+  RackState& rack = state.work.racks[id];
+  rack.rack = id;
+  if (revision <= rack.revision) return;
+
+  if (rack.write && !record.change_id.empty() && rack.write->record.change_id == record.change_id) {
+    CommitWrite(state, effects, rack, revision);
+    return;
+  }
+
+  const bool still_own = IsSelf(state, record) && record.epoch == rack.epoch;
+  if (rack.phase != RackPhase::kNotOwned && !still_own) {
+    LoseRack(state, effects, rack, "the record names another owner");
+  }
+
+  if (rack.revision != 0 && record.owner != rack.record.owner) rack.changed_at = state.now;
+  rack.record = record;
+  rack.revision = revision;
+  rack.highest_epoch = std::max(rack.highest_epoch, record.epoch);
+}
+
+void HandleRackWritten(State& state, Effects& effects, const RackId& id, RequestId request,
+                       const KvReply& reply) {
+  RackState& rack = state.work.racks[id];
+  if (!rack.write || rack.write->request != request) return;
+
+  rack.write->request = 0;
+
+  switch (reply.status) {
+    case KvStatus::kOk:
+      CommitWrite(state, effects, rack, reply.revision);
+      return;
+    case KvStatus::kConflict:
+      HandleRackConflict(state, effects, rack, reply);
+      return;
+    case KvStatus::kUnavailable:
+      if (!rack.write->maybe_applied) {
+        DropWrite(state, rack);
+        return;
+      }
+      break;
+    case KvStatus::kUnknown:
+    case KvStatus::kMalformed:
+      rack.write->maybe_applied = true;
+      break;
+  }
+
+  // The same write again: either it takes effect now, or the conflict shows whether it did before.
+  rack.write->retry_at = state.now + kKvRetryInterval;
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/control/source/reconcile.cc
@@ -0,0 +1,232 @@
+#include "work.h"
+
+/// What a worker's table says of tasks.
+
+namespace currantpost {
+namespace {
+
+bool IsOver(const PartState& part, int32_t index) {
+  return part.recorded.completed.contains(index) || part.recorded.failed.contains(index);
+}
+
+bool Covers(const JobPart& part, int32_t index) {
+  return index >= part.first_task && index - part.first_task < part.task_count;
+}
+
+PartState* FindPart(RackState& rack, const TaskKey& key) {
+  const auto part = rack.parts.find(key.job);
+  if (part == rack.parts.end() || !Covers(part->second.part, key.index)) return nullptr;
+
+  return &part->second;
+}
+
+void TakeFinished(RackState& rack, PartState& part, const TaskKey& key, ActiveTask& task) {
+  if (IsOver(part, key.index)) {
+    task.phase = TaskPhase::kAcknowledging;
+    return;
+  }
+
+  task.phase = TaskPhase::kRecording;
+  NoteOver(rack, part, key.index, true);
+  rack.workers.at(task.worker).failures_in_row = 0;
+}
+
+void TakeFailed(const State& state, Effects& effects, RackState& rack, PartState& part,
+                const TaskKey& key, ActiveTask& task) {
+  if (task.phase == TaskPhase::kAcknowledging || task.phase == TaskPhase::kRecording) return;
+
+  ++rack.workers.at(task.worker).failures_in_row;
+  const int32_t failures = ++part.failures[key.index];
+
+  if (failures < state.settings.most_attempts) {
+    task.phase = TaskPhase::kAcknowledging;
+    task.requeue = true;
+    return;
+  }
+
+  task.phase = TaskPhase::kRecording;
+  NoteOver(rack, part, key.index, false);
+  Log(effects, Severity::kWarning, Part::kTasks, "gave a task up",
+      {{"job", key.job.Text()},
+       {"task", std::to_string(key.index)},
+       {"failures", std::to_string(failures)}});
+}
+
+void TakeRunning(PartState& part, const TaskKey& key, ActiveTask& task) {
+  // What is recorded as over must not run on; nor must the tasks of a cancelled job.
+  if (part.cancelled || IsOver(part, key.index)) {
+    task.phase = TaskPhase::kStopping;
+    return;
+  }
+
+  if (task.phase != TaskPhase::kStopping) task.phase = TaskPhase::kRunning;
+}
+
+void TakeStopped(const PartState& part, const TaskKey& key, ActiveTask& task,
+                 const WorkerTask& row) {
+  if (task.phase == TaskPhase::kRecording) return;
+
+  task.phase = TaskPhase::kAcknowledging;
+  task.requeue = !part.cancelled && !IsOver(part, key.index);
+  task.checkpoint = row.checkpoint;
+}
+
+void TakeRow(const State& state, Effects& effects, RackState& rack, PartState& part,
+             ActiveTask& task, const WorkerTask& row) {
+  task.sent = false;
+
+  switch (row.state) {
+    case WorkerTaskState::kRunning:
+      TakeRunning(part, row.task, task);
+      return;
+    case WorkerTaskState::kFinished:
+      TakeFinished(rack, part, row.task, task);
+      return;
+    case WorkerTaskState::kFailed:
+      TakeFailed(state, effects, rack, part, row.task, task);
+      return;
+    case WorkerTaskState::kStopped:
+      TakeStopped(part, row.task, task, row);
+      return;
+  }
+}
+
+/// Takes in that the worker has no row of a task's present attempt.
+void TakeMissingRow(const State& state, RackState& rack, const PartState& part, const TaskKey& key,
+                    const ActiveTask& task) {
+  const ActiveTask gone = task;
+
+  switch (gone.phase) {
+    case TaskPhase::kStarting:
+      // Not sent yet: the row may still come.
+      if (!gone.sent) return;
+      break;
+    case TaskPhase::kRecording:
+      return;
+    case TaskPhase::kRunning:
+    case TaskPhase::kStopping:
+    case TaskPhase::kAcknowledging:
+      break;
+  }
+
+  RemoveActive(rack, key);
+  if (part.cancelled || IsOver(part, key.index)) return;
+  if (gone.phase == TaskPhase::kAcknowledging && !gone.requeue) return;
+
+  const bool refused = gone.phase == TaskPhase::kStarting;
+  Requeue(state, rack, key,
+          QueuedRetry{.attempt = refused ? gone.attempt : gone.attempt + 1,
+                      .checkpoint = gone.checkpoint,
+                      .not_before = state.now});
+}
+
+void SettleTask(const State& state, Effects& effects, RackState& rack, const WorkerState& worker,
+                const TaskKey& key) {
+  PartState& part = rack.parts.at(key.job);
+  ActiveTask& task = part.active.at(key.index);
+  const auto row = worker.rows.find(key);
+
+  if (row == worker.rows.end() || row->second.attempt != task.attempt) {
+    TakeMissingRow(state, rack, part, key, task);
+    return;
+  }
+
+  TakeRow(state, effects, rack, part, task, row->second);
+}
+
+/// Returns the largest of what a task was declared to need, holds and was seen to use.
+Resources Committed(const JobSpec& spec, const ActiveTask& task, const WorkerTask* row) {
+  Resources committed = Largest(spec.declared, task.observed);
+  if (row != nullptr) committed = Largest(committed, row->held);
+  committed.accelerators = std::max(spec.declared.accelerators, row ? row->held.accelerators : 0);
+  return committed;
+}
+
+bool HoldsResources(TaskPhase phase) {
+  return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
+         phase == TaskPhase::kStopping;
+}
+
+}  // namespace
+
+bool IsActiveRow(const RackState& rack, const WorkerState& worker, const WorkerTask& row) {
+  const ActiveTask* task = FindActive(rack, row.task);
+  return task != nullptr && task->worker == worker.member.vm && task->attempt == row.attempt;
+}
+
+StrayAction DecideStray(const State& state, const RackState& rack, const WorkerTask& row) {
+  const StrayAction removal =
+      row.state == WorkerTaskState::kRunning ? StrayAction::kStop : StrayAction::kAcknowledge;
+
+  if (state.work.absent_jobs.contains(row.task.job)) return removal;
+
+  const auto part = rack.parts.find(row.task.job);
+  if (part == rack.parts.end()) return StrayAction::kKeep;
+  if (!Covers(part->second.part, row.task.index)) return StrayAction::kKeep;
+  if (IsOver(part->second, row.task.index)) return removal;
+
+  const ActiveTask* active = FindActive(rack, row.task);
+  // What is not recorded yet stays where another owner can find it.
+  if (active == nullptr || active->phase == TaskPhase::kRecording) return StrayAction::kKeep;
+
+  // Another attempt is active, so this one is of the past.
+  return removal;
+}
+
+void AdoptRows(State& state, Effects& effects, RackState& rack, WorkerState& worker) {
+  for (const auto& [key, row] : worker.rows) {
+    PartState* part = FindPart(rack, key);
+
+    if (part == nullptr) {
+      if (!state.work.jobs.contains(key.job)) LookUpJob(state, effects, key.job);
+      continue;
+    }
+
+    if (IsOver(*part, key.index) || part->active.contains(key.index)) continue;
+
+    part->retries.erase(key.index);
+    ActiveTask& task = part->active[key.index];
+    task.worker = worker.member.vm;
+    task.attempt = row.attempt;
+    task.phase = TaskPhase::kRunning;
+    task.checkpoint = row.checkpoint;
+    worker.tasks.insert(key);
+    TakeRow(state, effects, rack, *part, task, row);
+  }
+
+  RecountCommitments(rack, worker);
+}
+
+void Reconcile(State& state, Effects& effects, RackState& rack, WorkerState& worker) {
+  const std::vector<TaskKey> keys(worker.tasks.begin(), worker.tasks.end());
+  for (const TaskKey& key : keys) SettleTask(state, effects, rack, worker, key);
+
+  AdoptRows(state, effects, rack, worker);
+}
+
+void RecountCommitments(const RackState& rack, WorkerState& worker) {
+  worker.committed = Resources{};
+  worker.committed_batch = Resources{};
+
+  for (const TaskKey& key : worker.tasks) {
+    const JobSpec& spec = rack.parts.at(key.job).spec;
+    const ActiveTask* task = FindActive(rack, key);
+    if (task == nullptr || !HoldsResources(task->phase)) continue;
+
+    const auto row = worker.rows.find(key);
+    const Resources committed =
+        Committed(spec, *task, row == worker.rows.end() ? nullptr : &row->second);
+    worker.committed += committed;
+    if (spec.task_class == TaskClass::kBatch) worker.committed_batch += committed;
+  }
+
+  for (const auto& [key, row] : worker.rows) {
+    if (row.state != WorkerTaskState::kRunning || IsActiveRow(rack, worker, row)) continue;
+
+    // The class of a stray is not known; it counts where there is less room.
+    worker.committed += row.held;
+    worker.committed_batch += row.held;
+  }
+}
+
+}  // namespace currantpost
--- /dev/null
+++ b/lib/control/source/workers.cc
@@ -0,0 +1,371 @@
+#include <algorithm>
+
+#include "work.h"
+
+/// Orders to workers, and their answers.
+
+namespace currantpost {
+namespace {
+
+/// Returns the epoch that orders to a worker carry: the rack's grant, and below it the owner's own
+/// fence. Any later grant is higher than every fence of this one.
+Epoch OrderEpoch(const RackState& rack, const WorkerState& worker) {
+  return rack.epoch * kFencesPerGrant + worker.fence;
+}
+
+/// Makes the worker unconfirmed, and fences all orders that it may still get late.
+void LoseTrack(State& state, RackState& rack, WorkerState& worker) {
+  if (worker.confirmed) worker.fence = ++rack.last_fence;
+
+  worker.confirmed = false;
+  worker.next_poll = std::min(worker.next_poll, state.now);
+  ReleaseUnsent(state, rack, worker);
+}
+
+/// Returns the order that a task asks for, if it asks for one.
+std::optional<WorkerOrder> TaskOrder(const State& state, const RackState& rack,
+                                     const TaskKey& key) {
+  const ActiveTask* task = FindActive(rack, key);
+  if (task == nullptr) return std::nullopt;
+
+  switch (task->phase) {
+    case TaskPhase::kStarting: {
+      const JobSpec& spec = rack.parts.at(key.job).spec;
+      return StartTask{.task = key,
+                       .attempt = task->attempt,
+                       .task_class = spec.task_class,
+                       .kind = spec.kind,
+                       .size = spec.declared,
+                       .run_time = spec.run_time,
+                       .checkpoint = task->checkpoint,
+                       .lease = state.settings.task_lease};
+    }
+    case TaskPhase::kStopping:
+      return StopTask{key, task->attempt};
+    case TaskPhase::kAcknowledging:
+      return AcknowledgeTask{key, task->attempt};
+    case TaskPhase::kRunning:
+    case TaskPhase::kRecording:
+      return std::nullopt;
+  }
+
+  return std::nullopt;
+}
+
+std::optional<WorkerOrder> StrayOrder(const State& state, const RackState& rack,
+                                      const WorkerState& worker) {
+  for (const auto& [key, row] : worker.rows) {
+    if (IsActiveRow(rack, worker, row)) continue;
+
+    switch (DecideStray(state, rack, row)) {
+      case StrayAction::kKeep:
+        break;
+      case StrayAction::kStop:
+        return StopTask{key, row.attempt};
+      case StrayAction::kAcknowledge:
+        return AcknowledgeTask{key, row.attempt};
+    }
+  }
+
+  return std::nullopt;
+}
+
+std::optional<WorkerOrder> NextOrder(const State& state, const RackState& rack,
+                                     const WorkerState& worker) {
+  const bool poll_due = state.now >= worker.next_poll;
+
+  if (!worker.confirmed || !worker.in_record || worker.lapsed) {
+    if (!poll_due) return std::nullopt;
+    return RaiseEpoch{};
+  }
+
+  if (poll_due) return RenewLeases{state.settings.task_lease};
+  if (rack.phase != RackPhase::kOpen || state.now < worker.next_order) return std::nullopt;
+
+  if (auto order = StrayOrder(state, rack, worker)) return order;
+
+  for (const TaskKey& key : worker.tasks) {
+    if (auto order = TaskOrder(state, rack, key)) return order;
+  }
+
+  return std::nullopt;
+}
+
+/// Notes that the task of a start, if the order is one, has or has not left.
+void MarkStart(RackState& rack, const WorkerOrder& order, bool sent) {
+  const auto* start = std::get_if<StartTask>(&order);
+  if (start == nullptr) return;
+
+  ActiveTask* task = FindActive(rack, start->task);
+  if (task == nullptr || task->phase != TaskPhase::kStarting) return;
+
+  task->sent = sent;
+}
+
+/// Ends a life of the worker, and begins the next.
+void ReplaceLife(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+                 const RackMember& next) {
+  Log(effects, Severity::kInfo, Part::kTasks, "worker was replaced",
+      {{"worker", next.vm.Text()}, {"incarnation", std::to_string(next.incarnation)}});
+  DropOutstanding(state, worker);
+  ReleaseTasksOf(state, effects, rack, worker);
+
+  worker = WorkerState{};
+  worker.member = next;
+  worker.fence = ++rack.last_fence;
+  rack.placement_due = true;
+}
+
+void TakeUsage(RackState& rack, const WorkerTable& table) {
+  for (const TaskUsage& usage : table.usage) {
+    ActiveTask* task = FindActive(rack, usage.task);
+    if (task == nullptr || task->attempt != usage.attempt) continue;
+
+    task->observed = Largest(task->observed, usage.used);
+  }
+}
+
+void TakeTable(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+               const WorkerTable& table) {
+  // Leases may have gone unrenewed meanwhile.
+  if (!worker.confirmed) worker.next_poll = state.now;
+
+  worker.confirmed = true;
+  worker.ever_confirmed = true;
+  worker.answered_at = state.now;
+  worker.capacity = table.capacity;
+  worker.rows.clear();
+  for (const WorkerTask& row : table.tasks) worker.rows[row.task] = row;
+
+  TakeUsage(rack, table);
+  if (rack.phase == RackPhase::kOpen && worker.in_record) Reconcile(state, effects, rack, worker);
+
+  RecountCommitments(rack, worker);
+  ListPartsWhenRaised(state, effects, rack);
+  UpdateMembers(state, effects, rack);
+}
+
+/// Takes in that the worker has seen a higher epoch. Returns whether the rack is still owned.
+bool TakeStaleEpoch(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+                    const WorkerTable& table) {
+  const Epoch grant = table.epoch / kFencesPerGrant;
+
+  if (grant > rack.epoch) {
+    rack.highest_epoch = std::max(rack.highest_epoch, grant);
+    LoseRack(state, effects, rack, "a worker has seen a newer grant");
+    return false;
+  }
+
+  worker.confirmed = false;
+
+  if (grant == rack.epoch) {
+    rack.last_fence = std::max(rack.last_fence, table.epoch % kFencesPerGrant);
+    worker.fence = ++rack.last_fence;
+  }
+
+  return true;
+}
+
+void TakeLostAnswer(State& state, RackState& rack, WorkerState& worker, const WorkerOrder& order) {
+  // Raising the same epoch again does no harm, so it needs no higher fence.
+  if (std::holds_alternative<RaiseEpoch>(order)) {
+    worker.confirmed = false;
+    return;
+  }
+
+  LoseTrack(state, rack, worker);
+}
+
+/// Takes in that the order did not reach the worker.
+void TakeUnreachable(State& state, RackState& rack, WorkerState& worker, const WorkerOrder& order) {
+  MarkStart(rack, order, false);
+  worker.confirmed = false;
+  worker.next_order = state.now + state.settings.worker_poll_interval;
+  ReleaseUnsent(state, rack, worker);
+}
+
+/// Takes in one answer. Returns whether the rack is still owned.
+bool TakeAnswer(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+                const WorkerOrder& order, const WorkerReply& reply) {
+  if (reply.status == WorkerStatus::kUnknown) {
+    TakeLostAnswer(state, rack, worker, order);
+    return true;
+  }
+
+  if (reply.status == WorkerStatus::kUnreachable) {
+    TakeUnreachable(state, rack, worker, order);
+    return true;
+  }
+
+  if (reply.table.incarnation > worker.member.incarnation) {
+    RackMember next = worker.member;
+    next.incarnation = reply.table.incarnation;
+    ReplaceLife(state, effects, rack, worker, next);
+    return true;
+  }
+
+  // An answer of an earlier life says nothing of this one.
+  if (reply.table.incarnation < worker.member.incarnation) {
+    TakeLostAnswer(state, rack, worker, order);
+    return true;
+  }
+
+  if (reply.status == WorkerStatus::kStaleEpoch) {
+    MarkStart(rack, order, false);
+    return TakeStaleEpoch(state, effects, rack, worker, reply.table);
+  }
+
+  if (reply.status == WorkerStatus::kRefused) {
+    worker.next_order = state.now + state.settings.worker_poll_interval;
+    if (std::holds_alternative<RaiseEpoch>(order)) return true;
+  }
+
+  TakeTable(state, effects, rack, worker, reply.table);
+  return true;
+}
+
+/// Takes orders that have waited too long for lost.
+void ExpireOrder(State& state, RackState& rack, WorkerState& worker) {
+  if (!worker.outstanding) return;
+  if (state.now - worker.outstanding->sent_at < kAnswerTimeout) return;
+
+  const WorkerOrder order = worker.outstanding->order;
+  DropOutstanding(state, worker);
+  TakeLostAnswer(state, rack, worker, order);
+}
+
+void ApplyListedVm(State& state, Effects& effects, RackState& rack, const VmRecord& vm) {
+  const RackMember member{vm.vm, vm.incarnation, vm.worker};
+  const auto found = rack.workers.find(vm.vm);
+
+  if (found == rack.workers.end()) {
+    if (vm.state == VmState::kLive) AddWorker(rack, member, false);
+    return;
+  }
+
+  WorkerState& worker = found->second;
+  if (vm.incarnation < worker.member.incarnation) return;
+
+  if (vm.incarnation > worker.member.incarnation) {
+    ReplaceLife(state, effects, rack, worker, member);
+  }
+
+  if (!worker.in_record) worker.member.worker = vm.worker;
+  worker.leaving = vm.state == VmState::kLeaving;
+}
+
+void ApplyVmList(State& state, Effects& effects) {
+  for (const auto& [id, vm] : state.upstreams.vms) {
+    if (vm.data_centre != state.settings.identity.data_centre || vm.worker.port == 0) continue;
+
+    const auto rack = state.work.racks.find(vm.rack);
+    if (rack == state.work.racks.end()) continue;
+    if (rack->second.phase == RackPhase::kNotOwned) continue;
+
+    ApplyListedVm(state, effects, rack->second, vm);
+  }
+}
+
+/// Forgets workers that the record does not name and the platform does not list.
+void ForgetUnlisted(State& state, RackState& rack) {
+  for (auto worker = rack.workers.begin(); worker != rack.workers.end();) {
+    const bool listed = state.upstreams.vms.contains(worker->first);
+    const bool pending = rack.write.has_value();
+
+    if (listed || pending || worker->second.in_record) {
+      ++worker;
+      continue;
+    }
+
+    DropOutstanding(state, worker->second);
+    worker = rack.workers.erase(worker);
+  }
+}
+
+}  // namespace
+
+void AddWorker(RackState& rack, const RackMember& member, bool in_record) {
+  WorkerState& worker = rack.workers[member.vm];
+  worker.member = member;
+  worker.in_record = in_record;
+  worker.inherited = in_record;
+  worker.fence = ++rack.last_fence;
+}
+
+void DropOutstanding(State& state, WorkerState& worker) {
+  if (!worker.outstanding) return;
+
+  state.work.orders.erase(worker.outstanding->request);
+  worker.outstanding.reset();
+}
+
+void DistrustWorkers(State& state, Effects& effects) {
+  for (auto& [id, rack] : state.work.racks) {
+    for (auto& [vm, worker] : rack.workers) {
+      DropOutstanding(state, worker);
+      LoseTrack(state, rack, worker);
+      DriveWorker(state, effects, rack, worker);
+    }
+  }
+}
+
+void UpdateWorkers(State& state, Effects& effects) {
+  ApplyVmList(state, effects);
+
+  for (auto& [id, rack] : state.work.racks) {
+    if (rack.phase == RackPhase::kNotOwned) continue;
+
+    ForgetUnlisted(state, rack);
+    for (auto& [vm, worker] : rack.workers) ExpireOrder(state, rack, worker);
+
+    ListPartsWhenRaised(state, effects, rack);
+    UpdateMembers(state, effects, rack);
+    for (auto& [vm, worker] : rack.workers) DriveWorker(state, effects, rack, worker);
+  }
+}
+
+void DriveWorker(State& state, Effects& effects, RackState& rack, WorkerState& worker) {
+  if (rack.phase == RackPhase::kNotOwned || worker.outstanding) return;
+
+  std::optional<WorkerOrder> order = NextOrder(state, rack, worker);
+  if (!order) return;
+
+  if (state.now >= worker.next_poll) {
+    worker.next_poll = state.now + state.settings.worker_poll_interval;
+  }
+
+  MarkStart(rack, *order, true);
+
+  const RequestId request = NextRequest(state);
+  worker.outstanding = OutstandingOrder{request, *order, state.now};
+  state.work.orders[request] = rack.rack;
+  effects.emplace_back(WorkerCall{.request = request,
+                                  .worker = worker.member.vm,
+                                  .incarnation = worker.member.incarnation,
+                                  .address = worker.member.worker,
+                                  .epoch = OrderEpoch(rack, worker),
+                                  .order = *std::move(order)});
+}
+
+void HandleWorkerAnswered(State& state, Effects& effects, const WorkerAnswered& answer) {
+  const auto order = state.work.orders.find(answer.request);
+  if (order == state.work.orders.end()) return;
+
+  RackState& rack = state.work.racks[order->second];
+  state.work.orders.erase(order);
+
+  const auto found = rack.workers.find(answer.worker);
+  if (found == rack.workers.end()) return;
+
+  WorkerState& worker = found->second;
+  if (!worker.outstanding || worker.outstanding->request != answer.request) return;
+
+  const WorkerOrder sent = std::move(worker.outstanding->order);
+  worker.outstanding.reset();
+
+  if (!TakeAnswer(state, effects, rack, worker, sent, answer.reply)) return;
+
+  DriveWorker(state, effects, rack, worker);
+}
+
+}  // namespace currantpost
--- a/lib/model/include/currantpost/model/codec.h
+++ b/lib/model/include/currantpost/model/codec.h
@@ -12,6 +12,15 @@
 
 namespace currantpost {
 
+/// One life of a worker that the owner of a rack may order.
+struct RackMember {
+  VmId vm;
+  Incarnation incarnation = 0;
+  Address worker;
+
+  bool operator==(const RackMember&) const = default;
+};
+
 /// Owner of a rack, as the platform's key-value service keeps it at "dc/<data
 /// centre>/racks/<rack>".
 struct RackRecord {
@@ -19,6 +28,8 @@
   Incarnation incarnation = 0;
   Epoch epoch = 0;
   std::string change_id;
+  /// Every worker life that may run tasks of the rack; no other may be ordered.
+  std::vector<RackMember> members;
 
   bool operator==(const RackRecord&) const = default;
 };
--- a/lib/model/source/json.cc
+++ b/lib/model/source/json.cc
@@ -113,11 +113,22 @@
   Read(in, "change_id", record.change_id);
 }
 
+void to_json(json& out, const RackMember& member) {
+  out = json{{"vm", member.vm}, {"incarnation", member.incarnation}, {"worker", member.worker}};
+}
+
+void from_json(const json& in, RackMember& member) {
+  Read(in, "vm", member.vm);
+  Read(in, "incarnation", member.incarnation);
+  Read(in, "worker", member.worker);
+}
+
 void to_json(json& out, const RackRecord& record) {
   out = json{{"owner", record.owner},
              {"incarnation", record.incarnation},
              {"epoch", record.epoch},
-             {"change_id", record.change_id}};
+             {"change_id", record.change_id},
+             {"members", record.members}};
 }
 
 void from_json(const json& in, RackRecord& record) {
@@ -125,6 +136,7 @@
   Read(in, "incarnation", record.incarnation);
   Read(in, "epoch", record.epoch);
   Read(in, "change_id", record.change_id);
+  ReadOptional(in, "members", record.members);
 }
 
 void to_json(json& out, const TaskKey& key) { out = json{{"job", key.job}, {"index", key.index}}; }
