--- a/lib/control/include/currantpost/control/upstream_state.h
+++ b/lib/control/include/currantpost/control/upstream_state.h
@@ -32,6 +32,8 @@
   std::map<VmId, VmRecord> vms;
   /// Whether the list was learned, from the platform or a peer.
   bool list_known = false;
+  /// When the list was last learned.
+  Millis list_read_at;
   /// Whether readiness was announced.
   bool ready = false;
   int64_t snapshot_revision = 0;
--- a/lib/control/source/upstream_feature.cc
+++ b/lib/control/source/upstream_feature.cc
@@ -80,6 +80,7 @@
   upstreams.changed |= dropped > 0;
   upstreams.vms = std::move(vms);
   upstreams.list_known = true;
+  upstreams.list_read_at = state.now;
 }
 
 void LearnListOfPeer(State& state, const std::string& text, Effects& effects) {
--- a/tests/tool/tool_test.cc
+++ b/tests/tool/tool_test.cc
@@ -21,7 +21,7 @@
     server_.set_default_headers({{"Connection", "close"}});
     port_ = server_.bind_to_any_port("127.0.0.1");
     thread_ = std::thread([this] { server_.listen_after_bind(); });
-    server_.wait_until_ready();
+    while (!server_.is_running()) std::this_thread::yield();
   }
 
   ~FakeEntry() {
@@ -44,7 +44,7 @@
   std::string error;
 };
 
-Ran Run(std::vector<const char*> arguments) {
+Ran RunWith(std::vector<const char*> arguments) {
   arguments.insert(arguments.begin(), "currantpost");
   std::ostringstream out;
   std::ostringstream error;
@@ -65,7 +65,7 @@
         "application/json");
   });
 
-  const Ran ran = Run({"--entry", entry.Name().c_str(), "preset", "list"});
+  const Ran ran = RunWith({"--entry", entry.Name().c_str(), "preset", "list"});
 
   EXPECT_EQ(ran.exit_code, ExitCode::kOk) << ran.error;
   EXPECT_NE(ran.out.find("* ordinary"), std::string::npos);
@@ -79,7 +79,7 @@
     response.set_content(R"({"error":"conflict","detail":"revision"})", "application/json");
   });
 
-  const Ran ran = Run({"--entry", entry.Name().c_str(), "preset", "switch", "peak"});
+  const Ran ran = RunWith({"--entry", entry.Name().c_str(), "preset", "switch", "peak"});
 
   EXPECT_EQ(ran.exit_code, ExitCode::kRefused);
   EXPECT_NE(ran.error.find("conflict"), std::string::npos);
@@ -90,14 +90,14 @@
   const std::string path = testing::TempDir() + "bad_job.json";
   std::ofstream(path) << "{}";
 
-  const Ran ran = Run({"--entry", "127.0.0.1:1", "job", "submit", path.c_str()});
+  const Ran ran = RunWith({"--entry", "127.0.0.1:1", "job", "submit", path.c_str()});
 
   EXPECT_EQ(ran.exit_code, ExitCode::kBadInput);
   EXPECT_NE(ran.error.find("malformed"), std::string::npos);
 }
 
 TEST(Tool, NobodyListeningIsUnavailable) {
-  const Ran ran = Run({"--entry", "127.0.0.1:1", "--json", "job", "show", "x"});
+  const Ran ran = RunWith({"--entry", "127.0.0.1:1", "--json", "job", "show", "x"});
 
   EXPECT_EQ(ran.exit_code, ExitCode::kUnavailable);
   EXPECT_NE(ran.error.find("\"error\":\"unavailable\""), std::string::npos);
@@ -109,22 +109,22 @@
     response.set_content("<html>", "text/html");
   });
 
-  const Ran ran = Run({"--entry", entry.Name().c_str(), "job", "cancel", "x"});
+  const Ran ran = RunWith({"--entry", entry.Name().c_str(), "job", "cancel", "x"});
 
   EXPECT_EQ(ran.exit_code, ExitCode::kUnknown);
 }
 
 TEST(Tool, BadUsageExitsWithItsOwnCode) {
-  EXPECT_EQ(Run({"preset", "swich", "x"}).exit_code, ExitCode::kBadInput);
-  EXPECT_EQ(Run({"--entry", "here", "preset", "list"}).exit_code, ExitCode::kBadInput);
-  EXPECT_EQ(Run({"--help"}).exit_code, ExitCode::kOk);
+  EXPECT_EQ(RunWith({"preset", "swich", "x"}).exit_code, ExitCode::kBadInput);
+  EXPECT_EQ(RunWith({"--entry", "here", "preset", "list"}).exit_code, ExitCode::kBadInput);
+  EXPECT_EQ(RunWith({"--help"}).exit_code, ExitCode::kOk);
 }
 
 TEST(Tool, ChecksSettingsWithoutAnEntry) {
   const std::string path = testing::TempDir() + "bad_settings.ini";
   std::ofstream(path) << "[entry]\nname = a b\n";
 
-  const Ran ran = Run({"settings", "check", path.c_str()});
+  const Ran ran = RunWith({"settings", "check", path.c_str()});
 
   EXPECT_EQ(ran.exit_code, ExitCode::kBadInput);
   EXPECT_NE(ran.error.find(path + ":2: entry.name: invalid_argument"), std::string::npos);
