--- a/lib/traffic/source/package.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace currantpost {}
