--- a/lib/platform/include/currantpost/platform/headers.h
+++ b/lib/platform/include/currantpost/platform/headers.h
@@ -1,12 +1,12 @@
 #pragma once
 
-/// HTTP headers that the platform's services, the workers and the upstreams share.
+/// HTTP headers of the platform's services and of the workers.
 
-namespace currantpost {
+namespace currantpost::platform_headers {
 
 /// Names a request; an answer that carries another name belongs to another request.
-inline constexpr const char* kRequestIdHeader = "X-Request-Id";
+inline constexpr const char* kRequestId = "X-Request-Id";
 /// Set to "1" on an answer that says that the call had, and will have, no effect.
-inline constexpr const char* kNotAppliedHeader = "X-Not-Applied";
+inline constexpr const char* kNotApplied = "X-Not-Applied";
 
-}  // namespace currantpost
+}  // namespace currantpost::platform_headers
--- a/lib/platform/source/http_channel.cc
+++ b/lib/platform/source/http_channel.cc
@@ -43,7 +43,7 @@
   if (!call.body.empty()) request.set_header("Content-Type", "application/json");
 
   const std::string id = NextRequestId();
-  request.set_header(kRequestIdHeader, id);
+  request.set_header(platform_headers::kRequestId, id);
 
   // The library's timeouts bound each silence; this bounds the sum, and the size.
   const MonotonicClock clock;
@@ -59,11 +59,12 @@
     return Exchange{IsNotSent(error) ? ExchangeStatus::kNotSent : ExchangeStatus::kUnknown};
   }
 
-  const std::string echoed = response.get_header_value(kRequestIdHeader);
+  const std::string echoed = response.get_header_value(platform_headers::kRequestId);
   if (!echoed.empty() && echoed != id) return Exchange{};
 
   return Exchange{ExchangeStatus::kAnswered, response.status,
-                  response.get_header_value(kNotAppliedHeader) == "1", std::move(response.body)};
+                  response.get_header_value(platform_headers::kNotApplied) == "1",
+                  std::move(response.body)};
 }
 
 }  // namespace
