--- a/lib/traffic/include/currantpost/traffic/upstream_table.h
+++ b/lib/traffic/include/currantpost/traffic/upstream_table.h
@@ -96,6 +96,7 @@
   };
 
   [[nodiscard]] static bool MayTakeNew(const Row& row);
+  [[nodiscard]] static bool IsForgettable(const Row& row);
   [[nodiscard]] static int32_t Share(const Row& row);
   [[nodiscard]] static double Load(const Row& row);
   [[nodiscard]] Group GroupOf(const Row& row) const;
--- a/lib/traffic/source/hedged_attempt.cc
+++ b/lib/traffic/source/hedged_attempt.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// A hedge is sent no earlier than this, however fast the upstream usually is.
-constexpr Millis kLeastHedgeDelay(2);
+constexpr Millis kLeastHedgeDelay(5);
 
 /// Tells a thread that waits for a socket that its answer is no longer wanted.
 class AbandonSignal {
--- a/lib/traffic/source/slot_dispatcher.cc
+++ b/lib/traffic/source/slot_dispatcher.cc
@@ -63,6 +63,7 @@
                                          const std::vector<VmId>& excluded) {
   std::unique_lock lock(mutex_);
 
+  if (clock_.Now() >= deadline) return Fail(ErrorCode::kTimeout, "deadline passed");
   if (!table_.HasCandidate(excluded)) return Fail(ErrorCode::kUnavailable, "no usable upstream");
 
   if (!queue_.HasAhead(priority)) {
--- a/lib/traffic/source/upstream_connection.cc
+++ b/lib/traffic/source/upstream_connection.cc
@@ -175,6 +175,11 @@
 AttemptResult UpstreamConnection::Exchange(const CallerRequest& request,
                                            const std::string& attempt_id,
                                            const ExchangeLimits& limits) {
+  if (clock_.Now() >= limits.deadline) {
+    return {.outcome = AttemptOutcome::kNotSent,
+            .error = MakeError(ErrorCode::kTimeout, "deadline passed before the first byte")};
+  }
+
   SocketStream& wire = codec_->Wire();
   wire.ResetCounts();
   wire.SetDeadline(limits.deadline);
--- a/lib/traffic/source/upstream_table.cc
+++ b/lib/traffic/source/upstream_table.cc
@@ -49,9 +49,7 @@
     row.is_present = true;
   }
 
-  std::erase_if(rows_, [](const auto& entry) {
-    return !entry.second.is_present && entry.second.in_flight == 0;
-  });
+  std::erase_if(rows_, [](const auto& entry) { return IsForgettable(entry.second); });
 }
 
 std::optional<ReservedSlot> UpstreamTable::Reserve(const std::vector<VmId>& excluded) {
@@ -100,7 +98,7 @@
   --row.in_flight;
 
   if (row.routed.incarnation == slot.incarnation) Learn(row, report);
-  if (!row.is_present && row.in_flight == 0) rows_.erase(found);
+  if (IsForgettable(row)) rows_.erase(found);
 }
 
 int32_t UpstreamTable::InFlight(const VmId& vm) const {
@@ -155,6 +153,11 @@
   return row.is_present && !row.routed.leaving && !row.said_leaving;
 }
 
+bool UpstreamTable::IsForgettable(const Row& row) {
+  // One that said it leaves is kept, or a list that lags could bring it back.
+  return !row.is_present && row.in_flight == 0 && !row.said_leaving;
+}
+
 int32_t UpstreamTable::Share(const Row& row) {
   return row.limit.Allowed(std::min(row.routed.slot_share, row.routed.connection_share));
 }
--- a/tests/traffic/at_most_once_test.cc
+++ b/tests/traffic/at_most_once_test.cc
@@ -144,8 +144,7 @@
     connection.Write("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
     return false;
   });
-  TrafficSettings settings = Entry::Settings();
-  Entry entry(settings);
+  Entry entry;
   const httplib::Headers key = {{"Idempotency-Key", "order-7"}};
 
   RoutedUpstream nobody = upstream.Routed("nobody");
@@ -159,6 +158,23 @@
   EXPECT_EQ(entry.Claims().Held(), 1);
 }
 
+TEST(AtMostOnce, NothingIsSentOnceTheDeadlineHasPassedDuringTheClaim) {
+  RawUpstream upstream([](RawConnection& connection, const RawRequest& request) {
+    connection.Answer(request, "ok");
+    return true;
+  });
+  Entry entry;
+  entry.Claims().Delay(Millis(150));
+  entry.Route({upstream.Routed("a")}, Millis(100));
+
+  const httplib::Result result = entry.Send("POST", "/", {{"Idempotency-Key", "order-7"}});
+
+  EXPECT_EQ(result->status, 504);
+  EXPECT_EQ(OutcomeOf(result), "not_run");
+  EXPECT_EQ(upstream.Requests(), 0);
+  EXPECT_EQ(entry.Claims().Held(), 0);
+}
+
 TEST(AtMostOnce, WithoutTheStoreNothingIsSent) {
   RawUpstream upstream([](RawConnection& connection, const RawRequest& request) {
     connection.Answer(request, "ok");
--- a/tests/traffic/entry.cc
+++ b/tests/traffic/entry.cc
@@ -6,11 +6,15 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace currantpost {
 
 ClaimOutcome FakeClaimStore::Claim(const std::string& route, const std::string& key) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(delay_));
+
   const std::lock_guard lock(mutex_);
   if (failure_ != ClaimOutcome::kClaimed) return failure_;
 
--- a/tests/traffic/entry.h
+++ b/tests/traffic/entry.h
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -22,12 +23,16 @@
   /// Answers every claim with a failure from now on.
   void Fail(ClaimOutcome failure) { failure_ = failure; }
 
+  /// Makes every claim take this long from now on.
+  void Delay(Millis delay) { delay_ = delay.Count(); }
+
   [[nodiscard]] size_t Held() const;
 
  private:
   mutable std::mutex mutex_;
   std::set<std::pair<std::string, std::string>> held_;
   ClaimOutcome failure_ = ClaimOutcome::kClaimed;
+  std::atomic<int64_t> delay_ = 0;
 };
 
 /// An entry's traffic part on a port of 127.0.0.1.
--- a/tests/traffic/leaving_upstream_test.cc
+++ b/tests/traffic/leaving_upstream_test.cc
@@ -37,7 +37,8 @@
   EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed");
   EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "not_run");
 
-  // A snapshot made before its word was heard does not bring it back.
+  // Neither a snapshot made before its word was heard nor a gap in the list brings it back.
+  entry.Route(std::vector<RoutedUpstream>());
   entry.Route({upstream.Routed("a")});
   EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "not_run");
   EXPECT_EQ(upstream.Requests(), 1);
