--- a/lib/daemon/source/own_heartbeat.cc
+++ b/lib/daemon/source/own_heartbeat.cc
@@ -23,7 +23,9 @@
     configuration_revision_ = heartbeat.sender.configuration_revision;
   }
 
+  // What was meant for one receiver goes to no other.
   latest_.configuration.clear();
+  latest_.vm_list.clear();
 }
 
 Heartbeat OwnHeartbeat::AnswerTo(const Heartbeat& peer) const {
--- a/lib/peer/source/heartbeat_message.cc
+++ b/lib/peer/source/heartbeat_message.cc
@@ -10,6 +10,7 @@
 
 constexpr size_t kLongestName = 256;
 constexpr size_t kLargestConfiguration = 1'048'576;
+constexpr size_t kLargestVmList = 1'048'576;
 constexpr int kMostKnownEntries = 4'096;
 constexpr int kMostRacks = 16'384;
 constexpr int kMostLeavingUpstreams = 16'384;
@@ -83,6 +84,10 @@
     return MakeError(ErrorCode::kTooLarge, "configuration");
   }
 
+  if (message.vm_list().size() > kLargestVmList) {
+    return MakeError(ErrorCode::kTooLarge, "vm_list");
+  }
+
   return {};
 }
 
@@ -143,6 +148,8 @@
   }
 
   message.set_configuration(heartbeat.configuration);
+  message.set_wants_vm_list(heartbeat.wants_vm_list);
+  message.set_vm_list(heartbeat.vm_list);
 
   return message;
 }
@@ -167,6 +174,8 @@
   }
 
   heartbeat.configuration = message.configuration();
+  heartbeat.wants_vm_list = message.wants_vm_list();
+  heartbeat.vm_list = message.vm_list();
 
   return heartbeat;
 }
