--- a/lib/daemon/include/currantpost/daemon/traffic_port.h
+++ b/lib/daemon/include/currantpost/daemon/traffic_port.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include <prometheus/metric_family.h>
+
 #include <memory>
-#include <string_view>
 #include <vector>
 
 #include "currantpost/base/error.h"
@@ -10,17 +11,6 @@
 
 namespace currantpost {
 
-/// Whether a figure only rises or may fall too.
-enum class FigureKind { kCounter, kGauge };
-
-/// One figure of the traffic threads, for the metrics.
-struct TrafficFigure {
-  std::string_view name;
-  std::string_view help;
-  FigureKind kind = FigureKind::kCounter;
-  double value = 0;
-};
-
 /// The traffic threads, as the rest of the daemon drives them.
 class TrafficPort {
  public:
@@ -35,8 +25,8 @@
   /// Returns what was seen since the last call.
   virtual TrafficReported TakeReport() = 0;
 
-  /// Returns the figures so far.
-  [[nodiscard]] virtual std::vector<TrafficFigure> Figures() const = 0;
+  /// Returns the figures so far, for the metrics.
+  [[nodiscard]] virtual std::vector<prometheus::MetricFamily> Collect() const = 0;
 
   /// Stops serving callers.
   virtual void Stop() = 0;
--- a/lib/daemon/source/metrics.cc
+++ b/lib/daemon/source/metrics.cc
@@ -66,22 +66,6 @@
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
-prometheus::MetricFamily FamilyOf(const TrafficFigure& figure) {
-  const bool is_counter = figure.kind == FigureKind::kCounter;
-
-  prometheus::ClientMetric metric;
-  metric.counter.value = figure.value;
-  metric.gauge.value = figure.value;
-
-  prometheus::MetricFamily family;
-  family.name = std::string(figure.name);
-  family.help = std::string(figure.help);
-  family.type = is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
-  family.metric.push_back(metric);
-
-  return family;
-}
-
 }  // namespace
 
 Metrics::Metrics()
@@ -144,7 +128,9 @@
   std::vector<prometheus::MetricFamily> families = registry_.Collect();
 
   if (traffic_ != nullptr) {
-    for (const TrafficFigure& figure : traffic_->Figures()) families.push_back(FamilyOf(figure));
+    for (prometheus::MetricFamily& family : traffic_->Collect()) {
+      families.push_back(std::move(family));
+    }
   }
 
   return prometheus::TextSerializer().Serialize(families);
--- a/tests/daemon/fakes.h
+++ b/tests/daemon/fakes.h
@@ -170,8 +170,14 @@
 
   TrafficReported TakeReport() override { return {}; }
 
-  [[nodiscard]] std::vector<TrafficFigure> Figures() const override {
-    return {TrafficFigure{.name = "currantpost_fake_total", .help = "A figure.", .value = 3}};
+  [[nodiscard]] std::vector<prometheus::MetricFamily> Collect() const override {
+    prometheus::ClientMetric metric;
+    metric.counter.value = 3;
+
+    return {prometheus::MetricFamily{.name = "currantpost_fake_total",
+                                     .help = "A figure.",
+                                     .type = prometheus::MetricType::Counter,
+                                     .metric = {metric}}};
   }
 
   void Stop() override { stopped_ = true; }
