--- a/lib/daemon/source/metrics.cc
+++ b/lib/daemon/source/metrics.cc
@@ -40,18 +40,18 @@
      [](const State& state) {
        double ejected = 0;
        for (const auto& [vm, record] : state.upstreams.upstreams) {
-         ejected += record.ejected_until > state.now ? 1 : 0;
+         ejected += record.ejected ? 1 : 0;
        }
        return ejected;
      }},
     {"currantpost_upstreams_leaving", "Lives of upstreams known to be leaving.",
      [](const State& state) { return static_cast<double>(state.upstreams.leaving.size()); }},
-    {"currantpost_vm_list_age_seconds", "Time since the platform's list of VMs was read.",
-     [](const State& state) {
-       constexpr double kMillisPerSecond = 1'000;
-       return static_cast<double>((state.now - state.upstreams.list_read_at).Count()) /
-              kMillisPerSecond;
-     }},
+    {"currantpost_vm_list_known", "1 once the list of VMs was learned.",
+     [](const State& state) { return state.upstreams.list_known ? 1.0 : 0.0; }},
+    {"currantpost_configuration_known", "1 once a configuration was learned.",
+     [](const State& state) { return state.configuration.known ? 1.0 : 0.0; }},
+    {"currantpost_changes_pending", "Operators' changes that wait for the platform.",
+     [](const State& state) { return static_cast<double>(state.configuration.pending.size()); }},
     {"currantpost_shutting_down", "1 once the process was told to stop.",
      [](const State& state) { return state.shutdown.requested ? 1.0 : 0.0; }},
 };
@@ -66,22 +66,6 @@
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
-prometheus::MetricFamily FamilyOf(const TrafficFigure& figure) {
-  const bool is_counter = figure.kind == FigureKind::kCounter;
-
-  prometheus::ClientMetric metric;
-  metric.counter.value = figure.value;
-  metric.gauge.value = figure.value;
-
-  prometheus::MetricFamily family;
-  family.name = std::string(figure.name);
-  family.help = std::string(figure.help);
-  family.type = is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
-  family.metric.push_back(metric);
-
-  return family;
-}
-
 }  // namespace
 
 Metrics::Metrics()
@@ -144,7 +128,9 @@
   std::vector<prometheus::MetricFamily> families = registry_.Collect();
 
   if (traffic_ != nullptr) {
-    for (const TrafficFigure& figure : traffic_->Figures()) families.push_back(FamilyOf(figure));
+    for (prometheus::MetricFamily& family : traffic_->Collect()) {
+      families.push_back(std::move(family));
+    }
   }
 
   return prometheus::TextSerializer().Serialize(families);
--- a/tests/peer/heartbeat_message_test.cc
+++ b/tests/peer/heartbeat_message_test.cc
@@ -41,6 +41,8 @@
   }
 
   heartbeat.configuration = *rc::gen::element<std::string>("", R"({"revision":7})");
+  heartbeat.wants_vm_list = *rc::gen::arbitrary<bool>();
+  heartbeat.vm_list = *rc::gen::element<std::string>("", "[]");
 
   return heartbeat;
 }
@@ -97,6 +99,8 @@
        [](auto& message) { message.add_leaving_upstreams(); }},
       {"LargeConfiguration", ErrorCode::kTooLarge,
        [](auto& message) { message.set_configuration(std::string(1'048'577, ' ')); }},
+      {"LargeVmList", ErrorCode::kTooLarge,
+       [](auto& message) { message.set_vm_list(std::string(1'048'577, ' ')); }},
       {"TooManyKnown", ErrorCode::kTooLarge,
        [](auto& message) {
          for (int number = 0; number < 4'097; ++number) {
