--- a/tests/platform/upstream_test.cc
+++ b/tests/platform/upstream_test.cc
@@ -31,11 +31,11 @@
 TEST_F(UpstreamTest, AnswersWithWhatWasAsked) {
   const auto client = Connect();
   const auto answer = client->Post(
-      "/orders?day=1", {{"X-Request-Id", "r-1"}, {"Idempotency-Key", "k"}}, "tofu", "text/plain");
+      "/orders?day=1", {{"X-Request-Id", "r-1.a"}, {"Idempotency-Key", "k"}}, "tofu", "text/plain");
 
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->status, 200);
-  EXPECT_EQ(answer->get_header_value("X-Request-Id"), "r-1");
+  EXPECT_EQ(answer->get_header_value("X-Request-Id"), "r-1.a");
 
   const json body = json::parse(answer->body);
   EXPECT_EQ(body.at("path"), "/orders?day=1");
--- a/tests/platform/worker_client_test.cc
+++ b/tests/platform/worker_client_test.cc
@@ -17,6 +17,8 @@
 /// A worker and a client of it.
 class WorkerClientTest : public testing::Test {
  protected:
+  void SetUp() override { Send(RaiseEpoch{}); }
+
   WorkerReply Send(const WorkerOrder& order, Epoch epoch = 1, Incarnation incarnation = 1) {
     return client_.Order(address_, kVm, incarnation, epoch, order);
   }
--- a/tests/platform/worker_model_test.cc
+++ b/tests/platform/worker_model_test.cc
@@ -24,6 +24,8 @@
     return model_.Order(now_, {kVm, incarnation_, epoch, order});
   }
 
+  void SetUp() override { Send(RaiseEpoch{}); }
+
   void Pass(int64_t span) { now_ = now_ + Millis(span); }
 
   Millis now_ = Millis(10'000);
@@ -115,6 +117,14 @@
   EXPECT_EQ(model_.Records(now_).stale_orders, 2);
 }
 
+TEST_F(WorkerModelTest, RefusesOrdersOfAnEpochThatWasNotRaised) {
+  EXPECT_EQ(Send(MakeStart(1), 2).status, WorkerStatus::kRefused);
+  EXPECT_EQ(Send(RaiseEpoch{}).table.epoch, 1);
+
+  Send(RaiseEpoch{}, 2);
+  EXPECT_EQ(Send(MakeStart(1), 2).status, WorkerStatus::kOk);
+}
+
 TEST_F(WorkerModelTest, ThrottledTaskRunsAtHalfSpeedHoweverOftenItIsRead) {
   StartTask start = MakeStart(1);
   start.lease = Millis(10'000);
--- a/tests/standins/standin_upstream.cc
+++ b/tests/standins/standin_upstream.cc
@@ -24,6 +24,12 @@
   return request.has_header(kKeyHeader) ? request.get_header_value(kKeyHeader) : request.body;
 }
 
+/// Returns the caller's own name of a request; each attempt adds a point and a name of its own.
+std::string RequestIdOf(const httplib::Request& request) {
+  const std::string id = request.get_header_value(platform_headers::kRequestId);
+  return id.substr(0, id.rfind('.'));
+}
+
 }  // namespace
 
 StandinUpstream::StandinUpstream(UpstreamOptions options)
@@ -74,7 +80,7 @@
   }
 
   ++records_.executed;
-  ++records_.by_request_id[request.get_header_value(platform_headers::kRequestId)];
+  ++records_.by_request_id[RequestIdOf(request)];
   if (request.method != "GET") ++records_.by_key[KeyOf(request)];
 
   records_.most_concurrent = std::max(records_.most_concurrent, ++concurrent_);
--- a/tests/standins/standin_upstream.h
+++ b/tests/standins/standin_upstream.h
@@ -20,7 +20,7 @@
 
 /// What an upstream did.
 struct UpstreamRecords {
-  /// Requests run, by the name that they carried.
+  /// Attempts run, by the caller's name of the request.
   std::map<std::string, int64_t> by_request_id;
   /// Requests other than GET that were run, by their `Idempotency-Key`, or else by their body.
   std::map<std::string, int64_t> by_key;
--- a/tests/standins/worker_model.cc
+++ b/tests/standins/worker_model.cc
@@ -66,6 +66,10 @@
     return WorkerReply{WorkerStatus::kStaleEpoch, Table(now)};
   }
 
+  // Only the order made for it raises the epoch; any other must come with the present one.
+  const bool raises = std::holds_alternative<RaiseEpoch>(order.order);
+  if (!raises && order.epoch != epoch_) return WorkerReply{WorkerStatus::kRefused, Table(now)};
+
   epoch_ = order.epoch;
   const WorkerStatus status =
       std::visit([&](const auto& each) { return Do(now, each); }, order.order);
