--- /dev/null
+++ b/tests/demo/callers.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "currantpost/base/enum_names.h"
+#include "currantpost/model/vm.h"
+
+namespace currantpost::demo {
+
+/// What a caller got for one request.
+enum class CallerOutcome {
+  /// The whole answer to this very request.
+  kWhole,
+  /// The system said that it was surely not run.
+  kNotRun,
+  /// The system said that it cannot tell.
+  kUnknown,
+  /// No whole answer came from the entry, which may have been killed.
+  kNoAnswer,
+  /// An answer that is not the one to this request; breaks a promise.
+  kWrong,
+};
+
+inline constexpr EnumNames kCallerOutcomeNames(std::to_array<EnumName<CallerOutcome>>({
+    {CallerOutcome::kWhole, "whole"},
+    {CallerOutcome::kNotRun, "not_run"},
+    {CallerOutcome::kUnknown, "unknown"},
+    {CallerOutcome::kNoAnswer, "no_answer"},
+    {CallerOutcome::kWrong, "wrong"},
+}));
+
+/// One request and what became of it.
+struct CallRecord {
+  /// Number of the entry that it was sent to.
+  size_t entry = 0;
+  std::string method;
+  std::string request_id;
+  /// `Idempotency-Key`, empty for GET.
+  std::string key;
+  CallerOutcome outcome = CallerOutcome::kNoAnswer;
+};
+
+/// Callers that send requests through all entries, each to its own, until they are stopped. A
+/// caller whose entry does not answer goes to the next, as behind a balancer, and sends an order
+/// without a whole answer again under the same key.
+class Callers {
+ public:
+  explicit Callers(std::vector<Address> entries);
+  ~Callers() { Stop(); }
+
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  void Start();
+  void Stop();
+
+  /// Returns all records. Call after `Stop`.
+  const std::vector<CallRecord>& Records() const { return records_; }
+
+ private:
+  void Run(size_t caller);
+  CallRecord Send(size_t entry, const std::string& method, const std::string& name,
+                  const std::string& request_id);
+
+  std::vector<Address> entries_;
+  std::atomic<bool> stopping_ = false;
+  std::vector<std::thread> threads_;
+  std::mutex mutex_;
+  std::vector<CallRecord> records_;
+};
+
+}  // namespace currantpost::demo
