--- a/lib/control/source/ownership.cc
+++ b/lib/control/source/ownership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "membership.h"
 #include "work.h"
 
 /// Who owns a rack: claims, hand-over, release and loss.
@@ -267,17 +268,10 @@
 }  // namespace
 
 std::vector<EntryId> PreferredOwners(const State& state, const RackId& rack) {
-  const EntryIdentity& identity = state.settings.identity;
   std::vector<std::pair<uint64_t, EntryId>> weighted;
-  if (!state.shutdown.requested) {
-    weighted.emplace_back(Weight(identity.entry, rack), identity.entry);
-  }
-
-  for (const auto& [id, peer] : state.membership.peers) {
-    if (!peer.alive || peer.known.leaving) continue;
-    if (peer.known.data_centre != identity.data_centre) continue;
-
-    weighted.emplace_back(Weight(id, rack), id);
+  for (EntryId& entry : LiveEntries(state)) {
+    const uint64_t weight = Weight(entry, rack);
+    weighted.emplace_back(weight, std::move(entry));
   }
 
   std::ranges::sort(weighted, std::greater<>());
