--- /dev/null
+++ b/tests/control/work_history_test.cc
@@ -0,0 +1,307 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+#include "fake_world.h"
+
+/// Batch work under random faults, as the workers' and the platform's own records show it.
+
+namespace currantpost {
+namespace {
+
+const DataCentreId kCentre("dc0");
+const EntryId kFirst("e00");
+
+JobSpec Job(const std::string& name, int32_t tasks, Millis run_time) {
+  return JobSpec{.job = JobId(name),
+                 .team = TeamId("kitchen"),
+                 .kind = "pantry",
+                 .declared = {.millicores = 1'500, .memory_mib = 1'024},
+                 .task_count = tasks,
+                 .run_time = run_time};
+}
+
+/// Returns the numbers 0 to `count` - 1.
+std::vector<int32_t> AllTasks(int32_t count) {
+  std::vector<int32_t> tasks(count);
+  std::iota(tasks.begin(), tasks.end(), 0);
+  return tasks;
+}
+
+/// Returns all runs of all workers, by task, in the order of their start.
+std::map<TaskKey, std::vector<RunRecord>> RunsByTask(FakeWorld& world) {
+  std::map<TaskKey, std::vector<RunRecord>> runs;
+
+  for (const auto& [vm, worker] : world.Workers()) {
+    for (const RunRecord& run : worker.Runs()) runs[run.task].push_back(run);
+  }
+
+  for (auto& [task, list] : runs) {
+    std::ranges::sort(list, {},
+                      [](const RunRecord& run) { return std::pair(run.started_at, run.attempt); });
+  }
+
+  return runs;
+}
+
+/// Says whether no task ran again after one of its runs had finished.
+bool NoneRanAfterItsEnd(FakeWorld& world) {
+  for (const auto& [task, runs] : RunsByTask(world)) {
+    const auto finished = std::ranges::find_if(runs, &RunRecord::finished);
+    if (finished != runs.end() && std::next(finished) != runs.end()) return false;
+  }
+
+  return true;
+}
+
+/// Says whether each later run has a higher attempt.
+bool AttemptsRise(FakeWorld& world) {
+  for (const auto& [task, runs] : RunsByTask(world)) {
+    const auto not_rising = [](const RunRecord& one, const RunRecord& next) {
+      return next.attempt <= one.attempt;
+    };
+    if (std::ranges::adjacent_find(runs, not_rising) != runs.end()) return false;
+  }
+
+  return true;
+}
+
+TEST(ResumeOnce, AJobFinishesEachTaskOnce) {
+  FakeWorld world(1, {});
+  world.Run(Millis(15'000));
+
+  const size_t submitted = world.Submit(kFirst, SubmitJob{Job("pantry", 20, Millis(3'000))});
+  world.Run(Millis(60'000));
+
+  ASSERT_TRUE(world.Commands()[submitted].reply);
+  EXPECT_EQ(world.Commands()[submitted].reply->error.code, std::error_code());
+  EXPECT_EQ(world.CompletedTasks(kCentre, JobId("pantry")), AllTasks(20));
+  EXPECT_TRUE(NoneRanAfterItsEnd(world));
+  EXPECT_TRUE(world.Violations().empty()) << *world.Violations().begin();
+}
+
+TEST(ResumeOnce, ALostOwnerIsReplacedAndTheJobGoesOn) {
+  FakeWorld world(2, {});
+  world.Run(Millis(15'000));
+  world.Submit(kFirst, SubmitJob{Job("pantry", 24, Millis(4'000))});
+  world.Run(Millis(3'000));
+
+  for (const char* entry : {"e00", "e01"}) world.Kill(EntryId(entry));
+  world.Run(Millis(120'000));
+
+  EXPECT_EQ(world.CompletedTasks(kCentre, JobId("pantry")), AllTasks(24));
+  EXPECT_TRUE(NoneRanAfterItsEnd(world));
+  EXPECT_TRUE(world.Violations().empty()) << *world.Violations().begin();
+}
+
+TEST(ResumeOnce, AllProcessesOfADataCentreAreReplaced) {
+  FakeWorld world(3, {});
+  world.Run(Millis(15'000));
+  world.Submit(kFirst, SubmitJob{Job("pantry", 24, Millis(4'000))});
+  world.Run(Millis(5'000));
+
+  for (const char* entry : {"e00", "e01", "e02"}) world.Kill(EntryId(entry));
+  world.Run(Millis(2'000));
+  for (const char* entry : {"e00", "e01", "e02"}) world.Start(EntryId(entry));
+  world.Run(Millis(120'000));
+
+  EXPECT_EQ(world.CompletedTasks(kCentre, JobId("pantry")), AllTasks(24));
+  EXPECT_TRUE(NoneRanAfterItsEnd(world));
+  EXPECT_TRUE(world.Violations().empty()) << *world.Violations().begin();
+}
+
+TEST(ResumeOnce, RunningBatchGoesOnThroughALongOutageOfThePlatform) {
+  FakeWorld world(4, {});
+  world.Run(Millis(15'000));
+  world.Submit(kFirst, SubmitJob{Job("pantry", 24, Millis(4'000))});
+  world.Run(Millis(2'000));
+
+  world.SetKvDown(true);
+  world.Run(Millis(60'000));
+
+  // Every task has run to its end, although no completion could be recorded.
+  size_t finished = 0;
+  for (const auto& [task, runs] : RunsByTask(world)) finished += runs.back().finished ? 1 : 0;
+  EXPECT_EQ(finished, 24U);
+
+  world.SetKvDown(false);
+  world.Run(Millis(20'000));
+
+  EXPECT_EQ(world.CompletedTasks(kCentre, JobId("pantry")), AllTasks(24));
+  EXPECT_TRUE(NoneRanAfterItsEnd(world));
+}
+
+TEST(NoOvercommit, MoreTasksThanRoomWaitForIt) {
+  FakeWorld world(5, {.data_centres = 1, .racks = 1, .workers = 2});
+  world.Run(Millis(15'000));
+
+  world.Submit(kFirst, SubmitJob{Job("pantry", 60, Millis(1'000))});
+  world.Run(Millis(120'000));
+
+  EXPECT_EQ(world.CompletedTasks(kCentre, JobId("pantry")), AllTasks(60));
+  EXPECT_TRUE(world.Violations().empty()) << *world.Violations().begin();
+}
+
+TEST(NoOvercommit, AJobThatFitsNoVmIsRefusedAtOnce) {
+  FakeWorld world(6, {});
+  world.Run(Millis(15'000));
+
+  JobSpec spec = Job("giant", 1, Millis(1'000));
+  spec.declared.accelerators = 2;
+  const size_t submitted = world.Submit(kFirst, SubmitJob{spec});
+  world.Run(Millis(100));
+
+  ASSERT_TRUE(world.Commands()[submitted].reply);
+  EXPECT_EQ(world.Commands()[submitted].reply->error.code, ErrorCode::kNeverFits);
+}
+
+TEST(OnePlace, AnOwnerThatWakesAfterItsLeaseOrdersNothingOfThePast) {
+  FakeWorld world(7, {.data_centres = 1});
+  world.Run(Millis(15'000));
+  world.Submit(kFirst, SubmitJob{Job("pantry", 40, Millis(9'000))});
+  world.Run(Millis(2'000));
+
+  const std::vector<EntryId> entries = world.Entries();
+  for (const EntryId& entry : entries) {
+    world.Pause(entry);
+    world.Run(Millis(25'000));
+    world.Resume(entry);
+    world.Run(Millis(1'000));
+  }
+
+  world.Run(Millis(120'000));
+  EXPECT_EQ(world.CompletedTasks(kCentre, JobId("pantry")), AllTasks(40));
+  EXPECT_TRUE(world.Violations().empty()) << *world.Violations().begin();
+}
+
+/// One fault of a random history.
+void Disturb(FakeWorld& world, int kind, const EntryId& entry, const VmId& vm) {
+  switch (kind) {
+    case 0:
+      world.Kill(entry);
+      world.Start(entry);
+      return;
+    case 1:
+      world.Pause(entry);
+      return;
+    case 2:
+      world.Resume(entry);
+      return;
+    case 3:
+      world.Cut(entry.Text(), "kv");
+      return;
+    case 4:
+      world.Cut("kv", entry.Text());
+      return;
+    case 5:
+      world.Cut(entry.Text(), vm.Text());
+      return;
+    case 6:
+      world.Cut(vm.Text(), entry.Text());
+      return;
+    case 7:
+      world.Cut(entry.Text(), entry.Text() == "e00" ? "e01" : "e00");
+      return;
+    case 8:
+      world.SetKvDown(true);
+      return;
+    case 9:
+      world.FreezeList(true);
+      return;
+    case 10:
+      world.SetVmState(vm, VmState::kLeaving);
+      return;
+    case 11:
+      world.Kill(entry);
+      return;
+    default:
+      world.SetKvDown(false);
+      world.FreezeList(false);
+      world.Mend();
+  }
+}
+
+constexpr int kKindsOfFaults = 14;
+
+void Heal(FakeWorld& world) {
+  world.SetFaults({});
+  world.Mend();
+  world.SetKvDown(false);
+  world.FreezeList(false);
+
+  for (auto& [vm, worker] : world.Workers()) world.SetVmState(vm, VmState::kLive);
+
+  for (const EntryId& entry : world.Entries()) {
+    world.Resume(entry);
+    if (!world.IsUp(entry)) world.Start(entry);
+  }
+}
+
+/// Runs jobs through a random history of faults, then heals all and lets it come to rest.
+void RunHistory(FakeWorld& world) {
+  world.Run(Millis(15'000));
+  world.SetFaults({.lose = 0.08, .repeat = 0.1, .delay = 0.05, .long_delay = Millis(9'000)});
+
+  std::vector<VmId> vms;
+  for (const auto& [vm, worker] : world.Workers()) vms.push_back(vm);
+
+  const std::vector<EntryId> entries = world.Entries();
+  const int steps = *rc::gen::inRange(5, 25);
+
+  for (int step = 0; step < steps; ++step) {
+    const EntryId entry = *rc::gen::elementOf(entries);
+
+    if (*rc::gen::inRange(0, 3) == 0) {
+      const Millis run_time(*rc::gen::inRange(100, 12'000));
+      world.Submit(entry, SubmitJob{Job("job" + std::to_string(step), 8, run_time)});
+    } else {
+      Disturb(world, *rc::gen::inRange(0, kKindsOfFaults), entry, *rc::gen::elementOf(vms));
+    }
+
+    world.Run(Millis(*rc::gen::inRange(10, 9'000)));
+  }
+
+  Heal(world);
+  world.Run(Millis(300'000));
+}
+
+RC_GTEST_PROP(OnePlace, NoTaskRunsTwiceAtOnceWhateverFails, ()) {
+  FakeWorld world(*rc::gen::arbitrary<uint32_t>(), {.data_centres = 1});
+  RunHistory(world);
+
+  for (const std::string& violation : world.Violations()) RC_FAIL(violation);
+  RC_ASSERT(AttemptsRise(world));
+}
+
+RC_GTEST_PROP(ResumeOnce, AcceptedJobsFinishEachTaskOnceWhateverFails, ()) {
+  FakeWorld world(*rc::gen::arbitrary<uint32_t>(), {.data_centres = 1});
+  RunHistory(world);
+
+  RC_ASSERT(NoneRanAfterItsEnd(world));
+
+  for (const CommandRecord& record : world.Commands()) {
+    const bool accepted = record.reply && !record.reply->error.code;
+    if (!accepted) continue;
+
+    const JobSpec& spec = std::get<SubmitJob>(record.body).spec;
+    const std::vector<int32_t> completed = world.CompletedTasks(kCentre, spec.job);
+    RC_ASSERT(completed == AllTasks(spec.task_count));
+  }
+}
+
+RC_GTEST_PROP(NoOvercommit, NoVmHoldsMoreThanItHasWhateverFails, ()) {
+  FakeWorld world(*rc::gen::arbitrary<uint32_t>(),
+                  {.data_centres = 1,
+                   .racks = 1,
+                   .workers = 2,
+                   .capacity = {.millicores = 3'200, .memory_mib = 4'096, .accelerators = 0}});
+  RunHistory(world);
+
+  for (const std::string& violation : world.Violations()) RC_FAIL(violation);
+}
+
+}  // namespace
+}  // namespace currantpost
