Let the main job submit its job until it is accepted

Cause: right after the entries are ready the job was refused as never_fits, while the list of VMs was not known yet, so the job half broke its promises.

--- a/tests/demo/fleet.h
+++ b/tests/demo/fleet.h
@@ -70,8 +70,17 @@
   std::vector<Entry> entries_;
 };
 
-/// Sends one request to the tests' or operators' side of a process and returns the JSON of an
-/// answer with status 200, or null.
+/// The answer to one request; status 0 if none came.
+struct Answer {
+  int status = 0;
+  nlohmann::json body;
+};
+
+/// Sends one request to the tests' or operators' side of a process.
+Answer Send(const Address& address, const std::string& method, const std::string& path,
+            const nlohmann::json& body = nullptr);
+
+/// Does the same and returns the JSON of an answer with status 200, or null.
 nlohmann::json Ask(const Address& address, const std::string& method, const std::string& path,
                    const nlohmann::json& body = nullptr);
 
