Do not let a waiting watch hold up a planned stop

Cause: the process joined the watch threads, which wait for the platform up to the watch's timeout. Ruled out: shorter watches, which cost the platform more calls. Change: the process ends once its servers and the control thread have stopped.

--- a/lib/daemon/include/currantpost/daemon/daemon.h
+++ b/lib/daemon/include/currantpost/daemon/daemon.h
@@ -23,7 +23,8 @@
   Daemon(DaemonSettings settings, DaemonPorts ports, const Clock& clock);
 
   /// Serves until a planned stop has ended. Returns a failure if a server could not start.
-  /// `BlockSignals` must have been called.
+  /// `BlockSignals` must have been called. Calls to the outside may still run then; the destructor
+  /// waits for them, up to the longest watch.
   Error Run();
 
  private:
--- a/lib/daemon/source/daemon.cc
+++ b/lib/daemon/source/daemon.cc
@@ -59,7 +59,6 @@
 
   StopServers();
   control_.Stop();
-  effects_.Stop();
   WriteLog(Severity::kInfo, kPart, "Stopped.");
 
   return {};
--- a/main/currantpostd/main.cc
+++ b/main/currantpostd/main.cc
@@ -40,7 +40,8 @@
 /// Longest time that a request waits for its claim.
 constexpr Millis kClaimTimeout(3'000);
 
-int Serve(DaemonSettings settings) {
+/// Serves until told to stop, and then ends the process.
+[[noreturn]] void Serve(DaemonSettings settings) {
   EntryIdentity& identity = settings.control.identity;
   identity.incarnation = DrawIncarnation();
 
@@ -55,7 +56,11 @@
   TrafficServerPort traffic(server);
   Daemon daemon(settings, DaemonPorts{kv, vm_list, workers, peers, traffic}, clock);
 
-  return daemon.Run().code ? kExitFailed : kExitOk;
+  const int exit_code = daemon.Run().code ? kExitFailed : kExitOk;
+
+  // Nothing is in flight any more but reads of the platform, such as a watch that may wait for many
+  // seconds; a planned stop does not wait for these.
+  std::_Exit(exit_code);
 }
 
 }  // namespace
@@ -90,5 +95,5 @@
   BlockSignals();
   SetUpLogging(Severity::kInfo);
 
-  return Serve(*std::move(settings));
+  Serve(*std::move(settings));
 }
