Throttle, not evict, when a VM is short of processors

Change: a shortage of memory or accelerators still evicts at once; one of processors, by measured use, throttles the largest first.

Red before: with processors counted as a shortage that evicts, and without the throttling, the new test fails.

--- a/bench/fleet_policy.cc
+++ b/bench/fleet_policy.cc
@@ -260,6 +260,7 @@
   pressure.rack = RackNameOf(worker.rack);
   pressure.capacity = model.Settings().user.capacity;
   pressure.committed = ServicePart(pressure.capacity);
+  pressure.used = pressure.committed;
   pressure.slowdown = report.slowdown;
   pressure.measured_at = report.measured_at;
 
@@ -275,6 +276,9 @@
                                            KindOf(model, task.kind), LoadOf(model, task));
     resident.throttled = task.throttled;
 
+    const auto usage = report.used.find(task.id);
+    if (usage != report.used.end()) pressure.used += usage->second.used;
+
     pressure.committed += resident.committed;
     pressure.batch.push_back(std::move(resident));
   }
--- a/lib/policy/include/currantpost/policy/eviction_planner.h
+++ b/lib/policy/include/currantpost/policy/eviction_planner.h
@@ -63,6 +63,8 @@
   Resources capacity;
   /// Sum of `CommitmentOf` all tasks.
   Resources committed;
+  /// Sum of what all tasks were measured to use; zero if unknown.
+  Resources used;
   /// Worst slowdown of the services on the VM in the latest report.
   double slowdown = 1.0;
   /// When that report was measured; the action of a time before it is known.
@@ -106,8 +108,9 @@
 /// Decides which batch tasks to throttle, let go again and evict.
 ///
 /// Throttles first, the most harmful first. Evicts last: only where all batch is throttled and does
-/// not help, and then the task with the least lost progress, low priority before urgent. Acts
-/// on a VM only upon a report that was measured after the last action on it.
+/// not help, and then the task with the least lost progress, low priority before urgent. Memory and
+/// accelerators cannot be throttled, so a shortage of them evicts at once; one of processors
+/// throttles. Acts on a VM only upon a report that was measured after the last action on it.
 class EvictionPlanner {
  public:
   explicit EvictionPlanner(EvictionPlannerSettings settings = {}) : settings_(settings) {}
@@ -139,6 +142,7 @@
 
   void RelieveOverCommitment(Millis now, const VmPressure& pressure, const PressureLimits& limits,
                              Decisions& decisions);
+  void ThrottleForProcessors(const VmPressure& pressure, Decisions& decisions);
   void RelieveSlowdown(Millis now, const VmPressure& pressure, const PressureLimits& limits,
                        VmHistory& history, Decisions& decisions);
   void LetGo(Millis now, const VmPressure& pressure, const PressureLimits& limits,
--- a/lib/policy/source/eviction_planner.cc
+++ b/lib/policy/source/eviction_planner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "currantpost/policy/interference_model.h"
+
 namespace currantpost {
 namespace {
 
@@ -25,6 +27,11 @@
   return std::tuple(-left->harm, left->task) < std::tuple(-right->harm, right->task);
 }
 
+bool UsesMoreProcessors(const BatchResident* left, const BatchResident* right) {
+  return std::tuple(-left->committed.millicores, left->task) <
+         std::tuple(-right->committed.millicores, right->task);
+}
+
 std::vector<const BatchResident*> Residents(const VmPressure& pressure, bool throttled) {
   std::vector<const BatchResident*> residents;
 
@@ -43,15 +50,15 @@
   return residents;
 }
 
-/// Says whether taking the resident away helps against what the VM is short of.
+/// Says whether taking the resident away helps against what the VM is short of. Processors are left
+/// out, since throttling helps there.
 bool Relieves(const BatchResident& resident, const Resources& shortage) {
-  return (shortage.millicores > 0 && resident.committed.millicores > 0) ||
-         (shortage.memory_mib > 0 && resident.committed.memory_mib > 0) ||
+  return (shortage.memory_mib > 0 && resident.committed.memory_mib > 0) ||
          (shortage.accelerators > 0 && resident.committed.accelerators > 0);
 }
 
 bool IsShort(const Resources& shortage) {
-  return shortage.millicores > 0 || shortage.memory_mib > 0 || shortage.accelerators > 0;
+  return shortage.memory_mib > 0 || shortage.accelerators > 0;
 }
 
 }  // namespace
@@ -69,6 +76,7 @@
   const bool news = !history.acted || pressure.measured_at > history.last_action;
 
   if (news) RelieveOverCommitment(now, pressure, limits, decisions);
+  if (news && decisions.empty()) ThrottleForProcessors(pressure, decisions);
   if (news && decisions.empty()) RelieveSlowdown(now, pressure, limits, history, decisions);
   if (news && decisions.empty()) LetGo(now, pressure, limits, history, decisions);
 
@@ -106,6 +114,21 @@
   }
 }
 
+void EvictionPlanner::ThrottleForProcessors(const VmPressure& pressure, Decisions& decisions) {
+  double excess = static_cast<double>(pressure.used.millicores - pressure.capacity.millicores);
+  auto residents = Residents(pressure, false);
+
+  std::sort(residents.begin(), residents.end(), UsesMoreProcessors);
+
+  for (const BatchResident* resident : residents) {
+    if (excess <= 0.0) return;
+
+    decisions.push_back(
+        Decide(PressureAction::kThrottle, PressureReason::kOverCommitted, *resident));
+    excess -= static_cast<double>(resident->committed.millicores) * (1.0 - kThrottledLoadShare);
+  }
+}
+
 void EvictionPlanner::RelieveSlowdown(Millis now, const VmPressure& pressure,
                                       const PressureLimits& limits, VmHistory& history,
                                       Decisions& decisions) {
--- a/tests/policy/eviction_planner_test.cc
+++ b/tests/policy/eviction_planner_test.cc
@@ -123,6 +123,19 @@
   EXPECT_EQ(decisions[0].reason, PressureReason::kOverCommitted);
 }
 
+TEST(EvictionPlanner, ThrottlesAndEvictsNobodyWhenTheVmIsShortOfProcessors) {
+  EvictionPlanner planner;
+  BatchResident large = Resident("large", Millis(1), 0.0, false);
+  large.committed.millicores = 9'000;
+  VmPressure pressure = Vm(1.0, Millis(900), {Resident("small", Millis(1), 0.0, false), large});
+  pressure.committed = {.millicores = 36'000};
+  pressure.used = {.millicores = 36'000};
+
+  const auto decisions = planner.Plan(Millis(1'000), pressure, kLimits);
+  EXPECT_EQ(Told(decisions), Actions{"throttle large"});
+  EXPECT_EQ(decisions[0].reason, PressureReason::kOverCommitted);
+}
+
 TEST(EvictionPlanner, EvictsLowPriorityBeforeUrgent) {
   EvictionPlanner planner;
   BatchResident urgent = Resident("urgent", Millis(0), 0.0, false);
