Drop silent connections used in the same millisecond, and count their silence for nobody

Cause, found by making the drop of older connections red: the test stayed green without the drop. Sharpened, it then failed with the drop (5 silent connections seen where 1 was expected), because connections last used in the very millisecond in which the lost request began were not counted as older. The time lost to a silent connection also counted as the upstream's latency, and a percentile of two values took the lesser one, which hid it.

--- a/lib/traffic/source/attempt_runner.cc
+++ b/lib/traffic/source/attempt_runner.cc
@@ -76,7 +76,7 @@
 
 AttemptResult AttemptRunner::Run(HeldSlot slot, const CallerRequest& request,
                                  const RequestPlan& plan, ReadWatch& watch) {
-  const Millis start = clock_.Now();
+  Millis start = clock_.Now();
   const Millis idle_age = plan.is_repeatable ? settings_.idle_age_limit : kProvenAge;
   Connection connection = dispatcher_.TakeConnection(slot.Slot(), idle_age);
 
@@ -91,7 +91,10 @@
 
   // The old one is closed first: there may be room for one only.
   connection.reset();
-  const Millis connect_end = std::min(plan.deadline, clock_.Now() + settings_.connect_timeout);
+
+  // The time lost to a silent connection is not the upstream's.
+  start = clock_.Now();
+  const Millis connect_end = std::min(plan.deadline, start + settings_.connect_timeout);
   Result<Connection> fresh = UpstreamConnection::Connect(slot.Slot().address, clock_, connect_end);
 
   if (!fresh) {
@@ -114,7 +117,7 @@
 
   if (result.silent) {
     counters_.Count(&TrafficMetrics::silent_connections);
-    dispatcher_.DropOlderConnections(slot.vm, start);
+    dispatcher_.DropUnusedConnections(slot.vm, start);
   }
 
   const bool is_unsent = result.outcome == AttemptOutcome::kNotSent;
--- a/lib/traffic/source/slot_dispatcher.cc
+++ b/lib/traffic/source/slot_dispatcher.cc
@@ -121,7 +121,7 @@
                                                                    Millis largest_idle_age) {
   const std::lock_guard lock(mutex_);
   const Millis now = clock_.Now();
-  pool_.DropOlder(slot.vm, now - settings_.idle_age_limit);
+  pool_.DropUnused(slot.vm, now - settings_.idle_age_limit);
 
   while (true) {
     std::unique_ptr<UpstreamConnection> connection =
@@ -136,9 +136,9 @@
   }
 }
 
-void SlotDispatcher::DropOlderConnections(const VmId& vm, Millis oldest_use) {
+void SlotDispatcher::DropUnusedConnections(const VmId& vm, Millis since) {
   const std::lock_guard lock(mutex_);
-  pool_.DropOlder(vm, oldest_use);
+  pool_.DropUnused(vm, since);
 }
 
 std::optional<Millis> SlotDispatcher::HighLatency(const VmId& vm) const {
--- a/lib/traffic/source/slot_dispatcher.h
+++ b/lib/traffic/source/slot_dispatcher.h
@@ -61,8 +61,8 @@
   std::unique_ptr<UpstreamConnection> TakeConnection(const ReservedSlot& slot,
                                                      Millis largest_idle_age);
 
-  /// Closes the idle connections of an upstream last used before a point in time.
-  void DropOlderConnections(const VmId& vm, Millis oldest_use);
+  /// Closes the idle connections of an upstream that were not used after a point in time.
+  void DropUnusedConnections(const VmId& vm, Millis since);
 
   /// Returns the latency that most answers of an upstream stay below, if known.
   [[nodiscard]] std::optional<Millis> HighLatency(const VmId& vm) const;
--- a/lib/traffic/source/upstream_connection_pool.cc
+++ b/lib/traffic/source/upstream_connection_pool.cc
@@ -51,13 +51,13 @@
   if (connections.empty()) idle_.erase(found);
 }
 
-void UpstreamConnectionPool::DropOlder(const VmId& vm, Millis oldest_use) {
+void UpstreamConnectionPool::DropUnused(const VmId& vm, Millis since) {
   const auto found = idle_.find(vm);
   if (found == idle_.end()) return;
 
   std::deque<Connection>& connections = found->second.connections;
 
-  while (!connections.empty() && connections.front()->LastUse() < oldest_use) {
+  while (!connections.empty() && connections.front()->LastUse() <= since) {
     connections.pop_front();
   }
 
--- a/lib/traffic/source/upstream_connection_pool.h
+++ b/lib/traffic/source/upstream_connection_pool.h
@@ -31,8 +31,8 @@
   /// Closes the connections least recently used until at most `most` are left.
   void Trim(const VmId& vm, int32_t most);
 
-  /// Closes the connections of an upstream last used before a point in time.
-  void DropOlder(const VmId& vm, Millis oldest_use);
+  /// Closes the connections of an upstream last used at a point in time or before.
+  void DropUnused(const VmId& vm, Millis since);
 
   /// Returns the upstreams that have idle connections.
   [[nodiscard]] std::vector<VmId> Vms() const;
--- a/lib/traffic/source/upstream_table.cc
+++ b/lib/traffic/source/upstream_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace currantpost {
 namespace {
@@ -15,10 +16,11 @@
 /// Latencies kept of one upstream between two reports.
 constexpr size_t kLatenciesReported = 1'024;
 
+/// Returns the least value that at least this share of the values does not exceed.
 Millis Percentile(std::vector<int64_t> values, double share) {
   if (values.empty()) return Millis(0);
 
-  const auto rank = static_cast<size_t>(share * static_cast<double>(values.size() - 1));
+  const auto rank = static_cast<size_t>(std::ceil(share * static_cast<double>(values.size()))) - 1;
   std::ranges::nth_element(values, values.begin() + static_cast<int64_t>(rank));
   return Millis(values[rank]);
 }
--- a/tests/traffic/silent_connection_test.cc
+++ b/tests/traffic/silent_connection_test.cc
@@ -15,8 +15,8 @@
   /// Makes the connections of now silent for good.
   void ForgetConnections() { ++generation_; }
 
-  /// Holds every answer back until `count` requests are in flight.
-  void AwaitTogether(int count) { together_ = count; }
+  /// Holds all answers back until this many requests came in all, on connections that work.
+  void AwaitRequests(int total) { awaited_ = total; }
 
   RawUpstream& Upstream() { return upstream_; }
 
@@ -30,15 +30,15 @@
       return false;
     }
 
-    ++in_flight_;
-    while (in_flight_ < together_) std::this_thread::yield();
+    ++arrived_;
+    while (arrived_ < awaited_) std::this_thread::yield();
     connection.Answer(request, "ok");
     return true;
   }
 
   std::atomic<int> generation_ = 0;
-  std::atomic<int> in_flight_ = 0;
-  std::atomic<int> together_ = 0;
+  std::atomic<int> arrived_ = 0;
+  std::atomic<int> awaited_ = 0;
   RawUpstream upstream_{[this](RawConnection& connection, const RawRequest& request) {
     return Serve(connection, request);
   }};
@@ -47,7 +47,8 @@
 TEST(SilentConnection, FreshOneIsTriedBeforeTheUpstreamIsBlamed) {
   ForgetfulUpstream forgetful;
   Entry entry;
-  entry.Route({forgetful.Upstream().Routed("a")}, Millis(1'000));
+  // A connection is given up as silent after half of this time.
+  entry.Route({forgetful.Upstream().Routed("a")}, Millis(4'000));
   EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed");
 
   forgetful.ForgetConnections();
@@ -56,30 +57,36 @@
   const UpstreamObservation observed = entry.Observed("a");
   EXPECT_EQ(observed.failed, 0);
   EXPECT_EQ(observed.completed, 2);
+  EXPECT_LT(observed.latency_p99, Millis(2'000)) << "counts the silence";
   EXPECT_EQ(entry.Server().Metrics().silent_connections, 1);
 }
 
 TEST(SilentConnection, OneSilenceIsEnoughToDropAllOlderConnections) {
-  constexpr int kConnections = 4;
+  constexpr int kTogether = 4;
   ForgetfulUpstream forgetful;
-  forgetful.AwaitTogether(kConnections);
   Entry entry;
   entry.Route({forgetful.Upstream().Routed("a")}, Millis(1'000));
 
-  std::vector<std::thread> callers;
-  for (int caller = 0; caller < kConnections; ++caller) {
-    callers.emplace_back([&entry] { EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed"); });
-  }
-  for (std::thread& caller : callers) caller.join();
-  EXPECT_EQ(forgetful.Upstream().Connections(), kConnections);
+  const auto send_together = [&entry] {
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < kTogether; ++caller) {
+      callers.emplace_back([&entry] { EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed"); });
+    }
+    for (std::thread& caller : callers) caller.join();
+  };
+
+  forgetful.AwaitRequests(kTogether);
+  send_together();
+  EXPECT_EQ(forgetful.Upstream().Connections(), kTogether);
 
   forgetful.ForgetConnections();
-  for (int sent = 0; sent < kConnections; ++sent) {
-    EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed");
-  }
+  EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed");
 
+  // These need as many connections as were there before, and none of the old ones.
+  forgetful.AwaitRequests(kTogether + 1 + kTogether);
+  send_together();
   EXPECT_EQ(entry.Server().Metrics().silent_connections, 1);
-  EXPECT_EQ(forgetful.Upstream().Connections(), kConnections + 1);
+  EXPECT_EQ(forgetful.Upstream().Connections(), kTogether + kTogether);
 }
 
 TEST(SilentConnection, PostUsesNoneThatWasIdleForLong) {
@@ -94,6 +101,18 @@
   EXPECT_EQ(forgetful.Upstream().Requests(), 2);
 }
 
+TEST(SilentConnection, PostLostOnAReusedOneBlamesNobody) {
+  ForgetfulUpstream forgetful;
+  Entry entry;
+  entry.Route({forgetful.Upstream().Routed("a")}, Millis(300));
+  EXPECT_EQ(OutcomeOf(entry.Send("GET", "/")), "completed");
+
+  forgetful.ForgetConnections();
+  EXPECT_EQ(OutcomeOf(entry.Send("POST", "/")), "unknown");
+  EXPECT_EQ(entry.Observed("a").failed, 0);
+  EXPECT_EQ(forgetful.Upstream().Connections(), 1);
+}
+
 TEST(SilentConnection, UpstreamThatIsSilentOnAFreshOneIsBlamed) {
   std::atomic<bool> silent = false;
   RawUpstream upstream([&silent](RawConnection& connection, const RawRequest& request) {
