--- a/lib/control/include/currantpost/control/work_state.h
+++ b/lib/control/include/currantpost/control/work_state.h
@@ -131,6 +131,8 @@
   Millis next_order;
   /// When the last table came.
   Millis answered_at;
+  /// When this process last went on after a pause; before that, the silence was its own.
+  Millis resumed_at;
   /// Left out of a write of the record, as the leases of its tasks have lapsed. Gets no orders.
   bool lapsed = false;
   /// Failed tasks in a row, with none finished between.
--- a/lib/control/source/upstream_feature.cc
+++ b/lib/control/source/upstream_feature.cc
@@ -59,8 +59,8 @@
 void LearnList(State& state, const std::vector<VmRecord>& list, Effects& effects) {
   UpstreamState& upstreams = state.upstreams;
 
-  // An empty list after a full one is a fault of the platform, not the end of all VMs.
-  if (list.empty() && upstreams.list_known) return;
+  // A list without any VM is a platform that does not know yet, not the end of all VMs.
+  if (list.empty()) return;
 
   std::map<VmId, VmRecord> vms;
 
@@ -216,7 +216,8 @@
 }
 
 void AnnounceReadiness(State& state, Effects& effects) {
-  const bool ready = state.upstreams.list_known && !state.shutdown.requested;
+  const bool can_serve = state.upstreams.list_known && !state.upstreams.upstreams.empty();
+  const bool ready = can_serve && !state.shutdown.requested;
   if (ready == state.upstreams.ready) return;
 
   state.upstreams.ready = ready;
--- a/lib/control/source/workers.cc
+++ b/lib/control/source/workers.cc
@@ -302,6 +302,7 @@
 void DistrustWorkers(State& state, Effects& effects) {
   for (auto& [id, rack] : state.work.racks) {
     for (auto& [vm, worker] : rack.workers) {
+      worker.resumed_at = state.now;
       DropOutstanding(state, worker);
       LoseTrack(state, rack, worker);
       DriveWorker(state, effects, rack, worker);
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -143,6 +143,7 @@
   void ReadLists();
   void Observe();
   void ObserveOnePlace();
+  void ObserveStart(const FakeWorker& worker);
 
   [[nodiscard]] bool IsCut(const std::string& from, const std::string& to) const;
   [[nodiscard]] bool Chance(double probability);
