Keep the row of a stopped attempt until the next one runs

Cause: the owner acknowledged a stopped or failed row before it started the next attempt, so that an owner that died in between lost the checkpoint and the attempt's number. Change: the row stays at its worker until the next attempt is seen to run; the next attempt goes to another worker where there is room, else the row is removed just before the start. A new owner takes the highest attempt that any row shows. Red first: with the former code the owner killed 600 ms and 1,100 ms after the stop gave attempt 1 from the beginning (2 of 8 cases failed). Now 38 of 38 tests of control_test pass, 200 cases of each property. The property of one place is named OnePlace. Left: on a rack with room at the same worker only, the record is absent between two orders.

--- a/lib/control/include/currantpost/control/work_state.h
+++ b/lib/control/include/currantpost/control/work_state.h
@@ -51,8 +51,6 @@
   std::string checkpoint;
   /// The start left for the worker, and neither a table nor a refusal has settled it.
   bool sent = false;
-  /// The task goes back into the queue once its row is removed.
-  bool requeue = false;
   /// Largest use seen of it.
   Resources observed;
 };
--- a/lib/control/source/placement.cc
+++ b/lib/control/source/placement.cc
@@ -27,13 +27,20 @@
   return FitsWithin(worker.committed_batch + spec.declared, ShareOf(usable, preset.batch_share));
 }
 
-/// Returns the worker for a task, or null if there is no room. The strategy has its place here.
-WorkerState* ChooseWorker(const State& state, RackState& rack, const JobSpec& spec) {
+/// Returns the worker for a task, or null if there is no room. One that keeps the row of an earlier
+/// attempt comes last: there the row has to go before the next attempt starts.
+WorkerState* ChooseWorker(const State& state, RackState& rack, const JobSpec& spec, int32_t index) {
+  const TaskKey key{spec.job, index};
+  WorkerState* last = nullptr;
+
   for (auto& [id, worker] : rack.workers) {
-    if (TakesTasks(state, worker) && HasRoom(state, worker, spec)) return &worker;
+    if (!TakesTasks(state, worker) || !HasRoom(state, worker, spec)) continue;
+    if (!worker.rows.contains(key)) return &worker;
+
+    last = &worker;
   }
 
-  return nullptr;
+  return last;
 }
 
 void Place(State& state, Effects& effects, RackState& rack, PartState& part, int32_t index,
@@ -56,7 +63,7 @@
 /// Places what it can of one part. Its tasks are alike, so the first without room ends it.
 void PlacePart(State& state, Effects& effects, RackState& rack, PartState& part) {
   while (const std::optional<int32_t> index = NextWaiting(state, part)) {
-    WorkerState* worker = ChooseWorker(state, rack, part.spec);
+    WorkerState* worker = ChooseWorker(state, rack, part.spec, *index);
     if (worker == nullptr) return;
 
     Place(state, effects, rack, part, *index, *worker);
--- a/lib/control/source/reconcile.cc
+++ b/lib/control/source/reconcile.cc
@@ -31,6 +31,15 @@
   rack.workers.at(task.worker).failures_in_row = 0;
 }
 
+/// Queues the attempt after one that ended early. Its row stays at the worker, where another owner
+/// can find the attempt's number and checkpoint, until the next attempt runs.
+void QueueNextAttempt(const State& state, RackState& rack, const TaskKey& key,
+                      const ActiveTask& task, const std::string& checkpoint) {
+  QueuedRetry retry{.attempt = task.attempt + 1, .checkpoint = checkpoint};
+  RemoveActive(rack, key);
+  Requeue(state, rack, key, std::move(retry));
+}
+
 void TakeFailed(const State& state, Effects& effects, RackState& rack, PartState& part,
                 const TaskKey& key, ActiveTask& task) {
   if (task.phase == TaskPhase::kAcknowledging || task.phase == TaskPhase::kRecording) return;
@@ -39,8 +48,7 @@
   const int32_t failures = ++part.failures[key.index];
 
   if (failures < state.settings.most_attempts) {
-    task.phase = TaskPhase::kAcknowledging;
-    task.requeue = true;
+    QueueNextAttempt(state, rack, key, task, task.checkpoint);
     return;
   }
 
@@ -62,15 +70,14 @@
   if (task.phase != TaskPhase::kStopping) task.phase = TaskPhase::kRunning;
 }
 
-void TakeStopped(const PartState& part, const TaskKey& key, ActiveTask& task,
+void TakeStopped(const State& state, RackState& rack, const TaskKey& key, const ActiveTask& task,
                  const WorkerTask& row) {
   if (task.phase == TaskPhase::kRecording) return;
 
-  task.phase = TaskPhase::kAcknowledging;
-  task.requeue = !part.cancelled && !IsOver(part, key.index);
-  task.checkpoint = row.checkpoint;
+  QueueNextAttempt(state, rack, key, task, row.checkpoint);
 }
 
+/// Takes in a row of a task's present attempt. The task may be queued anew and active no more.
 void TakeRow(const State& state, Effects& effects, RackState& rack, PartState& part,
              ActiveTask& task, const WorkerTask& row) {
   task.sent = false;
@@ -86,7 +93,7 @@
       TakeFailed(state, effects, rack, part, row.task, task);
       return;
     case WorkerTaskState::kStopped:
-      TakeStopped(part, row.task, task, row);
+      TakeStopped(state, rack, row.task, task, row);
       return;
   }
 }
@@ -111,7 +118,7 @@
 
   RemoveActive(rack, key);
   if (part.cancelled || IsOver(part, key.index)) return;
-  if (gone.phase == TaskPhase::kAcknowledging && !gone.requeue) return;
+  if (gone.phase == TaskPhase::kAcknowledging) return;
 
   const bool refused = gone.phase == TaskPhase::kStarting;
   Requeue(state, rack, key,
@@ -142,6 +149,19 @@
   return committed;
 }
 
+/// Says whether the row is of an attempt that ended without an outcome to record.
+bool IsPast(const WorkerTask& row) {
+  return row.state == WorkerTaskState::kStopped || row.state == WorkerTaskState::kFailed;
+}
+
+/// Says whether nothing more follows from the row of a past attempt.
+bool IsAnswered(const PartState& part, const WorkerTask& row) {
+  if (part.cancelled || HasEnded(part, row.task.index)) return true;
+
+  const auto retry = part.retries.find(row.task.index);
+  return retry != part.retries.end() && retry->second.attempt > row.attempt;
+}
+
 bool HoldsResources(TaskPhase phase) {
   return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
          phase == TaskPhase::kStopping;
@@ -166,8 +186,15 @@
   if (IsOver(part->second, row.task.index)) return removal;
 
   const ActiveTask* active = FindActive(rack, row.task);
-  // What is not recorded yet stays where another owner can find it.
-  if (active == nullptr || active->phase == TaskPhase::kRecording) return StrayAction::kKeep;
+
+  if (active == nullptr) {
+    const bool obsolete = part->second.cancelled && IsPast(row);
+    return obsolete ? StrayAction::kAcknowledge : StrayAction::kKeep;
+  }
+
+  // What is not recorded yet, or not resumed for certain, stays where another owner can find it.
+  if (active->phase == TaskPhase::kRecording) return StrayAction::kKeep;
+  if (active->phase == TaskPhase::kStarting && IsPast(row)) return StrayAction::kKeep;
 
   // Another attempt is active, so this one is of the past.
   return removal;
@@ -184,6 +211,8 @@
 
     if (IsOver(*part, key.index) || part->active.contains(key.index)) continue;
 
+    if (IsPast(row) && IsAnswered(*part, row)) continue;
+
     part->retries.erase(key.index);
     ActiveTask& task = part->active[key.index];
     task.worker = worker.member.vm;
--- a/lib/control/source/tasks.cc
+++ b/lib/control/source/tasks.cc
@@ -86,8 +86,6 @@
     if (active == part.active.end()) continue;
 
     ActiveTask& task = active->second;
-    task.requeue = false;
-
     if (task.phase == TaskPhase::kRunning) task.phase = TaskPhase::kStopping;
     if (task.phase != TaskPhase::kRecording) continue;
 
@@ -135,7 +133,7 @@
   const auto row = worker.rows.find(key);
   RemoveActive(rack, key);
   if (part.cancelled || HasEnded(part, key.index)) return;
-  if (gone.phase == TaskPhase::kAcknowledging && !gone.requeue) return;
+  if (gone.phase == TaskPhase::kAcknowledging) return;
 
   const bool has_row = row != worker.rows.end() && row->second.attempt == gone.attempt;
   Requeue(state, rack, key,
--- a/lib/control/source/workers.cc
+++ b/lib/control/source/workers.cc
@@ -24,12 +24,18 @@
 
 /// Returns the order that a task asks for, if it asks for one.
 std::optional<WorkerOrder> TaskOrder(const State& state, const RackState& rack,
-                                     const TaskKey& key) {
+                                     const WorkerState& worker, const TaskKey& key) {
   const ActiveTask* task = FindActive(rack, key);
   if (task == nullptr) return std::nullopt;
 
   switch (task->phase) {
     case TaskPhase::kStarting: {
+      // The worker refuses a start beside the row of an earlier attempt.
+      const auto past = worker.rows.find(key);
+      if (past != worker.rows.end() && past->second.attempt != task->attempt) {
+        return AcknowledgeTask{key, past->second.attempt};
+      }
+
       const JobSpec& spec = rack.parts.at(key.job).spec;
       return StartTask{.task = key,
                        .attempt = task->attempt,
@@ -85,7 +91,7 @@
   if (auto order = StrayOrder(state, rack, worker)) return order;
 
   for (const TaskKey& key : worker.tasks) {
-    if (auto order = TaskOrder(state, rack, key)) return order;
+    if (auto order = TaskOrder(state, rack, worker, key)) return order;
   }
 
   return std::nullopt;
--- a/tests/control/work_property_test.cc
+++ b/tests/control/work_property_test.cc
@@ -102,7 +102,7 @@
   ResumeAll(world);
 }
 
-RC_GTEST_PROP(WorkHolds, EachTaskRunsInOnePlaceAndFinishesOnce, ()) {
+RC_GTEST_PROP(OnePlace, EachTaskRunsInOnePlaceAndFinishesOnce, ()) {
   FakeWorld world(*rc::gen::arbitrary<uint64_t>(), Shape());
   world.Run(Millis(8'000));
   world.Submit(EntryId("e00"), SubmitJob{ReviewJob()});
