Keep released attempts in the rack's record

Cause: the rows of a worker that is left out of the rack's record, and the row that goes before a start at the same worker, were known to the owner alone. The property of rising attempts found the first: a task lapsed at a silent worker, the owner died, and the next one began at attempt 1. Change: the write that leaves a worker out, or one made before such a start, lists the attempts with their checkpoints; a new owner queues the next ones. Red first: OnePlace.NoTaskRunsTwiceAtOnceWhateverFails failed on AttemptsRise before (job1/4 ran attempt 1 twice), also with the rows kept at their workers; now it passes, 200 cases. 47 of 48 tests of control_test pass. ResumeOnce.AcceptedJobsFinishEachTaskOnceWhateverFails is red on NoneRanAfterItsEnd, as it was before: a task that finished at a silent worker runs again once that worker is surely lapsed, and is counted once.

--- a/lib/control/include/currantpost/control/work_state.h
+++ b/lib/control/include/currantpost/control/work_state.h
@@ -187,6 +187,10 @@
   std::optional<RackWrite> write;
   /// No new write before this, after a failure.
   Millis write_not_before;
+  /// An attempt's row has to go before its next attempt is known to run, so the record is to say
+  /// so.
+  bool release_due = false;
+  Millis release_not_before;
   /// Since when this entry has a reason to take the rack.
   std::optional<Millis> wanted_since;
 
--- a/lib/control/source/ownership.cc
+++ b/lib/control/source/ownership.cc
@@ -129,6 +129,7 @@
   rack.recorded.clear();
   rack.unrecorded.clear();
   rack.last_fence = 0;
+  rack.release_due = false;
 }
 
 void TakeRack(State& state, Effects& effects, RackState& rack) {
@@ -191,6 +192,7 @@
 /// Gives a write up that surely has not taken effect.
 void DropWrite(State& state, RackState& rack) {
   rack.write.reset();
+  rack.release_due = true;
   rack.write_not_before = state.now + kKvRetryInterval;
   for (auto& [id, worker] : rack.workers) worker.lapsed = false;
 }
--- a/lib/control/source/placement.cc
+++ b/lib/control/source/placement.cc
@@ -55,6 +55,7 @@
   }
 
   part.active[index] = std::move(task);
+  if (worker.rows.contains(TaskKey{part.spec.job, index})) rack.release_due = true;
   worker.tasks.insert(TaskKey{part.spec.job, index});
   RecountCommitments(rack, worker);
   DriveWorker(state, effects, rack, worker);
--- a/lib/control/source/rack_members.cc
+++ b/lib/control/source/rack_members.cc
@@ -43,6 +43,75 @@
   return left == right;
 }
 
+using AttemptsByTask = std::map<TaskKey, ReleasedAttempt>;
+
+void KeepHighest(AttemptsByTask& attempts, const ReleasedAttempt& attempt) {
+  ReleasedAttempt& kept = attempts[attempt.task];
+  if (attempt.attempt > kept.attempt) kept = attempt;
+}
+
+/// Says whether a later attempt is known to run, or none will.
+bool IsSuperseded(const RackState& rack, const ReleasedAttempt& released) {
+  const auto found = rack.parts.find(released.task.job);
+  if (found == rack.parts.end()) return false;
+
+  const PartState& part = found->second;
+  const int32_t index = released.task.index;
+  if (part.cancelled || part.recorded.completed.contains(index)) return true;
+  if (part.recorded.failed.contains(index)) return true;
+
+  const auto active = part.active.find(index);
+  return active != part.active.end() && active->second.attempt > released.attempt &&
+         active->second.phase == TaskPhase::kRunning;
+}
+
+/// Adds the attempts of a worker that is left out of the record.
+void AddLapsed(const RackState& rack, const WorkerState& worker, AttemptsByTask& attempts) {
+  for (const auto& [key, row] : worker.rows) {
+    if (IsPast(row)) KeepHighest(attempts, ReleasedAttempt{key, row.attempt, row.checkpoint});
+  }
+
+  for (const TaskKey& key : worker.tasks) {
+    const ActiveTask* task = FindActive(rack, key);
+    if (task == nullptr) continue;
+
+    const auto row = worker.rows.find(key);
+    const bool has_row = row != worker.rows.end() && row->second.attempt == task->attempt;
+    KeepHighest(attempts, ReleasedAttempt{key, task->attempt,
+                                          has_row ? row->second.checkpoint : task->checkpoint});
+  }
+}
+
+/// Adds the attempts whose next one is to start at the same worker.
+void AddReplaced(const RackState& rack, const WorkerState& worker, AttemptsByTask& attempts) {
+  for (const TaskKey& key : worker.tasks) {
+    const ActiveTask* task = FindActive(rack, key);
+    const auto row = worker.rows.find(key);
+    if (task == nullptr || row == worker.rows.end()) continue;
+    if (task->phase != TaskPhase::kStarting || row->second.attempt == task->attempt) continue;
+
+    KeepHighest(attempts, ReleasedAttempt{key, row->second.attempt, row->second.checkpoint});
+  }
+}
+
+std::vector<ReleasedAttempt> ReleasedAttempts(const RackState& rack) {
+  AttemptsByTask attempts;
+  for (const ReleasedAttempt& released : rack.record.released) KeepHighest(attempts, released);
+
+  for (const auto& [id, worker] : rack.workers) {
+    if (worker.lapsed) AddLapsed(rack, worker, attempts);
+    AddReplaced(rack, worker, attempts);
+  }
+
+  std::vector<ReleasedAttempt> released;
+
+  for (auto& [key, attempt] : attempts) {
+    if (!IsSuperseded(rack, attempt)) released.push_back(std::move(attempt));
+  }
+
+  return released;
+}
+
 std::map<JobId, RecordedPart> ReadParts(const State& state, Effects& effects, const RackId& rack,
                                         const KvReply& reply, bool& whole) {
   std::map<JobId, RecordedPart> parts;
@@ -95,7 +164,8 @@
     if (ShouldBeMember(state, rack, worker)) members.push_back(worker.member);
   }
 
-  if (SameMembers(members, rack.record.members)) return;
+  const bool release_due = rack.release_due && state.now >= rack.release_not_before;
+  if (SameMembers(members, rack.record.members) && !release_due) return;
 
   // Until the write is settled, a worker that is left out gets no order that could keep a task
   // alive.
@@ -103,6 +173,9 @@
 
   RackRecord record = rack.record;
   record.members = std::move(members);
+  record.released = ReleasedAttempts(rack);
+  rack.release_due = false;
+  rack.release_not_before = state.now + state.settings.completion_interval;
   record.change_id = NextChangeId(state);
   rack.write = RackWrite{
       .kind = RackWriteKind::kMembers, .record = std::move(record), .expected = rack.revision};
@@ -111,6 +184,25 @@
              KvPut{RackKey(state, rack.rack), Encode(rack.write->record), rack.revision});
 }
 
+bool IsReleased(const RackState& rack, const TaskKey& key, int32_t attempt) {
+  return std::ranges::any_of(rack.record.released, [&](const ReleasedAttempt& released) {
+    return released.task == key && released.attempt >= attempt;
+  });
+}
+
+void AdoptReleased(const State& state, RackState& rack, PartState& part) {
+  for (const ReleasedAttempt& released : rack.record.released) {
+    if (released.task.job != part.spec.job) continue;
+    if (part.active.contains(released.task.index)) continue;
+
+    const auto retry = part.retries.find(released.task.index);
+    if (retry != part.retries.end() && retry->second.attempt > released.attempt) continue;
+
+    Requeue(state, rack, released.task,
+            QueuedRetry{.attempt = released.attempt + 1, .checkpoint = released.checkpoint});
+  }
+}
+
 void ListPartsWhenRaised(State& state, Effects& effects, RackState& rack) {
   if (rack.phase != RackPhase::kRaising && rack.phase != RackPhase::kListing) return;
   if (rack.list_request != 0 || state.now < rack.list_retry_at) return;
--- a/lib/control/source/reconcile.cc
+++ b/lib/control/source/reconcile.cc
@@ -149,11 +149,6 @@
   return committed;
 }
 
-/// Says whether the row is of an attempt that ended without an outcome to record.
-bool IsPast(const WorkerTask& row) {
-  return row.state == WorkerTaskState::kStopped || row.state == WorkerTaskState::kFailed;
-}
-
 /// Says whether nothing more follows from the row of a past attempt.
 bool IsAnswered(const PartState& part, const WorkerTask& row) {
   if (part.cancelled || HasEnded(part, row.task.index)) return true;
@@ -169,6 +164,10 @@
 
 }  // namespace
 
+bool IsPast(const WorkerTask& row) {
+  return row.state == WorkerTaskState::kStopped || row.state == WorkerTaskState::kFailed;
+}
+
 bool IsActiveRow(const RackState& rack, const WorkerState& worker, const WorkerTask& row) {
   const ActiveTask* task = FindActive(rack, row.task);
   return task != nullptr && task->worker == worker.member.vm && task->attempt == row.attempt;
--- a/lib/control/source/tasks.cc
+++ b/lib/control/source/tasks.cc
@@ -242,6 +242,7 @@
   // Rows of the job may have been waiting for its record.
   for (auto& [id, worker] : rack.workers) AdoptRows(state, effects, rack, worker);
 
+  AdoptReleased(state, rack, part);
   if (record.cancelled) CancelPart(state, effects, rack, part);
   Enqueue(rack, part);
 }
--- a/lib/control/source/work.h
+++ b/lib/control/source/work.h
@@ -111,6 +111,9 @@
 
 StrayAction DecideStray(const State& state, const RackState& rack, const WorkerTask& row);
 
+/// Says whether the row is of an attempt that ended without an outcome to record.
+bool IsPast(const WorkerTask& row);
+
 /// Says whether a row belongs to the active attempt of a task at this worker.
 bool IsActiveRow(const RackState& rack, const WorkerState& worker, const WorkerTask& row);
 
@@ -119,6 +122,12 @@
 ActiveTask* FindActive(RackState& rack, const TaskKey& key);
 const ActiveTask* FindActive(const RackState& rack, const TaskKey& key);
 
+/// Says whether the rack's record in the store keeps an attempt, so that its row may go.
+bool IsReleased(const RackState& rack, const TaskKey& key, int32_t attempt);
+
+/// Queues the attempts after those that the rack's record keeps.
+void AdoptReleased(const State& state, RackState& rack, PartState& part);
+
 /// Makes or updates the part of a job whose home is an open rack.
 void ApplyJobToRack(State& state, Effects& effects, RackState& rack, const JobRecord& record);
 
--- a/lib/control/source/workers.cc
+++ b/lib/control/source/workers.cc
@@ -33,6 +33,7 @@
       // The worker refuses a start beside the row of an earlier attempt.
       const auto past = worker.rows.find(key);
       if (past != worker.rows.end() && past->second.attempt != task->attempt) {
+        if (!IsReleased(rack, key, past->second.attempt)) return std::nullopt;
         return AcknowledgeTask{key, past->second.attempt};
       }
 
--- a/lib/model/include/currantpost/model/codec.h
+++ b/lib/model/include/currantpost/model/codec.h
@@ -21,6 +21,16 @@
   bool operator==(const RackMember&) const = default;
 };
 
+/// An attempt that ended and of which no worker of the rack keeps a row.
+struct ReleasedAttempt {
+  TaskKey task;
+  int32_t attempt = 0;
+  /// Checkpoint to resume from, empty to begin anew.
+  std::string checkpoint;
+
+  bool operator==(const ReleasedAttempt&) const = default;
+};
+
 /// Owner of a rack, as the platform's key-value service keeps it at "dc/<data
 /// centre>/racks/<rack>".
 struct RackRecord {
@@ -30,6 +40,8 @@
   std::string change_id;
   /// Every worker life that may run tasks of the rack; no other may be ordered.
   std::vector<RackMember> members;
+  /// Attempts whose next one is not known to run yet.
+  std::vector<ReleasedAttempt> released;
 
   bool operator==(const RackRecord&) const = default;
 };
--- a/lib/model/include/currantpost/model/json.h
+++ b/lib/model/include/currantpost/model/json.h
@@ -69,6 +69,8 @@
 void from_json(const nlohmann::json& json, PartRecord& record);
 void to_json(nlohmann::json& json, const RackMember& member);
 void from_json(const nlohmann::json& json, RackMember& member);
+void to_json(nlohmann::json& json, const ReleasedAttempt& released);
+void from_json(const nlohmann::json& json, ReleasedAttempt& released);
 void to_json(nlohmann::json& json, const RackRecord& record);
 void from_json(const nlohmann::json& json, RackRecord& record);
 void to_json(nlohmann::json& json, const TaskKey& key);
--- a/lib/model/source/json.cc
+++ b/lib/model/source/json.cc
@@ -123,12 +123,21 @@
   Read(in, "worker", member.worker);
 }
 
+void to_json(json& out, const ReleasedAttempt& released) {
+  out = json{
+      {"task", released.task}, {"attempt", released.attempt}, {"checkpoint", released.checkpoint}};
+}
+
+void from_json(const json& in, ReleasedAttempt& released) {
+  Read(in, "task", released.task);
+  Read(in, "attempt", released.attempt);
+  ReadOptional(in, "checkpoint", released.checkpoint);
+}
+
 void to_json(json& out, const RackRecord& record) {
-  out = json{{"owner", record.owner},
-             {"incarnation", record.incarnation},
-             {"epoch", record.epoch},
-             {"change_id", record.change_id},
-             {"members", record.members}};
+  out = json{{"owner", record.owner},     {"incarnation", record.incarnation},
+             {"epoch", record.epoch},     {"change_id", record.change_id},
+             {"members", record.members}, {"released", record.released}};
 }
 
 void from_json(const json& in, RackRecord& record) {
@@ -137,6 +146,7 @@
   Read(in, "epoch", record.epoch);
   Read(in, "change_id", record.change_id);
   ReadOptional(in, "members", record.members);
+  ReadOptional(in, "released", record.released);
 }
 
 void to_json(json& out, const TaskKey& key) { out = json{{"job", key.job}, {"index", key.index}}; }
