--- a/bench/fleet_model.cc
+++ b/bench/fleet_model.cc
@@ -266,7 +266,11 @@
     if (Counted()) counts_.useful_core_seconds += speed * cores;
   }
 
-  if (Counted()) counts_.used_core_seconds += std::min(demand, Cores());
+  if (Counted()) {
+    counts_.used_core_seconds += std::min(demand, Cores());
+    counts_.contended_seconds += demand > Cores() ? 1 : 0;
+    ++counts_.worker_seconds;
+  }
 
   KillForMemory(index, policy);
   EndTasks(index, policy);
--- a/bench/fleet_model.h
+++ b/bench/fleet_model.h
@@ -82,6 +82,9 @@
   double wasted_core_seconds = 0.0;
   double used_core_seconds = 0.0;
   double capacity_core_seconds = 0.0;
+  /// Seconds of workers, and those of them in which tasks wanted more processors than there are.
+  int64_t worker_seconds = 0;
+  int64_t contended_seconds = 0;
   int64_t evictions = 0;
   /// Tasks killed because the VM ran out of memory.
   int64_t memory_kills = 0;
--- a/bench/policy_table.cc
+++ b/bench/policy_table.cc
@@ -39,6 +39,7 @@
   double memory_kills_per_hour = 0.0;
   double wasted_percent = 0.0;
   double utilisation_percent = 0.0;
+  double contended_percent = 0.0;
   double given_up = 0.0;
   /// Against the same seed without batch, and under first fit.
   double p99_ratio = 0.0;
@@ -63,6 +64,7 @@
     {"memory kills/h", &Measures::memory_kills_per_hour, 0},
     {"wasted %", &Measures::wasted_percent, 2},
     {"utilisation %", &Measures::utilisation_percent, 1},
+    {"short of cores %", &Measures::contended_percent, 1},
     {"given up", &Measures::given_up, 0},
     {"p99 / no batch", &Measures::p99_ratio, 3},
     {"batch / first fit", &Measures::throughput_ratio, 3},
@@ -107,6 +109,8 @@
   measures.memory_kills_per_hour = static_cast<double>(counts.memory_kills) / hours;
   measures.wasted_percent = done > 0.0 ? 100.0 * counts.wasted_core_seconds / done : 0.0;
   measures.utilisation_percent = 100.0 * counts.used_core_seconds / counts.capacity_core_seconds;
+  measures.contended_percent = 100.0 * static_cast<double>(counts.contended_seconds) /
+                               static_cast<double>(counts.worker_seconds);
   measures.given_up = static_cast<double>(counts.given_up);
   return measures;
 }
@@ -192,25 +196,35 @@
   return panels;
 }
 
+/// What is run.
+struct RunOptions {
+  uint64_t first_seed = 1;
+  int32_t seeds = 12;
+  int32_t seconds = 3'000;
+  int32_t threads = 2;
+};
+
 /// Runs all policies over all seeds, several runs at a time. No run depends on another.
-std::vector<SeedMeasures> RunSeeds(const UserProfile& user, bool faults, int32_t seeds,
-                                   int32_t seconds, int32_t threads,
+std::vector<SeedMeasures> RunSeeds(const UserProfile& user, bool faults, const RunOptions& options,
                                    const LearningPolicySettings& learning) {
   const size_t policies = kPolicyNames.Rows().size();
-  std::vector<SeedMeasures> all(static_cast<size_t>(seeds), SeedMeasures(policies));
+  std::vector<SeedMeasures> all(static_cast<size_t>(options.seeds), SeedMeasures(policies));
   std::atomic<size_t> next = 0;
 
   const auto work = [&] {
     for (size_t run = next++; run < all.size() * policies; run = next++) {
       const size_t seed = run / policies;
       const size_t policy = run % policies;
-      const Scenario scenario{.user = user, .seed = seed + 1, .faults = faults, .seconds = seconds};
+      const Scenario scenario{.user = user,
+                              .seed = seed + options.first_seed,
+                              .faults = faults,
+                              .seconds = options.seconds};
       all[seed][policy] = Run(scenario, kPolicyNames.Rows()[policy].value, learning);
     }
   };
 
   std::vector<std::thread> workers;
-  for (int32_t thread = 0; thread < threads; ++thread) workers.emplace_back(work);
+  for (int32_t thread = 0; thread < options.threads; ++thread) workers.emplace_back(work);
   for (std::thread& worker : workers) worker.join();
 
   for (SeedMeasures& seed : all) Compare(seed, user.weights);
@@ -226,22 +240,22 @@
   using namespace currantpost::bench;  // NOLINT(google-build-using-namespace)
 
   CLI::App app("Compares placement policies over the same seeds.");
-  int32_t seeds = 12;
-  int32_t seconds = 3'000;
-  int32_t threads = 2;
+  RunOptions options;
   std::string plots;
-  app.add_option("--seeds", seeds, "Number of seeds, from 1 on")->check(CLI::Range(1, 1'000));
-  app.add_option("--seconds", seconds, "Length of a run")->check(CLI::Range(400, 100'000));
-  app.add_option("--threads", threads, "Runs at a time")->check(CLI::Range(1, 64));
+  app.add_option("--first-seed", options.first_seed, "First seed");
+  app.add_option("--seeds", options.seeds, "Number of seeds")->check(CLI::Range(1, 1'000));
+  app.add_option("--seconds", options.seconds, "Length of a run")->check(CLI::Range(400, 100'000));
+  app.add_option("--threads", options.threads, "Runs at a time")->check(CLI::Range(1, 64));
   app.add_option("--plots", plots, "Folder for SVG plots; none are drawn without it");
   CLI11_PARSE(app, argc, argv);
 
   const LearningPolicySettings learning;
-  std::cout << "seeds 1.." << seeds << ", " << seconds << " s each\n";
+  std::cout << options.seeds << " seeds from " << options.first_seed << ", " << options.seconds
+            << " s each\n";
 
   for (const UserProfile& user : {Hinokage(), Tepalcate()}) {
     for (const bool faults : {false, true}) {
-      const auto measured = RunSeeds(user, faults, seeds, seconds, threads, learning);
+      const auto measured = RunSeeds(user, faults, options, learning);
       const std::string title = absl::StrCat(user.name, faults ? ", faults on" : ", faults off");
       PrintTable(title, measured);
 
