Commit learned processors at the median in place of declared ones

Change: the default rule is kLearnedProcessors at the median; the margin is for memory only. Commitments still sum to no more than a VM holds; a wave above it is throttled.

--- a/lib/policy/include/currantpost/policy/size_estimator.h
+++ b/lib/policy/include/currantpost/policy/size_estimator.h
@@ -35,12 +35,13 @@
 
 /// Settings of a `SizeEstimator`.
 struct SizeEstimatorSettings {
-  SizeRule rule = SizeRule::kLargest;
+  SizeRule rule = SizeRule::kLearnedProcessors;
   /// Share of a kind's samples that its learned size covers.
-  double processor_quantile = 0.90;
+  /// Processors can be shared and throttled, so the sum over a VM counts; memory cannot.
+  double processor_quantile = 0.5;
   double memory_quantile = 0.99;
-  /// What a learned size that replaces a larger declared one is multiplied by.
-  double margin = 1.1;
+  /// What learned memory that replaces a larger declared one is multiplied by.
+  double memory_margin = 1.1;
   /// A learned size never goes below this share of the declared one.
   double least_share_of_declared = 0.2;
   /// Samples of a kind before what was learned is used.
@@ -86,7 +87,7 @@
 
   Kind& Remember(std::string_view kind);
   void ForgetOldest();
-  [[nodiscard]] int64_t Replacement(int64_t learned, int64_t declared) const;
+  [[nodiscard]] int64_t AtLeastFloor(int64_t learned, int64_t declared) const;
 
   SizeEstimatorSettings settings_;
   std::map<std::string, Kind, std::less<>> kinds_;
--- a/lib/policy/source/size_estimator.cc
+++ b/lib/policy/source/size_estimator.cc
@@ -44,10 +44,13 @@
 
   if (settings_.rule == SizeRule::kLargest) return estimate;
 
-  estimate.millicores = Replacement(millicores, declared.millicores);
+  estimate.millicores = AtLeastFloor(millicores, declared.millicores);
   if (settings_.rule == SizeRule::kLearnedProcessors) return estimate;
 
-  estimate.memory_mib = Replacement(memory_mib, declared.memory_mib);
+  // The margin counts only as far as it replaces declared memory.
+  const int64_t with_margin = std::min(Scaled(memory_mib, settings_.memory_margin),
+                                       std::max(memory_mib, declared.memory_mib));
+  estimate.memory_mib = AtLeastFloor(with_margin, declared.memory_mib);
   return estimate;
 }
 
@@ -82,10 +85,8 @@
   if (oldest != kinds_.end()) kinds_.erase(oldest);
 }
 
-int64_t SizeEstimator::Replacement(int64_t learned, int64_t declared) const {
-  const int64_t floor = Scaled(declared, settings_.least_share_of_declared);
-
-  return std::max({learned, std::min(Scaled(learned, settings_.margin), declared), floor});
+int64_t SizeEstimator::AtLeastFloor(int64_t learned, int64_t declared) const {
+  return std::max(learned, Scaled(declared, settings_.least_share_of_declared));
 }
 
 Resources CommitmentOf(const Resources& held, const Resources& used) {
