Place ordinary batch up to 0.4 of the slowdown allowed

Cause: with learned sizes there is room beside every service, and placement filled it up to 0.7 of the preset's limit, so that any surge or wave went beyond it. Change: normal_headroom 0.7 -> 0.4; urgent work may still use all of it.

--- a/lib/policy/include/currantpost/policy/placement.h
+++ b/lib/policy/include/currantpost/policy/placement.h
@@ -131,7 +131,7 @@
 /// Settings of an `InterferenceAwarePlacement`.
 struct InterferenceAwareSettings {
   /// Share of the slowdown allowed above 1.0 that batch may be placed up to.
-  double normal_headroom = 0.7;
+  double normal_headroom = 0.4;
   double urgent_headroom = 1.0;
   /// Cost of a worker for its share of processors committed, beside the predicted slowdown. Spreads
   /// waves of starts whose effect has not yet been reported.
