--- a/lib/policy/include/currantpost/policy/size_estimator.h
+++ b/lib/policy/include/currantpost/policy/size_estimator.h
@@ -94,9 +94,8 @@
   uint64_t observations_ = 0;
 };
 
-/// Returns what a running task counts for: what was committed at its start, and its latest measured
-/// memory where that is larger. Processors and accelerators stay as committed: use of processors
-/// beyond that is throttled, see `EvictionPlanner`, and the peaks of tasks do not come together.
+/// Returns what a running task counts for: what was committed at its start, or its latest measured
+/// use where that is larger. Accelerators stay as committed.
 Resources CommitmentOf(const Resources& held, const Resources& used);
 
 }  // namespace currantpost
--- a/lib/policy/source/size_estimator.cc
+++ b/lib/policy/source/size_estimator.cc
@@ -90,8 +90,8 @@
 }
 
 Resources CommitmentOf(const Resources& held, const Resources& used) {
-  Resources commitment = held;
-  commitment.memory_mib = std::max(held.memory_mib, used.memory_mib);
+  Resources commitment = Largest(held, used);
+  commitment.accelerators = held.accelerators;
   return commitment;
 }
 
