--- a/bench/cost_benchmark.cc
+++ b/bench/cost_benchmark.cc
@@ -56,7 +56,7 @@
 void PlaceWith(benchmark::State& state, Strategy& strategy) {
   const std::vector<PlacementCandidate> workers = Workers(state.range(0));
 
-  for (auto unused : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(strategy.Place(workers, kTask, {.slowdown_limit = 3.0}));
   }
 
@@ -79,7 +79,7 @@
   const std::vector<PlacementCandidate> workers = Workers(state.range(0));
   size_t next = 0;
 
-  for (auto unused : state) {
+  while (state.KeepRunning()) {
     const PlacementCandidate& worker = workers[next++ % workers.size()];
     benchmark::DoNotOptimize(model.Predict(worker.services[0], worker.batch));
   }
@@ -90,7 +90,7 @@
   const std::vector<PlacementCandidate> workers = Workers(state.range(0));
   size_t next = 0;
 
-  for (auto unused : state) {
+  while (state.KeepRunning()) {
     const PlacementCandidate& worker = workers[next++ % workers.size()];
     model.Observe({.service_kind = worker.services[0], .batch = worker.batch, .slowdown = 1.1});
   }
@@ -100,7 +100,7 @@
   SizeEstimator sizes;
   int64_t next = 0;
 
-  for (auto unused : state) {
+  while (state.KeepRunning()) {
     sizes.Observe(BatchKind(next), {.millicores = 1'000 + next % 999, .memory_mib = 2'000});
     ++next;
   }
@@ -112,7 +112,7 @@
     sizes.Observe(BatchKind(sample), {.millicores = 1'000 + sample, .memory_mib = 2'000});
   }
 
-  for (auto unused : state) benchmark::DoNotOptimize(sizes.Estimate("batch-3", kTask.size));
+  while (state.KeepRunning()) benchmark::DoNotOptimize(sizes.Estimate("batch-3", kTask.size));
 }
 
 void FleetSizes(benchmark::internal::Benchmark* benchmark) {
