--- a/lib/control/source/ownership.cc
+++ b/lib/control/source/ownership.cc
@@ -157,8 +157,14 @@
       worker.confirmed = false;
     }
 
+    const bool joined = named && !worker.in_record;
     worker.in_record = named;
     worker.lapsed = false;
+
+    // A worker that was silent for long may come back with finished tasks.
+    if (joined && worker.confirmed && rack.phase == RackPhase::kOpen) {
+      AdoptRows(state, effects, rack, worker);
+    }
   }
 
   rack.placement_due = true;
--- a/lib/control/source/reconcile.cc
+++ b/lib/control/source/reconcile.cc
@@ -157,6 +157,20 @@
   return retry != part.retries.end() && retry->second.attempt > row.attempt;
 }
 
+/// Takes in that an attempt has finished at a worker that was silent, after a later attempt was
+/// decided. The later one is not started, or is stopped once the completion is recorded.
+void TakeLateFinish(RackState& rack, PartState& part, const WorkerTask& row) {
+  const ActiveTask* active = FindActive(rack, row.task);
+  if (active == nullptr || active->attempt <= row.attempt) return;
+
+  if (active->phase == TaskPhase::kStarting && !active->sent) {
+    RemoveActive(rack, row.task);
+    return;
+  }
+
+  NoteOver(rack, part, row.task.index, true);
+}
+
 bool HoldsResources(TaskPhase phase) {
   return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
          phase == TaskPhase::kStopping;
@@ -183,6 +197,8 @@
   if (part == rack.parts.end()) return StrayAction::kKeep;
   if (!Covers(part->second.part, row.task.index)) return StrayAction::kKeep;
   if (IsOver(part->second, row.task.index)) return removal;
+  // A completion that is not recorded yet must not get lost, whichever attempt it is of.
+  if (row.state == WorkerTaskState::kFinished) return StrayAction::kKeep;
 
   const ActiveTask* active = FindActive(rack, row.task);
 
@@ -208,7 +224,9 @@
       continue;
     }
 
-    if (IsOver(*part, key.index) || part->active.contains(key.index)) continue;
+    if (IsOver(*part, key.index)) continue;
+    if (row.state == WorkerTaskState::kFinished) TakeLateFinish(rack, *part, row);
+    if (part->active.contains(key.index)) continue;
 
     if (IsPast(row) && IsAnswered(*part, row)) continue;
 
