Take racks at once from an owner that died soon after its claim

Cause: a change of a rack's record spoke for its owner for 15 s, also when the owner had been heard since and then fell silent. Change: the change counts only until the owner itself is heard after it.

--- a/lib/control/source/ownership.cc
+++ b/lib/control/source/ownership.cc
@@ -38,6 +38,8 @@
   const bool known = peer != state.membership.peers.end();
   if (known && peer->second.known.incarnation > record.incarnation) return false;
   if (known && peer->second.alive) return true;
+  // It was heard after the change and has fallen silent since, so the change speaks for it no more.
+  if (known && rack.changed_at && peer->second.heard_at > *rack.changed_at) return false;
 
   return rack.changed_at && state.now < *rack.changed_at + kChangeGrace;
 }
