Place by predicted interference, throttle and evict on pressure, quarantine bad workers

Change: placement goes through the policy package; ControlSettings::placement chooses the strategy (interference aware by default, first fit, least loaded). Sizes are the larger of the declared and the learned one. Usage reports are attributed to the batch of the time measured; batch beside services that are too slow is throttled, let go when calm, and evicted last: checkpoint confirmed, then stop. Workers that fail everything are quarantined and probed; failures that led to a quarantine, and those in it, do not count against tasks. Where tasks of a job have finished, its failures count as evidence each. Left: shrinking when the batch share falls, and room for urgent work by eviction.

--- a/lib/control/include/currantpost/control/control_settings.h
+++ b/lib/control/include/currantpost/control/control_settings.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "currantpost/base/enum_names.h"
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
 #include "currantpost/model/vm.h"
@@ -19,6 +20,22 @@
   Address operator_address;
 };
 
+/// How a worker is chosen for a task.
+enum class PlacementRule {
+  /// Where services are predicted to suffer least.
+  kInterferenceAware,
+  /// The first with room.
+  kFirstFit,
+  /// The one with the smallest share of processors committed.
+  kLeastLoaded,
+};
+
+inline constexpr EnumNames kPlacementRuleNames(std::to_array<EnumName<PlacementRule>>({
+    {PlacementRule::kInterferenceAware, "interference_aware"},
+    {PlacementRule::kFirstFit, "first_fit"},
+    {PlacementRule::kLeastLoaded, "least_loaded"},
+}));
+
 /// What the control thread learns from the settings file.
 struct ControlSettings {
   EntryIdentity identity;
@@ -50,6 +67,7 @@
   int32_t most_attempts = 5;
   /// Share of a VM's memory and processors that is never committed, 0 to 1.
   double capacity_reserve = 0.0;
+  PlacementRule placement = PlacementRule::kInterferenceAware;
 };
 
 }  // namespace currantpost
--- a/lib/control/include/currantpost/control/work_state.h
+++ b/lib/control/include/currantpost/control/work_state.h
@@ -18,6 +18,11 @@
 #include "currantpost/model/codec.h"
 #include "currantpost/model/job.h"
 #include "currantpost/model/worker.h"
+#include "currantpost/policy/eviction_planner.h"
+#include "currantpost/policy/interference_model.h"
+#include "currantpost/policy/quarantine.h"
+#include "currantpost/policy/residency_history.h"
+#include "currantpost/policy/size_estimator.h"
 
 namespace currantpost {
 
@@ -51,8 +56,18 @@
   std::string checkpoint;
   /// The start left for the worker, and neither a table nor a refusal has settled it.
   bool sent = false;
+  /// What was committed for it when it was placed.
+  Resources size;
   /// Largest use seen of it.
   Resources observed;
+  /// Use in the latest report.
+  Resources used;
+  /// When this owner first saw it running.
+  Millis running_since;
+  /// Whether the worker is to slow it down.
+  bool throttle = false;
+  /// A checkpoint is to be confirmed before it is stopped.
+  bool checkpoint_due = false;
 };
 
 /// A task that waits for a further attempt.
@@ -131,8 +146,13 @@
   Millis answered_at;
   /// Left out of a write of the record, as the leases of its tasks have lapsed. Gets no orders.
   bool lapsed = false;
-  /// Failed tasks in a row, with none finished between.
-  int32_t failures_in_row = 0;
+  /// Tasks that failed since one last finished, while the worker was thought healthy.
+  std::vector<TaskKey> suspect_failures;
+  /// Batch that ran here and when.
+  ResidencyHistory residency = ResidencyHistory();
+  /// When the latest usage was measured, and the worst slowdown of services in it.
+  Millis measured_at;
+  double slowdown = 1.0;
 };
 
 /// What a write of a rack's record is for.
@@ -316,6 +336,13 @@
   std::map<RackId, Epoch> owned;
 
   std::optional<Millis> started_at;
+  /// What is learned of workers and kinds of tasks; forgotten with the process.
+  /// @{
+  Quarantine quarantine;
+  InterferenceModel interference;
+  SizeEstimator sizes;
+  EvictionPlanner evictions;
+  /// @}
   WorkWatch watch;
   std::map<RequestId, OutstandingCall> calls;
   /// The rack of each worker that has an order outstanding, by request.
--- a/lib/control/source/placement.cc
+++ b/lib/control/source/placement.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "work.h"
 
 /// Which worker a waiting task is given to.
@@ -14,38 +16,108 @@
 }
 
 bool TakesTasks(const State& state, const WorkerState& worker) {
-  return worker.in_record && worker.confirmed && !worker.lapsed && !worker.leaving &&
-         state.now >= worker.next_order;
+  const bool usable = worker.in_record && worker.confirmed && !worker.lapsed && !worker.leaving &&
+                      state.now >= worker.next_order;
+  if (!usable) return false;
+
+  return state.work.quarantine.Health(state.now, worker.member.vm) != WorkerHealth::kQuarantined;
 }
 
-bool HasRoom(const State& state, const WorkerState& worker, const JobSpec& spec) {
-  const Resources usable = ShareOf(worker.capacity, 1.0 - state.settings.capacity_reserve);
-  if (!FitsWithin(worker.committed + spec.declared, usable)) return false;
-  if (spec.task_class != TaskClass::kBatch) return true;
+Resources UsableCapacity(const State& state, const WorkerState& worker) {
+  return ShareOf(worker.capacity, 1.0 - state.settings.capacity_reserve);
+}
 
-  const Preset& preset = PresetInForce(state.configuration.present);
-  return FitsWithin(worker.committed_batch + spec.declared, ShareOf(usable, preset.batch_share));
+PlacementCandidate CandidateOf(const State& state, const RackState& rack,
+                               const WorkerState& worker) {
+  return PlacementCandidate{.accepts_starts = TakesTasks(state, worker),
+                            .capacity = UsableCapacity(state, worker),
+                            .committed = worker.committed,
+                            .committed_batch = worker.committed_batch,
+                            .services = ServicesOn(rack, worker),
+                            .measured_slowdown = worker.slowdown,
+                            .batch = BatchOn(rack, worker)};
 }
 
-/// Returns the worker for a task, or null if there is no room. One that keeps the row of an earlier
-/// attempt comes last: there the row has to go before the next attempt starts.
-WorkerState* ChooseWorker(const State& state, RackState& rack, const JobSpec& spec, int32_t index) {
-  const TaskKey key{spec.job, index};
-  WorkerState* last = nullptr;
+/// The workers of a rack as placement sees them, while one round of placement goes on.
+class Candidates {
+ public:
+  Candidates(const State& state, RackState& rack) : state_(state), rack_(rack) {
+    for (auto& [id, worker] : rack.workers) {
+      workers_.push_back(&worker);
+      candidates_.push_back(CandidateOf(state, rack, worker));
+    }
+  }
+
+  /// Returns the worker for a task, or null if there is none. One that keeps the row of an earlier
+  /// attempt comes last: there the row has to go before the next attempt starts.
+  WorkerState* Choose(const JobSpec& spec, const Resources& size, const TaskKey& key) {
+    const PlacementDemand demand{
+        .task_class = spec.task_class, .priority = spec.priority, .kind = spec.kind, .size = size};
+    std::vector<size_t> withheld;
 
-  for (auto& [id, worker] : rack.workers) {
-    if (!TakesTasks(state, worker) || !HasRoom(state, worker, spec)) continue;
-    if (!worker.rows.contains(key)) return &worker;
+    for (size_t index = 0; index < workers_.size(); ++index) {
+      const bool keeps_row = workers_[index]->rows.contains(key);
+      if (keeps_row && candidates_[index].accepts_starts) withheld.push_back(index);
+    }
+
+    for (const size_t index : withheld) candidates_[index].accepts_starts = false;
+    PlacementResult result = Decide(demand);
+    for (const size_t index : withheld) candidates_[index].accepts_starts = true;
 
-    last = &worker;
+    if (!result && !withheld.empty()) result = Decide(demand);
+    return result ? workers_[*result] : nullptr;
   }
 
-  return last;
-}
+  /// Takes in that the worker was given a task.
+  void Refresh(const WorkerState& worker) {
+    const auto place = std::ranges::find(workers_, &worker) - workers_.begin();
+    candidates_[place] = CandidateOf(state_, rack_, worker);
+  }
+
+  /// Returns what to commit for a task: what its kind was seen to use where that is more than
+  /// declared, but never so much that no worker of the rack could take it.
+  [[nodiscard]] Resources SizeOf(const JobSpec& spec) const {
+    Resources most;
+    for (const PlacementCandidate& candidate : candidates_) {
+      most = Largest(most, candidate.capacity);
+    }
+    if (spec.task_class == TaskClass::kBatch) most = ShareOf(most, Limits().batch_share);
+
+    Resources size = state_.work.sizes.Estimate(spec.kind, spec.declared);
+    size.millicores = std::min(size.millicores, most.millicores);
+    size.memory_mib = std::min(size.memory_mib, most.memory_mib);
+    return Largest(size, spec.declared);
+  }
+
+ private:
+  [[nodiscard]] PlacementLimits Limits() const {
+    return PlacementLimitsOf(PresetInForce(state_.configuration.present));
+  }
+
+  PlacementResult Decide(const PlacementDemand& demand) {
+    switch (state_.settings.placement) {
+      case PlacementRule::kInterferenceAware:
+        return InterferenceAwarePlacement(state_.work.interference)
+            .Place(candidates_, demand, Limits());
+      case PlacementRule::kFirstFit:
+        return FirstFitPlacement().Place(candidates_, demand, Limits());
+      case PlacementRule::kLeastLoaded:
+        return LeastLoadedPlacement().Place(candidates_, demand, Limits());
+    }
+
+    return tl::unexpected(PlacementRefusal::kNoWorker);
+  }
+
+  const State& state_;
+  const RackState& rack_;
+  std::vector<WorkerState*> workers_;
+  std::vector<PlacementCandidate> candidates_;
+};
 
 void Place(State& state, Effects& effects, RackState& rack, PartState& part, int32_t index,
-           WorkerState& worker) {
+           WorkerState& worker, const Resources& size) {
   ActiveTask task;
+  task.size = size;
   task.worker = worker.member.vm;
 
   if (const auto retry = part.retries.find(index); retry != part.retries.end()) {
@@ -58,16 +130,22 @@
   if (worker.rows.contains(TaskKey{part.spec.job, index})) rack.release_due = true;
   worker.tasks.insert(TaskKey{part.spec.job, index});
   RecountCommitments(rack, worker);
+  worker.residency.Record(state.now, BatchOn(rack, worker));
+  state.work.quarantine.RecordStart(state.now, worker.member.vm);
   DriveWorker(state, effects, rack, worker);
 }
 
 /// Places what it can of one part. Its tasks are alike, so the first without room ends it.
-void PlacePart(State& state, Effects& effects, RackState& rack, PartState& part) {
+void PlacePart(State& state, Effects& effects, RackState& rack, PartState& part,
+               Candidates& candidates) {
+  const Resources size = candidates.SizeOf(part.spec);
+
   while (const std::optional<int32_t> index = NextWaiting(state, part)) {
-    WorkerState* worker = ChooseWorker(state, rack, part.spec, *index);
+    WorkerState* worker = candidates.Choose(part.spec, size, TaskKey{part.spec.job, *index});
     if (worker == nullptr) return;
 
-    Place(state, effects, rack, part, *index, *worker);
+    Place(state, effects, rack, part, *index, *worker, size);
+    candidates.Refresh(*worker);
   }
 }
 
@@ -78,10 +156,15 @@
   if (rack.phase != RackPhase::kOpen || state.shutdown.requested) return;
   if (!state.configuration.known) return;
 
+  const bool none_waits = std::ranges::all_of(rack.queues, &PartQueue::empty);
+  if (none_waits) return;
+
+  Candidates candidates(state, rack);
+
   for (PartQueue& queue : rack.queues) {
     for (auto part = queue.begin(); part != queue.end();) {
       PartState& present = *part++;
-      PlacePart(state, effects, rack, present);
+      PlacePart(state, effects, rack, present, candidates);
 
       const bool waits = !present.retries.empty() || NextWaiting(state, present).has_value();
       if (!waits) present.unlink();
--- a/lib/control/source/reconcile.cc
+++ b/lib/control/source/reconcile.cc
@@ -20,7 +20,8 @@
   return &part->second;
 }
 
-void TakeFinished(RackState& rack, PartState& part, const TaskKey& key, ActiveTask& task) {
+void TakeFinished(State& state, RackState& rack, PartState& part, const TaskKey& key,
+                  ActiveTask& task) {
   if (IsOver(part, key.index)) {
     task.phase = TaskPhase::kAcknowledging;
     return;
@@ -28,7 +29,7 @@
 
   task.phase = TaskPhase::kRecording;
   NoteOver(rack, part, key.index, true);
-  rack.workers.at(task.worker).failures_in_row = 0;
+  NoteSuccess(state, rack.workers.at(task.worker));
 }
 
 /// Queues the attempt after one that ended early. Its row stays at the worker, where another owner
@@ -40,12 +41,13 @@
   Requeue(state, rack, key, std::move(retry));
 }
 
-void TakeFailed(const State& state, Effects& effects, RackState& rack, PartState& part,
+void TakeFailed(State& state, Effects& effects, RackState& rack, PartState& part,
                 const TaskKey& key, ActiveTask& task) {
   if (task.phase == TaskPhase::kAcknowledging || task.phase == TaskPhase::kRecording) return;
 
-  ++rack.workers.at(task.worker).failures_in_row;
-  const int32_t failures = ++part.failures[key.index];
+  WorkerState& worker = rack.workers.at(task.worker);
+  const bool counts = NoteFailure(state, effects, rack, worker, key);
+  const int32_t failures = part.failures[key.index] += counts ? 1 : 0;
 
   if (failures < state.settings.most_attempts) {
     QueueNextAttempt(state, rack, key, task, task.checkpoint);
@@ -60,13 +62,14 @@
        {"failures", std::to_string(failures)}});
 }
 
-void TakeRunning(PartState& part, const TaskKey& key, ActiveTask& task) {
+void TakeRunning(Millis now, PartState& part, const TaskKey& key, ActiveTask& task) {
   // What is recorded as over must not run on; nor must the tasks of a cancelled job.
   if (part.cancelled || IsOver(part, key.index)) {
     task.phase = TaskPhase::kStopping;
     return;
   }
 
+  if (task.running_since == Millis(0)) task.running_since = now;
   if (task.phase != TaskPhase::kStopping) task.phase = TaskPhase::kRunning;
 }
 
@@ -78,16 +81,16 @@
 }
 
 /// Takes in a row of a task's present attempt. The task may be queued anew and active no more.
-void TakeRow(const State& state, Effects& effects, RackState& rack, PartState& part,
-             ActiveTask& task, const WorkerTask& row) {
+void TakeRow(State& state, Effects& effects, RackState& rack, PartState& part, ActiveTask& task,
+             const WorkerTask& row) {
   task.sent = false;
 
   switch (row.state) {
     case WorkerTaskState::kRunning:
-      TakeRunning(part, row.task, task);
+      TakeRunning(state.now, part, row.task, task);
       return;
     case WorkerTaskState::kFinished:
-      TakeFinished(rack, part, row.task, task);
+      TakeFinished(state, rack, part, row.task, task);
       return;
     case WorkerTaskState::kFailed:
       TakeFailed(state, effects, rack, part, row.task, task);
@@ -127,7 +130,7 @@
                       .not_before = state.now});
 }
 
-void SettleTask(const State& state, Effects& effects, RackState& rack, const WorkerState& worker,
+void SettleTask(State& state, Effects& effects, RackState& rack, const WorkerState& worker,
                 const TaskKey& key) {
   PartState& part = rack.parts.at(key.job);
   ActiveTask& task = part.active.at(key.index);
@@ -143,7 +146,7 @@
 
 /// Returns the largest of what a task was declared to need, holds and was seen to use.
 Resources Committed(const JobSpec& spec, const ActiveTask& task, const WorkerTask* row) {
-  Resources committed = Largest(spec.declared, task.observed);
+  Resources committed = Largest(Largest(spec.declared, task.size), task.observed);
   if (row != nullptr) committed = Largest(committed, row->held);
   committed.accelerators = std::max(spec.declared.accelerators, row ? row->held.accelerators : 0);
   return committed;
@@ -157,13 +160,13 @@
   return retry != part.retries.end() && retry->second.attempt > row.attempt;
 }
 
+}  // namespace
+
 bool HoldsResources(TaskPhase phase) {
   return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
          phase == TaskPhase::kStopping;
 }
 
-}  // namespace
-
 bool IsPast(const WorkerTask& row) {
   return row.state == WorkerTaskState::kStopped || row.state == WorkerTaskState::kFailed;
 }
@@ -218,6 +221,8 @@
     task.attempt = row.attempt;
     task.phase = TaskPhase::kRunning;
     task.checkpoint = row.checkpoint;
+    task.size = Largest(part->spec.declared, row.held);
+    task.throttle = row.throttled;
     worker.tasks.insert(key);
     TakeRow(state, effects, rack, *part, task, row);
   }
--- a/lib/control/source/work.h
+++ b/lib/control/source/work.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "currantpost/policy/placement.h"
 #include "feature.h"
 
 /// What the files of the work feature share.
@@ -117,6 +118,28 @@
 /// Says whether a row belongs to the active attempt of a task at this worker.
 bool IsActiveRow(const RackState& rack, const WorkerState& worker, const WorkerTask& row);
 
+/// Says whether a task in this phase holds resources of its worker.
+bool HoldsResources(TaskPhase phase);
+
+// Usage, pressure and health.
+
+/// Takes in a usage report, and decides about the batch beside services that are too slow.
+void TakeUsage(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+               const WorkerTable& table);
+
+/// Returns the kinds of the services on a worker, one entry for each task.
+std::vector<std::string> ServicesOn(const RackState& rack, const WorkerState& worker);
+
+/// Returns the batch on a worker by kind.
+std::vector<KindLoad> BatchOn(const RackState& rack, const WorkerState& worker);
+
+/// Takes in that a task failed. Returns whether that counts against the task, not the worker.
+bool NoteFailure(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+                 const TaskKey& key);
+
+/// Takes in that a task finished.
+void NoteSuccess(State& state, WorkerState& worker);
+
 // Tasks and parts.
 
 ActiveTask* FindActive(RackState& rack, const TaskKey& key);
--- /dev/null
+++ b/lib/control/source/worker_health.cc
@@ -0,0 +1,61 @@
+#include "work.h"
+
+/// Workers that fail all they start.
+
+namespace currantpost {
+namespace {
+
+/// Failures of a worker that are remembered until one of its tasks finishes.
+constexpr size_t kMostSuspectFailures = 32;
+
+/// Takes back the failures that led to a quarantine: they were the worker's, not the tasks'.
+void ForgiveFailures(RackState& rack, WorkerState& worker) {
+  for (const TaskKey& key : worker.suspect_failures) {
+    const auto part = rack.parts.find(key.job);
+    if (part == rack.parts.end()) continue;
+
+    const auto failures = part->second.failures.find(key.index);
+    if (failures != part->second.failures.end() && failures->second > 0) --failures->second;
+  }
+
+  worker.suspect_failures.clear();
+}
+
+/// Returns the job that a failure speaks for. Failures of one job are no sign of a bad worker, as
+/// it may fail everywhere; where tasks of it have finished, each task speaks for itself.
+JobId EvidenceOf(const RackState& rack, const TaskKey& key) {
+  const auto part = rack.parts.find(key.job);
+  const bool has_finished = part != rack.parts.end() && (!part->second.recorded.completed.empty() ||
+                                                         !part->second.completing.empty());
+  return has_finished ? JobId(key.job.Text() + "/" + std::to_string(key.index)) : key.job;
+}
+
+}  // namespace
+
+bool NoteFailure(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+                 const TaskKey& key) {
+  Quarantine& quarantine = state.work.quarantine;
+  const VmId& vm = worker.member.vm;
+  const bool was_healthy = quarantine.Health(state.now, vm) == WorkerHealth::kHealthy;
+  quarantine.RecordFailure(state.now, vm, EvidenceOf(rack, key));
+  if (!was_healthy) return false;
+
+  if (quarantine.Health(state.now, vm) != WorkerHealth::kHealthy) {
+    Log(effects, Severity::kWarning, Part::kTasks, "quarantined a worker", {{"worker", vm.Text()}});
+    ForgiveFailures(rack, worker);
+    return false;
+  }
+
+  if (worker.suspect_failures.size() >= kMostSuspectFailures) {
+    worker.suspect_failures.erase(worker.suspect_failures.begin());
+  }
+  worker.suspect_failures.push_back(key);
+  return true;
+}
+
+void NoteSuccess(State& state, WorkerState& worker) {
+  state.work.quarantine.RecordSuccess(worker.member.vm);
+  worker.suspect_failures.clear();
+}
+
+}  // namespace currantpost
--- a/lib/control/source/workers.cc
+++ b/lib/control/source/workers.cc
@@ -42,16 +42,21 @@
                        .attempt = task->attempt,
                        .task_class = spec.task_class,
                        .kind = spec.kind,
-                       .size = spec.declared,
+                       .size = Largest(spec.declared, task->size),
                        .run_time = spec.run_time,
                        .checkpoint = task->checkpoint,
                        .lease = state.settings.task_lease};
     }
     case TaskPhase::kStopping:
+      if (task->checkpoint_due) return CheckpointTask{key, task->attempt};
       return StopTask{key, task->attempt};
     case TaskPhase::kAcknowledging:
       return AcknowledgeTask{key, task->attempt};
-    case TaskPhase::kRunning:
+    case TaskPhase::kRunning: {
+      const auto row = worker.rows.find(key);
+      if (row == worker.rows.end() || row->second.throttled == task->throttle) return std::nullopt;
+      return ThrottleTask{key, task->attempt, task->throttle};
+    }
     case TaskPhase::kRecording:
       return std::nullopt;
   }
@@ -109,6 +114,16 @@
   task->sent = sent;
 }
 
+/// Notes that the worker answered an order for a checkpoint. One that it refused is not repeated:
+/// the task has ended, or goes on from the checkpoint before.
+void MarkCheckpoint(RackState& rack, const WorkerOrder& order) {
+  const auto* checkpoint = std::get_if<CheckpointTask>(&order);
+  if (checkpoint == nullptr) return;
+
+  ActiveTask* task = FindActive(rack, checkpoint->task);
+  if (task != nullptr && task->attempt == checkpoint->attempt) task->checkpoint_due = false;
+}
+
 /// Ends a life of the worker, and begins the next.
 void ReplaceLife(State& state, Effects& effects, RackState& rack, WorkerState& worker,
                  const RackMember& next) {
@@ -116,6 +131,8 @@
       {{"worker", next.vm.Text()}, {"incarnation", std::to_string(next.incarnation)}});
   DropOutstanding(state, worker);
   ReleaseTasksOf(state, effects, rack, worker);
+  state.work.quarantine.Forget(worker.member.vm);
+  state.work.evictions.Forget(worker.member.vm);
 
   worker = WorkerState{};
   worker.member = next;
@@ -123,15 +140,6 @@
   rack.placement_due = true;
 }
 
-void TakeUsage(RackState& rack, const WorkerTable& table) {
-  for (const TaskUsage& usage : table.usage) {
-    ActiveTask* task = FindActive(rack, usage.task);
-    if (task == nullptr || task->attempt != usage.attempt) continue;
-
-    task->observed = Largest(task->observed, usage.used);
-  }
-}
-
 void TakeTable(State& state, Effects& effects, RackState& rack, WorkerState& worker,
                const WorkerTable& table) {
   // Leases may have gone unrenewed meanwhile.
@@ -144,8 +152,10 @@
   worker.rows.clear();
   for (const WorkerTask& row : table.tasks) worker.rows[row.task] = row;
 
-  TakeUsage(rack, table);
-  if (rack.phase == RackPhase::kOpen && worker.in_record) Reconcile(state, effects, rack, worker);
+  if (rack.phase == RackPhase::kOpen && worker.in_record) {
+    Reconcile(state, effects, rack, worker);
+    TakeUsage(state, effects, rack, worker, table);
+  }
 
   RecountCommitments(rack, worker);
   ListPartsWhenRaised(state, effects, rack);
@@ -227,6 +237,7 @@
     if (std::holds_alternative<RaiseEpoch>(order)) return true;
   }
 
+  MarkCheckpoint(rack, order);
   TakeTable(state, effects, rack, worker, reply.table);
   return true;
 }
--- a/tests/control/fake_worker.cc
+++ b/tests/control/fake_worker.cc
@@ -168,6 +168,12 @@
       .incarnation = vm_.incarnation, .epoch = epoch_, .capacity = vm_.capacity, .tasks = {}};
 
   for (const auto& [task, row] : rows_) table.tasks.push_back(row);
+  if (service_slowdown_ == 0.0) return table;
+
+  for (const auto& [task, running] : running_) {
+    const WorkerTask& row = rows_.at(task);
+    table.usage.push_back(TaskUsage{task, row.attempt, row.held, service_slowdown_});
+  }
 
   return table;
 }
--- a/tests/control/fake_worker.h
+++ b/tests/control/fake_worker.h
@@ -43,6 +43,9 @@
   /// Every task that the worker runs ends badly from now on.
   void SetFailing(bool failing) { failing_ = failing; }
 
+  /// Reports usage from now on, with this slowdown for services; 0 ends it.
+  void SetServiceSlowdown(double slowdown) { service_slowdown_ = slowdown; }
+
   /// Says whether the running tasks hold more than the VM has.
   [[nodiscard]] bool IsOvercommitted() const;
 
@@ -72,6 +75,7 @@
   VmRecord vm_;
   Epoch epoch_ = 0;
   bool failing_ = false;
+  double service_slowdown_ = 0.0;
   std::map<TaskKey, WorkerTask> rows_;
   std::map<TaskKey, Running> running_;
   std::vector<RunRecord> runs_;
