--- a/lib/control/include/currantpost/control/work_state.h
+++ b/lib/control/include/currantpost/control/work_state.h
@@ -144,6 +144,8 @@
   Millis next_order;
   /// When the last table came.
   Millis answered_at;
+  /// When this process last went on after a pause; before that, the silence was its own.
+  Millis resumed_at;
   /// Left out of a write of the record, as the leases of its tasks have lapsed. Gets no orders.
   bool lapsed = false;
   /// Tasks that failed since one last finished, while the worker was thought healthy.
