--- a/lib/control/source/rack_members.cc
+++ b/lib/control/source/rack_members.cc
@@ -19,8 +19,8 @@
 ///
 /// Its last answered renewal gave each task one lease. At most one renewal was sent after that, as
 /// a worker that does not answer gets none, and it may have reached a task just before its lease
-/// ended. A start of unknown outcome may still arrive, so such a worker is waited for. After a pause
-/// of the owner a worker gets the same time to answer, as it may hold finished tasks.
+/// ended. A start of unknown outcome may still arrive, so such a worker is waited for. After a
+/// pause of the owner a worker gets the same time to answer, as it may hold finished tasks.
 bool HasLapsed(const State& state, const RackState& rack, const WorkerState& worker) {
   if (!worker.in_record || !worker.ever_confirmed) return false;
   if (HasUnsettledStart(rack, worker)) return false;
