Name the port that callers could not be served on

Cause: the caller server's failure to listen named the host alone, as the other two listeners do not, so that "Could not start." did not say which port was taken. Seen red: Currantpostd.FailsWithATypedMessageIfAPortIsTaken, case 0: 'error=unavailable at="cannot listen on 127.0.0.1"'. Change: the port is added. After: all three cases pass.

--- a/lib/traffic/source/caller_server.cc
+++ b/lib/traffic/source/caller_server.cc
@@ -158,7 +158,8 @@
   }
 
   if (port <= 0)
-    return Fail(ErrorCode::kUnavailable, absl::StrCat("cannot listen on ", listen.host));
+    return Fail(ErrorCode::kUnavailable,
+                absl::StrCat("cannot listen on ", listen.host, ":", listen.port));
 
   // The library's own backlog of 5 turns a burst of callers away.
   ::listen(svr_sock_, kBacklog);
