Test the promises across real processes and signals

Cause: the property tests show the reducer, and the traffic tests one process; nothing showed the promises with processes that are killed, frozen, stopped and cut off while requests and a job go on.

The fleet, the callers and the reading of upstreams' and workers' records moved from the demo to tests/support and are shared; so did the relay, which can now also stay silent for later connections (a silent connection that its client closes now ends instead of spinning). A caller that could not connect is told apart from one that was cut off.

Ruled out: taking /ready as a sign that requests are served. The stand-in's list is empty until its lag is over, and an empty list makes an entry ready; the tests wait for a first whole answer.

--- a/tests/demo/demo_main.cc
+++ b/tests/demo/demo_main.cc
@@ -18,6 +18,7 @@
 namespace {
 
 namespace demo = currantpost::demo;
+namespace support = currantpost::testing_support;
 using currantpost::Millis;
 using nlohmann::json;
 
@@ -59,13 +60,13 @@
 }
 
 /// Submits the job until it is accepted, as racks may not be owned yet. Returns the last answer.
-demo::Answer SubmitJob(const currantpost::Address& operators) {
+support::Answer SubmitJob(const currantpost::Address& operators) {
   const currantpost::MonotonicClock clock;
   const Millis end = clock.Now() + kSubmitDeadline;
-  demo::Answer answer;
+  support::Answer answer;
 
   while (clock.Now() < end) {
-    answer = demo::Send(operators, "POST", "/v1/jobs", JobSpec());
+    answer = support::Send(operators, "POST", "/v1/jobs", JobSpec());
     if (answer.status == kHttpOk || answer.status == kHttpConflict) break;
 
     Say("job refused for now: " + answer.body.dump());
@@ -82,7 +83,7 @@
   json answer;
 
   while (clock.Now() < end) {
-    answer = demo::Ask(operators, "GET", "/v1/jobs/" + kJob.name);
+    answer = support::Ask(operators, "GET", "/v1/jobs/" + kJob.name);
     if (answer.is_object() && answer.value("completed", 0) == kJob.tasks) break;
     Sleep(kPollInterval);
   }
@@ -92,20 +93,20 @@
 
 /// Sends a job through one entry, switches the preset through another and kills a third, while
 /// callers go on.
-std::vector<demo::Check> RunMainJob(demo::Fleet& fleet) {
-  const std::vector<demo::Entry>& entries = fleet.Entries();
+std::vector<demo::Check> RunMainJob(support::Fleet& fleet) {
+  const std::vector<support::Entry>& entries = fleet.Entries();
   std::vector<currantpost::Address> addresses;
-  for (const demo::Entry& entry : entries) addresses.push_back(entry.callers);
+  for (const support::Entry& entry : entries) addresses.push_back(entry.callers);
 
   const json preset =
-      demo::Ask(entries[kSwitchEntry].operators, "PUT", std::string("/v1/presets/") + kPreset,
-                json{{"name", kPreset}, {"batch_share", 0.5}});
+      support::Ask(entries[kSwitchEntry].operators, "PUT", std::string("/v1/presets/") + kPreset,
+                   json{{"name", kPreset}, {"batch_share", 0.5}});
   Say(std::string("preset \"peak\": ") + preset.dump());
 
-  demo::Callers callers(addresses);
+  support::Callers callers(addresses);
   callers.Start();
 
-  const demo::Answer accepted = SubmitJob(entries[kJobEntry].operators);
+  const support::Answer accepted = SubmitJob(entries[kJobEntry].operators);
   Say("job through " + entries[kJobEntry].name + ": " + accepted.body.dump());
 
   Sleep(kTimeBeforeKill);
@@ -113,8 +114,8 @@
   Say("killed " + entries[kKilledEntry].name);
 
   const json switched =
-      demo::Ask(entries[kSwitchEntry].operators, "POST",
-                std::string("/v1/presets/") + kPreset + "/switch", json::object());
+      support::Ask(entries[kSwitchEntry].operators, "POST",
+                   std::string("/v1/presets/") + kPreset + "/switch", json::object());
   Say("switch through " + entries[kSwitchEntry].name + ": " + switched.dump());
 
   Sleep(kTimeAfterKill);
@@ -143,9 +144,9 @@
   app.add_option("--build-dir", build, "Folder that the programs were built in");
   CLI11_PARSE(app, argc, argv);
 
-  demo::Fleet fleet(demo::Programs{build + "/main/currantpostd/currantpostd",
-                                   build + "/tests/standins/standin_platform",
-                                   build + "/tests/standins/standin_vm"});
+  support::Fleet fleet(support::Programs{build + "/main/currantpostd/currantpostd",
+                                         build + "/tests/standins/standin_platform",
+                                         build + "/tests/standins/standin_vm"});
 
   if (!fleet.Start()) {
     Say("The entries did not become ready in time.\n" + fleet.EntryOutput());
--- a/tests/demo/verdict.cc
+++ b/tests/demo/verdict.cc
@@ -3,131 +3,21 @@
 #include <algorithm>
 #include <cstdio>
 #include <map>
-#include <set>
 #include <utility>
 
-#include "currantpost/model/json.h"
+#include "run_records.h"
 
 namespace currantpost::demo {
 
 using nlohmann::json;
-
-namespace {
-
-using Counts = std::map<std::string, int64_t>;
-
-/// What all upstreams ran, added up.
-struct UpstreamRuns {
-  Counts by_request_id;
-  Counts by_key;
-  int64_t executed = 0;
-  int64_t refused = 0;
-  int64_t most_concurrent = 0;
-  bool is_complete = true;
-};
-
-void Add(const Counts& counts, Counts& sum) {
-  for (const auto& [name, count] : counts) sum[name] += count;
-}
-
-UpstreamRuns ReadUpstreams(const std::vector<VmRecord>& vms) {
-  UpstreamRuns runs;
-
-  for (const VmRecord& vm : vms) {
-    const json records = Ask(vm.upstream, "GET", "/admin/records");
-
-    if (!records.is_object()) {
-      runs.is_complete = false;
-      continue;
-    }
-
-    Add(records.at("by_request_id").get<Counts>(), runs.by_request_id);
-    Add(records.at("by_key").get<Counts>(), runs.by_key);
-    runs.executed += records.at("executed").get<int64_t>();
-    runs.refused += records.at("refused").get<int64_t>();
-    runs.most_concurrent =
-        std::max(runs.most_concurrent, records.at("most_concurrent").get<int64_t>());
-  }
-
-  return runs;
-}
-
-int64_t CountOf(const Counts& counts, const std::string& name) {
-  const auto found = counts.find(name);
-  return found == counts.end() ? 0 : found->second;
-}
-
-/// One run of a task at a worker.
-struct Run {
-  int64_t start = 0;
-  int64_t end = 0;
-  bool is_over = false;
-  bool is_finished = false;
-};
-
-/// What all workers did, added up.
-struct WorkerRuns {
-  std::map<int, std::vector<Run>> by_task;
-  int64_t over_capacity = 0;
-  bool is_within_capacity = true;
-  bool is_complete = true;
-  std::string most_committed;
-};
-
-void AddRuns(const json& records, const std::string& job, WorkerRuns& runs) {
-  for (const json& row : records.at("runs")) {
-    if (row.at("task").at("job") != job) continue;
-
-    const std::string how = row.at("how");
-    runs.by_task[row.at("task").at("index")].push_back(
-        Run{row.at("start_ms"), row.at("end_ms"), how != "running", how == "finished"});
-  }
-}
-
-WorkerRuns ReadWorkers(const std::vector<VmRecord>& vms, const std::string& job) {
-  WorkerRuns runs;
-  Resources most;
-
-  for (const VmRecord& vm : vms) {
-    const json records = Ask(vm.worker, "GET", "/admin/records");
-
-    if (!records.is_object()) {
-      runs.is_complete = false;
-      continue;
-    }
-
-    AddRuns(records, job, runs);
-    runs.over_capacity += records.at("over_capacity").get<int64_t>();
-
-    const auto committed = records.at("most_committed").get<Resources>();
-    most = Largest(most, committed);
-    if (!FitsWithin(committed, vm.capacity)) runs.is_within_capacity = false;
-  }
-
-  runs.most_committed = std::to_string(most.millicores) + " of " +
-                        std::to_string(vms.front().capacity.millicores) + " millicores, " +
-                        std::to_string(most.memory_mib) + " of " +
-                        std::to_string(vms.front().capacity.memory_mib) + " MiB";
-  return runs;
-}
-
-bool HaveOverlap(std::vector<Run> runs) {
-  std::ranges::sort(runs, {}, &Run::start);
-
-  for (size_t next = 1; next < runs.size(); ++next) {
-    if (!runs[next - 1].is_over || runs[next].start < runs[next - 1].end) return true;
-  }
-
-  return false;
-}
-
-int CountFinishedOnce(const WorkerRuns& runs) {
-  return static_cast<int>(std::ranges::count_if(runs.by_task, [](const auto& task) {
-    return std::ranges::count_if(task.second, &Run::is_finished) == 1;
-  }));
-}
-
-}  // namespace
+using testing_support::Ask;
+using testing_support::CountOf;
+using testing_support::CountOverlaps;
+using testing_support::kCallerOutcomeNames;
+using testing_support::ReadUpstreams;
+using testing_support::ReadWorkers;
+using testing_support::UpstreamRuns;
+using testing_support::WorkerRuns;
 
 std::vector<Check> CheckCallers(const std::vector<CallRecord>& records,
                                 const std::vector<VmRecord>& vms) {
@@ -180,8 +70,7 @@
   const WorkerRuns runs = ReadWorkers(vms, job.name);
   const int64_t completed = answer.is_object() ? answer.value("completed", int64_t{0}) : 0;
   const int finished_once = CountFinishedOnce(runs);
-  const int64_t overlaps = std::ranges::count_if(
-      runs.by_task, [](const auto& task) { return HaveOverlap(task.second); });
+  const int64_t overlaps = CountOverlaps(runs);
 
   int64_t attempts = 0;
   for (const auto& [task, each] : runs.by_task) attempts += static_cast<int64_t>(each.size());
--- a/tests/demo/verdict.h
+++ b/tests/demo/verdict.h
@@ -9,6 +9,10 @@
 
 namespace currantpost::demo {
 
+using testing_support::CallerOutcome;
+using testing_support::CallRecord;
+using testing_support::Entry;
+
 /// One promise, and what was seen of it.
 struct Check {
   std::string promise;
--- a/tests/demo/callers.cc
+++ b/tests/support/callers.cc
@@ -6,16 +6,19 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace currantpost::demo {
+namespace currantpost::testing_support {
 
 using nlohmann::json;
 
 namespace {
 
 constexpr auto kPause = std::chrono::milliseconds(20);
-constexpr auto kTimeout = std::chrono::seconds(8);
 constexpr int kMostTries = 3;
 
+bool IsAnswer(CallerOutcome outcome) {
+  return outcome != CallerOutcome::kNoAnswer && outcome != CallerOutcome::kNoConnection;
+}
+
 /// Says whether an answer's body is the upstream's to this very request.
 bool IsAnswerTo(const std::string& text, const std::string& method, const std::string& path,
                 size_t body_bytes) {
@@ -25,6 +28,7 @@
 }
 
 CallerOutcome Judge(const httplib::Result& answer, const httplib::Request& request) {
+  if (answer.error() == httplib::Error::Connection) return CallerOutcome::kNoConnection;
   if (!answer) return CallerOutcome::kNoAnswer;
 
   const std::string told = answer->get_header_value("X-Currantpost-Outcome");
@@ -40,10 +44,32 @@
 
 }  // namespace
 
-Callers::Callers(std::vector<Address> entries) : entries_(std::move(entries)) {}
+CallerOutcome SendRequest(httplib::Client& client, const CallerRequest& request) {
+  httplib::Request message;
+  message.method = request.method;
+  message.path = (request.method == "GET" ? "/board/" : "/orders/") + request.name;
+  message.set_header("X-Request-Id", request.request_id);
+  if (!request.key.empty()) message.set_header("Idempotency-Key", request.key);
+
+  if (request.method == "POST") {
+    message.body = "tofu for " + request.name;
+    message.set_header("Content-Type", "text/plain");
+  }
+
+  return Judge(client.send(message), message);
+}
+
+CallerOutcome SendRequest(const Address& entry, const CallerRequest& request) {
+  httplib::Client client(entry.host, entry.port);
+  client.set_read_timeout(std::chrono::milliseconds(kCallerTimeout.Count()));
+  return SendRequest(client, request);
+}
+
+Callers::Callers(std::vector<Address> entries, size_t callers_per_entry)
+    : entries_(std::move(entries)), callers_per_entry_(callers_per_entry) {}
 
 void Callers::Start() {
-  for (size_t caller = 0; caller < entries_.size(); ++caller) {
+  for (size_t caller = 0; caller < entries_.size() * callers_per_entry_; ++caller) {
     threads_.emplace_back([this, caller] { Run(caller); });
   }
 }
@@ -55,50 +81,30 @@
 }
 
 void Callers::Run(size_t caller) {
-  size_t entry = caller;
+  size_t entry = caller % entries_.size();
 
   for (int number = 0; !stopping_; ++number) {
     const bool is_order = number % 2 == 1;
     const std::string name = "c" + std::to_string(caller) + "-" + std::to_string(number);
 
     for (int tries = 0; tries < kMostTries; ++tries) {
-      CallRecord record =
-          Send(entry, is_order ? "POST" : "GET", name, name + "-try" + std::to_string(tries));
-      const CallerOutcome outcome = record.outcome;
+      const CallerRequest request{is_order ? "POST" : "GET", name,
+                                  name + "-try" + std::to_string(tries),
+                                  is_order ? "order-" + name : ""};
+      const CallerOutcome outcome = SendRequest(entries_[entry], request);
 
       {
         const std::lock_guard lock(mutex_);
-        records_.push_back(std::move(record));
+        records_.push_back(
+            CallRecord{entry, request.method, request.request_id, request.key, outcome});
       }
 
       if (outcome == CallerOutcome::kWhole || outcome == CallerOutcome::kWrong) break;
-      if (outcome == CallerOutcome::kNoAnswer) entry = (entry + 1) % entries_.size();
+      if (!IsAnswer(outcome)) entry = (entry + 1) % entries_.size();
     }
 
     std::this_thread::sleep_for(kPause);
   }
 }
 
-CallRecord Callers::Send(size_t entry, const std::string& method, const std::string& name,
-                         const std::string& request_id) {
-  CallRecord record{entry, method, request_id};
-  httplib::Client client(entries_[entry].host, entries_[entry].port);
-  client.set_read_timeout(kTimeout);
-
-  httplib::Request request;
-  request.method = method;
-  request.path = (method == "GET" ? "/board/" : "/orders/") + name;
-  request.set_header("X-Request-Id", request_id);
-
-  if (method == "POST") {
-    record.key = "order-" + name;
-    request.body = "tofu for " + name;
-    request.set_header("Idempotency-Key", record.key);
-    request.set_header("Content-Type", "text/plain");
-  }
-
-  record.outcome = Judge(client.send(request), request);
-  return record;
-}
-
-}  // namespace currantpost::demo
+}  // namespace currantpost::testing_support
--- a/tests/demo/callers.h
+++ b/tests/support/callers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <httplib.h>
+
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -8,9 +10,10 @@
 #include <vector>
 
 #include "currantpost/base/enum_names.h"
+#include "currantpost/base/time.h"
 #include "currantpost/model/vm.h"
 
-namespace currantpost::demo {
+namespace currantpost::testing_support {
 
 /// What a caller got for one request.
 enum class CallerOutcome {
@@ -20,6 +23,8 @@
   kNotRun,
   /// The system said that it cannot tell.
   kUnknown,
+  /// No connection to the entry could be made, so nothing was sent.
+  kNoConnection,
   /// No whole answer came from the entry, which may have been killed.
   kNoAnswer,
   /// An answer that is not the one to this request; breaks a promise.
@@ -30,6 +35,7 @@
     {CallerOutcome::kWhole, "whole"},
     {CallerOutcome::kNotRun, "not_run"},
     {CallerOutcome::kUnknown, "unknown"},
+    {CallerOutcome::kNoConnection, "no_connection"},
     {CallerOutcome::kNoAnswer, "no_answer"},
     {CallerOutcome::kWrong, "wrong"},
 }));
@@ -40,17 +46,38 @@
   size_t entry = 0;
   std::string method;
   std::string request_id;
-  /// `Idempotency-Key`, empty for GET.
+  /// `Idempotency-Key`, empty for none.
   std::string key;
   CallerOutcome outcome = CallerOutcome::kNoAnswer;
 };
 
+/// One request of a caller.
+struct CallerRequest {
+  std::string method;
+  /// Names the request's path and body.
+  std::string name;
+  /// Names this try of it.
+  std::string request_id;
+  /// `Idempotency-Key`, empty for none.
+  std::string key;
+};
+
+/// Returns how long the client of `SendRequest` should wait for an answer.
+inline constexpr Millis kCallerTimeout(8'000);
+
+/// Sends one request over a caller's connection and judges the answer.
+CallerOutcome SendRequest(httplib::Client& client, const CallerRequest& request);
+
+/// Sends one request over a connection of its own and judges the answer.
+CallerOutcome SendRequest(const Address& entry, const CallerRequest& request);
+
 /// Callers that send requests through all entries, each to its own, until they are stopped. A
 /// caller whose entry does not answer goes to the next, as behind a balancer, and sends an order
 /// without a whole answer again under the same key.
 class Callers {
  public:
-  explicit Callers(std::vector<Address> entries);
+  /// Makes `callers_per_entry` callers for each entry.
+  explicit Callers(std::vector<Address> entries, size_t callers_per_entry = 1);
   ~Callers() { Stop(); }
 
   Callers(const Callers&) = delete;
@@ -64,14 +91,13 @@
 
  private:
   void Run(size_t caller);
-  CallRecord Send(size_t entry, const std::string& method, const std::string& name,
-                  const std::string& request_id);
 
   std::vector<Address> entries_;
+  size_t callers_per_entry_;
   std::atomic<bool> stopping_ = false;
   std::vector<std::thread> threads_;
   std::mutex mutex_;
   std::vector<CallRecord> records_;
 };
 
-}  // namespace currantpost::demo
+}  // namespace currantpost::testing_support
--- a/tests/demo/fleet.cc
+++ b/tests/support/fleet.cc
@@ -12,11 +12,9 @@
 
 #include "currantpost/model/json.h"
 
-namespace currantpost::demo {
+namespace currantpost::testing_support {
 
 using nlohmann::json;
-using testing_support::FreePorts;
-using testing_support::Process;
 
 namespace {
 
@@ -28,8 +26,18 @@
 constexpr Millis kStartDeadline(20'000);
 constexpr Millis kStopDeadline(15'000);
 constexpr auto kPollInterval = std::chrono::milliseconds(50);
+/// A frozen process takes connections and answers none.
+constexpr auto kReadyTimeout = std::chrono::seconds(2);
 constexpr size_t kOutputTail = 2'000;
 
+Address OnPort(int port) { return Address{kHost, port}; }
+
+std::string Text(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+}  // namespace
+
 bool WaitUntil(const std::function<bool()>& is_done, Millis deadline) {
   const MonotonicClock clock;
   const Millis end = clock.Now() + deadline;
@@ -42,20 +50,13 @@
   return true;
 }
 
-Address OnPort(int port) { return Address{kHost, port}; }
-
-std::string Text(const Address& address) {
-  return address.host + ":" + std::to_string(address.port);
-}
-
 bool IsReady(const Address& operators) {
   httplib::Client client(operators.host, operators.port);
+  client.set_read_timeout(kReadyTimeout);
   const auto answer = client.Get("/ready");
   return answer && answer->status == 200;
 }
 
-}  // namespace
-
 Answer Send(const Address& address, const std::string& method, const std::string& path,
             const json& body) {
   httplib::Client client(address.host, address.port);
@@ -79,8 +80,10 @@
   return answer.status == 200 ? std::move(answer.body) : json(nullptr);
 }
 
-Fleet::Fleet(Programs programs)
-    : programs_(std::move(programs)), folder_(testing_support::MakeTemporaryFolder()) {}
+Fleet::Fleet(Programs programs, FleetOptions options)
+    : programs_(std::move(programs)),
+      options_(std::move(options)),
+      folder_(MakeTemporaryFolder()) {}
 
 Fleet::~Fleet() { std::filesystem::remove_all(folder_); }
 
@@ -93,6 +96,7 @@
   if (!is_listed) return false;
 
   PlanEntries();
+  if (before_entries_) before_entries_();
   for (Entry& entry : entries_) StartEntry(entry);
 
   return WaitUntil(
@@ -109,6 +113,19 @@
   entries_[entry].is_killed = true;
 }
 
+void Fleet::Restart(size_t entry) {
+  StartEntry(entries_[entry]);
+  entries_[entry].is_killed = false;
+}
+
+bool Fleet::AwaitReady(size_t entry) const {
+  return WaitUntil([&] { return IsReady(entries_[entry].operators); }, kStartDeadline);
+}
+
+std::string Fleet::SettingsPath(size_t entry) const {
+  return folder_ + "/" + entries_[entry].name + ".ini";
+}
+
 int Fleet::StopEntries() {
   int stopped = 0;
 
@@ -159,7 +176,8 @@
         programs_.vm, "--name", name, "--first-port", std::to_string(ports[0]),
         "--first-upstream-port", std::to_string(ports[1]), "--millicores",
         std::to_string(kVmCapacity.millicores), "--memory-mib",
-        std::to_string(kVmCapacity.memory_mib)}));
+        std::to_string(kVmCapacity.memory_mib), "--service-ms",
+        std::to_string(options_.service_time.Count())}));
   }
 }
 
@@ -169,7 +187,7 @@
       const std::vector<int> ports = FreePorts(3);
       entries_.push_back(Entry{std::string(data_centre) + "-" + std::to_string(ordinal),
                                data_centre, ordinal, OnPort(ports[0]), OnPort(ports[1]),
-                               OnPort(ports[2]), false, nullptr});
+                               OnPort(ports[2]), kv_, false, nullptr});
     }
   }
 }
@@ -186,7 +204,7 @@
          "\nentries_per_data_centre = " + std::to_string(kEntriesPerDataCentre) +
          "\n[listen]\ncallers = " + Text(entry.callers) + "\noperators = " + Text(entry.operators) +
          "\npeers = " + Text(entry.peers) + "\n[peers]\nseeds = " + seeds +
-         "\nheartbeat_interval = 200ms\ntimeout = 1500ms" + "\n[platform]\nkv = " + Text(kv_) +
+         "\nheartbeat_interval = 200ms\ntimeout = 1500ms" + "\n[platform]\nkv = " + Text(entry.kv) +
          "\nvm_list = " + Text(vm_list_) +
          "\nvm_list_interval = 300ms\ncall_timeout = 1s\nwatch_timeout = 3s" +
          "\n[workers]\ntimeout = 500ms\npoll_interval = 200ms\ntask_lease = 3s" +
@@ -201,4 +219,4 @@
       std::make_unique<Process>(std::vector<std::string>{programs_.entry, "--settings", path});
 }
 
-}  // namespace currantpost::demo
+}  // namespace currantpost::testing_support
--- a/tests/peer/tcp_relay.cc
+++ b/tests/support/tcp_relay.cc
@@ -27,13 +27,13 @@
   return poll(&entry, 1, wait_millis) > 0;
 }
 
-/// Passes on what is readable. Returns false once the connection has ended.
+/// Passes on what is readable, or swallows it. Returns false once the sender has ended.
 bool PassOnce(int from, int to, bool swallow) {
   if (!IsReadable(from, 0)) return true;
 
   std::array<char, 16'384> buffer{};
   const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
-  if (size <= 0) return swallow;
+  if (size <= 0) return false;
   if (swallow) return true;
 
   return send(to, buffer.data(), size, MSG_NOSIGNAL) == size;
@@ -69,7 +69,7 @@
 
 void TcpRelay::Accept() {
   while (!stopping_) {
-    if (silence_requested_) {
+    if (silence_requested_ || silent_) {
       for (Connection& connection : connections_) connection.silent = true;
       silence_requested_ = false;
     }
@@ -78,6 +78,7 @@
 
     Connection& connection = connections_.emplace_back();
     connection.client = accept(listener_, nullptr, nullptr);
+    connection.silent = silent_.load();
     connection.target = socket(AF_INET, SOCK_STREAM, 0);
 
     const sockaddr_in target = Loopback(target_port_);
@@ -91,9 +92,11 @@
 
   while (open && !stopping_) {
     IsReadable(connection.client, 1);
-    const bool swallow = connection.silent;
-    open = PassOnce(connection.client, connection.target, swallow) &&
-           PassOnce(connection.target, connection.client, swallow);
+    const bool silent = connection.silent;
+    open = PassOnce(connection.client, connection.target, silent);
+
+    // What the target says, or that it has ended, does not get through a silent connection.
+    if (open && !silent) open = PassOnce(connection.target, connection.client, false);
   }
 
   close(connection.client);
--- a/tests/peer/tcp_relay.h
+++ b/tests/support/tcp_relay.h
@@ -24,6 +24,9 @@
   /// Makes all present connections silent, for good.
   void SilencePresent();
 
+  /// Makes present and later connections silent, or lets those made from now on work.
+  void SetSilent(bool silent) { silent_ = silent; }
+
  private:
   struct Connection {
     int client = -1;
@@ -40,6 +43,7 @@
   int port_ = 0;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> silence_requested_ = false;
+  std::atomic<bool> silent_ = false;
   std::list<Connection> connections_;
   std::thread thread_;
 };
