Let four of the process tests see what they are there for

Cause: run against broken mechanisms, four tests passed that had to fail. - The relay went silent up to 10 ms late, so the switch still reached the entry that was cut off. SetSilent now waits until present connections are silent. - A restarted entry was let send to a leaving upstream for 5 s. It now gets no request at all. - Entries killed together came back after the tasks' leases; they now come back while these last. - All callers sent orders in step, so a kill could meet reads only; now half of them send orders.

--- a/tests/process/leaving_upstream_test.cc
+++ b/tests/process/leaving_upstream_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
+#include <vector>
 
 #include "currantpost/model/json.h"
 #include "running_fleet.h"
@@ -22,9 +24,11 @@
   return records.is_object() ? records.at("executed").get<int64_t>() : -1;
 }
 
-/// Checks that the first upstream gets requests, and none any more after `leave`.
-template <typename Leave>
-void ExpectNoNewWorkAfter(RunningFleet& fleet, Leave leave) {
+/// Checks that the first upstream gets requests, and none any more after `leave`, also not while
+/// `meanwhile` goes on.
+void ExpectNoNewWorkAfter(
+    RunningFleet& fleet, const std::function<void()>& leave,
+    const std::function<void()>& meanwhile = [] {}) {
   const VmRecord& leaver = fleet.Vms()[kLeaver];
   Callers callers(fleet.CallerAddresses(), kCallersPerEntry);
   callers.Start();
@@ -36,6 +40,7 @@
 
   const int64_t before = ExecutedAt(leaver);
   const int64_t all_before = ReadUpstreams(fleet.Vms()).executed;
+  meanwhile();
   Sleep(kWatched);
   EXPECT_EQ(ExecutedAt(leaver), before);
   EXPECT_GT(ReadUpstreams(fleet.Vms()).executed, all_before) << "no requests at all";
@@ -68,13 +73,14 @@
   RunningFleet fleet;
   const VmRecord& leaver = fleet.Vms()[kLeaver];
 
-  ExpectNoNewWorkAfter(fleet, [&] {
-    EXPECT_FALSE(Ask(leaver.upstream, "PUT", "/admin/leaving", json(true)).is_null());
-    Sleep(Millis(1'000));
-    fleet.Kill(0);
-    fleet.Restart(0);
-    EXPECT_TRUE(fleet.AwaitReady(0));
-  });
+  ExpectNoNewWorkAfter(
+      fleet,
+      [&] { EXPECT_FALSE(Ask(leaver.upstream, "PUT", "/admin/leaving", json(true)).is_null()); },
+      [&] {
+        fleet.Kill(0);
+        fleet.Restart(0);
+        EXPECT_TRUE(fleet.AwaitServing(0));
+      });
 }
 
 }  // namespace
--- a/tests/process/one_place_test.cc
+++ b/tests/process/one_place_test.cc
@@ -69,9 +69,9 @@
   ASSERT_TRUE(SubmitUntilAccepted(fleet.Entries()[0].operators, kJob));
   ASSERT_TRUE(AwaitRunning(fleet, kJob));
 
+  // At once, while the tasks' leases last, so that the new processes find tasks that run.
   fleet.Kill(0);
   fleet.Kill(1);
-  Sleep(Millis(1'000));
   fleet.Restart(0);
   fleet.Restart(1);
   EXPECT_TRUE(fleet.AwaitReady(0));
--- a/tests/support/callers.cc
+++ b/tests/support/callers.cc
@@ -84,7 +84,8 @@
   size_t entry = caller % entries_.size();
 
   for (int number = 0; !stopping_; ++number) {
-    const bool is_order = number % 2 == 1;
+    // Callers run in step, and half of them are to have orders in flight at any time.
+    const bool is_order = (caller / entries_.size() + number) % 2 == 1;
     const std::string name = "c" + std::to_string(caller) + "-" + std::to_string(number);
 
     for (int tries = 0; tries < kMostTries; ++tries) {
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -81,9 +81,7 @@
 }
 
 Fleet::Fleet(Programs programs, FleetOptions options)
-    : programs_(std::move(programs)),
-      options_(std::move(options)),
-      folder_(MakeTemporaryFolder()) {}
+    : programs_(std::move(programs)), options_(options), folder_(MakeTemporaryFolder()) {}
 
 Fleet::~Fleet() { std::filesystem::remove_all(folder_); }
 
--- a/tests/support/tcp_relay.cc
+++ b/tests/support/tcp_relay.cc
@@ -45,7 +45,7 @@
     : target_port_(target_port), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
   sockaddr_in address = Loopback(0);
   socklen_t size = sizeof(address);
-  bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+  static_cast<void>(bind(listener_, reinterpret_cast<sockaddr*>(&address), size));
   listen(listener_, SOMAXCONN);
   getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
   port_ = ntohs(address.sin_port);
@@ -67,9 +67,14 @@
   while (silence_requested_) std::this_thread::yield();
 }
 
+void TcpRelay::SetSilent(bool silent) {
+  silent_ = silent;
+  if (silent) SilencePresent();
+}
+
 void TcpRelay::Accept() {
   while (!stopping_) {
-    if (silence_requested_ || silent_) {
+    if (silence_requested_) {
       for (Connection& connection : connections_) connection.silent = true;
       silence_requested_ = false;
     }
@@ -82,7 +87,8 @@
     connection.target = socket(AF_INET, SOCK_STREAM, 0);
 
     const sockaddr_in target = Loopback(target_port_);
-    connect(connection.target, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    static_cast<void>(
+        connect(connection.target, reinterpret_cast<const sockaddr*>(&target), sizeof(target)));
     connection.thread = std::thread([this, &connection] { Pass(connection); });
   }
 }
--- a/tests/support/tcp_relay.h
+++ b/tests/support/tcp_relay.h
@@ -25,7 +25,7 @@
   void SilencePresent();
 
   /// Makes present and later connections silent, or lets those made from now on work.
-  void SetSilent(bool silent) { silent_ = silent; }
+  void SetSilent(bool silent);
 
  private:
   struct Connection {
