--- a/tests/demo/fleet.cc
+++ b/tests/demo/fleet.cc
@@ -79,8 +79,10 @@
   return answer.status == 200 ? std::move(answer.body) : json(nullptr);
 }
 
-Fleet::Fleet(Programs programs)
-    : programs_(std::move(programs)), folder_(testing_support::MakeTemporaryFolder()) {}
+Fleet::Fleet(Programs programs, Millis service_time)
+    : programs_(std::move(programs)),
+      service_time_(service_time),
+      folder_(testing_support::MakeTemporaryFolder()) {}
 
 Fleet::~Fleet() { std::filesystem::remove_all(folder_); }
 
@@ -157,7 +159,8 @@
 
     stand_ins_.push_back(std::make_unique<Process>(std::vector<std::string>{
         programs_.vm, "--name", name, "--first-port", std::to_string(ports[0]),
-        "--first-upstream-port", std::to_string(ports[1]), "--millicores",
+        "--first-upstream-port", std::to_string(ports[1]), "--service-ms",
+        std::to_string(service_time_.Count()), "--millicores",
         std::to_string(kVmCapacity.millicores), "--memory-mib",
         std::to_string(kVmCapacity.memory_mib)}));
   }
--- a/tests/demo/fleet.h
+++ b/tests/demo/fleet.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "currantpost/base/time.h"
 #include "currantpost/model/vm.h"
 #include "process.h"
 
@@ -33,7 +34,8 @@
 /// their own on the loopback address.
 class Fleet {
  public:
-  explicit Fleet(Programs programs);
+  /// The VMs take `service_time` for each request.
+  explicit Fleet(Programs programs, Millis service_time = Millis(5));
   ~Fleet();
 
   Fleet(const Fleet&) = delete;
@@ -62,6 +64,7 @@
   std::string SettingsText(const Entry& entry) const;
 
   Programs programs_;
+  Millis service_time_;
   std::string folder_;
   Address kv_;
   Address vm_list_;
