--- a/lib/control/include/currantpost/control/work_state.h
+++ b/lib/control/include/currantpost/control/work_state.h
@@ -18,6 +18,11 @@
 #include "currantpost/model/codec.h"
 #include "currantpost/model/job.h"
 #include "currantpost/model/worker.h"
+#include "currantpost/policy/eviction_planner.h"
+#include "currantpost/policy/interference_model.h"
+#include "currantpost/policy/quarantine.h"
+#include "currantpost/policy/residency_history.h"
+#include "currantpost/policy/size_estimator.h"
 
 namespace currantpost {
 
@@ -51,10 +56,18 @@
   std::string checkpoint;
   /// The start left for the worker, and neither a table nor a refusal has settled it.
   bool sent = false;
-  /// The task goes back into the queue once its row is removed.
-  bool requeue = false;
+  /// What was committed for it when it was placed.
+  Resources size;
   /// Largest use seen of it.
   Resources observed;
+  /// Use in the latest report.
+  Resources used;
+  /// When this owner first saw it running.
+  Millis running_since;
+  /// Whether the worker is to slow it down.
+  bool throttle = false;
+  /// A checkpoint is to be confirmed before it is stopped.
+  bool checkpoint_due = false;
 };
 
 /// A task that waits for a further attempt.
@@ -131,10 +144,17 @@
   Millis next_order;
   /// When the last table came.
   Millis answered_at;
+  /// When this process last went on after a pause; before that, the silence was its own.
+  Millis resumed_at;
   /// Left out of a write of the record, as the leases of its tasks have lapsed. Gets no orders.
   bool lapsed = false;
-  /// Failed tasks in a row, with none finished between.
-  int32_t failures_in_row = 0;
+  /// Tasks that failed since one last finished, while the worker was thought healthy.
+  std::vector<TaskKey> suspect_failures;
+  /// Batch that ran here and when.
+  ResidencyHistory residency = ResidencyHistory();
+  /// When the latest usage was measured, and the worst slowdown of services in it.
+  Millis measured_at;
+  double slowdown = 1.0;
 };
 
 /// What a write of a rack's record is for.
@@ -189,6 +209,10 @@
   std::optional<RackWrite> write;
   /// No new write before this, after a failure.
   Millis write_not_before;
+  /// An attempt's row has to go before its next attempt is known to run, so the record is to say
+  /// so.
+  bool release_due = false;
+  Millis release_not_before;
   /// Since when this entry has a reason to take the rack.
   std::optional<Millis> wanted_since;
 
@@ -314,6 +338,13 @@
   std::map<RackId, Epoch> owned;
 
   std::optional<Millis> started_at;
+  /// What is learned of workers and kinds of tasks; forgotten with the process.
+  /// @{
+  Quarantine quarantine;
+  InterferenceModel interference;
+  SizeEstimator sizes;
+  EvictionPlanner evictions;
+  /// @}
   WorkWatch watch;
   std::map<RequestId, OutstandingCall> calls;
   /// The rack of each worker that has an order outstanding, by request.
--- a/lib/control/source/ownership.cc
+++ b/lib/control/source/ownership.cc
@@ -38,6 +38,8 @@
   const bool known = peer != state.membership.peers.end();
   if (known && peer->second.known.incarnation > record.incarnation) return false;
   if (known && peer->second.alive) return true;
+  // It was heard after the change and has fallen silent since, so the change speaks for it no more.
+  if (known && rack.changed_at && peer->second.heard_at > *rack.changed_at) return false;
 
   return rack.changed_at && state.now < *rack.changed_at + kChangeGrace;
 }
@@ -129,6 +131,7 @@
   rack.recorded.clear();
   rack.unrecorded.clear();
   rack.last_fence = 0;
+  rack.release_due = false;
 }
 
 void TakeRack(State& state, Effects& effects, RackState& rack) {
@@ -156,8 +159,14 @@
       worker.confirmed = false;
     }
 
+    const bool joined = named && !worker.in_record;
     worker.in_record = named;
     worker.lapsed = false;
+
+    // A worker that was silent for long may come back with finished tasks.
+    if (joined && worker.confirmed && rack.phase == RackPhase::kOpen) {
+      AdoptRows(state, effects, rack, worker);
+    }
   }
 
   rack.placement_due = true;
@@ -191,6 +200,7 @@
 /// Gives a write up that surely has not taken effect.
 void DropWrite(State& state, RackState& rack) {
   rack.write.reset();
+  rack.release_due = true;
   rack.write_not_before = state.now + kKvRetryInterval;
   for (auto& [id, worker] : rack.workers) worker.lapsed = false;
 }
--- a/lib/control/source/reconcile.cc
+++ b/lib/control/source/reconcile.cc
@@ -20,7 +20,8 @@
   return &part->second;
 }
 
-void TakeFinished(RackState& rack, PartState& part, const TaskKey& key, ActiveTask& task) {
+void TakeFinished(State& state, RackState& rack, PartState& part, const TaskKey& key,
+                  ActiveTask& task) {
   if (IsOver(part, key.index)) {
     task.phase = TaskPhase::kAcknowledging;
     return;
@@ -28,19 +29,28 @@
 
   task.phase = TaskPhase::kRecording;
   NoteOver(rack, part, key.index, true);
-  rack.workers.at(task.worker).failures_in_row = 0;
+  NoteSuccess(state, rack.workers.at(task.worker));
 }
 
-void TakeFailed(const State& state, Effects& effects, RackState& rack, PartState& part,
+/// Queues the attempt after one that ended early. Its row stays at the worker, where another owner
+/// can find the attempt's number and checkpoint, until the next attempt runs.
+void QueueNextAttempt(const State& state, RackState& rack, const TaskKey& key,
+                      const ActiveTask& task, const std::string& checkpoint) {
+  QueuedRetry retry{.attempt = task.attempt + 1, .checkpoint = checkpoint};
+  RemoveActive(rack, key);
+  Requeue(state, rack, key, std::move(retry));
+}
+
+void TakeFailed(State& state, Effects& effects, RackState& rack, PartState& part,
                 const TaskKey& key, ActiveTask& task) {
   if (task.phase == TaskPhase::kAcknowledging || task.phase == TaskPhase::kRecording) return;
 
-  ++rack.workers.at(task.worker).failures_in_row;
-  const int32_t failures = ++part.failures[key.index];
+  WorkerState& worker = rack.workers.at(task.worker);
+  const bool counts = NoteFailure(state, effects, rack, worker, key);
+  const int32_t failures = part.failures[key.index] += counts ? 1 : 0;
 
   if (failures < state.settings.most_attempts) {
-    task.phase = TaskPhase::kAcknowledging;
-    task.requeue = true;
+    QueueNextAttempt(state, rack, key, task, task.checkpoint);
     return;
   }
 
@@ -52,41 +62,41 @@
        {"failures", std::to_string(failures)}});
 }
 
-void TakeRunning(PartState& part, const TaskKey& key, ActiveTask& task) {
+void TakeRunning(Millis now, PartState& part, const TaskKey& key, ActiveTask& task) {
   // What is recorded as over must not run on; nor must the tasks of a cancelled job.
   if (part.cancelled || IsOver(part, key.index)) {
     task.phase = TaskPhase::kStopping;
     return;
   }
 
+  if (task.running_since == Millis(0)) task.running_since = now;
   if (task.phase != TaskPhase::kStopping) task.phase = TaskPhase::kRunning;
 }
 
-void TakeStopped(const PartState& part, const TaskKey& key, ActiveTask& task,
+void TakeStopped(const State& state, RackState& rack, const TaskKey& key, const ActiveTask& task,
                  const WorkerTask& row) {
   if (task.phase == TaskPhase::kRecording) return;
 
-  task.phase = TaskPhase::kAcknowledging;
-  task.requeue = !part.cancelled && !IsOver(part, key.index);
-  task.checkpoint = row.checkpoint;
+  QueueNextAttempt(state, rack, key, task, row.checkpoint);
 }
 
-void TakeRow(const State& state, Effects& effects, RackState& rack, PartState& part,
-             ActiveTask& task, const WorkerTask& row) {
+/// Takes in a row of a task's present attempt. The task may be queued anew and active no more.
+void TakeRow(State& state, Effects& effects, RackState& rack, PartState& part, ActiveTask& task,
+             const WorkerTask& row) {
   task.sent = false;
 
   switch (row.state) {
     case WorkerTaskState::kRunning:
-      TakeRunning(part, row.task, task);
+      TakeRunning(state.now, part, row.task, task);
       return;
     case WorkerTaskState::kFinished:
-      TakeFinished(rack, part, row.task, task);
+      TakeFinished(state, rack, part, row.task, task);
       return;
     case WorkerTaskState::kFailed:
       TakeFailed(state, effects, rack, part, row.task, task);
       return;
     case WorkerTaskState::kStopped:
-      TakeStopped(part, row.task, task, row);
+      TakeStopped(state, rack, row.task, task, row);
       return;
   }
 }
@@ -111,7 +121,7 @@
 
   RemoveActive(rack, key);
   if (part.cancelled || IsOver(part, key.index)) return;
-  if (gone.phase == TaskPhase::kAcknowledging && !gone.requeue) return;
+  if (gone.phase == TaskPhase::kAcknowledging) return;
 
   const bool refused = gone.phase == TaskPhase::kStarting;
   Requeue(state, rack, key,
@@ -120,7 +130,7 @@
                       .not_before = state.now});
 }
 
-void SettleTask(const State& state, Effects& effects, RackState& rack, const WorkerState& worker,
+void SettleTask(State& state, Effects& effects, RackState& rack, const WorkerState& worker,
                 const TaskKey& key) {
   PartState& part = rack.parts.at(key.job);
   ActiveTask& task = part.active.at(key.index);
@@ -136,18 +146,44 @@
 
 /// Returns the largest of what a task was declared to need, holds and was seen to use.
 Resources Committed(const JobSpec& spec, const ActiveTask& task, const WorkerTask* row) {
-  Resources committed = Largest(spec.declared, task.observed);
+  Resources committed = Largest(Largest(spec.declared, task.size), task.observed);
   if (row != nullptr) committed = Largest(committed, row->held);
   committed.accelerators = std::max(spec.declared.accelerators, row ? row->held.accelerators : 0);
   return committed;
 }
 
+/// Says whether nothing more follows from the row of a past attempt.
+bool IsAnswered(const PartState& part, const WorkerTask& row) {
+  if (part.cancelled || HasEnded(part, row.task.index)) return true;
+
+  const auto retry = part.retries.find(row.task.index);
+  return retry != part.retries.end() && retry->second.attempt > row.attempt;
+}
+
+/// Takes in that an attempt has finished at a worker that was silent, after a later attempt was
+/// decided. The later one is not started, or is stopped once the completion is recorded.
+void TakeLateFinish(RackState& rack, PartState& part, const WorkerTask& row) {
+  const ActiveTask* active = FindActive(rack, row.task);
+  if (active == nullptr || active->attempt <= row.attempt) return;
+
+  if (active->phase == TaskPhase::kStarting && !active->sent) {
+    RemoveActive(rack, row.task);
+    return;
+  }
+
+  NoteOver(rack, part, row.task.index, true);
+}
+
+}  // namespace
+
 bool HoldsResources(TaskPhase phase) {
   return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
          phase == TaskPhase::kStopping;
 }
 
-}  // namespace
+bool IsPast(const WorkerTask& row) {
+  return row.state == WorkerTaskState::kStopped || row.state == WorkerTaskState::kFailed;
+}
 
 bool IsActiveRow(const RackState& rack, const WorkerState& worker, const WorkerTask& row) {
   const ActiveTask* task = FindActive(rack, row.task);
@@ -164,10 +200,19 @@
   if (part == rack.parts.end()) return StrayAction::kKeep;
   if (!Covers(part->second.part, row.task.index)) return StrayAction::kKeep;
   if (IsOver(part->second, row.task.index)) return removal;
+  // A completion that is not recorded yet must not get lost, whichever attempt it is of.
+  if (row.state == WorkerTaskState::kFinished) return StrayAction::kKeep;
 
   const ActiveTask* active = FindActive(rack, row.task);
-  // What is not recorded yet stays where another owner can find it.
-  if (active == nullptr || active->phase == TaskPhase::kRecording) return StrayAction::kKeep;
+
+  if (active == nullptr) {
+    const bool obsolete = part->second.cancelled && IsPast(row);
+    return obsolete ? StrayAction::kAcknowledge : StrayAction::kKeep;
+  }
+
+  // What is not recorded yet, or not resumed for certain, stays where another owner can find it.
+  if (active->phase == TaskPhase::kRecording) return StrayAction::kKeep;
+  if (active->phase == TaskPhase::kStarting && IsPast(row)) return StrayAction::kKeep;
 
   // Another attempt is active, so this one is of the past.
   return removal;
@@ -182,7 +227,11 @@
       continue;
     }
 
-    if (IsOver(*part, key.index) || part->active.contains(key.index)) continue;
+    if (IsOver(*part, key.index)) continue;
+    if (row.state == WorkerTaskState::kFinished) TakeLateFinish(rack, *part, row);
+    if (part->active.contains(key.index)) continue;
+
+    if (IsPast(row) && IsAnswered(*part, row)) continue;
 
     part->retries.erase(key.index);
     ActiveTask& task = part->active[key.index];
@@ -190,6 +239,8 @@
     task.attempt = row.attempt;
     task.phase = TaskPhase::kRunning;
     task.checkpoint = row.checkpoint;
+    task.size = Largest(part->spec.declared, row.held);
+    task.throttle = row.throttled;
     worker.tasks.insert(key);
     TakeRow(state, effects, rack, *part, task, row);
   }
--- a/lib/control/source/work.h
+++ b/lib/control/source/work.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "currantpost/policy/placement.h"
 #include "feature.h"
 
 /// What the files of the work feature share.
@@ -111,14 +112,45 @@
 
 StrayAction DecideStray(const State& state, const RackState& rack, const WorkerTask& row);
 
+/// Says whether the row is of an attempt that ended without an outcome to record.
+bool IsPast(const WorkerTask& row);
+
 /// Says whether a row belongs to the active attempt of a task at this worker.
 bool IsActiveRow(const RackState& rack, const WorkerState& worker, const WorkerTask& row);
 
+/// Says whether a task in this phase holds resources of its worker.
+bool HoldsResources(TaskPhase phase);
+
+// Usage, pressure and health.
+
+/// Takes in a usage report, and decides about the batch beside services that are too slow.
+void TakeUsage(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+               const WorkerTable& table);
+
+/// Returns the kinds of the services on a worker, one entry for each task.
+std::vector<std::string> ServicesOn(const RackState& rack, const WorkerState& worker);
+
+/// Returns the batch on a worker by kind.
+std::vector<KindLoad> BatchOn(const RackState& rack, const WorkerState& worker);
+
+/// Takes in that a task failed. Returns whether that counts against the task, not the worker.
+bool NoteFailure(State& state, Effects& effects, RackState& rack, WorkerState& worker,
+                 const TaskKey& key);
+
+/// Takes in that a task finished.
+void NoteSuccess(State& state, WorkerState& worker);
+
 // Tasks and parts.
 
 ActiveTask* FindActive(RackState& rack, const TaskKey& key);
 const ActiveTask* FindActive(const RackState& rack, const TaskKey& key);
 
+/// Says whether the rack's record in the store keeps an attempt, so that its row may go.
+bool IsReleased(const RackState& rack, const TaskKey& key, int32_t attempt);
+
+/// Queues the attempts after those that the rack's record keeps.
+void AdoptReleased(const State& state, RackState& rack, PartState& part);
+
 /// Makes or updates the part of a job whose home is an open rack.
 void ApplyJobToRack(State& state, Effects& effects, RackState& rack, const JobRecord& record);
 
--- a/lib/control/source/workers.cc
+++ b/lib/control/source/workers.cc
@@ -24,27 +24,39 @@
 
 /// Returns the order that a task asks for, if it asks for one.
 std::optional<WorkerOrder> TaskOrder(const State& state, const RackState& rack,
-                                     const TaskKey& key) {
+                                     const WorkerState& worker, const TaskKey& key) {
   const ActiveTask* task = FindActive(rack, key);
   if (task == nullptr) return std::nullopt;
 
   switch (task->phase) {
     case TaskPhase::kStarting: {
+      // The worker refuses a start beside the row of an earlier attempt.
+      const auto past = worker.rows.find(key);
+      if (past != worker.rows.end() && past->second.attempt != task->attempt) {
+        if (!IsReleased(rack, key, past->second.attempt)) return std::nullopt;
+        return AcknowledgeTask{key, past->second.attempt};
+      }
+
       const JobSpec& spec = rack.parts.at(key.job).spec;
       return StartTask{.task = key,
                        .attempt = task->attempt,
                        .task_class = spec.task_class,
                        .kind = spec.kind,
-                       .size = spec.declared,
+                       .size = Largest(spec.declared, task->size),
                        .run_time = spec.run_time,
                        .checkpoint = task->checkpoint,
                        .lease = state.settings.task_lease};
     }
     case TaskPhase::kStopping:
+      if (task->checkpoint_due) return CheckpointTask{key, task->attempt};
       return StopTask{key, task->attempt};
     case TaskPhase::kAcknowledging:
       return AcknowledgeTask{key, task->attempt};
-    case TaskPhase::kRunning:
+    case TaskPhase::kRunning: {
+      const auto row = worker.rows.find(key);
+      if (row == worker.rows.end() || row->second.throttled == task->throttle) return std::nullopt;
+      return ThrottleTask{key, task->attempt, task->throttle};
+    }
     case TaskPhase::kRecording:
       return std::nullopt;
   }
@@ -85,7 +97,7 @@
   if (auto order = StrayOrder(state, rack, worker)) return order;
 
   for (const TaskKey& key : worker.tasks) {
-    if (auto order = TaskOrder(state, rack, key)) return order;
+    if (auto order = TaskOrder(state, rack, worker, key)) return order;
   }
 
   return std::nullopt;
@@ -102,6 +114,16 @@
   task->sent = sent;
 }
 
+/// Notes that the worker answered an order for a checkpoint. One that it refused is not repeated:
+/// the task has ended, or goes on from the checkpoint before.
+void MarkCheckpoint(RackState& rack, const WorkerOrder& order) {
+  const auto* checkpoint = std::get_if<CheckpointTask>(&order);
+  if (checkpoint == nullptr) return;
+
+  ActiveTask* task = FindActive(rack, checkpoint->task);
+  if (task != nullptr && task->attempt == checkpoint->attempt) task->checkpoint_due = false;
+}
+
 /// Ends a life of the worker, and begins the next.
 void ReplaceLife(State& state, Effects& effects, RackState& rack, WorkerState& worker,
                  const RackMember& next) {
@@ -109,6 +131,8 @@
       {{"worker", next.vm.Text()}, {"incarnation", std::to_string(next.incarnation)}});
   DropOutstanding(state, worker);
   ReleaseTasksOf(state, effects, rack, worker);
+  state.work.quarantine.Forget(worker.member.vm);
+  state.work.evictions.Forget(worker.member.vm);
 
   worker = WorkerState{};
   worker.member = next;
@@ -116,15 +140,6 @@
   rack.placement_due = true;
 }
 
-void TakeUsage(RackState& rack, const WorkerTable& table) {
-  for (const TaskUsage& usage : table.usage) {
-    ActiveTask* task = FindActive(rack, usage.task);
-    if (task == nullptr || task->attempt != usage.attempt) continue;
-
-    task->observed = Largest(task->observed, usage.used);
-  }
-}
-
 void TakeTable(State& state, Effects& effects, RackState& rack, WorkerState& worker,
                const WorkerTable& table) {
   // Leases may have gone unrenewed meanwhile.
@@ -137,8 +152,10 @@
   worker.rows.clear();
   for (const WorkerTask& row : table.tasks) worker.rows[row.task] = row;
 
-  TakeUsage(rack, table);
-  if (rack.phase == RackPhase::kOpen && worker.in_record) Reconcile(state, effects, rack, worker);
+  if (rack.phase == RackPhase::kOpen && worker.in_record) {
+    Reconcile(state, effects, rack, worker);
+    TakeUsage(state, effects, rack, worker, table);
+  }
 
   RecountCommitments(rack, worker);
   ListPartsWhenRaised(state, effects, rack);
@@ -220,6 +237,7 @@
     if (std::holds_alternative<RaiseEpoch>(order)) return true;
   }
 
+  MarkCheckpoint(rack, order);
   TakeTable(state, effects, rack, worker, reply.table);
   return true;
 }
@@ -302,6 +320,7 @@
 void DistrustWorkers(State& state, Effects& effects) {
   for (auto& [id, rack] : state.work.racks) {
     for (auto& [vm, worker] : rack.workers) {
+      worker.resumed_at = state.now;
       DropOutstanding(state, worker);
       LoseTrack(state, rack, worker);
       DriveWorker(state, effects, rack, worker);
