--- a/bench/reducer_cost.cc
+++ b/bench/reducer_cost.cc
@@ -1,6 +1,7 @@
 #include <benchmark/benchmark.h>
 
-#include <memory>
+#include <algorithm>
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,16 @@
   return events > 0 ? (after.seconds - before.seconds) * kMicros / events : 0.0;
 }
 
+/// Mean microseconds of an action, of a few times.
+template <typename Action>
+double MicrosOf(const Action& action) {
+  constexpr int kTimes = 5;
+  const auto begin = std::chrono::steady_clock::now();
+  for (int time = 0; time < kTimes; ++time) action();
+  const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - begin;
+  return taken.count() * kMicros / kTimes;
+}
+
 /// One iteration is a second of simulated time with all that comes in it.
 void SteadySecond(benchmark::State& run, const SteadyCase& each) {
   OneEntry entry(each.surroundings);
@@ -206,8 +217,33 @@
 
   AllSlopes().Add("VM list by VMs listed", "us", vms,
                   seconds * kMicros / static_cast<double>(lists));
-  AllSlopes().Add("VM list as JSON by VMs listed", "bytes", vms,
-                  static_cast<double>(Encode(entry.List()).size()));
+  const std::string text = Encode(entry.List());
+  AllSlopes().Add("VM list as JSON by VMs listed", "bytes", vms, static_cast<double>(text.size()));
+  AllSlopes().Add("VM list decoded by VMs listed", "us", vms,
+                  MicrosOf([&] { benchmark::DoNotOptimize(DecodeVmList(text)); }));
+}
+
+/// What a worker answers every order with, as text.
+void WorkerTableText(benchmark::State& run) {
+  const auto tasks = static_cast<int>(run.range(0));
+  WorkerTable table{.incarnation = 1'764'828'000'000, .epoch = int64_t{5} << 32};
+
+  for (int task = 0; task < tasks; ++task) {
+    const TaskKey key{JobId("weekly-menu-20261204"), task};
+    table.tasks.push_back(WorkerTask{.task = key, .attempt = 1, .held = {4'000, 8'000, 0}});
+    table.usage.push_back(TaskUsage{.task = key, .attempt = 1, .used = {3'000, 6'000, 0}});
+  }
+
+  const std::string text = Encode(table);
+  while (run.KeepRunning()) {
+    run.SetIterationTime(MicrosOf([&] { benchmark::DoNotOptimize(DecodeWorkerTable(text)); }) /
+                         kMicros);
+  }
+
+  AllSlopes().Add("worker table as JSON by tasks", "bytes", tasks,
+                  static_cast<double>(text.size()));
+  AllSlopes().Add("worker table decoded by tasks", "us", tasks,
+                  MicrosOf([&] { benchmark::DoNotOptimize(DecodeWorkerTable(text)); }));
 }
 
 void Dump(benchmark::State& run) {
@@ -305,6 +341,8 @@
   settle(benchmark::RegisterBenchmark("Cancel", CancelQueued)->Arg(100)->Arg(1'000)->Arg(10'000),
          3);
   settle(benchmark::RegisterBenchmark("VmList", VmList)->Arg(48)->Arg(1'000)->Arg(14'000), 20);
+  settle(benchmark::RegisterBenchmark("WorkerTable", WorkerTableText)->Arg(1)->Arg(15)->Arg(60),
+         20);
   settle(benchmark::RegisterBenchmark("Dump", Dump)->Arg(48)->Arg(1'000)->Arg(14'000), 5);
 }
 
--- a/bench/reducer_sizes.cc
+++ b/bench/reducer_sizes.cc
@@ -213,6 +213,11 @@
                  slopes);
   }
 
+  CountTraffic({"today: 3 entries here, 6 elsewhere",
+                1,
+                {.workers = 16, .foreign_vms = 32, .entries = 3, .foreign_entries = 6}},
+               slopes);
+
   for (const int jobs : {1, 2, 4}) {
     CountTraffic({"jobs/s of 48 tasks, 6 racks owned",
                   static_cast<double>(jobs),
