Give distant peers a whole turn before they count as silent

Cause: one peer of another data centre is reached every other round, so with many of them each is heard rarely; the allowed silence was that of the own data centre. Change: a distant peer may be silent for the timeout and one turn of all of them. Liveness of distant peers decides no ownership, only whom the configuration is sent to and what the dump says; a dead one is noticed later (8 s with 6 of them, 482 s with 480).

--- a/lib/control/source/membership_feature.cc
+++ b/lib/control/source/membership_feature.cc
@@ -31,14 +31,21 @@
 }
 
 /// Returns how long a peer may be silent; longer where a round does not reach all peers.
-Millis SilenceAllowed(const State& state) {
-  const auto local =
+Millis SilenceAllowed(const State& state, bool local) {
+  const auto peers =
       static_cast<int64_t>(std::ranges::count_if(state.membership.peers, [&](const auto& named) {
-        return named.second.alive && IsLocal(state, named.second);
+        return IsLocal(state, named.second) == local && (named.second.alive || !local);
       }));
-  const int64_t rounds = (local + static_cast<int64_t>(kLocalFanOut) - 1) / kLocalFanOut;
+  const Millis timeout = state.settings.peer_timeout;
 
-  return state.settings.peer_timeout * std::max<int64_t>(1, rounds);
+  if (!local) {
+    // One of them a turn: all have had theirs after this many rounds.
+    const auto rounds = peers * static_cast<int64_t>(kRemoteEvery);
+    return timeout + state.settings.heartbeat_interval * rounds;
+  }
+
+  const auto reached = static_cast<int64_t>(kLocalFanOut);
+  return timeout * std::max<int64_t>(1, (peers + reached - 1) / reached);
 }
 
 /// Takes in news of an entry that was heard `age` ago.
@@ -67,7 +74,7 @@
     peer.known.leaving = leaving;
   }
 
-  const bool alive = state.now - peer.heard_at <= SilenceAllowed(state);
+  const bool alive = state.now - peer.heard_at <= SilenceAllowed(state, IsLocal(state, peer));
 
   if (alive && !peer.alive) {
     Log(effects, Severity::kInfo, Part::kMembership, "peer is up",
@@ -92,9 +99,11 @@
 }
 
 void MarkSilentPeers(State& state, Effects& effects) {
-  const Millis allowed = SilenceAllowed(state);
+  const Millis allowed_here = SilenceAllowed(state, true);
+  const Millis allowed_elsewhere = SilenceAllowed(state, false);
 
   for (auto& [entry, peer] : state.membership.peers) {
+    const Millis allowed = IsLocal(state, peer) ? allowed_here : allowed_elsewhere;
     if (!peer.alive || state.now - peer.heard_at <= allowed) continue;
 
     peer.alive = false;
