Pass all leaving upstreams on, and each only while it is news

Cause: every heartbeat carried the first 64 leaving upstreams by name, for an hour and longer each: those after the 64th were never passed on, and the 64 filled the line. Change: lives learned within 15 s are passed on, up to 64 at a time from another place of the list each round; of older ones one a heartbeat, for entries that start later. Ruled out: a random start taken modulo the list's length, which left 100 of 560 untold after 15 s; the start now follows the golden ratio, which spreads evenly.

Tests red with the former code: each of 19 peers was told 64 of 560, and 200 heartbeats carried 64 old ones.

--- a/lib/control/source/membership_feature.cc
+++ b/lib/control/source/membership_feature.cc
@@ -17,8 +17,16 @@
 constexpr uint64_t kRemoteEvery = 2;
 /// Entries passed on in one heartbeat.
 constexpr size_t kKnownPerHeartbeat = 4;
-/// Leaving upstreams passed on in one heartbeat.
-constexpr size_t kLeavingPerHeartbeat = 64;
+/// Upstreams newly known to leave that are passed on in one heartbeat.
+constexpr size_t kNewLeavingPerHeartbeat = 64;
+/// Upstreams known to leave for longer that are passed on in one heartbeat, for entries that were
+/// not there when it was news.
+constexpr size_t kOldLeavingPerHeartbeat = 1;
+/// How long it is news that an upstream leaves.
+constexpr Millis kLeavingIsNewsFor = Millis(15'000);
+/// Spreads rounds evenly over a list, whatever its length and whichever rounds a peer gets: 2 to
+/// the 64th divided by the golden ratio.
+constexpr uint64_t kSpread = 0x9E37'79B9'7F4A'7C15;
 /// Time after which a silent peer is forgotten.
 constexpr Millis kForgetAfter = Millis(600'000);
 
@@ -126,6 +134,33 @@
   return own.empty() ? std::string() : Encode(own);
 }
 
+/// Adds so many of the lives, beginning at another place each round.
+void AddSome(const std::vector<const LeavingUpstream*>& lives, size_t most, uint64_t round,
+             Heartbeat& heartbeat) {
+  constexpr int kHalf = 32;
+  if (lives.empty()) return;
+
+  const uint64_t share = (round * kSpread) >> kHalf;
+  const auto begin = static_cast<size_t>((share * lives.size()) >> kHalf);
+
+  for (size_t offset = 0; offset < std::min(most, lives.size()); ++offset) {
+    heartbeat.leaving_upstreams.push_back(*lives[(begin + offset) % lives.size()]);
+  }
+}
+
+void AddLeaving(const State& state, Heartbeat& heartbeat) {
+  std::vector<const LeavingUpstream*> news;
+  std::vector<const LeavingUpstream*> old;
+
+  for (const auto& [life, since] : state.upstreams.leaving) {
+    const bool is_news = state.now - since <= kLeavingIsNewsFor;
+    (is_news ? news : old).push_back(&life);
+  }
+
+  AddSome(news, kNewLeavingPerHeartbeat, state.membership.round, heartbeat);
+  AddSome(old, kOldLeavingPerHeartbeat, state.membership.round, heartbeat);
+}
+
 Heartbeat MakeHeartbeat(const State& state) {
   Heartbeat heartbeat{.sender = DescribeSelf(state)};
 
@@ -133,11 +168,7 @@
     heartbeat.racks.push_back(RackClaim{rack, epoch});
   }
 
-  for (const auto& [life, since] : state.upstreams.leaving) {
-    if (heartbeat.leaving_upstreams.size() == kLeavingPerHeartbeat) break;
-    heartbeat.leaving_upstreams.push_back(life);
-  }
-
+  AddLeaving(state, heartbeat);
   heartbeat.wants_vm_list = !state.upstreams.list_known;
   return heartbeat;
 }
--- a/tests/control/heartbeat_test.cc
+++ b/tests/control/heartbeat_test.cc
@@ -87,6 +87,47 @@
   int64_t silences_ = 0;
 };
 
+TEST(LeavingNews, EachOfManyLeavingUpstreamsReachesEachPeerWithinSeconds) {
+  constexpr int kUpstreams = 560;
+  constexpr int kPeers = 19;
+  constexpr int kTicks = 150;
+  SendingEntry entry;
+  for (int peer = 0; peer < kPeers; ++peer) entry.Hear(peer, kOwn);
+  for (int upstream = 0; upstream < kUpstreams; ++upstream) entry.SeesLeaving(upstream);
+
+  std::set<VmId> told;
+  for (int tick = 0; tick < kTicks; ++tick) {
+    for (int peer = 0; peer < kPeers; ++peer) entry.Hear(peer, kOwn);
+    entry.Tick();
+  }
+
+  // Each peer passes on what it heard, so that together they know all.
+  for (int peer = 0; peer < kPeers; ++peer) {
+    told.merge(entry.ToldTo(peer));
+    EXPECT_GE(entry.ToldTo(peer).size(), 300U) << peer;
+  }
+  EXPECT_EQ(told.size(), kUpstreams);
+}
+
+TEST(LeavingNews, OldNewsTakesLittleRoomAndIsStillToldToNewPeers) {
+  constexpr int kUpstreams = 150;
+  constexpr size_t kMostEach = 4;
+  SendingEntry entry;
+  for (int upstream = 0; upstream < kUpstreams; ++upstream) entry.SeesLeaving(upstream);
+  for (int tick = 0; tick < 200; ++tick) entry.Tick();
+
+  entry.Hear(1, kOwn);
+  for (int tick = 0; tick < 1'000; ++tick) {
+    entry.Hear(1, kOwn);
+    entry.Tick();
+  }
+
+  EXPECT_GE(entry.ToldTo(1).size(), kUpstreams * 9 / 10);
+  for (const SendHeartbeat& send : entry.TakeSent()) {
+    EXPECT_LE(send.heartbeat.leaving_upstreams.size(), kMostEach);
+  }
+}
+
 TEST(DistantPeers, AreNotTakenForDeadBetweenTheirTurns) {
   constexpr int kPeers = 48;
   SendingEntry entry;
