--- a/lib/control/source/membership_feature.cc
+++ b/lib/control/source/membership_feature.cc
@@ -17,8 +17,16 @@
 constexpr uint64_t kRemoteEvery = 2;
 /// Entries passed on in one heartbeat.
 constexpr size_t kKnownPerHeartbeat = 4;
-/// Leaving upstreams passed on in one heartbeat.
-constexpr size_t kLeavingPerHeartbeat = 64;
+/// Upstreams newly known to leave that are passed on in one heartbeat.
+constexpr size_t kNewLeavingPerHeartbeat = 64;
+/// Upstreams known to leave for longer that are passed on in one heartbeat, for entries that were
+/// not there when it was news.
+constexpr size_t kOldLeavingPerHeartbeat = 1;
+/// How long it is news that an upstream leaves.
+constexpr Millis kLeavingIsNewsFor = Millis(15'000);
+/// Spreads rounds evenly over a list, whatever its length and whichever rounds a peer gets: 2 to
+/// the 64th divided by the golden ratio.
+constexpr uint64_t kSpread = 0x9E37'79B9'7F4A'7C15;
 /// Time after which a silent peer is forgotten.
 constexpr Millis kForgetAfter = Millis(600'000);
 
@@ -31,14 +39,21 @@
 }
 
 /// Returns how long a peer may be silent; longer where a round does not reach all peers.
-Millis SilenceAllowed(const State& state) {
-  const auto local =
+Millis SilenceAllowed(const State& state, bool local) {
+  const auto peers =
       static_cast<int64_t>(std::ranges::count_if(state.membership.peers, [&](const auto& named) {
-        return named.second.alive && IsLocal(state, named.second);
+        return IsLocal(state, named.second) == local && (named.second.alive || !local);
       }));
-  const int64_t rounds = (local + static_cast<int64_t>(kLocalFanOut) - 1) / kLocalFanOut;
+  const Millis timeout = state.settings.peer_timeout;
 
-  return state.settings.peer_timeout * std::max<int64_t>(1, rounds);
+  if (!local) {
+    // One of them a turn: all have had theirs after this many rounds.
+    const auto rounds = peers * static_cast<int64_t>(kRemoteEvery);
+    return timeout + state.settings.heartbeat_interval * rounds;
+  }
+
+  const auto reached = static_cast<int64_t>(kLocalFanOut);
+  return timeout * std::max<int64_t>(1, (peers + reached - 1) / reached);
 }
 
 /// Takes in news of an entry that was heard `age` ago.
@@ -67,7 +82,7 @@
     peer.known.leaving = leaving;
   }
 
-  const bool alive = state.now - peer.heard_at <= SilenceAllowed(state);
+  const bool alive = state.now - peer.heard_at <= SilenceAllowed(state, IsLocal(state, peer));
 
   if (alive && !peer.alive) {
     Log(effects, Severity::kInfo, Part::kMembership, "peer is up",
@@ -92,9 +107,11 @@
 }
 
 void MarkSilentPeers(State& state, Effects& effects) {
-  const Millis allowed = SilenceAllowed(state);
+  const Millis allowed_here = SilenceAllowed(state, true);
+  const Millis allowed_elsewhere = SilenceAllowed(state, false);
 
   for (auto& [entry, peer] : state.membership.peers) {
+    const Millis allowed = IsLocal(state, peer) ? allowed_here : allowed_elsewhere;
     if (!peer.alive || state.now - peer.heard_at <= allowed) continue;
 
     peer.alive = false;
@@ -117,6 +134,33 @@
   return own.empty() ? std::string() : Encode(own);
 }
 
+/// Adds so many of the lives, beginning at another place each round.
+void AddSome(const std::vector<const LeavingUpstream*>& lives, size_t most, uint64_t round,
+             Heartbeat& heartbeat) {
+  constexpr int kHalf = 32;
+  if (lives.empty()) return;
+
+  const uint64_t share = (round * kSpread) >> kHalf;
+  const auto begin = static_cast<size_t>((share * lives.size()) >> kHalf);
+
+  for (size_t offset = 0; offset < std::min(most, lives.size()); ++offset) {
+    heartbeat.leaving_upstreams.push_back(*lives[(begin + offset) % lives.size()]);
+  }
+}
+
+void AddLeaving(const State& state, Heartbeat& heartbeat) {
+  std::vector<const LeavingUpstream*> news;
+  std::vector<const LeavingUpstream*> old;
+
+  for (const auto& [life, since] : state.upstreams.leaving) {
+    const bool is_news = state.now - since <= kLeavingIsNewsFor;
+    (is_news ? news : old).push_back(&life);
+  }
+
+  AddSome(news, kNewLeavingPerHeartbeat, state.membership.round, heartbeat);
+  AddSome(old, kOldLeavingPerHeartbeat, state.membership.round, heartbeat);
+}
+
 Heartbeat MakeHeartbeat(const State& state) {
   Heartbeat heartbeat{.sender = DescribeSelf(state)};
 
@@ -124,11 +168,7 @@
     heartbeat.racks.push_back(RackClaim{rack, epoch});
   }
 
-  for (const auto& [life, since] : state.upstreams.leaving) {
-    if (heartbeat.leaving_upstreams.size() == kLeavingPerHeartbeat) break;
-    heartbeat.leaving_upstreams.push_back(life);
-  }
-
+  AddLeaving(state, heartbeat);
   heartbeat.wants_vm_list = !state.upstreams.list_known;
   return heartbeat;
 }
--- a/lib/control/source/upstream_feature.cc
+++ b/lib/control/source/upstream_feature.cc
@@ -1,5 +1,9 @@
+#include <xxhash.h>
+
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "currantpost/model/codec.h"
@@ -41,44 +45,72 @@
       {{"vm", life.vm.Text()}, {"incarnation", std::to_string(life.incarnation)}});
 }
 
-void LearnVm(State& state, const VmRecord& vm, Effects& effects) {
-  if (vm.state == VmState::kLeaving) MarkLeaving(state, LifeOf(vm), effects);
-  if (vm.upstream.port == 0) return;
+/// Returns the life of a VM in the list as last read, or nothing if the VM is not in it.
+std::optional<Incarnation> ListedLife(const State& state, const VmId& vm) {
+  const auto own = state.upstreams.vms.find(vm);
+  if (own != state.upstreams.vms.end()) return own->second.incarnation;
+
+  const auto upstream = state.upstreams.upstreams.find(vm);
+  if (upstream == state.upstreams.upstreams.end()) return std::nullopt;
+
+  return upstream->second.vm.incarnation;
+}
 
+/// Takes in a row for routing; a row of an older life than the known one is stale.
+void LearnUpstream(State& state, const VmRecord& vm, Effects& effects) {
   UpstreamRecord& upstream = state.upstreams.upstreams[vm.vm];
+  upstream.reading = state.upstreams.readings;
+  if (vm.incarnation < upstream.vm.incarnation) return;
+
   const bool is_new_life = upstream.vm.incarnation != vm.incarnation;
   const bool moved = upstream.vm.upstream != vm.upstream;
 
-  if (is_new_life) upstream = UpstreamRecord{};
+  if (is_new_life) upstream = UpstreamRecord{.reading = state.upstreams.readings};
 
   upstream.vm = vm;
   state.upstreams.changed |= is_new_life || moved;
+  if (vm.state == VmState::kLeaving) MarkLeaving(state, LifeOf(vm), effects);
+}
+
+/// Takes in a row of the own data centre. Returns it, or the known one if the row is stale.
+const VmRecord& LearnOwnVm(std::map<VmId, VmRecord>& own, const UpstreamState& upstreams,
+                           const VmRecord& row) {
+  const auto before = upstreams.vms.find(row.vm);
+  const bool is_stale =
+      before != upstreams.vms.end() && row.incarnation < before->second.incarnation;
+
+  return own.insert_or_assign(row.vm, is_stale ? before->second : row).first->second;
+}
+
+void LearnRow(State& state, const VmRecord& row, std::map<VmId, VmRecord>& own, Effects& effects) {
+  const bool is_local = IsLocal(state, row);
+  const VmRecord& vm = is_local ? LearnOwnVm(own, state.upstreams, row) : row;
+
+  if (vm.upstream.port != 0) {
+    LearnUpstream(state, vm, effects);
+  } else if (is_local && vm.state == VmState::kLeaving) {
+    MarkLeaving(state, LifeOf(vm), effects);
+  }
 }
 
-/// Takes in the list; a VM whose life is older than the known one is a stale row.
+/// Takes the list in.
 void LearnList(State& state, const std::vector<VmRecord>& list, Effects& effects) {
   UpstreamState& upstreams = state.upstreams;
 
   // A list without any VM is a platform that does not know yet, not the end of all VMs.
   if (list.empty()) return;
 
-  std::map<VmId, VmRecord> vms;
+  ++upstreams.readings;
+  std::map<VmId, VmRecord> own;
 
-  for (const VmRecord& row : list) {
-    const auto before = upstreams.vms.find(row.vm);
-    const bool is_stale =
-        before != upstreams.vms.end() && row.incarnation < before->second.incarnation;
-    const VmRecord& vm = is_stale ? before->second : row;
+  for (const VmRecord& row : list) LearnRow(state, row, own, effects);
 
-    vms.insert_or_assign(vm.vm, vm);
-    LearnVm(state, vm, effects);
-  }
-
-  const size_t dropped = std::erase_if(
-      upstreams.upstreams, [&](const auto& named) { return !vms.contains(named.first); });
+  const size_t dropped = std::erase_if(upstreams.upstreams, [&](const auto& named) {
+    return named.second.reading != upstreams.readings;
+  });
 
   upstreams.changed |= dropped > 0;
-  upstreams.vms = std::move(vms);
+  upstreams.vms = std::move(own);
   upstreams.list_known = true;
   upstreams.list_read_at = state.now;
 }
@@ -164,22 +196,26 @@
 void ForgetOldLeavers(State& state) {
   std::erase_if(state.upstreams.leaving, [&](const auto& leaver) {
     const auto& [life, since] = leaver;
-    const auto vm = state.upstreams.vms.find(life.vm);
-    const bool is_listed = vm != state.upstreams.vms.end();
+    const std::optional<Incarnation> listed = ListedLife(state, life.vm);
 
-    if (is_listed) return vm->second.incarnation > life.incarnation;
+    if (listed) return *listed > life.incarnation;
 
     return state.now - since > kRememberLeaving;
   });
 }
 
-/// Returns this entry's share of a fixed limit. The shares of all entries never exceed it in sum,
-/// whatever they think of each other, as they follow from the settings alone.
-int32_t ShareOf(const State& state, int32_t limit) {
-  const int32_t entries = state.settings.entries_per_data_centre;
-  const int32_t rest = limit % entries;
-
-  return limit / entries + (state.settings.entry_ordinal < rest ? 1 : 0);
+/// Returns this entry's share of an upstream's fixed limit. The shares of all entries never exceed
+/// it in sum, whatever they think of each other, as they follow from the settings and the VM's name
+/// alone. What does not divide evenly goes to other entries at each upstream, so that each entry
+/// has a share somewhere also where there are more entries than slots.
+int32_t ShareOf(const State& state, const VmId& vm, int32_t limit) {
+  const auto entries = static_cast<uint64_t>(state.settings.entries_per_data_centre);
+  const uint64_t hash = XXH64(vm.Text().data(), vm.Text().size(), 0);
+  const uint64_t turn =
+      (hash % entries + static_cast<uint64_t>(state.settings.entry_ordinal)) % entries;
+  const auto whole = static_cast<uint64_t>(limit);
+
+  return static_cast<int32_t>(whole / entries + (turn < whole % entries ? 1 : 0));
 }
 
 RoutedUpstream Route(const State& state, const UpstreamRecord& upstream) {
@@ -192,8 +228,9 @@
       .data_centre = upstream.vm.data_centre,
       .leaving = IsLeaving(state, upstream.vm),
       .ejected = upstream.ejected,
-      .connection_share = is_local ? ShareOf(state, state.settings.upstream_connections) : 0,
-      .slot_share = is_local ? ShareOf(state, state.settings.upstream_slots) : 0,
+      .connection_share =
+          is_local ? ShareOf(state, upstream.vm.vm, state.settings.upstream_connections) : 0,
+      .slot_share = is_local ? ShareOf(state, upstream.vm.vm, state.settings.upstream_slots) : 0,
       .predicted_slowdown = upstream.predicted_slowdown};
 }
 
@@ -232,9 +269,7 @@
 
 void OnHeartbeat(State& state, const Heartbeat& heartbeat, Effects& effects) {
   for (const LeavingUpstream& life : heartbeat.leaving_upstreams) {
-    const auto vm = state.upstreams.vms.find(life.vm);
-    const bool is_past =
-        vm != state.upstreams.vms.end() && vm->second.incarnation > life.incarnation;
+    const bool is_past = ListedLife(state, life.vm).value_or(0) > life.incarnation;
 
     if (!is_past) MarkLeaving(state, life, effects);
   }
