--- a/bench/path_cost.cc
+++ b/bench/path_cost.cc
@@ -154,10 +154,11 @@
 }
 
 int Measure(const Options& options) {
-  demo::Fleet fleet(demo::Programs{options.build + "/main/currantpostd/currantpostd",
-                                   options.build + "/tests/standins/standin_platform",
-                                   options.build + "/tests/standins/standin_vm"},
-                    Millis(options.service_ms));
+  testing_support::Fleet fleet(
+      testing_support::Programs{options.build + "/main/currantpostd/currantpostd",
+                                options.build + "/tests/standins/standin_platform",
+                                options.build + "/tests/standins/standin_vm"},
+      testing_support::FleetOptions{.service_time = Millis(options.service_ms)});
 
   if (!fleet.Start()) {
     std::fprintf(stderr, "The entries did not become ready in time.\n%s",
@@ -165,7 +166,7 @@
     return 1;
   }
 
-  const demo::Entry& entry = fleet.Entries()[kMeasuredEntry];
+  const testing_support::Entry& entry = fleet.Entries()[kMeasuredEntry];
   std::vector<Address> upstreams;
   for (const VmRecord& vm : fleet.Vms()) {
     if (vm.data_centre.Text() == entry.data_centre) upstreams.push_back(vm.upstream);
--- a/tests/peer/tcp_relay.cc
+++ b/tests/support/tcp_relay.cc
@@ -27,13 +27,13 @@
   return poll(&entry, 1, wait_millis) > 0;
 }
 
-/// Passes on what is readable. Returns false once the connection has ended.
+/// Passes on what is readable, or swallows it. Returns false once the sender has ended.
 bool PassOnce(int from, int to, bool swallow) {
   if (!IsReadable(from, 0)) return true;
 
   std::array<char, 16'384> buffer{};
   const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
-  if (size <= 0) return swallow;
+  if (size <= 0) return false;
   if (swallow) return true;
 
   return send(to, buffer.data(), size, MSG_NOSIGNAL) == size;
@@ -45,7 +45,7 @@
     : target_port_(target_port), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
   sockaddr_in address = Loopback(0);
   socklen_t size = sizeof(address);
-  bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+  static_cast<void>(bind(listener_, reinterpret_cast<sockaddr*>(&address), size));
   listen(listener_, SOMAXCONN);
   getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
   port_ = ntohs(address.sin_port);
@@ -67,6 +67,11 @@
   while (silence_requested_) std::this_thread::yield();
 }
 
+void TcpRelay::SetSilent(bool silent) {
+  silent_ = silent;
+  if (silent) SilencePresent();
+}
+
 void TcpRelay::Accept() {
   while (!stopping_) {
     if (silence_requested_) {
@@ -78,10 +83,12 @@
 
     Connection& connection = connections_.emplace_back();
     connection.client = accept(listener_, nullptr, nullptr);
+    connection.silent = silent_.load();
     connection.target = socket(AF_INET, SOCK_STREAM, 0);
 
     const sockaddr_in target = Loopback(target_port_);
-    connect(connection.target, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    static_cast<void>(
+        connect(connection.target, reinterpret_cast<const sockaddr*>(&target), sizeof(target)));
     connection.thread = std::thread([this, &connection] { Pass(connection); });
   }
 }
@@ -91,9 +98,11 @@
 
   while (open && !stopping_) {
     IsReadable(connection.client, 1);
-    const bool swallow = connection.silent;
-    open = PassOnce(connection.client, connection.target, swallow) &&
-           PassOnce(connection.target, connection.client, swallow);
+    const bool silent = connection.silent;
+    open = PassOnce(connection.client, connection.target, silent);
+
+    // What the target says, or that it has ended, does not get through a silent connection.
+    if (open && !silent) open = PassOnce(connection.target, connection.client, false);
   }
 
   close(connection.client);
