Take ports with connections in TIME_WAIT for busy in tests

Cause: the search for free ports bound with SO_REUSEADDR, which passes over TIME_WAIT, while the servers' own bind does not. Processes start their search at pid * 101 modulo 12,000, so ports come round again within a minute. Ruled out: the range that the system uses for connections (32768 to 60999), and programs running at the same time (the fleet tests are serial).

Change: the search binds without the option. No check was changed.

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -45,9 +45,8 @@
 int ExitCode(int status) { return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status); }
 
 bool IsFree(int port) {
+  // Without SO_REUSEADDR: a port with connections in TIME_WAIT is not free for every server.
   const int sock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int yes = 1;
-  setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
 
   sockaddr_in address{};
   address.sin_family = AF_INET;
