--- a/tools/test.sh
+++ b/tools/test.sh
@@ -16,4 +16,4 @@
 done < <(cat KNOWN-RED.txt 2>/dev/null)
 
 cd build
-ctest --output-on-failure --parallel 6 --exclude-regex "${known_red:-^$}"
+ctest --output-on-failure --parallel 4 --exclude-regex "${known_red:-^$}"
