Let the fake world end its own faults

The histories of configuration and of work each had a copy that ended all faults; the world has one now, and it ends every fault that it can make. Includes that the settings reader no longer uses are gone.

--- a/lib/settings/source/daemon_settings.cc
+++ b/lib/settings/source/daemon_settings.cc
@@ -1,13 +1,10 @@
 #include "currantpost/settings/daemon_settings.h"
 
-#include <absl/strings/str_split.h>
 #include <ini.h>
 
 #include <algorithm>
 #include <fstream>
-#include <functional>
 #include <map>
-#include <span>
 #include <sstream>
 #include <utility>
 
--- a/tests/control/configuration_test.cc
+++ b/tests/control/configuration_test.cc
@@ -146,14 +146,6 @@
   }
 }
 
-void Heal(FakeWorld& world) {
-  world.SetFaults({});
-  world.Mend();
-  world.SetKvDown(false);
-
-  for (const EntryId& entry : world.Entries()) world.Resume(entry);
-}
-
 RC_GTEST_PROP(ConfigurationHolds, AcceptedChangesAreNeverLostOrReverted, ()) {
   FakeWorld world(*rc::gen::arbitrary<uint32_t>(), {});
   world.SetFaults({.lose = 0.1, .repeat = 0.1, .delay = 0.1, .long_delay = Millis(6'000)});
@@ -175,7 +167,7 @@
   }
 
   // Long enough for messages still under way, and for the last answers.
-  Heal(world);
+  world.Heal();
   world.Run(Millis(20'000) + kInForceWithin);
 
   RC_ASSERT(world.Violations().empty());
--- a/tests/control/fake_world.cc
+++ b/tests/control/fake_world.cc
@@ -117,6 +117,20 @@
 
 void FakeWorld::FreezeList(bool frozen) { list_frozen_ = frozen; }
 
+void FakeWorld::Heal() {
+  SetFaults({});
+  Mend();
+  SetKvDown(false);
+  FreezeList(false);
+
+  for (const auto& [vm, worker] : workers_) SetVmState(vm, VmState::kLive);
+
+  for (const auto& [entry, node] : nodes_) {
+    Resume(entry);
+    if (!IsUp(entry)) Start(entry);
+  }
+}
+
 size_t FakeWorld::Submit(const EntryId& entry, Command command) {
   const RequestId id = 1'000'000 + commands_.size();
   const std::string change_id = "change-" + std::to_string(id);
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -75,6 +75,10 @@
   /// The list of VMs that entries read stays as it is until it is let go on.
   void FreezeList(bool frozen);
 
+  /// Ends all faults: messages fare well, nothing is cut, down, frozen or leaving, and every entry
+  /// runs.
+  void Heal();
+
   /// Hands an entry a command. Returns its place in `Commands`.
   size_t Submit(const EntryId& entry, Command command);
   void Report(const EntryId& entry, TrafficReported report);
--- a/tests/control/work_history_test.cc
+++ b/tests/control/work_history_test.cc
@@ -249,20 +249,6 @@
 
 constexpr int kKindsOfFaults = 14;
 
-void Heal(FakeWorld& world) {
-  world.SetFaults({});
-  world.Mend();
-  world.SetKvDown(false);
-  world.FreezeList(false);
-
-  for (auto& [vm, worker] : world.Workers()) world.SetVmState(vm, VmState::kLive);
-
-  for (const EntryId& entry : world.Entries()) {
-    world.Resume(entry);
-    if (!world.IsUp(entry)) world.Start(entry);
-  }
-}
-
 /// Which faults a history may hold.
 enum class Reach {
   /// Any fault.
@@ -306,7 +292,7 @@
     world.Run(Millis(*rc::gen::inRange(10, 9'000)));
   }
 
-  Heal(world);
+  world.Heal();
   world.Run(Millis(300'000));
 }
 
