Learn interference in stress, and pace and place filling work by it

The figures of 20,588 pairs of looks, fitted by hand, show tail = unloaded / (1 - stress), with stress linear in each filling image's processor use: two of nine images add 0.65 to 1.84 for a whole worker, the others 0.16 or less. Ruled out: room. Lasting tasks use about half of what they hold; 660 of 1,020 cores are asked for. Change: lib/policy's model learns changes of stress for each pair of images; the most harmful images are slowed first, and placing looks at the slack that is left. Placement runs at most every 30 ms.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -14,6 +14,7 @@
 
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
+#include "currantpost/policy/interference_model.h"
 #include "currantpost/scheduler/events.h"
 #include "currantpost/scheduler/records.h"
 #include "currantpost/scheduler/routing.h"
@@ -151,6 +152,8 @@
   int64_t recent = 0;
   /// When it last began to run here.
   Millis began;
+  /// Of a lasting task, how near its tail is to running away: 0 unloaded, 1 without bound.
+  std::optional<double> stress;
   /// Share of its speed that it was last told, and is to have.
   int32_t paced = 100;
   int32_t wanted_pace = 100;
@@ -260,9 +263,13 @@
   /// Not used before this, as it fails what it starts.
   Millis quarantined_until;
   int32_t failures_in_row = 0;
-  /// Share of their speed at which filling tasks may work there.
-  int32_t filling_pace = 100;
-  Millis pace_changed;
+  /// Processor use of filling tasks by image when tails were last learned from, as shares of the
+  /// worker's capacity, and when that was.
+  std::map<std::string, double> filling_use;
+  Millis learned_at;
+  /// Stress to expect of the most strained lasting task of each image at full pace of all filling
+  /// tasks; nothing where tasks or figures have changed since it was worked out.
+  std::optional<std::map<std::string, double>> expected_stress;
 };
 
 /// A write of progress under way.
@@ -288,6 +295,8 @@
   std::map<JobId, JobState> jobs;
   std::set<WaitingKey> waiting;
   bool placement_due = false;
+  /// No placement before this, so that what comes in a burst is placed together.
+  Millis next_placement;
   std::set<JobId> dirty;
   ProgressWrite write;
   Millis next_write;
@@ -383,6 +392,18 @@
   bool look = false;
 };
 
+/// Changes of stress are learned, so there is next to no base; figures are rough, and what pairs do
+/// to each other changes within seconds.
+inline InterferenceModelSettings InterferenceSettings() {
+  InterferenceModelSettings settings;
+  settings.prior_mean = 0.1;
+  settings.prior_deviation = 0.5;
+  settings.noise_deviation = 0.055;
+  settings.drift_deviation = 0.01;
+  settings.caution = 0.5;
+  return settings;
+}
+
 // ---- All of it -----------------------------------------------------------------------------------
 
 struct State {
@@ -403,6 +424,11 @@
   LeaseState lease;
   std::map<CellId, OwnedCell> cells;
   std::map<CellId, OrphanedCell> orphans;
+  /// How much stress each image of filling work adds to each image of lasting tasks, learned from
+  /// changes; forgotten with the process.
+  InterferenceModel interference = InterferenceModel(InterferenceSettings());
+  /// Least tail seen of each image of lasting tasks, in milliseconds.
+  std::map<std::string, int64_t> least_tail;
   RequestId layout_request = 0;
   Millis layout_at;
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -287,6 +287,7 @@
 }  // namespace
 
 void CountNeed(WorkerState& worker, const StepSpec& spec, int64_t sign) {
+  worker.expected_stress.reset();
   worker.held.memory_mib += sign * spec.need.memory_mib;
   worker.held.accelerators += sign * spec.need.accelerators;
 
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -365,6 +365,8 @@
   worker.failed_looks = 0;
   worker.answered_at = state.now;
   worker.next_look = state.now;
+  // The figures that it brings may make room for filling work.
+  cell.placement_due = true;
 
   if (look.token == TokenOf(cell, worker) && !worker.confirmed) {
     worker.confirmed = true;
@@ -396,7 +398,7 @@
   if (!older) {
     for (const RunningTask& row : reply.running) TakeRunningRow(cell, worker, row);
     TakeMissing(state, effects, cell, worker, look, reply);
-    UpdatePace(state, effects, cell, worker);
+    UpdatePace(state, cell, worker);
   }
 
   const bool unrecorded =
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -187,8 +187,13 @@
 /// Returns the processor time that the first steps of a job ask for, held and filling.
 std::pair<int64_t, int64_t> FirstDemand(const JobSpec& spec);
 
-/// Slows filling tasks that disturb lasting ones, by the figures of a look.
-void UpdatePace(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
+/// Takes in the tails and uses of a look, and decides how fast filling tasks may work there.
+void UpdatePace(State& state, OwnedCell& cell, WorkerState& worker);
+
+/// Returns how much stress the most strained lasting task of a worker can still bear once filling
+/// work of an image is added with a processor use in thousandths of a core. Below 0 it can not.
+double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker,
+                 const std::string& image, int64_t millicores);
 
 // ---- Callers and peers ---------------------------------------------------------------------------------
 
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -1,72 +1,233 @@
+#include <cmath>
+
 #include "internal.h"
 
-/// Slows filling tasks down where they disturb lasting ones. Answers figures that are half a second
-/// old and rough: it acts early, halves at once and gives back slowly.
+/// How fast filling tasks may work beside lasting ones. Answers tails that come half a second late
+/// and rough, swing with the lasting tasks' own load, and run away within a second where filling
+/// work of a wrong image is put beside them.
+///
+/// A tail is taken as `unloaded / (1 - stress)`. Stress is the lasting task's own load and what each
+/// image of filling work adds in proportion to its processor use, so it adds up where tails do not.
 
 namespace currantpost::scheduler {
 namespace {
 
-/// Tail of a lasting task, as a share of its target in percent, above which filling tasks beside it
-/// are slowed down, and below which they get pace back.
-constexpr int64_t kSlowAbovePercent = 85;
-constexpr int64_t kFasterBelowPercent = 65;
-/// Pace given back at a time; a lower pace than the least is none.
-constexpr int32_t kPaceStep = 20;
-constexpr int32_t kLeastPace = 20;
-/// The figures cover half a second, so a change shows fully only after that.
-constexpr Millis kPaceInterval = Millis(600);
+/// Stress up to which filling tasks may work. A tail at its target has 0.83 where the target is six
+/// times the unloaded tail; the rest is for figures that are half a second old.
+constexpr double kMostStress = 0.77;
+/// Stress up to which filling tasks are placed; lower, as a lasting task's own load still swings.
+constexpr double kMostStressPlaced = 0.74;
+/// Filling work that adds less stress than this is no cause, and slowing it down no cure.
+constexpr double kNegligibleStress = 0.015;
+/// The target as a multiple of the unloaded tail, taken until a lower tail was seen.
+constexpr int64_t kTargetOfUnloaded = 6;
+/// The least tail seen is that of a lightly loaded task; unloaded it is this much of it, in percent.
+constexpr int64_t kUnloadedPercent = 80;
+/// Time between two looks that are learned from; the figures cover half a second.
+constexpr Millis kLearnInterval = Millis(400);
+/// A lasting task's tail says nothing so soon after its start.
+constexpr Millis kStartup = Millis(1'500);
+/// Use of a filling task that has just begun or is given pace, as a share of what it asks for.
+constexpr double kUsualUse = 0.85;
+/// Paces are told in steps of this many percent, given back by no more than this at a time.
+constexpr int32_t kPaceStep = 10;
+constexpr int32_t kMostPaceRise = 40;
 
-/// Returns the worst tail on a worker as a share of its target, in percent.
-int64_t WorstTail(OwnedCell& cell, const WorkerState& worker) {
-  int64_t worst = 0;
+double Unloaded(State& state, const StepSpec& spec, int64_t tail) {
+  int64_t& least = state.least_tail[spec.image];
+  if (least == 0 || tail < least) least = tail;
 
-  for (const TaskRef& ref : worker.tasks) {
-    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
-    if (!spec.lasting || spec.latency_target <= Millis(0)) continue;
+  const double by_target =
+      static_cast<double>(spec.latency_target.Count()) / static_cast<double>(kTargetOfUnloaded);
+  const double by_least = static_cast<double>(least * kUnloadedPercent) / 100.0;
+  return std::min(by_target, by_least);
+}
 
-    const TaskState& task = *FindTask(cell, ref);
-    if (task.phase != TaskPhase::kRunning) continue;
+double Share(const WorkerState& worker, double millicores) {
+  return millicores / static_cast<double>(std::max<int64_t>(worker.info.capacity.millicores, 1));
+}
 
-    worst = std::max(worst, task.recent * 100 / spec.latency_target.Count());
+/// Calls `visit` with the spec and state of each task of a worker.
+template <typename Visit>
+void ForEachTask(OwnedCell& cell, const WorkerState& worker, Visit visit) {
+  for (const TaskRef& ref : worker.tasks) {
+    visit(SpecOf(cell.jobs.at(ref.job), ref), *FindTask(cell, ref));
   }
+}
 
-  return worst;
+bool HasTail(const StepSpec& spec, const TaskState& task) {
+  return spec.lasting && spec.latency_target > Millis(0) && task.phase == TaskPhase::kRunning;
 }
 
-}  // namespace
+/// Returns the measured processor use of filling tasks by image.
+std::map<std::string, double> MeasuredUse(OwnedCell& cell, const WorkerState& worker) {
+  std::map<std::string, double> use;
+
+  ForEachTask(cell, worker, [&](const StepSpec& spec, const TaskState& task) {
+    if (!spec.filling || task.phase != TaskPhase::kRunning) return;
+    use[spec.image] += Share(worker, static_cast<double>(task.recent));
+  });
+
+  return use;
+}
+
+/// Returns the use of filling tasks by image if all of them work at full pace.
+std::map<std::string, double> FullUse(OwnedCell& cell, const WorkerState& worker) {
+  std::map<std::string, double> use;
+
+  ForEachTask(cell, worker, [&](const StepSpec& spec, const TaskState& task) {
+    if (!spec.filling || task.phase == TaskPhase::kStopping) return;
+    use[spec.image] += Share(worker, kUsualUse * static_cast<double>(spec.need.millicores));
+  });
+
+  return use;
+}
+
+/// Learns what changes of filling work did to the stress of lasting tasks.
+void Learn(State& state, OwnedCell& cell, WorkerState& worker) {
+  if (state.now - worker.learned_at < kLearnInterval) return;
 
-void UpdatePace(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
-  if (worker.filling_millicores == 0) {
-    worker.filling_pace = 100;
-    return;
+  const std::map<std::string, double> use = MeasuredUse(cell, worker);
+  std::vector<KindLoad> changes;
+
+  for (const auto& [image, share] : use) {
+    const auto before = worker.filling_use.find(image);
+    const double change = share - (before == worker.filling_use.end() ? 0.0 : before->second);
+    if (change != 0.0) changes.push_back(KindLoad{image, change});
   }
 
-  const int64_t tail = WorstTail(cell, worker);
-  const int32_t before = worker.filling_pace;
+  for (const auto& [image, share] : worker.filling_use) {
+    if (!use.contains(image) && share != 0.0) changes.push_back(KindLoad{image, -share});
+  }
 
-  if (state.now - worker.pace_changed >= kPaceInterval) {
-    if (tail > kSlowAbovePercent) {
-      worker.filling_pace = before / 2 < kLeastPace ? 0 : before / 2;
-    } else if (tail < kFasterBelowPercent) {
-      worker.filling_pace = std::min(100, before + kPaceStep);
+  ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
+    if (!HasTail(spec, task) || task.recent <= 0 || state.now - task.began < kStartup) {
+      task.stress.reset();
+      return;
     }
-  }
 
-  if (worker.filling_pace != before) {
-    worker.pace_changed = state.now;
-    if (worker.filling_pace < before) {
-      Log(effects, Severity::kInfo, "slowing filling tasks",
-          {{"worker", worker.info.id.Text()},
-           {"tail_percent", std::to_string(tail)},
-           {"pace", std::to_string(worker.filling_pace)}});
+    const double unloaded = Unloaded(state, spec, task.recent);
+    const double stress = std::max(0.0, 1.0 - unloaded / static_cast<double>(task.recent));
+
+    if (task.stress) {
+      state.interference.Observe(InterferenceObservation{
+          .service_kind = spec.image, .batch = changes, .slowdown = 1.0 + stress - *task.stress});
     }
+
+    task.stress = stress;
+  });
+
+  worker.filling_use = use;
+  worker.learned_at = state.now;
+}
+
+/// Returns the stress of a lasting task once filling work is changed from the measured use.
+double StressAfter(const State& state, const std::string& image, double stress,
+                   const std::map<std::string, double>& measured,
+                   const std::map<std::string, double>& planned) {
+  for (const auto& [filling, share] : planned) {
+    const auto now = measured.find(filling);
+    const double change = share - (now == measured.end() ? 0.0 : now->second);
+    const double harm = state.interference.Harm(image, filling, std::abs(change));
+    stress += change < 0.0 ? -harm : harm;
   }
 
-  for (const TaskRef& ref : worker.tasks) {
-    if (SpecOf(cell.jobs.at(ref.job), ref).filling) {
-      FindTask(cell, ref)->wanted_pace = worker.filling_pace;
-    }
+  return stress;
+}
+
+/// Lowers paces, those of the most harmful images first, until a lasting task can bear the rest.
+void Relieve(const State& state, const std::string& image, double excess,
+             const std::map<std::string, double>& full, std::map<std::string, double>& paces) {
+  std::vector<std::pair<double, std::string>> by_harm;
+
+  for (const auto& [filling, share] : full) {
+    by_harm.emplace_back(state.interference.Harm(image, filling, 1.0), filling);
+  }
+
+  std::ranges::sort(by_harm, std::greater<>());
+
+  for (const auto& [harm, filling] : by_harm) {
+    if (excess <= 0.0) return;
+
+    const double whole = harm * full.at(filling);
+    if (whole <= kNegligibleStress) continue;
+
+    double& pace = paces[filling];
+    const double cut = std::min(pace, excess / whole);
+    pace -= cut;
+    excess -= cut * whole;
   }
 }
 
+/// Returns the stress to expect of the most strained lasting task of each image at full pace.
+std::map<std::string, double> ExpectedStress(const State& state, OwnedCell& cell,
+                                             const WorkerState& worker) {
+  const std::map<std::string, double> measured = MeasuredUse(cell, worker);
+  const std::map<std::string, double> planned = FullUse(cell, worker);
+  std::map<std::string, double> stress_now;
+
+  ForEachTask(cell, worker, [&](const StepSpec& spec, const TaskState& task) {
+    if (!task.stress) return;
+
+    double& worst = stress_now[spec.image];
+    worst = std::max(worst, *task.stress);
+  });
+
+  for (auto& [image, stress] : stress_now) {
+    stress = StressAfter(state, image, stress, measured, planned);
+  }
+
+  return stress_now;
+}
+
+int32_t Percent(double pace) {
+  const auto steps = static_cast<int32_t>(std::floor(pace * 100.0 / kPaceStep + 0.001));
+  return std::clamp(steps * kPaceStep, 0, 100);
+}
+
+}  // namespace
+
+void UpdatePace(State& state, OwnedCell& cell, WorkerState& worker) {
+  Learn(state, cell, worker);
+  worker.expected_stress.reset();
+  if (worker.filling_millicores == 0) return;
+
+  const std::map<std::string, double> measured = MeasuredUse(cell, worker);
+  const std::map<std::string, double> full = FullUse(cell, worker);
+  std::map<std::string, double> paces;
+  for (const auto& [image, share] : full) paces[image] = 1.0;
+
+  ForEachTask(cell, worker, [&](const StepSpec& spec, const TaskState& task) {
+    if (!task.stress) return;
+
+    std::map<std::string, double> planned = full;
+    for (auto& [image, share] : planned) share *= paces[image];
+
+    const double stress = StressAfter(state, spec.image, *task.stress, measured, planned);
+    if (stress > kMostStress) Relieve(state, spec.image, stress - kMostStress, full, paces);
+  });
+
+  ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
+    if (!spec.filling) return;
+
+    const int32_t wanted = Percent(paces[spec.image]);
+    task.wanted_pace = std::min(wanted, task.wanted_pace + kMostPaceRise);
+  });
+}
+
+double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker,
+                 const std::string& image, int64_t millicores) {
+  if (!worker.expected_stress) worker.expected_stress = ExpectedStress(state, cell, worker);
+
+  const double added = Share(worker, kUsualUse * static_cast<double>(millicores));
+  double slack = 1.0;
+
+  for (const auto& [lasting, stress] : *worker.expected_stress) {
+    const double harm = state.interference.Harm(lasting, image, added);
+    if (harm > kNegligibleStress) slack = std::min(slack, kMostStressPlaced - stress - harm);
+  }
+
+  return slack;
+}
+
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -10,6 +10,8 @@
 constexpr Millis kSilentAfter = Millis(2'600);
 /// Share of what they hold that lasting tasks use on average, in percent.
 constexpr int64_t kLastingUsePercent = 55;
+/// Least time between two placements in a cell: half of what progress writes wait for.
+constexpr Millis kPlacementInterval = Millis(30);
 /// Scores that decide before room does.
 /// @{
 constexpr int64_t kPreferredRackScore = 1'000'000'000;
@@ -17,6 +19,10 @@
 /// For each task of the same step on the worker, so that one loss takes few of them.
 constexpr int64_t kSameStepScore = -4'000;
 /// @}
+/// Slack of the lasting tasks above which more of it does not matter, and what a whole unit of slack
+/// counts, in thousandths of a core: a tenth as much as a third of a worker's processors.
+constexpr double kFullSlack = 0.3;
+constexpr double kSlackScore = 100'000.0;
 /// What the own data centre counts more when a cell is chosen, in thousandths of a cell's capacity.
 constexpr int64_t kLocalScore = 30;
 
@@ -45,7 +51,7 @@
 
   if (!spec.filling) return spec.need.millicores <= FreeMillicores(worker);
 
-  return worker.filling_pace == 100 && spec.need.millicores <= FreeFilling(worker);
+  return spec.need.millicores <= FreeFilling(worker);
 }
 
 bool HasLabel(const WorkerState& worker, const std::string& label) {
@@ -65,8 +71,8 @@
 }
 
 /// Says how well a worker suits a task; nothing if it does not.
-std::optional<int64_t> Score(const State& state, const JobState& job, const TaskRef& ref,
-                             const TaskState& task, const WorkerState& worker,
+std::optional<int64_t> Score(const State& state, OwnedCell& cell, const JobState& job,
+                             const TaskRef& ref, const TaskState& task, WorkerState& worker,
                              const std::string& service) {
   const StepSpec& spec = SpecOf(job, ref);
   if (!TakesTasks(state, worker) || worker.info.service != service) return std::nullopt;
@@ -76,6 +82,14 @@
   if (spec.most_per_worker > 0 && same >= spec.most_per_worker) return std::nullopt;
 
   int64_t score = spec.filling ? FreeFilling(worker) : FreeMillicores(worker);
+
+  if (spec.filling) {
+    const double slack = SlackWith(state, cell, worker, spec.image, spec.need.millicores);
+    if (slack < 0.0) return std::nullopt;
+
+    score += static_cast<int64_t>(std::min(slack, kFullSlack) * kSlackScore);
+  }
+
   score += same * kSameStepScore;
   if (worker.info.id == task.avoid) score += kAvoidScore;
   if (!spec.preferred_rack.empty() && worker.info.rack.Text() == spec.preferred_rack) {
@@ -91,7 +105,7 @@
   int64_t best_score = 0;
 
   for (auto& [id, worker] : cell.workers) {
-    const std::optional<int64_t> score = Score(state, job, ref, task, worker, service);
+    const std::optional<int64_t> score = Score(state, cell, job, ref, task, worker, service);
     if (!score || (best != nullptr && *score <= best_score)) continue;
 
     best = &worker;
@@ -111,8 +125,15 @@
 }  // namespace
 
 void PlaceTasks(State& state, Effects& /*effects*/, OwnedCell& cell) {
-  if (cell.releasing || cell.waiting.empty()) return;
+  if (cell.releasing || cell.waiting.empty() || !cell.placement_due) return;
+
+  if (state.now < cell.next_placement) {
+    WakeAt(state, cell.next_placement);
+    return;
+  }
 
+  cell.placement_due = false;
+  cell.next_placement = state.now + kPlacementInterval;
   std::set<std::tuple<JobId, int32_t, int32_t>> unfit;
   const std::vector<WaitingKey> waiting(cell.waiting.begin(), cell.waiting.end());
 
@@ -123,6 +144,8 @@
     if (job.move) continue;
 
     if (state.now < task.not_before) {
+      cell.placement_due = true;
+      cell.next_placement = std::max(state.now, std::min(cell.next_placement, task.not_before));
       WakeAt(state, task.not_before);
       continue;
     }
