--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -399,7 +399,7 @@
   settings.prior_mean = 0.1;
   settings.prior_deviation = 0.5;
   settings.noise_deviation = 0.055;
-  settings.drift_deviation = 0.01;
+  settings.drift_deviation = 0.003;
   settings.caution = 0.5;
   return settings;
 }
@@ -427,6 +427,8 @@
   /// How much stress each image of filling work adds to each image of lasting tasks, learned from
   /// changes; forgotten with the process.
   InterferenceModel interference = InterferenceModel(InterferenceSettings());
+  /// Mean of the stress of each image of lasting tasks by their own load.
+  std::map<std::string, double> usual_stress;
   /// Least tail seen of each image of lasting tasks, in milliseconds.
   std::map<std::string, int64_t> least_tail;
   RequestId layout_request = 0;
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -12,11 +12,18 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// Stress up to which filling tasks may work. A tail at its target has 0.83 where the target is six
-/// times the unloaded tail; the rest is for figures that are half a second old.
-constexpr double kMostStress = 0.77;
+/// Stress above which filling tasks are slowed down, and to which. A tail at its target has 0.83
+/// where the target is six times the unloaded tail; the rest is for figures that are half a second
+/// old, in which a lasting task's own load rises by up to 0.04.
+constexpr double kMostStress = 0.76;
+constexpr double kRelievedStress = 0.70;
 /// Stress up to which filling tasks are placed; lower, as a lasting task's own load still swings.
 constexpr double kMostStressPlaced = 0.74;
+/// Own stress of lasting tasks taken until figures came, the weight of a figure in its mean, and how
+/// far above the mean it usually swings.
+constexpr double kUsualStress = 0.48;
+constexpr double kUsualWeight = 0.02;
+constexpr double kUsualSwing = 0.12;
 /// Filling work that adds less stress than this is no cause, and slowing it down no cure.
 constexpr double kNegligibleStress = 0.015;
 /// The target as a multiple of the unloaded tail, taken until a lower tail was seen.
@@ -27,6 +34,9 @@
 constexpr Millis kLearnInterval = Millis(400);
 /// A lasting task's tail says nothing so soon after its start.
 constexpr Millis kStartup = Millis(1'500);
+/// Changes of use below this share of a worker say nothing; learning from them would only wash out
+/// what is known.
+constexpr double kLeastChange = 0.02;
 /// Use of a filling task that has just begun or is given pace, as a share of what it asks for.
 constexpr double kUsualUse = 0.85;
 /// Paces are told in steps of this many percent, given back by no more than this at a time.
@@ -93,11 +103,11 @@
   for (const auto& [image, share] : use) {
     const auto before = worker.filling_use.find(image);
     const double change = share - (before == worker.filling_use.end() ? 0.0 : before->second);
-    if (change != 0.0) changes.push_back(KindLoad{image, change});
+    if (std::abs(change) >= kLeastChange) changes.push_back(KindLoad{image, change});
   }
 
   for (const auto& [image, share] : worker.filling_use) {
-    if (!use.contains(image) && share != 0.0) changes.push_back(KindLoad{image, -share});
+    if (!use.contains(image) && share >= kLeastChange) changes.push_back(KindLoad{image, -share});
   }
 
   ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
@@ -109,12 +119,17 @@
     const double unloaded = Unloaded(state, spec, task.recent);
     const double stress = std::max(0.0, 1.0 - unloaded / static_cast<double>(task.recent));
 
-    if (task.stress) {
+    if (task.stress && !changes.empty()) {
       state.interference.Observe(InterferenceObservation{
           .service_kind = spec.image, .batch = changes, .slowdown = 1.0 + stress - *task.stress});
     }
 
     task.stress = stress;
+    double own = stress;
+    for (const auto& [image, share] : use) own -= state.interference.Harm(spec.image, image, share);
+
+    double& usual = state.usual_stress.try_emplace(spec.image, kUsualStress).first->second;
+    usual += kUsualWeight * (std::max(own, 0.0) - usual);
   });
 
   worker.filling_use = use;
@@ -167,14 +182,20 @@
   std::map<std::string, double> stress_now;
 
   ForEachTask(cell, worker, [&](const StepSpec& spec, const TaskState& task) {
-    if (!task.stress) return;
+    if (!spec.lasting || spec.latency_target <= Millis(0)) return;
 
     double& worst = stress_now[spec.image];
-    worst = std::max(worst, *task.stress);
+    worst = std::max(worst, task.stress.value_or(0.0));
   });
 
   for (auto& [image, stress] : stress_now) {
     stress = StressAfter(state, image, stress, measured, planned);
+
+    // A load that is low now comes back to its usual height while the filling task still works.
+    const auto usual = state.usual_stress.find(image);
+    const double peak =
+        (usual == state.usual_stress.end() ? kUsualStress : usual->second) + kUsualSwing;
+    stress = std::max(stress, StressAfter(state, image, peak, {}, planned));
   }
 
   return stress_now;
@@ -204,7 +225,7 @@
     for (auto& [image, share] : planned) share *= paces[image];
 
     const double stress = StressAfter(state, spec.image, *task.stress, measured, planned);
-    if (stress > kMostStress) Relieve(state, spec.image, stress - kMostStress, full, paces);
+    if (stress > kMostStress) Relieve(state, spec.image, stress - kRelievedStress, full, paces);
   });
 
   ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
