--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -30,12 +30,6 @@
   return text.substr(0, text.rfind('/'));
 }
 
-std::set<CellId> AllCells(const State& state) {
-  std::set<CellId> cells;
-  for (const auto& [rack, cell] : state.view.layout.cell_of_rack) cells.insert(cell);
-  return cells;
-}
-
 /// How an entry stands with regard to a cell; the smallest is to own it.
 struct Candidacy {
   size_t cells = 0;
@@ -242,6 +236,12 @@
 
 }  // namespace
 
+std::set<CellId> AllCells(const State& state) {
+  std::set<CellId> cells;
+  for (const auto& [rack, cell] : state.view.layout.cell_of_rack) cells.insert(cell);
+  return cells;
+}
+
 void UpdateCells(State& state, Effects& effects) {
   ExtendLayout(state, effects);
   ClaimOrphans(state, effects);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -87,6 +87,9 @@
 /// Says whether the store surely still keeps this entry's lease.
 bool HoldsLease(const State& state);
 
+/// Returns all cells of the layout.
+std::set<CellId> AllCells(const State& state);
+
 /// Puts racks into cells, and claims cells without an owner.
 void UpdateCells(State& state, Effects& effects);
 void HandleCellClaimed(State& state, Effects& effects, const CellId& cell, const StoreReply& reply);
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -15,10 +15,10 @@
 /// Stress above which filling tasks are slowed down, and to which. A tail at its target has 0.83
 /// where the target is six times the unloaded tail; the rest is for figures that are half a second
 /// old, in which a lasting task's own load rises by up to 0.04.
-constexpr double kMostStress = 0.76;
-constexpr double kRelievedStress = 0.70;
+constexpr double kMostStress = 0.79;
+constexpr double kRelievedStress = 0.77;
 /// Stress up to which filling tasks are placed; lower, as a lasting task's own load still swings.
-constexpr double kMostStressPlaced = 0.74;
+constexpr double kMostStressPlaced = 0.77;
 /// Own stress of lasting tasks taken until figures came, the weight of a figure in its mean, and how
 /// far above the mean it usually swings.
 constexpr double kUsualStress = 0.48;
