Ask a silent worker before renewing its leases

Each unanswered look carried a renewal, which may have been carried out, so the leases that the owner had to wait for moved on with each retry. Change: a worker that did not answer is first asked without a renewal. tests/scheduler plays whole fleets around the reducer: store, workers, faults, in simulated time; without the change TasksOfAWorkerThatIsGoneForGoodStartElsewhere and TasksOfACutOffWorkerNeverRunTwice fail.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -146,7 +146,9 @@
   }
 
   LookAtWorker order;
-  order.lease_until_ms = LeaseUntil(state, worker);
+  // A worker that was silent is asked first and renewed then: a renewal that is not answered may
+  // have been carried out, so that leases which it may have extended could never count as lapsed.
+  if (worker.failed_looks == 0) order.lease_until_ms = LeaseUntil(state, worker);
   order.forget_up_to = worker.forgotten;
 
   for (const auto& [number, end] : worker.ends) {
--- /dev/null
+++ b/tests/scheduler/sim_store.cc
@@ -0,0 +1,202 @@
+#include "sim_store.h"
+
+#include <algorithm>
+
+namespace currantpost::scheduler {
+
+void SimStore::Change(Feed feed, StoreItem item, Millis /*now*/) {
+  item.revision = revision_;
+  items_[feed][item.key] = item;
+  history_.emplace_back(feed, std::move(item));
+}
+
+void SimStore::Remove(Feed feed, const std::string& key, Millis /*now*/) {
+  if (items_[feed].erase(key) == 0) return;
+
+  history_.emplace_back(feed, StoreItem{.key = key, .revision = revision_, .removed = true});
+}
+
+StoreItem SimStore::Present(const std::string& key) const {
+  const auto records = items_.find(Feed::kRecords);
+  if (records == items_.end()) return StoreItem{.key = key, .removed = true};
+
+  const auto found = records->second.find(key);
+  return found == records->second.end() ? StoreItem{.key = key, .removed = true} : found->second;
+}
+
+void SimStore::Write(const WriteRecords& write, Millis now, const Reply& reply) {
+  ++writes_;
+  StoreReply answer{.status = StoreStatus::kOk};
+
+  for (const ExpectedRecord& expected : write.expected) {
+    const StoreItem present = Present(expected.key);
+    if (present.revision != expected.revision) answer.status = StoreStatus::kConflict;
+  }
+
+  if (answer.status == StoreStatus::kConflict) {
+    for (const ExpectedRecord& expected : write.expected) {
+      answer.items.push_back(Present(expected.key));
+    }
+    return reply(answer);
+  }
+
+  for (const RecordPut& put : write.puts) {
+    if (put.lease != 0 && !leases_.contains(put.lease)) {
+      answer.status = StoreStatus::kNotFound;
+      return reply(answer);
+    }
+  }
+
+  ++revision_;
+  for (const RecordPut& put : write.puts) {
+    Change(Feed::kRecords, StoreItem{.key = put.key, .lease = put.lease, .value = put.value}, now);
+  }
+  for (const std::string& key : write.removals) Remove(Feed::kRecords, key, now);
+
+  answer.revision = revision_;
+  reply(answer);
+  WakeWatches();
+}
+
+bool SimStore::AnswerWatch(const Waiting& waiting, bool at_last) const {
+  StoreReply answer{.status = StoreStatus::kOk, .revision = revision_};
+
+  if (waiting.watch.after < dropped_) {
+    answer.status = StoreStatus::kHistoryGone;
+    waiting.reply(answer);
+    return true;
+  }
+
+  for (const auto& [feed, item] : history_) {
+    if (feed == waiting.watch.feed && item.revision > waiting.watch.after) {
+      answer.items.push_back(item);
+    }
+  }
+
+  if (answer.items.empty() && !at_last) return false;
+
+  waiting.reply(answer);
+  return true;
+}
+
+void SimStore::WakeWatches() {
+  std::vector<Waiting> waiting = std::move(waiting_);
+  waiting_.clear();
+
+  for (Waiting& watch : waiting) {
+    if (!AnswerWatch(watch, false)) waiting_.push_back(std::move(watch));
+  }
+}
+
+void SimStore::Handle(const StoreBody& body, Millis now, const Reply& reply) {
+  StoreReply answer{.status = StoreStatus::kOk, .revision = revision_};
+
+  if (const auto* read = std::get_if<ReadRecord>(&body)) {
+    const StoreItem item = Present(read->key);
+    if (item.removed) answer.status = StoreStatus::kNotFound;
+    if (!item.removed) answer.items.push_back(item);
+    return reply(answer);
+  }
+
+  if (const auto* list = std::get_if<ListFeed>(&body)) {
+    for (const auto& [key, item] : items_[list->feed]) {
+      if (key > list->after_key) answer.items.push_back(item);
+    }
+    return reply(answer);
+  }
+
+  if (const auto* watch = std::get_if<WatchFeed>(&body)) {
+    Waiting waiting{*watch, now + watch->wait, reply};
+    if (!AnswerWatch(waiting, false)) waiting_.push_back(std::move(waiting));
+    return;
+  }
+
+  if (const auto* write = std::get_if<WriteRecords>(&body)) return Write(*write, now, reply);
+
+  if (const auto* grant = std::get_if<GrantLease>(&body)) {
+    answer.lease = ++last_lease_;
+    answer.ttl = grant->ttl;
+    leases_[answer.lease] = Lease{grant->ttl, now + grant->ttl};
+    return reply(answer);
+  }
+
+  if (const auto* keep = std::get_if<KeepLease>(&body)) {
+    const auto lease = leases_.find(keep->lease);
+    if (lease == leases_.end()) {
+      answer.status = StoreStatus::kNotFound;
+    } else {
+      lease->second.ends_at = now + lease->second.ttl;
+      answer.ttl = lease->second.ttl;
+    }
+    return reply(answer);
+  }
+
+  if (const auto* end = std::get_if<EndLease>(&body)) {
+    Revoke(end->lease, false, now);
+    return reply(answer);
+  }
+}
+
+void SimStore::Revoke(LeaseId lease, bool unseen, Millis now) {
+  if (!unseen) leases_.erase(lease);
+
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_[Feed::kRecords]) {
+    if (item.lease == lease) keys.push_back(key);
+  }
+
+  if (keys.empty()) return;
+
+  ++revision_;
+  for (const std::string& key : keys) Remove(Feed::kRecords, key, now);
+  WakeWatches();
+}
+
+void SimStore::Advance(Millis now) {
+  std::vector<LeaseId> ended;
+  for (const auto& [id, lease] : leases_) {
+    if (now >= lease.ends_at) ended.push_back(id);
+  }
+  for (const LeaseId id : ended) Revoke(id, false, now);
+
+  std::vector<Waiting> waiting = std::move(waiting_);
+  waiting_.clear();
+
+  for (Waiting& watch : waiting) {
+    if (!AnswerWatch(watch, now >= watch.until)) waiting_.push_back(std::move(watch));
+  }
+}
+
+void SimStore::Announce(const WorkerAnnouncement& worker, Millis now) {
+  ++revision_;
+  Change(Feed::kWorkers, StoreItem{.key = worker.id.Text(), .worker = worker}, now);
+  WakeWatches();
+}
+
+void SimStore::Withdraw(const VmId& worker, Millis now) {
+  ++revision_;
+  Remove(Feed::kWorkers, worker.Text(), now);
+  WakeWatches();
+}
+
+void SimStore::Configure(const Routing& routing, Millis now) {
+  ++revision_;
+  Change(Feed::kConfiguration,
+         StoreItem{.key = "newest", .routing = std::make_shared<const Routing>(routing)}, now);
+  WakeWatches();
+}
+
+void SimStore::DropHistory() {
+  history_.clear();
+  dropped_ = revision_;
+}
+
+std::optional<std::string> SimStore::Value(const std::string& key) const {
+  const StoreItem item = Present(key);
+  if (item.removed) return std::nullopt;
+  return item.value;
+}
+
+LeaseId SimStore::LeaseOf(const std::string& key) const { return Present(key).lease; }
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/sim_store.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "currantpost/scheduler/store.h"
+
+namespace currantpost::scheduler {
+
+/// A store in memory, with revisions, leases and watches, in simulated time.
+class SimStore {
+ public:
+  using Reply = std::function<void(StoreReply)>;
+
+  /// Carries a call out at a time. A watch may be answered later, by `Advance`.
+  void Handle(const StoreBody& body, Millis now, const Reply& reply);
+
+  /// Ends leases and watches whose time has come.
+  void Advance(Millis now);
+
+  /// Writes what others than the scheduler write.
+  /// @{
+  void Announce(const WorkerAnnouncement& worker, Millis now);
+  void Withdraw(const VmId& worker, Millis now);
+  void Configure(const Routing& routing, Millis now);
+  /// @}
+
+  /// Ends a lease and its keys; renewals of it go on succeeding if `unseen`.
+  void Revoke(LeaseId lease, bool unseen, Millis now);
+
+  /// Forgets all changes up to now, so that watches from before must list anew.
+  void DropHistory();
+
+  /// Returns a record's value, or nothing.
+  [[nodiscard]] std::optional<std::string> Value(const std::string& key) const;
+  /// Returns the lease that a record hangs on, 0 if there is none.
+  [[nodiscard]] LeaseId LeaseOf(const std::string& key) const;
+  [[nodiscard]] KvRevision revision() const { return revision_; }
+  [[nodiscard]] int64_t writes() const { return writes_; }
+
+ private:
+  struct Lease {
+    Millis ttl;
+    Millis ends_at;
+  };
+
+  struct Waiting {
+    WatchFeed watch;
+    Millis until;
+    Reply reply;
+  };
+
+  void Change(Feed feed, StoreItem item, Millis now);
+  void Remove(Feed feed, const std::string& key, Millis now);
+  void Write(const WriteRecords& write, Millis now, const Reply& reply);
+  bool AnswerWatch(const Waiting& waiting, bool at_last) const;
+  void WakeWatches();
+  [[nodiscard]] StoreItem Present(const std::string& key) const;
+
+  std::map<Feed, std::map<std::string, StoreItem>> items_;
+  std::vector<std::pair<Feed, StoreItem>> history_;
+  std::map<LeaseId, Lease> leases_;
+  std::vector<Waiting> waiting_;
+  KvRevision revision_ = 1;
+  KvRevision dropped_ = 0;
+  LeaseId last_lease_ = 100;
+  int64_t writes_ = 0;
+};
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/sim_worker.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "currantpost/scheduler/worker.h"
+
+namespace currantpost::scheduler {
+
+/// What a run does, as the test decides when it begins.
+struct RunPlan {
+  Millis duration = Millis(500);
+  RunEnd end = RunEnd::kDone;
+  /// Never ends by itself.
+  bool lasts = false;
+  int64_t recent = 0;
+  Resources need;
+};
+
+/// A worker in simulated time: fences, leases, runs and the list of ends, as the platform has them.
+class SimWorker {
+ public:
+  using Reply = std::function<void(WorkerReply)>;
+  using Planner = std::function<RunPlan(const TaskName&)>;
+
+  SimWorker(WorkerAnnouncement info, Planner planner);
+
+  /// Carries an order out. A look may be answered later, by `Advance`.
+  void Handle(FencingToken token, const WorkerOrder& order, Millis now, const Reply& reply);
+
+  /// Ends runs whose work is done or whose lease has lapsed, and looks that waited long enough.
+  void Advance(Millis now);
+
+  /// Everything that runs is gone, and a new life begins.
+  void Restart(int64_t born);
+
+  [[nodiscard]] const WorkerAnnouncement& info() const { return info_; }
+  WorkerAnnouncement& info() { return info_; }
+  [[nodiscard]] std::vector<TaskName> Running() const;
+  [[nodiscard]] Resources Held() const;
+
+  bool up = true;
+  /// Called for each run that begins, and for each end that the worker is told to forget.
+  std::function<void(const TaskName&, Run)> on_start;
+  std::function<void(const EndedTask&)> on_forget;
+  int32_t starts = 0;
+  std::map<TaskName, int32_t> pace;
+
+ private:
+  struct RunState {
+    Run run = 0;
+    RunPlan plan;
+    Millis began;
+    std::string checkpoint;
+  };
+
+  struct Waiting {
+    LookAtWorker look;
+    Millis until;
+    Reply reply;
+  };
+
+  [[nodiscard]] WorkerReply Lists(Millis now) const;
+  void End(const TaskName& task, RunEnd end);
+  void Start(const StartTask& start, Millis now, const Reply& reply);
+
+  WorkerAnnouncement info_;
+  Planner planner_;
+  FencingToken fence_ = 0;
+  Millis lease_until_;
+  std::map<TaskName, RunState> running_;
+  std::map<TaskName, Run> over_;
+  std::vector<EndedTask> ended_;
+  int64_t last_number_ = 0;
+  std::vector<Waiting> waiting_;
+};
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/trouble_test.cc
@@ -0,0 +1,196 @@
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// What must hold when workers, entries or the store fail.
+
+namespace currantpost::scheduler {
+namespace {
+
+class Trouble : public testing::Test {
+ protected:
+  void SetUp() override { world_.Run(Millis(2'000)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  /// Starts a job of lasting tasks and returns when they are at work.
+  void StartLasting(const std::string& id, int32_t tasks) {
+    world_.planner = [](const TaskName&) { return RunPlan{.lasts = true}; };
+    JobSpec spec = MakeJob(id, tasks);
+    spec.steps[0].lasting = true;
+    world_.Submit("e0", spec);
+    world_.Run(Millis(1'000));
+    ASSERT_EQ(world_.WorkersOf(id).size(), static_cast<size_t>(tasks));
+  }
+
+  World world_{WorldShape{}};
+};
+
+// A worker that is gone for good: each unanswered look carried a renewal, so its leases never
+// counted as lapsed and its tasks were never started elsewhere.
+TEST_F(Trouble, TasksOfAWorkerThatIsGoneForGoodStartElsewhere) {
+  StartLasting("a", 2);
+  const std::string lost = world_.WorkersOf("a").front();
+  world_.CrashWorker(lost);
+  world_.Run(Millis(8'000));
+
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+}
+
+TEST_F(Trouble, TasksOfAWorkerBornAnewStartAtOnce) {
+  StartLasting("a", 2);
+  const std::string lost = world_.WorkersOf("a").front();
+  world_.CrashWorker(lost);
+  world_.Run(Millis(300));
+  world_.RestartWorker(lost);
+  world_.Run(Millis(1'500));
+
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+}
+
+TEST_F(Trouble, TasksOfACutOffWorkerNeverRunTwice) {
+  StartLasting("a", 2);
+  const std::string lost = world_.WorkersOf("a").front();
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Cut(entry, lost);
+  world_.Run(Millis(8'000));
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+
+  world_.Mend();
+  world_.Run(Millis(3'000));
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+}
+
+TEST_F(Trouble, AnotherEntryTakesOverFromOneThatIsKilled) {
+  StartLasting("a", 2);
+  const int32_t before = world_.starts[TaskName{JobId("a"), 0, 0, 0}];
+  world_.Kill(world_.OwnerOf("a"));
+  world_.Run(Millis(6'000));
+
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+  EXPECT_EQ((world_.starts[TaskName{JobId("a"), 0, 0, 0}]), before) << "the run lives on";
+  EXPECT_FALSE(world_.OwnerOf("a").empty());
+}
+
+TEST_F(Trouble, APausedOwnerChangesNothingWhenItGoesOn) {
+  StartLasting("a", 3);
+  const std::string owner = world_.OwnerOf("a");
+  world_.Pause(owner);
+  world_.Run(Millis(6'000));
+  EXPECT_NE(world_.OwnerOf("a"), owner);
+
+  world_.Resume(owner);
+  world_.Run(Millis(5'000));
+  EXPECT_EQ(world_.WorkersOf("a").size(), 3U);
+}
+
+TEST_F(Trouble, APlannedStopHandsTheCellOverAtOnce) {
+  StartLasting("a", 2);
+  const std::string owner = world_.OwnerOf("a");
+  world_.Stop(owner);
+  world_.Run(Millis(600));
+
+  EXPECT_FALSE(world_.OwnerOf("a").empty());
+  EXPECT_NE(world_.OwnerOf("a"), owner);
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+}
+
+TEST_F(Trouble, KeysTakenAwayUnseenEndOwnership) {
+  StartLasting("a", 2);
+  const std::string owner = world_.OwnerOf("a");
+  const LeaseId lease = world_.store.LeaseOf(std::string(kEntryPrefix) + owner);
+  world_.store.Revoke(lease, true, world_.now());
+  world_.Run(Millis(4'000));
+
+  EXPECT_FALSE(world_.OwnerOf("a").empty());
+  EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
+}
+
+TEST_F(Trouble, EverythingAcceptedSurvivesTheLossOfAllEntries) {
+  world_.planner = [](const TaskName&) { return RunPlan{.duration = Millis(2'000)}; };
+  for (int job = 0; job < 4; ++job) world_.Submit("e0", MakeJob("j" + std::to_string(job), 3));
+  world_.Run(Millis(100));
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Kill(entry);
+  world_.Run(Millis(1'000));
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Start(entry);
+  world_.Run(Millis(15'000));
+
+  for (int job = 0; job < 4; ++job) {
+    EXPECT_EQ(world_.Phase("j" + std::to_string(job)), JobPhase::kCompleted) << job;
+  }
+}
+
+TEST_F(Trouble, StartsCarriedOutLateAreVoid) {
+  for (int rack = 0; rack < 2; ++rack) {
+    for (int number = 0; number < 2; ++number) {
+      world_.DelayStarts("wr0-" + std::to_string(rack) + "-" + std::to_string(number),
+                         Millis(3'000));
+    }
+  }
+  world_.Submit("e0", MakeJob("a", 4));
+  world_.Run(Millis(1'500));
+  for (int rack = 0; rack < 2; ++rack) {
+    for (int number = 0; number < 2; ++number) {
+      world_.DelayStarts("wr0-" + std::to_string(rack) + "-" + std::to_string(number), Millis(0));
+    }
+  }
+  world_.Run(Millis(12'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+}
+
+TEST_F(Trouble, TasksLiveOnWhileTheStoreIsAway) {
+  StartLasting("a", 3);
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Cut(entry, "store");
+  world_.Run(Millis(5'000));
+  EXPECT_EQ(world_.WorkersOf("a").size(), 3U);
+
+  world_.Mend();
+  world_.Run(Millis(6'000));
+  EXPECT_EQ(world_.WorkersOf("a").size(), 3U);
+  EXPECT_EQ(world_.starts.size(), 3U);
+  for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1);
+}
+
+TEST_F(Trouble, ADrainingWorkerGetsNothingNew) {
+  const std::string leaving = "wr0-0-0";
+  world_.DrainWorker(leaving);
+  world_.Run(Millis(1'500));
+  const int32_t before = world_.worker(leaving).starts;
+  world_.Submit("e0", MakeJob("a", 10));
+  world_.Run(Millis(4'000));
+
+  EXPECT_EQ(world_.worker(leaving).starts, before);
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+}
+
+TEST_F(Trouble, TheStoresHistoryMayGoAtAnyTime) {
+  for (int round = 0; round < 10; ++round) {
+    world_.Submit("e" + std::to_string(round % 3), MakeJob("j" + std::to_string(round), 2));
+    world_.store.DropHistory();
+    world_.Run(Millis(300));
+  }
+  world_.Run(Millis(5'000));
+
+  for (int round = 0; round < 10; ++round) {
+    EXPECT_EQ(world_.Phase("j" + std::to_string(round)), JobPhase::kCompleted) << round;
+  }
+}
+
+TEST_F(Trouble, LostAnswersEverywhereLoseNothing) {
+  world_.loss = 0.1;
+  for (int round = 0; round < 12; ++round) {
+    world_.Submit("e" + std::to_string(round % 3), MakeJob("j" + std::to_string(round), 3));
+    world_.Run(Millis(400));
+  }
+  world_.Run(Millis(20'000));
+  world_.loss = 0.0;
+  world_.Run(Millis(15'000));
+
+  for (int round = 0; round < 12; ++round) {
+    const std::string id = "j" + std::to_string(round);
+    if (!world_.store.Value(std::string(kJobPrefix) + id)) continue;
+    EXPECT_EQ(world_.Phase(id), JobPhase::kCompleted) << round;
+  }
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/world.cc
@@ -0,0 +1,367 @@
+#include "world.h"
+
+#include <algorithm>
+
+namespace currantpost::scheduler {
+namespace {
+
+constexpr Millis kHop = Millis(2);
+constexpr Millis kStep = Millis(5);
+constexpr Millis kHeartbeat = Millis(1'500);
+/// How often a process that has nothing to do is woken at most.
+constexpr Millis kLeastSleep = Millis(1);
+
+Routing OneQueue() {
+  Routing routing;
+  routing.version = 1;
+  routing.queues.push_back(Queue{.name = "queue",
+                                 .host = "host",
+                                 .path_prefix = "/q/",
+                                 .service = "service",
+                                 .most_attempts = 3});
+  routing.services["service"] = Service{.name = "service"};
+  return routing;
+}
+
+std::string Text(const TaskName& name) {
+  return name.job.Text() + "." + std::to_string(name.step) + "." + std::to_string(name.index);
+}
+
+}  // namespace
+
+JobSpec MakeJob(const std::string& id, int32_t tasks, int64_t millicores) {
+  JobSpec spec;
+  spec.job = JobId(id);
+  spec.payload = "payload";
+  StepSpec step;
+  step.task_count = tasks;
+  step.need = Resources{.millicores = millicores, .memory_mib = 100};
+  step.estimate = Millis(500);
+  spec.steps.push_back(step);
+  return spec;
+}
+
+World::World(WorldShape shape)
+    : planner([](const TaskName&) {
+        return RunPlan{.need = Resources{.millicores = 1'000, .memory_mib = 100}};
+      }),
+      shape_(shape),
+      random_(shape.seed) {
+  store.Configure(OneQueue(), now_);
+
+  for (int32_t centre = 0; centre < shape.data_centres; ++centre) {
+    const std::string place = "dc" + std::to_string(centre);
+
+    for (int32_t rack = 0; rack < shape.racks; ++rack) {
+      for (int32_t number = 0; number < shape.workers_per_rack; ++number) {
+        const std::string name = "r" + std::to_string(centre) + "-" + std::to_string(rack);
+        AddWorker("w" + name + "-" + std::to_string(number), place, name, shape.capacity);
+      }
+    }
+  }
+
+  for (int32_t number = 0; number < shape.entries; ++number) {
+    const std::string entry = "e" + std::to_string(number);
+    place_of_[entry] = "dc" + std::to_string(number % shape.data_centres);
+    Start(entry);
+  }
+}
+
+void World::AddWorker(const std::string& id, const std::string& data_centre,
+                      const std::string& rack, const Resources& capacity) {
+  WorkerAnnouncement info;
+  info.id = VmId(id);
+  info.born = 1;
+  info.service = "service";
+  info.address = Address{"10.0.0.1", 1};
+  info.data_centre = DataCentreId(data_centre);
+  info.rack = RackId(rack);
+  info.labels = {"kind", rack};
+  info.capacity = capacity;
+
+  auto worker =
+      std::make_unique<SimWorker>(info, [this](const TaskName& name) { return planner(name); });
+
+  worker->on_start = [this, id](const TaskName& name, scheduler::Run) {
+    ++starts[name];
+    if (done.contains(name)) violations.push_back("started after done: " + Text(name));
+
+    for (const auto& [other, present] : workers_) {
+      if (other == id || !present->up) continue;
+
+      const std::vector<TaskName> running = present->Running();
+      if (std::ranges::find(running, name) != running.end()) {
+        violations.push_back("runs twice: " + Text(name) + " on " + other + " and " + id);
+      }
+    }
+  };
+  worker->on_forget = [this](const EndedTask& end) {
+    if (end.end == RunEnd::kDone) done.insert(end.task);
+  };
+
+  workers_[id] = std::move(worker);
+  Announce(id);
+}
+
+void World::Announce(const std::string& id) {
+  SimWorker& worker = *workers_.at(id);
+  if (worker.up) store.Announce(worker.info(), now_);
+
+  At(now_ + kHeartbeat, [this, id] {
+    if (workers_.contains(id)) Announce(id);
+  });
+}
+
+void World::At(Millis when, Action action) {
+  planned_.push(Planned{when, ++order_, std::move(action)});
+}
+
+void World::Run(Millis span) {
+  const Millis end = now_ + span;
+
+  while (now_ < end) {
+    now_ = now_ + kStep;
+    store.Advance(now_);
+    for (auto& [id, worker] : workers_) worker->Advance(now_);
+
+    while (!planned_.empty() && planned_.top().when <= now_) {
+      const Action action = planned_.top().action;
+      planned_.pop();
+      action();
+    }
+
+    for (const auto& [id, worker] : workers_) {
+      if (!FitsWithin(worker->Held(), worker->info().capacity)) {
+        violations.push_back("over capacity: " + id);
+      }
+    }
+  }
+}
+
+void World::Start(const std::string& entry) {
+  Settings settings;
+  settings.entry = EntryId(entry);
+  settings.data_centre = DataCentreId(place_of_.at(entry));
+  life_of_[entry] = ++lives_;
+  settings.life = std::to_string(lives_);
+  settings.peer_address = Address{entry, 1};
+  entries_[entry] = MakeState(settings);
+  Deliver(entry, life_of_[entry], Tick{});
+}
+
+void World::Kill(const std::string& entry) {
+  entries_.erase(entry);
+  life_of_.erase(entry);
+  paused_.erase(entry);
+  held_.erase(entry);
+}
+
+void World::Resume(const std::string& entry) {
+  paused_.erase(entry);
+  std::vector<Action> held = std::move(held_[entry]);
+  held_.erase(entry);
+  for (const Action& action : held) action();
+}
+
+void World::Stop(const std::string& entry) { Deliver(entry, life_of_.at(entry), StopRequested{}); }
+
+void World::Deliver(const std::string& entry, uint64_t life, decltype(Event::body) body) {
+  if (paused_.contains(entry)) {
+    held_[entry].push_back([this, entry, life, body] { Deliver(entry, life, body); });
+    return;
+  }
+
+  const auto found = entries_.find(entry);
+  if (found == entries_.end() || life_of_.at(entry) != life) return;
+
+  State& state = *found->second;
+  Effects effects;
+  Reduce(state, Event{now_, now_.Count(), std::move(body)}, effects);
+
+  const Millis wake = std::max(state.wake_at, now_ + kLeastSleep);
+  Carry(entry, std::move(effects));
+  At(wake, [this, entry, life] {
+    const auto present = entries_.find(entry);
+    if (present == entries_.end() || life_of_.at(entry) != life) return;
+    if (paused_.contains(entry) || now_ >= present->second->wake_at) Deliver(entry, life, Tick{});
+  });
+}
+
+void World::Carry(const std::string& entry, Effects effects) {
+  const uint64_t life = life_of_.at(entry);
+
+  for (const Effect& effect : effects) {
+    if (const auto* call = std::get_if<StoreCall>(&effect)) {
+      CallStore(entry, *call);
+    } else if (const auto* call = std::get_if<WorkerCall>(&effect)) {
+      CallWorker(entry, *call);
+    } else if (const auto* push = std::get_if<PushRecords>(&effect)) {
+      const std::string peer = push->peer.host;
+      if (IsCut(entry, peer) || !life_of_.contains(peer)) continue;
+      At(now_ + kHop, [this, peer, items = push->items] {
+        if (life_of_.contains(peer)) Deliver(peer, life_of_.at(peer), RecordsPushed{items});
+      });
+    } else if (const auto* ask = std::get_if<AskPeer>(&effect)) {
+      At(now_ + ask->timeout, [this, entry, life, request = ask->request] {
+        Deliver(entry, life, PeerAnswered{.request = request});
+      });
+    } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+      answers[job_of_call_[answer->call]].push_back(*answer);
+    } else if (const auto* line = std::get_if<LogLine>(&effect)) {
+      std::string text = std::to_string(now_.Count()) + " " + entry + " " + line->sentence;
+      for (const LogField& field : line->fields) text += " " + field.name + "=" + field.value;
+      log.push_back(std::move(text));
+    }
+  }
+}
+
+bool World::Loses() {
+  return loss > 0.0 && std::uniform_real_distribution<double>(0.0, 1.0)(random_) < loss;
+}
+
+void World::CallStore(const std::string& entry, const StoreCall& call) {
+  const uint64_t life = life_of_.at(entry);
+  const auto answered = std::make_shared<bool>(false);
+  const auto answer = [this, entry, life, request = call.request, answered](StoreReply reply) {
+    At(now_ + kHop, [this, entry, life, request, answered, reply] {
+      if (*answered) return;
+      if (IsCut(entry, "store") && reply.status != StoreStatus::kUnavailable) return;
+      *answered = true;
+      Deliver(entry, life, StoreAnswered{request, reply});
+    });
+  };
+
+  At(now_ + call.timeout, [this, entry, life, request = call.request, answered] {
+    if (*answered) return;
+    *answered = true;
+    Deliver(entry, life, StoreAnswered{request, StoreReply{.status = StoreStatus::kUnknown}});
+  });
+
+  if (IsCut(entry, "store")) return;
+
+  const bool lost = Loses();
+  At(now_ + kHop, [this, body = call.body, answer, lost] {
+    store.Handle(body, now_, lost ? SimStore::Reply([](const StoreReply&) {}) : answer);
+  });
+}
+
+void World::CallWorker(const std::string& entry, const WorkerCall& call) {
+  const uint64_t life = life_of_.at(entry);
+  const std::string id = call.worker.Text();
+  const auto answered = std::make_shared<bool>(false);
+
+  const auto answer = [this, entry, life, id, request = call.request,
+                       answered](const WorkerReply& reply) {
+    At(now_ + kHop, [this, entry, life, id, request, answered, reply] {
+      if (*answered || mute_.contains(id) || IsCut(entry, id)) return;
+      *answered = true;
+      Deliver(entry, life, WorkerAnswered{request, reply});
+    });
+  };
+
+  At(now_ + call.timeout, [this, entry, life, request = call.request, answered] {
+    if (*answered) return;
+    *answered = true;
+    Deliver(entry, life, WorkerAnswered{request, WorkerReply{}});
+  });
+
+  if (IsCut(entry, id)) return;
+
+  const bool is_start = std::holds_alternative<StartTask>(call.order);
+  const auto late = late_.find(id);
+  const Millis delay = is_start && late != late_.end() ? late->second : Millis(0);
+  const bool lost = Loses() || delay > Millis(0);
+
+  At(now_ + kHop + delay, [this, id, call, answer, lost] {
+    const auto worker = workers_.find(id);
+    if (worker == workers_.end() || !worker->second->up) return;
+
+    worker->second->Handle(call.token, call.order, now_,
+                           lost ? SimWorker::Reply([](const WorkerReply&) {}) : answer);
+  });
+}
+
+bool World::IsCut(const std::string& one, const std::string& other) const {
+  return cuts_.contains({one, other}) || cuts_.contains({other, one});
+}
+
+void World::Cut(const std::string& one, const std::string& other) { cuts_.emplace(one, other); }
+
+void World::Mark(std::set<std::string>& marks, const std::string& name, bool set) {
+  if (set) {
+    marks.insert(name);
+  } else {
+    marks.erase(name);
+  }
+}
+
+void World::CrashWorker(const std::string& id) {
+  SimWorker& worker = *workers_.at(id);
+  worker.Restart(worker.info().born);
+  worker.up = false;
+}
+
+void World::RestartWorker(const std::string& id) {
+  SimWorker& worker = *workers_.at(id);
+  worker.Restart(worker.info().born + 1);
+  store.Announce(worker.info(), now_);
+}
+
+void World::WithdrawWorker(const std::string& id) { store.Withdraw(VmId(id), now_); }
+
+void World::DrainWorker(const std::string& id) {
+  workers_.at(id)->info().draining = true;
+  store.Announce(workers_.at(id)->info(), now_);
+}
+
+void World::Submit(const std::string& entry, const JobSpec& spec) {
+  const RequestId call = ++last_call_;
+  job_of_call_[call] = spec.job.Text();
+  Deliver(entry, life_of_.at(entry),
+          CallerAsked{call, Millis(3'000), JobSubmitted{"queue", spec}});
+}
+
+void World::Cancel(const std::string& entry, const std::string& job) {
+  const RequestId call = ++last_call_;
+  job_of_call_[call] = job;
+  Deliver(entry, life_of_.at(entry),
+          CallerAsked{call, Millis(3'000), JobCancelled{JobId(job)}});
+}
+
+void World::Ask(const std::string& entry, const std::string& job) {
+  const RequestId call = ++last_call_;
+  job_of_call_[call] = job;
+  Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobAsked{JobId(job)}});
+}
+
+JobPhase World::Phase(const std::string& job) const {
+  const auto value = store.Value(std::string(kProgressPrefix) + job);
+  if (!value) return JobPhase::kQueued;
+
+  return DecodePhase(*value).value_or(JobPhase::kQueued);
+}
+
+std::string World::OwnerOf(const std::string& job) const {
+  const auto value = store.Value(std::string(kJobPrefix) + job);
+  if (!value) return {};
+
+  const auto record = DecodeJob(*value);
+  const auto cell = store.Value(std::string(kCellPrefix) + record->cell.Text());
+  if (!cell) return {};
+
+  return DecodeCell(*cell)->owner.Text();
+}
+
+std::vector<std::string> World::WorkersOf(const std::string& job) const {
+  std::vector<std::string> ids;
+
+  for (const auto& [id, worker] : workers_) {
+    for (const TaskName& name : worker->Running()) {
+      if (name.job.Text() == job) ids.push_back(id);
+    }
+  }
+
+  return ids;
+}
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/world.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "currantpost/scheduler/scheduler.h"
+#include "sim_store.h"
+#include "sim_worker.h"
+
+namespace currantpost::scheduler {
+
+/// How a `World` is laid out.
+struct WorldShape {
+  int32_t entries = 3;
+  int32_t data_centres = 1;
+  int32_t racks = 2;
+  int32_t workers_per_rack = 2;
+  Resources capacity = {.millicores = 8'000, .memory_mib = 64'000};
+  uint64_t seed = 1;
+};
+
+/// Several entries around real reducers, with workers and a store, in simulated time.
+///
+/// The world watches what callers and workers see: it notes each start, each end that a worker is
+/// told to forget, and whatever must never be.
+class World {
+ public:
+  explicit World(WorldShape shape);
+
+  /// Lets time pass.
+  void Run(Millis span);
+
+  void Kill(const std::string& entry);
+  /// Starts an entry anew, without memory.
+  void Start(const std::string& entry);
+  void Pause(const std::string& entry) { paused_.insert(entry); }
+  void Resume(const std::string& entry);
+  void Stop(const std::string& entry);
+
+  /// Cuts or mends the way between two places: entries, workers and "store".
+  void Cut(const std::string& one, const std::string& other);
+  void Mend() { cuts_.clear(); }
+
+  /// Answers of calls to a worker are lost while set; `late` orders are carried out so much later.
+  void LoseAnswers(const std::string& worker, bool lose) { Mark(mute_, worker, lose); }
+  void DelayStarts(const std::string& worker, Millis span) { late_[worker] = span; }
+
+  void CrashWorker(const std::string& worker);
+  void RestartWorker(const std::string& worker);
+  void WithdrawWorker(const std::string& worker);
+  void DrainWorker(const std::string& worker);
+
+  /// Hands a job in at an entry; the answer goes to `answers`.
+  void Submit(const std::string& entry, const JobSpec& spec);
+  void Cancel(const std::string& entry, const std::string& job);
+  void Ask(const std::string& entry, const std::string& job);
+
+  /// Returns the recorded phase of a job, or queued if nothing is recorded.
+  [[nodiscard]] JobPhase Phase(const std::string& job) const;
+  /// Returns the entry that owns the cell of a job, empty if none does.
+  [[nodiscard]] std::string OwnerOf(const std::string& job) const;
+  [[nodiscard]] SimWorker& worker(const std::string& id) { return *workers_.at(id); }
+  [[nodiscard]] State& state(const std::string& entry) { return *entries_.at(entry); }
+  [[nodiscard]] std::vector<std::string> WorkersOf(const std::string& job) const;
+  [[nodiscard]] Millis now() const { return now_; }
+
+  SimStore store;
+  /// Answers to callers, by job.
+  std::map<std::string, std::vector<AnswerCaller>> answers;
+  /// What must never be, as it was seen.
+  std::vector<std::string> violations;
+  /// Runs begun by task.
+  std::map<TaskName, int32_t> starts;
+  std::set<TaskName> done;
+  /// Decides what the runs of a task do.
+  SimWorker::Planner planner;
+  /// Chance that an answer is lost, for every call.
+  double loss = 0.0;
+  std::vector<std::string> log;
+
+ private:
+  using Action = std::function<void()>;
+
+  void At(Millis when, Action action);
+  void Deliver(const std::string& entry, uint64_t life, decltype(Event::body) body);
+  void Carry(const std::string& entry, Effects effects);
+  void CallStore(const std::string& entry, const StoreCall& call);
+  void CallWorker(const std::string& entry, const WorkerCall& call);
+  void Announce(const std::string& worker);
+  void AddWorker(const std::string& id, const std::string& data_centre, const std::string& rack,
+                 const Resources& capacity);
+  [[nodiscard]] bool IsCut(const std::string& one, const std::string& other) const;
+  bool Loses();
+  static void Mark(std::set<std::string>& marks, const std::string& name, bool set);
+
+  struct Planned {
+    Millis when;
+    uint64_t order = 0;
+    Action action;
+
+    bool operator>(const Planned& other) const {
+      return std::tie(when, order) > std::tie(other.when, other.order);
+    }
+  };
+
+  WorldShape shape_;
+  Millis now_ = Millis(1'000);
+  uint64_t order_ = 0;
+  uint64_t lives_ = 0;
+  std::priority_queue<Planned, std::vector<Planned>, std::greater<>> planned_;
+  std::map<std::string, std::unique_ptr<State>> entries_;
+  std::map<std::string, uint64_t> life_of_;
+  std::map<std::string, std::string> place_of_;
+  std::map<std::string, std::unique_ptr<SimWorker>> workers_;
+  std::set<std::string> paused_;
+  std::map<std::string, std::vector<Action>> held_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::set<std::string> mute_;
+  std::map<std::string, Millis> late_;
+  std::map<RequestId, std::string> job_of_call_;
+  RequestId last_call_ = 0;
+  std::mt19937_64 random_;
+};
+
+/// Makes a job of one step of so many tasks, each of one core.
+JobSpec MakeJob(const std::string& id, int32_t tasks, int64_t millicores = 1'000);
+
+}  // namespace currantpost::scheduler
