Place lasting tasks by image, and filling work nearer to what lasting tasks bear

Figures of both sites, fitted by hand: each filling image adds 0.6 to 2.1 of stress to some images of lasting tasks and under 0.25 to the others, so there is a harmless place for nearly all of it if lasting tasks of one image stay together.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -260,6 +260,8 @@
   Resources held;
   int64_t lasting_millicores = 0;
   int64_t filling_millicores = 0;
+  /// What slowed filling tasks leave to others.
+  int64_t filling_idle = 0;
   /// Not used before this, as it fails what it starts.
   Millis quarantined_until;
   int32_t failures_in_row = 0;
@@ -398,7 +400,7 @@
   InterferenceModelSettings settings;
   settings.prior_mean = 0.1;
   settings.prior_deviation = 0.5;
-  settings.noise_deviation = 0.055;
+  settings.noise_deviation = 0.08;
   settings.drift_deviation = 0.003;
   settings.caution = 0.5;
   return settings;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -442,6 +442,8 @@
     const bool unwanted = job.cancelled || job.doomed;
     task->phase = unwanted ? TaskPhase::kStopping : TaskPhase::kRunning;
     worker.answered_at = state.now;
+    // It works at full pace until it is told otherwise.
+    if (SpecOf(job, ref).filling) UpdatePace(state, cell, worker);
     return;
   }
 
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -27,6 +27,12 @@
   CallStore(state, effects, FormerLeaseEnded{}, EndLease{lease.former});
 }
 
+EntryRecord OwnRecord(const State& state) {
+  return EntryRecord{.life = state.settings.life,
+                     .data_centre = state.settings.data_centre,
+                     .peer_address = state.settings.peer_address};
+}
+
 void Register(State& state, Effects& effects) {
   LeaseState& lease = state.lease;
   if (lease.registered || lease.register_request != 0) return;
@@ -36,11 +42,9 @@
     return;
   }
 
-  const EntryRecord record{.life = state.settings.life,
-                           .data_centre = state.settings.data_centre,
-                           .peer_address = state.settings.peer_address};
   WriteRecords write;
-  write.puts.push_back(RecordPut{EntryKey(state.settings.entry), Encode(record), lease.lease});
+  write.puts.push_back(
+      RecordPut{EntryKey(state.settings.entry), Encode(OwnRecord(state)), lease.lease});
   lease.register_request = CallStore(state, effects, EntryRegistered{}, std::move(write));
 }
 
@@ -132,6 +136,12 @@
 
   if (reply.status == StoreStatus::kOk) {
     lease.registered = true;
+    // Known at once, so that late news of an earlier record's removal is told from this one's.
+    ApplyRecord(state, effects,
+                StoreItem{.key = EntryKey(state.settings.entry),
+                          .revision = reply.revision,
+                          .lease = lease.lease,
+                          .value = Encode(OwnRecord(state))});
     return;
   }
 
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -15,17 +15,17 @@
 /// Stress above which filling tasks are slowed down, and to which. A tail at its target has 0.83
 /// where the target is six times the unloaded tail; the rest is for figures that are half a second
 /// old, in which a lasting task's own load rises by up to 0.04.
-constexpr double kMostStress = 0.79;
-constexpr double kRelievedStress = 0.77;
+constexpr double kMostStress = 0.81;
+constexpr double kRelievedStress = 0.80;
 /// Stress up to which filling tasks are placed; lower, as a lasting task's own load still swings.
-constexpr double kMostStressPlaced = 0.77;
+constexpr double kMostStressPlaced = 0.80;
 /// Own stress of lasting tasks taken until figures came, the weight of a figure in its mean, and how
 /// far above the mean it usually swings.
 constexpr double kUsualStress = 0.48;
 constexpr double kUsualWeight = 0.02;
 constexpr double kUsualSwing = 0.12;
 /// Filling work that adds less stress than this is no cause, and slowing it down no cure.
-constexpr double kNegligibleStress = 0.015;
+constexpr double kNegligibleStress = 0.03;
 /// The target as a multiple of the unloaded tail, taken until a lower tail was seen.
 constexpr int64_t kTargetOfUnloaded = 6;
 /// The least tail seen is that of a lightly loaded task; unloaded it is this much of it, in percent.
@@ -39,6 +39,9 @@
 constexpr double kLeastChange = 0.02;
 /// Use of a filling task that has just begun or is given pace, as a share of what it asks for.
 constexpr double kUsualUse = 0.85;
+/// Share of what slowed filling tasks leave idle that others may take, in percent; the rest is for
+/// the time when they get their pace back.
+constexpr int64_t kIdleShare = 0;
 /// Paces are told in steps of this many percent, given back by no more than this at a time.
 constexpr int32_t kPaceStep = 10;
 constexpr int32_t kMostPaceRise = 40;
@@ -211,6 +214,7 @@
 void UpdatePace(State& state, OwnedCell& cell, WorkerState& worker) {
   Learn(state, cell, worker);
   worker.expected_stress.reset();
+  worker.filling_idle = 0;
   if (worker.filling_millicores == 0) return;
 
   const std::map<std::string, double> measured = MeasuredUse(cell, worker);
@@ -228,11 +232,14 @@
     if (stress > kMostStress) Relieve(state, spec.image, stress - kRelievedStress, full, paces);
   });
 
+  worker.filling_idle = 0;
+
   ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
     if (!spec.filling) return;
 
     const int32_t wanted = Percent(paces[spec.image]);
     task.wanted_pace = std::min(wanted, task.wanted_pace + kMostPaceRise);
+    worker.filling_idle += spec.need.millicores * (100 - task.wanted_pace) * kIdleShare / 10'000;
   });
 }
 
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -9,9 +9,18 @@
 /// A worker that has not answered for so long gets nothing new: two looks have failed.
 constexpr Millis kSilentAfter = Millis(2'600);
 /// Share of what they hold that lasting tasks use on average, in percent.
-constexpr int64_t kLastingUsePercent = 55;
+constexpr int64_t kLastingUsePercent = 40;
 /// Least time between two placements in a cell: half of what progress writes wait for.
 constexpr Millis kPlacementInterval = Millis(30);
+/// What counts for a lasting task to be among those of its image only, and to begin on a worker
+/// without any; more than any difference in room.
+constexpr int64_t kSameImageScore = 1'000'000;
+constexpr int64_t kEmptyScore = 500'000;
+/// What counts for work that disturbs no lasting task to go beside one.
+constexpr int64_t kBesideLastingScore = 20'000;
+/// Filling work that disturbs lasting tasks everywhere is placed after so long all the same, where
+/// it disturbs least, and paced.
+constexpr Millis kSlackPatience = Millis(6'000);
 /// Scores that decide before room does.
 /// @{
 constexpr int64_t kPreferredRackScore = 1'000'000'000;
@@ -41,7 +50,8 @@
 int64_t FreeFilling(const WorkerState& worker) {
   const int64_t brief = worker.held.millicores - worker.lasting_millicores;
   const int64_t used = brief + worker.lasting_millicores * kLastingUsePercent / 100;
-  return worker.info.capacity.millicores - used - worker.filling_millicores;
+  return worker.info.capacity.millicores - used - worker.filling_millicores +
+         worker.filling_idle;
 }
 
 bool HasRoom(const WorkerState& worker, const StepSpec& spec) {
@@ -70,6 +80,22 @@
   return count;
 }
 
+/// Says how well a worker suits a lasting task by the images of those that are there. Any filling
+/// image disturbs some images of lasting tasks and leaves others alone, so that it finds a place
+/// where it harms nobody if lasting tasks of one image stay among themselves.
+int64_t Company(OwnedCell& cell, const WorkerState& worker, const std::string& image) {
+  if (worker.lasting_millicores == 0) return kEmptyScore;
+
+  int64_t same = 0;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+    if (spec.lasting && spec.image == image) same += spec.need.millicores;
+  }
+
+  return same * kSameImageScore / worker.lasting_millicores;
+}
+
 /// Says how well a worker suits a task; nothing if it does not.
 std::optional<int64_t> Score(const State& state, OwnedCell& cell, const JobState& job,
                              const TaskRef& ref, const TaskState& task, WorkerState& worker,
@@ -81,16 +107,24 @@
   const int32_t same = SameStep(worker, ref);
   if (spec.most_per_worker > 0 && same >= spec.most_per_worker) return std::nullopt;
 
-  int64_t score = spec.filling ? FreeFilling(worker) : FreeMillicores(worker);
+  int64_t score = 0;
 
   if (spec.filling) {
     const double slack = SlackWith(state, cell, worker, spec.image, spec.need.millicores);
-    if (slack < 0.0) return std::nullopt;
-
-    score += static_cast<int64_t>(std::min(slack, kFullSlack) * kSlackScore);
+    const bool patient = state.now - task.not_before < kSlackPatience;
+    if (slack < 0.0 && patient) return std::nullopt;
+
+    score = FreeFilling(worker) + static_cast<int64_t>(std::min(slack, kFullSlack) * kSlackScore);
+    // Harmless work leaves the workers without lasting tasks to the harmful.
+    if (slack >= kFullSlack && worker.lasting_millicores > 0) score += kBesideLastingScore;
+    score += same * kSameStepScore;
+  } else if (spec.lasting) {
+    // The tightest fit keeps large holes for large tasks.
+    score = -FreeMillicores(worker) + Company(cell, worker, spec.image);
+  } else {
+    score = FreeMillicores(worker);
   }
 
-  score += same * kSameStepScore;
   if (worker.info.id == task.avoid) score += kAvoidScore;
   if (!spec.preferred_rack.empty() && worker.info.rack.Text() == spec.preferred_rack) {
     score += kPreferredRackScore;
