Keep lasting tasks' processors free for them

Lasting tasks of one image swing together, up to 0.72 of what they hold, and filling work was placed as if they always used 0.40. Ruled out: the pairs of images (fitted figures are under 0.16 there). Change: a lasting task's own stress is taken as the share that it uses; placing counts it, and all paces are lowered together where a worker would be asked for over 93 %.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -154,6 +154,8 @@
   Millis began;
   /// Of a lasting task, how near its tail is to running away: 0 unloaded, 1 without bound.
   std::optional<double> stress;
+  /// The part of it that is its own load.
+  double own_stress = 0.0;
   /// Share of its speed that it was last told, and is to have.
   int32_t paced = 100;
   int32_t wanted_pace = 100;
@@ -260,8 +262,8 @@
   Resources held;
   int64_t lasting_millicores = 0;
   int64_t filling_millicores = 0;
-  /// What slowed filling tasks leave to others.
-  int64_t filling_idle = 0;
+  /// What the lasting tasks there use now, as far as their tails tell, in thousandths of a core.
+  int64_t lasting_use = 0;
   /// Not used before this, as it fails what it starts.
   Millis quarantined_until;
   int32_t failures_in_row = 0;
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -39,9 +39,8 @@
 constexpr double kLeastChange = 0.02;
 /// Use of a filling task that has just begun or is given pace, as a share of what it asks for.
 constexpr double kUsualUse = 0.85;
-/// Share of what slowed filling tasks leave idle that others may take, in percent; the rest is for
-/// the time when they get their pace back.
-constexpr int64_t kIdleShare = 0;
+/// Share of a worker that all its tasks may be expected to use, in percent. Tails run away beyond.
+constexpr int64_t kMostUsePercent = 93;
 /// Paces are told in steps of this many percent, given back by no more than this at a time.
 constexpr int32_t kPaceStep = 10;
 constexpr int32_t kMostPaceRise = 40;
@@ -130,11 +129,22 @@
     task.stress = stress;
     double own = stress;
     for (const auto& [image, share] : use) own -= state.interference.Harm(spec.image, image, share);
+    own = std::max(own, 0.0);
+    task.own_stress = own;
 
     double& usual = state.usual_stress.try_emplace(spec.image, kUsualStress).first->second;
-    usual += kUsualWeight * (std::max(own, 0.0) - usual);
+    usual += kUsualWeight * (own - usual);
   });
 
+  // A lasting task's own stress is the share of what it holds that it uses.
+  double lasting_use = 0.0;
+  ForEachTask(cell, worker, [&](const StepSpec& spec, const TaskState& task) {
+    if (!spec.lasting) return;
+    const double share = task.stress ? task.own_stress : kUsualStress;
+    lasting_use += share * static_cast<double>(spec.need.millicores);
+  });
+  worker.lasting_use = static_cast<int64_t>(lasting_use);
+
   worker.filling_use = use;
   worker.learned_at = state.now;
 }
@@ -177,6 +187,22 @@
   }
 }
 
+/// Lowers all paces alike until the worker has processors for everything.
+void LimitUse(const WorkerState& worker, const std::map<std::string, double>& full,
+              std::map<std::string, double>& paces) {
+  const int64_t brief = worker.held.millicores - worker.lasting_millicores;
+  const int64_t others = brief + worker.lasting_use;
+  const double room = Share(worker, static_cast<double>(worker.info.capacity.millicores *
+                                                            kMostUsePercent / 100 -
+                                                        others));
+  double wanted = 0.0;
+  for (const auto& [image, share] : full) wanted += share * paces[image];
+  if (wanted <= room) return;
+
+  const double scale = std::max(room, 0.0) / wanted;
+  for (auto& [image, pace] : paces) pace *= scale;
+}
+
 /// Returns the stress to expect of the most strained lasting task of each image at full pace.
 std::map<std::string, double> ExpectedStress(const State& state, OwnedCell& cell,
                                              const WorkerState& worker) {
@@ -214,7 +240,6 @@
 void UpdatePace(State& state, OwnedCell& cell, WorkerState& worker) {
   Learn(state, cell, worker);
   worker.expected_stress.reset();
-  worker.filling_idle = 0;
   if (worker.filling_millicores == 0) return;
 
   const std::map<std::string, double> measured = MeasuredUse(cell, worker);
@@ -232,14 +257,13 @@
     if (stress > kMostStress) Relieve(state, spec.image, stress - kRelievedStress, full, paces);
   });
 
-  worker.filling_idle = 0;
+  LimitUse(worker, full, paces);
 
   ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
     if (!spec.filling) return;
 
     const int32_t wanted = Percent(paces[spec.image]);
     task.wanted_pace = std::min(wanted, task.wanted_pace + kMostPaceRise);
-    worker.filling_idle += spec.need.millicores * (100 - task.wanted_pace) * kIdleShare / 10'000;
   });
 }
 
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -21,6 +21,8 @@
 /// Filling work that disturbs lasting tasks everywhere is placed after so long all the same, where
 /// it disturbs least, and paced.
 constexpr Millis kSlackPatience = Millis(6'000);
+/// Share of what they ask for that filling tasks use on average, in percent.
+constexpr int64_t kFillingUsePercent = 85;
 /// Scores that decide before room does.
 /// @{
 constexpr int64_t kPreferredRackScore = 1'000'000'000;
@@ -49,9 +51,10 @@
 /// Room for filling tasks: what the others are expected to leave unused.
 int64_t FreeFilling(const WorkerState& worker) {
   const int64_t brief = worker.held.millicores - worker.lasting_millicores;
-  const int64_t used = brief + worker.lasting_millicores * kLastingUsePercent / 100;
-  return worker.info.capacity.millicores - used - worker.filling_millicores +
-         worker.filling_idle;
+  const int64_t usual = worker.lasting_millicores * kLastingUsePercent / 100;
+  const int64_t used = brief + std::max(usual, worker.lasting_use);
+  return worker.info.capacity.millicores - used -
+         worker.filling_millicores * kFillingUsePercent / 100;
 }
 
 bool HasRoom(const WorkerState& worker, const StepSpec& spec) {
