--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -208,6 +208,11 @@
   int32_t bound = 0;
   /// Since when some task waits for room.
   std::optional<Millis> waits_since;
+  /// For the log: when this entry took the job up, when its first task was bound, and the longest
+  /// wait of a task for a worker.
+  Millis taken_at;
+  std::optional<Millis> first_bound_at;
+  Millis longest_wait;
 };
 
 /// A call to a worker under way.
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -348,6 +348,7 @@
   job.record = *std::move(record);
   job.phase = progress->phase;
   job.progress_revision = view.progress_revision;
+  job.taken_at = state.now;
   MakeTasks(job);
 
   for (const TaskProgress& task : progress->tasks) {
@@ -404,6 +405,8 @@
               WorkerState& worker) {
   TaskState& task = *FindTask(cell, ref);
   cell.waiting.erase(KeyOf(job, ref));
+  job.longest_wait = std::max(job.longest_wait, state.now - task.not_before);
+  if (!job.first_bound_at) job.first_bound_at = state.now;
   task.phase = TaskPhase::kBinding;
   ++task.run;
   task.worker_born = worker.info.born;
@@ -506,7 +509,7 @@
   SettleJob(state, effects, cell, ref.job);
 }
 
-void SettleJob(State& /*state*/, Effects& effects, OwnedCell& cell, const JobId& id) {
+void SettleJob(State& state, Effects& effects, OwnedCell& cell, const JobId& id) {
   const auto found = cell.jobs.find(id);
   if (found == cell.jobs.end()) return;
 
@@ -520,7 +523,14 @@
     job.phase = done ? JobPhase::kCompleted : TerminalPhase(job);
     Touch(cell, job);
     Log(effects, Severity::kInfo, "job has ended",
-        {{"job", id.Text()}, {"phase", std::string(kJobPhaseNames.Name(job.phase))}});
+        {{"job", id.Text()},
+         {"queue", job.record.queue},
+         {"phase", std::string(kJobPhaseNames.Name(job.phase))},
+         {"ms", std::to_string((state.now - job.taken_at).Count())},
+         {"first_bound_ms",
+          std::to_string((job.first_bound_at.value_or(state.now) - job.taken_at).Count())},
+         {"longest_wait_ms", std::to_string(job.longest_wait.Count())},
+         {"steps", std::to_string(job.record.spec.steps.size())}});
     return;
   }
 
