--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -71,19 +71,6 @@
   bool operator==(const LoadRecord&) const = default;
 };
 
-/// An accepted job.
-struct JobRecord {
-  std::string queue;
-  std::string service;
-  int32_t priority = 0;
-  int32_t most_attempts = 1;
-  /// The cell whose owner starts the job's tasks.
-  CellId cell;
-  /// Time of day of the acceptance; orders waiting jobs, and decides nothing else.
-  int64_t accepted_unix_ms = 0;
-  JobSpec spec;
-};
-
 /// What is recorded of a task.
 enum class TaskMark {
   /// Not begun, or to be begun again.
@@ -93,9 +80,11 @@
   kDone,
   /// Out of attempts.
   kFailed,
+  /// Lent to another cell, where a job of its own runs it.
+  kLent,
 };
 
-/// What is recorded of a task that was begun at least once.
+/// What is recorded of a task that was begun at least once, or lent.
 struct TaskProgress {
   int32_t occurrence = 0;
   int32_t step = 0;
@@ -108,10 +97,29 @@
   VmId worker;
   int64_t worker_born = 0;
   std::string checkpoint;
+  /// The job that runs a lent task.
+  JobId lent_to;
 
   bool operator==(const TaskProgress&) const = default;
 };
 
+/// An accepted job, or some tasks of one that its cell has lent to another.
+struct JobRecord {
+  std::string queue;
+  std::string service;
+  int32_t priority = 0;
+  int32_t most_attempts = 1;
+  /// The cell whose owner starts the job's tasks.
+  CellId cell;
+  /// Time of day of the acceptance; orders waiting jobs, and decides nothing else.
+  int64_t accepted_unix_ms = 0;
+  JobSpec spec;
+  /// Of lent tasks: the job that they are of, and which they are. `spec` is that job's, but for the
+  /// id.
+  JobId parent;
+  std::vector<TaskProgress> lent;
+};
+
 /// How far a job is. Written by the owner of its cell.
 struct ProgressRecord {
   JobPhase phase = JobPhase::kQueued;
@@ -142,6 +150,8 @@
   int64_t accepted_unix_ms = 0;
   /// The job has no times of its own, so it counts as pending until it begins.
   bool immediate = true;
+  /// Of lent tasks, the job that they are of.
+  JobId parent;
 };
 Result<JobHead> DecodeJobHead(std::string_view value);
 
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -115,6 +115,8 @@
   kStopping,
   kDone,
   kFailed,
+  /// Another cell runs it.
+  kLent,
 };
 
 inline constexpr EnumNames kTaskPhaseNames(std::to_array<EnumName<TaskPhase>>({
@@ -126,6 +128,7 @@
     {TaskPhase::kStopping, "stopping"},
     {TaskPhase::kDone, "done"},
     {TaskPhase::kFailed, "failed"},
+    {TaskPhase::kLent, "lent"},
 }));
 
 struct TaskState {
@@ -134,6 +137,8 @@
   int32_t failures = 0;
   VmId worker;
   int64_t worker_born = 0;
+  /// The job that runs it in another cell.
+  JobId lent_to;
   std::string checkpoint;
   /// Not placed before this.
   Millis not_before;
@@ -204,6 +209,21 @@
     Millis retry_at;
   };
   std::optional<Move> move;
+  /// The write that lends tasks to another cell, not settled yet.
+  struct Loan {
+    CellId to;
+    JobId guest;
+    std::string guest_value;
+    std::string progress_value;
+    uint64_t version = 0;
+    RequestId request = 0;
+    Millis retry_at;
+  };
+  std::optional<Loan> loan;
+  /// Loans made so far by this owner; names the next.
+  int32_t loans = 0;
+  /// Tasks that other cells run.
+  int32_t lent = 0;
   /// Tasks bound to a worker.
   int32_t bound = 0;
   /// Since when some task waits for room.
@@ -302,6 +322,8 @@
   Millis inherited_until;
   std::map<VmId, WorkerState> workers;
   std::map<JobId, JobState> jobs;
+  /// Tasks that other cells have lent to this one, by the names that workers know them by.
+  std::map<TaskName, TaskRef> guests;
   std::set<WaitingKey> waiting;
   bool placement_due = false;
   /// No placement before this, so that what comes in a burst is placed together.
@@ -377,6 +399,11 @@
   KvRevision grant = 0;
   JobId job;
 };
+struct TasksLent {
+  CellId from;
+  KvRevision grant = 0;
+  JobId job;
+};
 struct SubmitWritten {
   JobId job;
 };
@@ -390,8 +417,8 @@
 struct EndedRemoved {};
 using StorePurpose =
     std::variant<FeedCalled, LeaseGranted, LeaseKept, FormerLeaseEnded, EntryRegistered,
-                 LayoutWritten, CellClaimed, CellReleased, ProgressWritten, JobMoved, SubmitWritten,
-                 CancelStepped, JobRead, EndedRemoved>;
+                 LayoutWritten, CellClaimed, CellReleased, ProgressWritten, JobMoved, TasksLent,
+                 SubmitWritten, CancelStepped, JobRead, EndedRemoved>;
 /// @}
 
 /// A call to a worker, by its request.
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -25,17 +25,6 @@
          phase == TaskPhase::kRunning || phase == TaskPhase::kStopping;
 }
 
-WaitingKey KeyOf(const JobState& job, const TaskRef& ref) {
-  const int32_t class_rank = SpecOf(job, ref).lasting ? 0 : 1;
-  return {job.record.priority, class_rank, job.record.accepted_unix_ms, ref};
-}
-
-void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task) {
-  task.phase = TaskPhase::kWaiting;
-  cell.waiting.insert(KeyOf(job, ref));
-  cell.placement_due = true;
-}
-
 template <typename Visit>
 void ForEachTask(JobState& job, Visit visit) {
   for (size_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
@@ -70,9 +59,37 @@
   cell.placement_due = true;
 }
 
+TaskRef RefOf(const JobId& job, const TaskProgress& task) {
+  return TaskRef{job, task.occurrence, task.step, task.index};
+}
+
+/// Leaves of a job only the tasks that were lent to this cell.
+void AdoptLoan(OwnedCell& cell, JobState& job) {
+  ForEachTask(job, [](const TaskRef&, TaskState& task) { task.phase = TaskPhase::kDone; });
+
+  for (OccurrenceState& occurrence : job.occurrences) {
+    for (StepState& step : occurrence.steps) step.done = static_cast<int32_t>(step.tasks.size());
+  }
+
+  for (const TaskProgress& lent : job.record.lent) {
+    const TaskRef ref = RefOf(job.record.spec.job, lent);
+    if (!IsKnownTask(job, ref)) continue;
+
+    TaskState& task = job.occurrences[static_cast<size_t>(ref.occurrence)]
+                          .steps[static_cast<size_t>(ref.step)]
+                          .tasks[static_cast<size_t>(ref.index)];
+    task.phase = TaskPhase::kBlocked;
+    task.run = lent.run;
+    task.failures = lent.failures;
+    task.checkpoint = lent.checkpoint;
+    --job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)].done;
+    cell.guests[NameOf(job, ref)] = ref;
+  }
+}
+
 /// Takes over what former owners recorded of a task.
 void AdoptTask(State& state, OwnedCell& cell, JobState& job, const TaskProgress& progress) {
-  const TaskRef ref{job.record.spec.job, progress.occurrence, progress.step, progress.index};
+  const TaskRef ref = RefOf(job.record.spec.job, progress);
   TaskState& task = *FindTask(cell, ref);
   task.run = progress.run;
   task.failures = progress.failures;
@@ -101,19 +118,14 @@
       Attach(cell, job, ref, task, worker);
       return;
     }
+    case TaskMark::kLent:
+      task.phase = TaskPhase::kLent;
+      task.lent_to = progress.lent_to;
+      ++job.lent;
+      return;
   }
 }
 
-bool IsKnownTask(const JobState& job, const TaskProgress& task) {
-  if (task.occurrence < 0 || task.step < 0 || task.index < 0) return false;
-  if (static_cast<size_t>(task.occurrence) >= job.occurrences.size()) return false;
-
-  const auto& steps = job.occurrences[static_cast<size_t>(task.occurrence)].steps;
-  if (static_cast<size_t>(task.step) >= steps.size()) return false;
-
-  return static_cast<size_t>(task.index) < steps[static_cast<size_t>(task.step)].tasks.size();
-}
-
 bool StepsDone(const OccurrenceState& occurrence, const std::vector<int32_t>& steps) {
   return std::ranges::all_of(steps, [&](int32_t step) {
     if (step < 0 || static_cast<size_t>(step) >= occurrence.steps.size()) return true;
@@ -133,43 +145,6 @@
   return true;
 }
 
-/// Stops whatever runs of a job and drops what waits.
-void StopAll(OwnedCell& cell, JobState& job) {
-  std::vector<TaskRef> unsent;
-
-  ForEachTask(job, [&](const TaskRef& ref, TaskState& task) {
-    switch (task.phase) {
-      case TaskPhase::kWaiting:
-        cell.waiting.erase(KeyOf(job, ref));
-        task.phase = TaskPhase::kBlocked;
-        break;
-      case TaskPhase::kBinding:
-        unsent.push_back(ref);
-        break;
-      case TaskPhase::kStarting:
-        if (!task.sent) unsent.push_back(ref);
-        // Where the start has left, the next look settles it; the stop follows.
-        break;
-      case TaskPhase::kRunning:
-        task.phase = TaskPhase::kStopping;
-        break;
-      default:
-        break;
-    }
-  });
-
-  for (const TaskRef& ref : unsent) {
-    TaskState& task = *FindTask(cell, ref);
-    // The caller drops the whole job, so the state is not looked at again.
-    task.phase = TaskPhase::kBlocked;
-    const auto worker = cell.workers.find(task.worker);
-    if (worker != cell.workers.end() && worker->second.tasks.erase(ref) > 0) {
-      CountNeed(worker->second, SpecOf(job, ref), -1);
-    }
-    --job.bound;
-  }
-}
-
 JobPhase TerminalPhase(const JobState& job) {
   if (job.cancelled) return JobPhase::kCancelled;
   return JobPhase::kFailed;
@@ -237,7 +212,7 @@
     return;
   }
 
-  if (!job.waits_since || job.bound > 0 || job.cancelled || job.doomed || cell.releasing) return;
+  if (!job.waits_since || job.loan || job.bound > 0 || job.cancelled || job.doomed || cell.releasing) return;
   if (cell.dirty.contains(job.record.spec.job) || job.recorded != job.version) return;
 
   const Millis due = *job.waits_since + kMoveAfter;
@@ -258,6 +233,30 @@
   SendMove(state, effects, cell, job);
 }
 
+/// Takes in loans that ended while nobody owned the cell.
+void TakeEndedLoans(State& state, Effects& effects, const JobState& job) {
+  if (job.lent == 0) return;
+
+  std::map<JobId, JobPhase> ended;
+
+  for (const OccurrenceState& occurrence : job.occurrences) {
+    for (const StepState& step : occurrence.steps) {
+      for (const TaskState& task : step.tasks) {
+        if (task.phase != TaskPhase::kLent) continue;
+
+        const auto guest = state.view.jobs.find(task.lent_to);
+        if (guest == state.view.jobs.end() || !IsTerminal(guest->second.phase)) continue;
+
+        ended[task.lent_to] = guest->second.phase;
+      }
+    }
+  }
+
+  for (const auto& [guest, phase] : ended) {
+    TakeLoanEnd(state, effects, job.record.spec.job, guest, phase);
+  }
+}
+
 /// Makes occurrences due whose time has come.
 void StartOccurrences(State& state, OwnedCell& cell, JobState& job) {
   const JobSpec& spec = job.record.spec;
@@ -300,22 +299,54 @@
   if (spec.lasting) worker.lasting_millicores += sign * spec.need.millicores;
 }
 
+WaitingKey KeyOf(const JobState& job, const TaskRef& ref) {
+  const int32_t class_rank = SpecOf(job, ref).lasting ? 0 : 1;
+  return {job.record.priority, class_rank, job.record.accepted_unix_ms, ref};
+}
+
+void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task) {
+  task.phase = TaskPhase::kWaiting;
+  cell.waiting.insert(KeyOf(job, ref));
+  cell.placement_due = true;
+}
+
+bool IsKnownTask(const JobState& job, const TaskRef& ref) {
+  if (ref.occurrence < 0 || ref.step < 0 || ref.index < 0) return false;
+  if (static_cast<size_t>(ref.occurrence) >= job.occurrences.size()) return false;
+
+  const auto& steps = job.occurrences[static_cast<size_t>(ref.occurrence)].steps;
+  if (static_cast<size_t>(ref.step) >= steps.size()) return false;
+
+  return static_cast<size_t>(ref.index) < steps[static_cast<size_t>(ref.step)].tasks.size();
+}
+
 const StepSpec& SpecOf(const JobState& job, const TaskRef& ref) {
   return job.record.spec.steps[static_cast<size_t>(ref.step)];
 }
 
-TaskRef RefOf(const TaskName& name) {
+TaskRef RefOf(const OwnedCell& cell, const TaskName& name) {
+  const auto guest = cell.guests.find(name);
+  if (guest != cell.guests.end()) return guest->second;
+
   return TaskRef{name.job, name.occurrence, name.step, name.index};
 }
 
-TaskName NameOf(const TaskRef& ref) {
-  return TaskName{ref.job, ref.occurrence, ref.step, ref.index};
+TaskName NameOf(const JobState& job, const TaskRef& ref) {
+  const JobId& id = job.record.parent.Empty() ? ref.job : job.record.parent;
+  return TaskName{id, ref.occurrence, ref.step, ref.index};
+}
+
+void ForgetJob(OwnedCell& cell, const JobId& id) {
+  std::erase_if(cell.waiting, [&](const WaitingKey& key) { return std::get<3>(key).job == id; });
+  std::erase_if(cell.guests, [&](const auto& row) { return row.second.job == id; });
+  cell.dirty.erase(id);
+  cell.jobs.erase(id);
 }
 
 TaskState* FindTask(OwnedCell& cell, const TaskRef& ref) {
   const auto job = cell.jobs.find(ref.job);
   if (job == cell.jobs.end()) return nullptr;
-  if (!IsKnownTask(job->second, TaskProgress{ref.occurrence, ref.step, ref.index})) return nullptr;
+  if (!IsKnownTask(job->second, ref)) return nullptr;
 
   return &job->second.occurrences[static_cast<size_t>(ref.occurrence)]
               .steps[static_cast<size_t>(ref.step)]
@@ -327,6 +358,42 @@
   cell.dirty.insert(job.record.spec.job);
 }
 
+void StopJob(OwnedCell& cell, JobState& job) {
+  std::vector<TaskRef> unsent;
+
+  ForEachTask(job, [&](const TaskRef& ref, TaskState& task) {
+    switch (task.phase) {
+      case TaskPhase::kWaiting:
+        cell.waiting.erase(KeyOf(job, ref));
+        task.phase = TaskPhase::kBlocked;
+        break;
+      case TaskPhase::kBinding:
+        unsent.push_back(ref);
+        break;
+      case TaskPhase::kStarting:
+        if (!task.sent) unsent.push_back(ref);
+        // Where the start has left, the next look settles it; the stop follows.
+        break;
+      case TaskPhase::kRunning:
+        task.phase = TaskPhase::kStopping;
+        break;
+      default:
+        break;
+    }
+  });
+
+  for (const TaskRef& ref : unsent) {
+    TaskState& task = *FindTask(cell, ref);
+    // The caller drops the whole job, so the state is not looked at again.
+    task.phase = TaskPhase::kBlocked;
+    const auto worker = cell.workers.find(task.worker);
+    if (worker != cell.workers.end() && worker->second.tasks.erase(ref) > 0) {
+      CountNeed(worker->second, SpecOf(job, ref), -1);
+    }
+    --job.bound;
+  }
+}
+
 void AddJob(State& state, Effects& effects, OwnedCell& cell, const JobId& id) {
   if (cell.jobs.contains(id)) return;
 
@@ -347,20 +414,27 @@
   JobState& job = cell.jobs[id];
   job.record = *std::move(record);
   job.phase = progress->phase;
+  // Loans of other owners of this cell have other names, as these hold the grant.
   job.progress_revision = view.progress_revision;
   job.taken_at = state.now;
   MakeTasks(job);
 
+  if (!job.record.parent.Empty()) AdoptLoan(cell, job);
+
   for (const TaskProgress& task : progress->tasks) {
-    if (IsKnownTask(job, task)) AdoptTask(state, cell, job, task);
+    if (IsKnownTask(job, RefOf(id, task))) AdoptTask(state, cell, job, task);
   }
 
-  if (view.cancelled) {
+  const auto parent = state.view.jobs.find(job.record.parent);
+  const bool parent_cancelled = parent != state.view.jobs.end() && parent->second.cancelled;
+
+  if (view.cancelled || parent_cancelled) {
     CancelJob(state, effects, cell, job);
     return;
   }
 
   StartOccurrences(state, cell, job);
+  TakeEndedLoans(state, effects, job);
   SettleJob(state, effects, cell, id);
 }
 
@@ -396,7 +470,7 @@
   job.cancelled = true;
   Log(effects, Severity::kInfo, "cancelling job",
       {{"job", job.record.spec.job.Text()}, {"bound", std::to_string(job.bound)}});
-  StopAll(cell, job);
+  StopJob(cell, job);
   Touch(cell, job);
   SettleJob(state, effects, cell, job.record.spec.job);
 }
@@ -483,7 +557,7 @@
          {"step", std::to_string(ref.step)},
          {"task", std::to_string(ref.index)},
          {"failures", std::to_string(task.failures)}});
-    StopAll(cell, job);
+    StopJob(cell, job);
     Touch(cell, job);
     SettleJob(state, effects, cell, ref.job);
     return;
@@ -516,7 +590,7 @@
   JobState& job = found->second;
 
   if (!IsTerminal(job.phase)) {
-    const bool over = (job.cancelled || job.doomed) && job.bound == 0;
+    const bool over = (job.cancelled || job.doomed) && job.bound == 0 && job.lent == 0;
     const bool done = !job.cancelled && !job.doomed && AllDone(job);
     if (!over && !done) return;
 
@@ -534,7 +608,7 @@
     return;
   }
 
-  if (job.recorded == job.version) cell.jobs.erase(found);
+  if (job.recorded == job.version) ForgetJob(cell, id);
 }
 
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell) {
@@ -544,6 +618,7 @@
     }
 
     ConsiderMove(state, effects, cell, job);
+    ConsiderLoan(state, effects, cell, job);
   }
 }
 
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -190,7 +190,7 @@
       NoteLease(state, worker, until);
       task.sent = true;
       task.settled_at = ++state.order_count;
-      return StartTask{.task = NameOf(ref),
+      return StartTask{.task = NameOf(job, ref),
                        .run = task.run,
                        .payload = job.record.spec.payload,
                        .checkpoint = task.checkpoint,
@@ -201,11 +201,11 @@
       if (task.stop_sent && state.now - *task.stop_sent < patience) return std::nullopt;
 
       task.stop_sent = state.now;
-      return StopTask{NameOf(ref), task.run};
+      return StopTask{NameOf(job, ref), task.run};
     }
     case TaskPhase::kRunning:
       if (task.paced == task.wanted_pace) return std::nullopt;
-      return PaceTask{NameOf(ref), task.run, task.wanted_pace};
+      return PaceTask{NameOf(job, ref), task.run, task.wanted_pace};
     default:
       return std::nullopt;
   }
@@ -276,7 +276,7 @@
 }
 
 void TakeRunningRow(OwnedCell& cell, WorkerState& worker, const RunningTask& row) {
-  const TaskRef ref = RefOf(row.task);
+  const TaskRef ref = RefOf(cell, row.task);
   TaskState* task = FindTask(cell, ref);
   const bool bound = task != nullptr && worker.tasks.contains(ref) && task->run == row.run;
 
@@ -301,7 +301,7 @@
   if (row.number <= worker.last_end) return;
 
   worker.last_end = row.number;
-  const TaskRef ref = RefOf(row.task);
+  const TaskRef ref = RefOf(cell, row.task);
   TaskState* task = FindTask(cell, ref);
   KeptEnd kept{.job = ref.job, .recorded = true};
 
@@ -340,14 +340,15 @@
 
   for (const TaskRef& ref : refs) {
     const TaskState& task = *FindTask(cell, ref);
+    const JobState& job = cell.jobs.at(ref.job);
     const bool settled = task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kStopping ||
                          (task.phase == TaskPhase::kStarting && task.sent);
-    if (!settled || shown.contains(NameOf(ref))) continue;
+    if (!settled || shown.contains(NameOf(job, ref))) continue;
     if (task.settled_at >= look.sent || look.token != TokenOf(cell, worker)) continue;
 
     // The answer to its start is still under way.
     const auto* start = std::get_if<StartTask>(&worker.order);
-    if (worker.order_request != 0 && start != nullptr && start->task == NameOf(ref)) continue;
+    if (worker.order_request != 0 && start != nullptr && start->task == NameOf(job, ref)) continue;
 
     TakeLostRun(state, effects, cell, ref, "the worker does not list it");
   }
@@ -429,7 +430,7 @@
 
 void TakeStartAnswer(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const StartTask& start, OrderStatus status) {
-  const TaskRef ref = RefOf(start.task);
+  const TaskRef ref = RefOf(cell, start.task);
   TaskState* task = FindTask(cell, ref);
   if (task == nullptr || !worker.tasks.contains(ref) || task->run != start.run) return;
   // A look may have shown it meanwhile.
@@ -504,7 +505,7 @@
   }
 
   if (const auto* pace = std::get_if<PaceTask>(&order)) {
-    TaskState* task = FindTask(cell, RefOf(pace->task));
+    TaskState* task = FindTask(cell, RefOf(cell, pace->task));
     if (task == nullptr || task->run != pace->run) return;
 
     // One without an answer is ordered again.
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -305,13 +305,8 @@
       continue;
     }
 
-    const auto held = cell.jobs.find(id);
-    if (held == cell.jobs.end()) continue;
-
     // Nothing of it runs: a job is moved only then.
-    std::erase_if(cell.waiting, [&](const WaitingKey& key) { return std::get<3>(key).job == id; });
-    cell.dirty.erase(id);
-    cell.jobs.erase(held);
+    if (cell.jobs.contains(id)) ForgetJob(cell, id);
   }
 }
 
@@ -349,7 +344,10 @@
   job.progress_revision = item.revision;
   job.progress = IsTerminal(*phase) ? std::string() : item.value;
   if (IsTerminal(*phase) && !job.ended_at) job.ended_at = state.now;
-  if (IsTerminal(*phase)) job.value.clear();
+  if (!IsTerminal(*phase)) return;
+
+  job.value.clear();
+  if (!job.head.parent.Empty()) TakeLoanEnd(state, effects, job.head.parent, id, *phase);
 }
 
 void ApplyCancel(State& state, Effects& effects, const JobId& id, const StoreItem& item) {
@@ -361,8 +359,13 @@
   job.cancelled = true;
 
   for (auto& [cell_id, cell] : state.cells) {
-    const auto held = cell.jobs.find(id);
-    if (held != cell.jobs.end()) CancelJob(state, effects, cell, held->second);
+    std::vector<JobId> concerned;
+
+    for (const auto& [job_id, held] : cell.jobs) {
+      if (job_id == id || held.record.parent == id) concerned.push_back(job_id);
+    }
+
+    for (const JobId& job_id : concerned) CancelJob(state, effects, cell, cell.jobs.at(job_id));
   }
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -110,7 +110,10 @@
 /// Takes in a job of an owned, open cell. A known job is left as it is.
 void AddJob(State& state, Effects& effects, OwnedCell& cell, const JobId& id);
 
-/// Drops all that waits, and stops all that runs.
+/// Stops whatever runs of a job and drops what waits.
+void StopJob(OwnedCell& cell, JobState& job);
+
+/// Cancels a job.
 void CancelJob(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 
 /// Makes the job's progress due to be recorded.
@@ -118,8 +121,22 @@
 
 TaskState* FindTask(OwnedCell& cell, const TaskRef& ref);
 const StepSpec& SpecOf(const JobState& job, const TaskRef& ref);
-TaskRef RefOf(const TaskName& name);
-TaskName NameOf(const TaskRef& ref);
+/// Translates between a task's name at the workers and its place in a cell. They differ for tasks
+/// that another cell has lent.
+TaskRef RefOf(const OwnedCell& cell, const TaskName& name);
+TaskName NameOf(const JobState& job, const TaskRef& ref);
+
+/// Says whether a task is one of the job's own, or of those lent to it.
+bool IsKnownTask(const JobState& job, const TaskRef& ref);
+
+/// Returns the key under which a task waits.
+WaitingKey KeyOf(const JobState& job, const TaskRef& ref);
+
+/// Makes a task wait for a worker.
+void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task);
+
+/// Forgets a job of which nothing runs here.
+void ForgetJob(OwnedCell& cell, const JobId& id);
 
 /// Binds a waiting task to a worker.
 void BindTask(State& state, OwnedCell& cell, JobState& job, const TaskRef& ref, WorkerState& worker);
@@ -152,11 +169,29 @@
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell);
 void HandleJobMoved(State& state, Effects& effects, const JobMoved& moved, const StoreReply& reply);
 
+// ---- Lending ------------------------------------------------------------------------------------------
+
+/// Lends tasks that find no room to a cell that has it.
+void ConsiderLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job);
+void HandleTasksLent(State& state, Effects& effects, const TasksLent& lent,
+                     const StoreReply& reply);
+
+/// Takes in that the job which ran lent tasks has ended.
+void TakeLoanEnd(State& state, Effects& effects, const JobId& parent, const JobId& guest,
+                 JobPhase phase);
+
 /// Removes the records of jobs that ended long ago.
 void RemoveEnded(State& state, Effects& effects);
 
 // ---- Progress writes --------------------------------------------------------------------------------
 
+/// Returns what is to be recorded of a job.
+ProgressRecord ProgressOf(const JobState& job);
+
+/// Takes in that the store has a version of a job.
+void NoteRecorded(State& state, Effects& effects, OwnedCell& cell, JobState& job, uint64_t version,
+                  KvRevision revision);
+
 void UpdateWrites(State& state, Effects& effects, OwnedCell& cell);
 void HandleProgressWritten(State& state, Effects& effects, const ProgressWritten& written,
                            const StoreReply& reply);
--- /dev/null
+++ b/lib/scheduler/source/lending.cc
@@ -0,0 +1,293 @@
+#include "internal.h"
+
+/// Tasks that find no room in their job's cell run in another. Answers cells that fill up unevenly
+/// while most of the room is held by lasting tasks, and jobs wider than the room of one cell.
+///
+/// The lender writes, in one go, a job of its own for the tasks and that it has lent them. The
+/// borrower runs that job like any other, but for the names of its tasks; runs are numbered on.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// A task that found no room for so long is lent. Longer than two rounds of placement, so that room
+/// which is just coming free is not missed.
+constexpr Millis kLendAfter = Millis(120);
+/// The same for filling work, which has time.
+constexpr Millis kLendFillingAfter = Millis(800);
+/// Room that the borrower must have, as a multiple of what it is lent, in percent: its report is
+/// half a second old.
+constexpr int64_t kLendRoomPercent = 130;
+
+/// The waiting tasks of one step.
+struct Batch {
+  std::vector<TaskRef> tasks;
+  const StepSpec* spec = nullptr;
+};
+
+/// Returns the waiting tasks of the job's first step that has some, all of them ready to start.
+Batch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job) {
+  Batch batch;
+
+  for (const WaitingKey& key : cell.waiting) {
+    const TaskRef& ref = std::get<3>(key);
+    if (ref.job != job.record.spec.job) continue;
+    if (FindTask(cell, ref)->not_before > state.now) continue;
+
+    if (batch.tasks.empty()) batch.spec = &SpecOf(job, ref);
+    const TaskRef& first = batch.tasks.empty() ? ref : batch.tasks.front();
+    if (ref.step != first.step || ref.occurrence != first.occurrence) break;
+
+    batch.tasks.push_back(ref);
+    // Lasting tasks are lent one by one, so that each can be moved on.
+    if (batch.spec->lasting) break;
+  }
+
+  return batch;
+}
+
+/// Returns how many tasks of a step a cell has room for.
+int64_t TasksThatFit(const State& state, const CellId& id, const std::string& service,
+                     const StepSpec& spec) {
+  const auto load = state.view.loads.find(id);
+  if (load == state.view.loads.end() || !state.view.cells.contains(id)) return 0;
+
+  const auto found = load->second.services.find(service);
+  if (found == load->second.services.end()) return 0;
+
+  const ServiceLoad& room = found->second;
+  const auto& sent = spec.filling ? state.sent_filling : state.sent_demand;
+  const auto gone = sent.find(id);
+  int64_t free = spec.filling ? room.free_filling - room.waiting_filling : room.free - room.waiting;
+  if (gone != sent.end()) free -= gone->second;
+  if (!spec.filling && room.largest_free < spec.need.millicores) return 0;
+
+  return free * 100 / (std::max<int64_t>(spec.need.millicores, 1) * kLendRoomPercent);
+}
+
+std::optional<std::pair<CellId, int64_t>> Borrower(const State& state, const OwnedCell& cell,
+                                                   const JobState& job, const StepSpec& spec) {
+  std::optional<std::pair<CellId, int64_t>> best;
+
+  for (const auto& [id, load] : state.view.loads) {
+    if (id == cell.cell) continue;
+
+    const int64_t fit = TasksThatFit(state, id, job.record.service, spec);
+    if (fit > 0 && (!best || fit > best->second)) best = std::make_pair(id, fit);
+  }
+
+  return best;
+}
+
+void SendLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
+  const JobId& id = job.record.spec.job;
+  WriteRecords write;
+  write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
+                    ExpectedRecord{ProgressKey(id), job.progress_revision},
+                    ExpectedRecord{JobKey(job.loan->guest), 0}};
+  write.puts = {RecordPut{ProgressKey(id), job.loan->progress_value, 0},
+                RecordPut{JobKey(job.loan->guest), job.loan->guest_value, 0}};
+  job.loan->request =
+      CallStore(state, effects, TasksLent{cell.cell, cell.grant, id}, std::move(write));
+}
+
+/// Marks tasks as lent, and makes the records that say so.
+void PrepareLoan(Effects& effects, OwnedCell& cell, JobState& job,
+                 const std::vector<TaskRef>& tasks, const CellId& to) {
+  JobRecord guest = job.record;
+  guest.parent = job.record.spec.job;
+  guest.cell = to;
+  guest.spec.job = JobId(guest.parent.Text() + "~" + std::to_string(cell.grant) + "-" +
+                         std::to_string(++job.loans));
+
+  for (const TaskRef& ref : tasks) {
+    TaskState& task = *FindTask(cell, ref);
+    cell.waiting.erase(KeyOf(job, ref));
+    task.phase = TaskPhase::kLent;
+    task.lent_to = guest.spec.job;
+    ++job.lent;
+    guest.lent.push_back(TaskProgress{.occurrence = ref.occurrence,
+                                      .step = ref.step,
+                                      .index = ref.index,
+                                      .run = task.run,
+                                      .failures = task.failures,
+                                      .checkpoint = task.checkpoint});
+  }
+
+  ++job.version;
+  job.phase = JobPhase::kActive;
+  job.waits_since.reset();
+  job.loan = JobState::Loan{.to = to,
+                            .guest = guest.spec.job,
+                            .guest_value = Encode(guest),
+                            .progress_value = Encode(ProgressOf(job)),
+                            .version = job.version};
+  Log(effects, Severity::kInfo, "lending tasks to a cell with room",
+      {{"job", guest.parent.Text()},
+       {"as", guest.spec.job.Text()},
+       {"tasks", std::to_string(tasks.size())},
+       {"from", cell.cell.Text()},
+       {"to", to.Text()}});
+}
+
+/// Takes tasks back whose loan did not come about.
+void TakeBack(State& state, OwnedCell& cell, JobState& job, const JobId& guest) {
+  for (size_t number = 0; number < job.occurrences.size(); ++number) {
+    auto& steps = job.occurrences[number].steps;
+
+    for (size_t step = 0; step < steps.size(); ++step) {
+      for (size_t index = 0; index < steps[step].tasks.size(); ++index) {
+        TaskState& task = steps[step].tasks[index];
+        if (task.phase != TaskPhase::kLent || task.lent_to != guest) continue;
+
+        --job.lent;
+        task.phase = TaskPhase::kBlocked;
+        task.lent_to = JobId();
+      }
+    }
+  }
+
+  Unblock(state, cell, job);
+  Touch(cell, job);
+}
+
+}  // namespace
+
+void ConsiderLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
+  if (job.loan) {
+    if (job.loan->request != 0) return;
+    if (state.now >= job.loan->retry_at) return SendLoan(state, effects, cell, job);
+
+    WakeAt(state, job.loan->retry_at);
+    return;
+  }
+
+  if (!job.waits_since || job.move || job.cancelled || job.doomed || cell.releasing) return;
+  // Lent tasks are not lent again; the job that they are is moved as a whole.
+  if (!job.record.parent.Empty()) return;
+  if (job.recorded != job.version || cell.write.versions.contains(job.record.spec.job)) return;
+
+  if (state.now < *job.waits_since + kLendAfter) {
+    WakeAt(state, *job.waits_since + kLendAfter);
+    return;
+  }
+
+  Batch batch = WaitingTasks(state, cell, job);
+  if (batch.tasks.empty() || batch.spec->gang) return;
+
+  if (batch.spec->filling && state.now < *job.waits_since + kLendFillingAfter) {
+    WakeAt(state, *job.waits_since + kLendFillingAfter);
+    return;
+  }
+
+  const auto borrower = Borrower(state, cell, job, *batch.spec);
+  if (!borrower) return;
+
+  const auto& [to, fit] = *borrower;
+  if (static_cast<int64_t>(batch.tasks.size()) > fit) {
+    batch.tasks.resize(static_cast<size_t>(fit));
+  }
+
+  const int64_t demand =
+      batch.spec->need.millicores * static_cast<int64_t>(batch.tasks.size());
+  (batch.spec->filling ? state.sent_filling : state.sent_demand)[to] += demand;
+  PrepareLoan(effects, cell, job, batch.tasks, to);
+  SendLoan(state, effects, cell, job);
+}
+
+void HandleTasksLent(State& state, Effects& effects, const TasksLent& lent,
+                     const StoreReply& reply) {
+  OwnedCell* cell = FindCell(state, lent.from, lent.grant);
+  if (cell == nullptr) return;
+
+  const auto found = cell->jobs.find(lent.job);
+  if (found == cell->jobs.end() || !found->second.loan) return;
+
+  JobState& job = found->second;
+  job.loan->request = 0;
+  KvRevision revision = reply.revision;
+
+  if (reply.status == StoreStatus::kConflict) {
+    // An earlier try whose answer was lost shows by the job that it made.
+    const auto made = std::ranges::find(reply.items, JobKey(job.loan->guest), &StoreItem::key);
+    const bool done = made != reply.items.end() && !made->removed && made->revision != 0;
+
+    if (!done) {
+      const JobId guest = job.loan->guest;
+      job.loan.reset();
+      TakeBack(state, *cell, job, guest);
+      SettleJob(state, effects, *cell, lent.job);
+      return;
+    }
+
+    revision = made->revision;
+  } else if (reply.status != StoreStatus::kOk) {
+    job.loan->retry_at = state.now + kStoreRetry;
+    return;
+  }
+
+  const JobState::Loan loan = *std::move(job.loan);
+  job.loan.reset();
+  const StoreItem progress{
+      .key = ProgressKey(lent.job), .revision = revision, .value = loan.progress_value};
+  const StoreItem guest{
+      .key = JobKey(loan.guest), .revision = revision, .value = loan.guest_value};
+
+  const auto owner = state.view.cells.find(loan.to);
+  if (owner != state.view.cells.end()) {
+    const auto entry = state.view.entries.find(owner->second.record.owner);
+    if (entry != state.view.entries.end() && entry->first != state.settings.entry) {
+      effects.emplace_back(PushRecords{entry->second.record.peer_address, {guest}});
+    }
+  }
+
+  ApplyRecord(state, effects, progress);
+  NoteRecorded(state, effects, *cell, job, loan.version, revision);
+  // Last, as this entry may own the borrowing cell too.
+  ApplyRecord(state, effects, guest);
+}
+
+void TakeLoanEnd(State& state, Effects& effects, const JobId& parent, const JobId& guest,
+                 JobPhase phase) {
+  for (auto& [cell_id, cell] : state.cells) {
+    const auto found = cell.jobs.find(parent);
+    if (found == cell.jobs.end()) continue;
+
+    JobState& job = found->second;
+    bool changed = false;
+
+    for (OccurrenceState& occurrence : job.occurrences) {
+      for (StepState& step : occurrence.steps) {
+        for (TaskState& task : step.tasks) {
+          if (task.phase != TaskPhase::kLent || task.lent_to != guest) continue;
+
+          --job.lent;
+          changed = true;
+          task.lent_to = JobId();
+
+          switch (phase) {
+            case JobPhase::kCompleted:
+              task.phase = TaskPhase::kDone;
+              ++step.done;
+              break;
+            case JobPhase::kFailed:
+              task.phase = TaskPhase::kFailed;
+              job.doomed = true;
+              break;
+            default:
+              task.phase = TaskPhase::kBlocked;
+              break;
+          }
+        }
+      }
+    }
+
+    if (!changed) continue;
+
+    if (job.doomed) StopJob(cell, job);
+    Touch(cell, job);
+    Unblock(state, cell, job);
+    SettleJob(state, effects, cell, parent);
+  }
+}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -178,7 +178,7 @@
     const TaskRef& ref = std::get<3>(key);
     JobState& job = cell.jobs.at(ref.job);
     const TaskState& task = *FindTask(cell, ref);
-    if (job.move) continue;
+    if (job.move || job.loan) continue;
 
     if (state.now < task.not_before) {
       cell.placement_due = true;
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -27,6 +27,8 @@
       return TaskMark::kDone;
     case TaskPhase::kFailed:
       return TaskMark::kFailed;
+    case TaskPhase::kLent:
+      return TaskMark::kLent;
     case TaskPhase::kBlocked:
     case TaskPhase::kWaiting:
       return TaskMark::kWaiting;
@@ -35,6 +37,64 @@
   return TaskMark::kWaiting;
 }
 
+bool Differs(int64_t left, int64_t right, int64_t capacity) {
+  return std::abs(left - right) * 100 > capacity * kLoadChangePercent;
+}
+
+bool IsNews(const LoadRecord& told, const LoadRecord& present) {
+  if (told.services.size() != present.services.size()) return true;
+
+  for (const auto& [service, load] : present.services) {
+    const auto known = told.services.find(service);
+    if (known == told.services.end()) return true;
+
+    const ServiceLoad& old = known->second;
+    if (load.capacity != old.capacity) return true;
+    if (Differs(load.free, old.free, load.capacity)) return true;
+    if (Differs(load.free_filling, old.free_filling, load.capacity)) return true;
+    if (Differs(load.waiting, old.waiting, load.capacity)) return true;
+    if (Differs(load.waiting_filling, old.waiting_filling, load.capacity)) return true;
+  }
+
+  return false;
+}
+
+/// Takes in what the store holds of a job whose write met another revision.
+void TakePresentProgress(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                         const StoreItem& item) {
+  if (item.revision == job.progress_revision) return;
+
+  const auto own = job.sent_values.find(item.value);
+
+  if (own != job.sent_values.end()) {
+    const uint64_t version = own->second;
+    ApplyRecord(state, effects, item);
+    NoteRecorded(state, effects, cell, job, version, item.revision);
+    return;
+  }
+
+  // A former owner recorded more than this entry knew of when it took the job over. Nothing was
+  // started on the old knowledge, as each start needs a write that succeeds.
+  const JobId id = job.record.spec.job;
+  Log(effects, Severity::kWarning, "taking a job over again, its progress had moved on",
+      {{"job", id.Text()}, {"revision", std::to_string(item.revision)}});
+
+  for (auto& [worker_id, worker] : cell.workers) {
+    std::erase_if(worker.tasks, [&](const TaskRef& ref) {
+      if (ref.job != id) return false;
+
+      CountNeed(worker, SpecOf(job, ref), -1);
+      return true;
+    });
+  }
+
+  ForgetJob(cell, id);
+  ApplyRecord(state, effects, item);
+  AddJob(state, effects, cell, id);
+}
+
+}  // namespace
+
 ProgressRecord ProgressOf(const JobState& job) {
   ProgressRecord record;
   record.phase = job.phase;
@@ -46,7 +106,7 @@
     for (size_t step = 0; step < steps.size(); ++step) {
       for (size_t index = 0; index < steps[step].tasks.size(); ++index) {
         const TaskState& task = steps[step].tasks[index];
-        if (task.run == 0) continue;
+        if (task.run == 0 && task.phase != TaskPhase::kLent) continue;
 
         record.tasks.push_back(TaskProgress{.occurrence = static_cast<int32_t>(number),
                                             .step = static_cast<int32_t>(step),
@@ -56,7 +116,8 @@
                                             .failures = task.failures,
                                             .worker = task.worker,
                                             .worker_born = task.worker_born,
-                                            .checkpoint = task.checkpoint});
+                                            .checkpoint = task.checkpoint,
+                                            .lent_to = task.lent_to});
       }
     }
   }
@@ -64,29 +125,6 @@
   return record;
 }
 
-bool Differs(int64_t left, int64_t right, int64_t capacity) {
-  return std::abs(left - right) * 100 > capacity * kLoadChangePercent;
-}
-
-bool IsNews(const LoadRecord& told, const LoadRecord& present) {
-  if (told.services.size() != present.services.size()) return true;
-
-  for (const auto& [service, load] : present.services) {
-    const auto known = told.services.find(service);
-    if (known == told.services.end()) return true;
-
-    const ServiceLoad& old = known->second;
-    if (load.capacity != old.capacity) return true;
-    if (Differs(load.free, old.free, load.capacity)) return true;
-    if (Differs(load.free_filling, old.free_filling, load.capacity)) return true;
-    if (Differs(load.waiting, old.waiting, load.capacity)) return true;
-    if (Differs(load.waiting_filling, old.waiting_filling, load.capacity)) return true;
-  }
-
-  return false;
-}
-
-/// Takes in that the store has a version of a job.
 void NoteRecorded(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                   uint64_t version, KvRevision revision) {
   job.recorded = std::max(job.recorded, version);
@@ -121,44 +159,6 @@
   SettleJob(state, effects, cell, id);
 }
 
-/// Takes in what the store holds of a job whose write met another revision.
-void TakePresentProgress(State& state, Effects& effects, OwnedCell& cell, JobState& job,
-                         const StoreItem& item) {
-  if (item.revision == job.progress_revision) return;
-
-  const auto own = job.sent_values.find(item.value);
-
-  if (own != job.sent_values.end()) {
-    const uint64_t version = own->second;
-    ApplyRecord(state, effects, item);
-    NoteRecorded(state, effects, cell, job, version, item.revision);
-    return;
-  }
-
-  // A former owner recorded more than this entry knew of when it took the job over. Nothing was
-  // started on the old knowledge, as each start needs a write that succeeds.
-  const JobId id = job.record.spec.job;
-  Log(effects, Severity::kWarning, "taking a job over again, its progress had moved on",
-      {{"job", id.Text()}, {"revision", std::to_string(item.revision)}});
-
-  for (auto& [worker_id, worker] : cell.workers) {
-    std::erase_if(worker.tasks, [&](const TaskRef& ref) {
-      if (ref.job != id) return false;
-
-      CountNeed(worker, SpecOf(job, ref), -1);
-      return true;
-    });
-  }
-
-  std::erase_if(cell.waiting, [&](const WaitingKey& key) { return std::get<3>(key).job == id; });
-  cell.dirty.erase(id);
-  cell.jobs.erase(id);
-  ApplyRecord(state, effects, item);
-  AddJob(state, effects, cell, id);
-}
-
-}  // namespace
-
 void UpdateWrites(State& state, Effects& effects, OwnedCell& cell) {
   if (cell.write.request != 0) return;
 
@@ -183,7 +183,7 @@
 
   for (const JobId& id : cell.dirty) {
     JobState& job = cell.jobs.at(id);
-    if (job.move) continue;
+    if (job.move || job.loan) continue;
     if (cell.write.versions.size() >= kJobsAtOnce) break;
 
     std::string value = Encode(ProgressOf(job));
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -100,11 +100,61 @@
   return Address{json.at(0).get<std::string>(), json.at(1).get<int>()};
 }
 
+/// Rows of tasks: what all have, then the worker and its life, or the job that a lent task is in,
+/// then the checkpoint.
+Json TasksJson(const std::vector<TaskProgress>& tasks) {
+  Json rows = Json::array();
+
+  for (const TaskProgress& task : tasks) {
+    Json row = Json::array({task.occurrence, task.step, task.index, static_cast<int>(task.mark),
+                            task.run, task.failures});
+    const bool bound = task.mark == TaskMark::kBound;
+    const bool lent = task.mark == TaskMark::kLent;
+
+    if (bound || lent || !task.checkpoint.empty()) {
+      row.push_back(bound ? task.worker.Text() : task.lent_to.Text());
+      row.push_back(bound ? task.worker_born : 0);
+    }
+
+    if (!task.checkpoint.empty()) row.push_back(task.checkpoint);
+    rows.push_back(std::move(row));
+  }
+
+  return rows;
+}
+
+std::vector<TaskProgress> TasksOf(const Json& json) {
+  std::vector<TaskProgress> tasks;
+
+  for (const Json& row : json) {
+    TaskProgress task;
+    task.occurrence = row.at(0).get<int32_t>();
+    task.step = row.at(1).get<int32_t>();
+    task.index = row.at(2).get<int32_t>();
+    task.mark = static_cast<TaskMark>(row.at(3).get<int>());
+    task.run = row.at(4).get<Run>();
+    task.failures = row.at(5).get<int32_t>();
+
+    if (row.size() > 7) {
+      const std::string name = row.at(6).get<std::string>();
+      if (task.mark == TaskMark::kBound) task.worker = VmId(name);
+      if (task.mark == TaskMark::kLent) task.lent_to = JobId(name);
+      task.worker_born = row.at(7).get<int64_t>();
+    }
+
+    if (row.size() > 8) task.checkpoint = row.at(8).get<std::string>();
+    tasks.push_back(std::move(task));
+  }
+
+  return tasks;
+}
+
 JobHead HeadOfJob(const Json& json) {
   return JobHead{.queue = json.at("queue").get<std::string>(),
                  .cell = CellId(json.at("cell").get<std::string>()),
                  .accepted_unix_ms = json.at("at").get<int64_t>(),
-                 .immediate = json.value("times", 0) == 0};
+                 .immediate = json.value("times", 0) == 0 && !json.contains("parent"),
+                 .parent = JobId(json.value("parent", std::string()))};
 }
 
 }  // namespace
@@ -185,6 +235,7 @@
             {"cell", record.cell.Text()},
             {"at", record.accepted_unix_ms}};
   if (record.spec.occurrences > 0) head["times"] = record.spec.occurrences;
+  if (!record.parent.Empty()) head["parent"] = record.parent.Text();
 
   Json steps = Json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(StepJson(step));
@@ -196,6 +247,8 @@
             {"payload", record.spec.payload},
             {"steps", std::move(steps)}};
 
+  if (!record.lent.empty()) rest["lent"] = TasksJson(record.lent);
+
   if (record.spec.occurrences > 0) {
     rest["first"] = record.spec.first_due_unix_ms;
     rest["interval"] = record.spec.interval.Count();
@@ -228,28 +281,14 @@
     record.spec.occurrences = head_json->value("times", 0);
     record.spec.first_due_unix_ms = json.value("first", int64_t{0});
     record.spec.interval = Millis(json.value("interval", int64_t{0}));
+    record.parent = head.parent;
+    if (json.contains("lent")) record.lent = TasksOf(json.at("lent"));
     return record;
   });
 }
 
 std::string Encode(const ProgressRecord& record) {
-  Json tasks = Json::array();
-
-  for (const TaskProgress& task : record.tasks) {
-    Json row = Json::array({task.occurrence, task.step, task.index, static_cast<int>(task.mark),
-                            task.run, task.failures});
-    const bool bound = task.mark == TaskMark::kBound;
-
-    if (bound || !task.checkpoint.empty()) {
-      row.push_back(bound ? task.worker.Text() : std::string());
-      row.push_back(bound ? task.worker_born : 0);
-    }
-
-    if (!task.checkpoint.empty()) row.push_back(task.checkpoint);
-    tasks.push_back(std::move(row));
-  }
-
-  return std::string(kJobPhaseNames.Name(record.phase)) + kLineEnd + Dump(tasks);
+  return std::string(kJobPhaseNames.Name(record.phase)) + kLineEnd + Dump(TasksJson(record.tasks));
 }
 
 Result<JobPhase> DecodePhase(std::string_view value) {
@@ -266,24 +305,7 @@
     ProgressRecord record;
     record.phase = *phase;
 
-    for (const Json& row : json) {
-      TaskProgress task;
-      task.occurrence = row.at(0).get<int32_t>();
-      task.step = row.at(1).get<int32_t>();
-      task.index = row.at(2).get<int32_t>();
-      task.mark = static_cast<TaskMark>(row.at(3).get<int>());
-      task.run = row.at(4).get<Run>();
-      task.failures = row.at(5).get<int32_t>();
-
-      if (row.size() > 7) {
-        task.worker = VmId(row.at(6).get<std::string>());
-        task.worker_born = row.at(7).get<int64_t>();
-      }
-
-      if (row.size() > 8) task.checkpoint = row.at(8).get<std::string>();
-      record.tasks.push_back(std::move(task));
-    }
-
+    record.tasks = TasksOf(json);
     return record;
   });
 }
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -37,6 +37,9 @@
     HandleProgressWritten(state, effects, purpose, reply);
   }
   void operator()(const JobMoved& purpose) const { HandleJobMoved(state, effects, purpose, reply); }
+  void operator()(const TasksLent& purpose) const {
+    HandleTasksLent(state, effects, purpose, reply);
+  }
   void operator()(const SubmitWritten& purpose) const {
     HandleSubmitWritten(state, effects, purpose.job, reply);
   }
--- /dev/null
+++ b/tests/scheduler/lending_test.cc
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// Tasks that find no room in their cell run in another: wide jobs, and cells that fill up unevenly.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Two cells of sixteen cores each.
+class Lending : public testing::Test {
+ protected:
+  void SetUp() override { world_.Run(Millis(2'500)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  JobSpec Wide(const std::string& id, int32_t tasks, bool lasting) {
+    world_.planner = [lasting](const TaskName&) {
+      return RunPlan{.duration = Millis(1'500),
+                     .lasts = lasting,
+                     .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+    };
+    JobSpec spec = MakeJob(id, tasks);
+    spec.steps[0].lasting = lasting;
+    return spec;
+  }
+
+  World world_{WorldShape{.entries = 4, .data_centres = 2, .racks = 1}};
+};
+
+TEST_F(Lending, AJobWiderThanItsCellRunsInBoth) {
+  world_.Submit("e0", Wide("a", 28, true));
+  world_.Run(Millis(6'000));
+
+  EXPECT_EQ(world_.WorkersOf("a").size(), 28U);
+}
+
+TEST_F(Lending, ItEndsOnceAllItsTasksHave) {
+  world_.Submit("e0", Wide("a", 30, false));
+  world_.Run(Millis(1'000));
+  EXPECT_GT(world_.WorkersOf("a").size(), 16U);
+
+  world_.Run(Millis(8'000));
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  EXPECT_EQ(world_.starts.size(), 30U);
+  for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1) << name.index;
+}
+
+TEST_F(Lending, LaterStepsWaitForLentTasks) {
+  JobSpec spec = Wide("a", 26, false);
+  spec.steps.push_back(spec.steps.front());
+  spec.steps[1].task_count = 2;
+  spec.steps[1].after = {0};
+  std::map<int32_t, Millis> first;
+  std::map<int32_t, Millis> last;
+  world_.planner = [&](const TaskName& name) {
+    if (!first.contains(name.step)) first[name.step] = world_.now();
+    last[name.step] = world_.now();
+    return RunPlan{.duration = Millis(1'500),
+                   .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+  };
+  world_.Submit("e1", spec);
+  world_.Run(Millis(12'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  EXPECT_GE(first[1], last[0] + Millis(1'500));
+}
+
+TEST_F(Lending, CancellingReachesLentTasks) {
+  world_.Submit("e0", Wide("a", 28, true));
+  world_.Run(Millis(6'000));
+  world_.Cancel("e1", "a");
+  world_.Run(Millis(2'500));
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
+}
+
+TEST_F(Lending, LentTasksSurviveTheLossOfAllEntries) {
+  world_.Submit("e0", Wide("a", 28, true));
+  world_.Run(Millis(6'000));
+  for (const char* entry : {"e0", "e1", "e2", "e3"}) world_.Kill(entry);
+  world_.Run(Millis(500));
+  for (const char* entry : {"e0", "e1", "e2", "e3"}) world_.Start(entry);
+  world_.Run(Millis(8'000));
+
+  EXPECT_EQ(world_.WorkersOf("a").size(), 28U);
+  world_.Cancel("e1", "a");
+  world_.Run(Millis(3'000));
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
+}
+
+TEST_F(Lending, LostAnswersLendNothingTwice) {
+  world_.loss = 0.15;
+  for (int round = 0; round < 4; ++round) {
+    world_.Submit("e" + std::to_string(round), Wide("j" + std::to_string(round), 14, false));
+    world_.Run(Millis(700));
+  }
+  world_.Run(Millis(25'000));
+  world_.loss = 0.0;
+  world_.Run(Millis(20'000));
+
+  for (int round = 0; round < 4; ++round) {
+    const std::string id = "j" + std::to_string(round);
+    if (!world_.store.Value(std::string(kJobPrefix) + id)) continue;
+    EXPECT_EQ(world_.Phase(id), JobPhase::kCompleted) << id;
+  }
+}
+
+TEST_F(Lending, ALentTaskThatIsOutOfAttemptsFailsItsJob) {
+  JobSpec spec = Wide("a", 28, false);
+  world_.planner = [](const TaskName& name) {
+    return RunPlan{.duration = Millis(name.index == 27 ? 50 : 1'500),
+                   .end = name.index == 27 ? RunEnd::kFailed : RunEnd::kDone,
+                   .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+  };
+  world_.Submit("e0", spec);
+  world_.Run(Millis(20'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kFailed);
+  EXPECT_EQ((world_.starts[TaskName{JobId("a"), 0, 0, 27}]), 3);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
