--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -71,13 +71,13 @@
   return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
 }
 
-int32_t SameStep(const WorkerState& worker, const TaskRef& ref) {
-  const TaskRef first{ref.job, ref.occurrence, ref.step, 0};
+/// Counts the tasks of the same step on a worker, also those that were lent to this cell one by one.
+int32_t SameStep(const OwnedCell& cell, const WorkerState& worker, const TaskName& name) {
   int32_t count = 0;
 
-  for (auto task = worker.tasks.lower_bound(first); task != worker.tasks.end(); ++task) {
-    if (task->job != ref.job || task->occurrence != ref.occurrence || task->step != ref.step) break;
-    ++count;
+  for (const TaskRef& ref : worker.tasks) {
+    if (ref.occurrence != name.occurrence || ref.step != name.step) continue;
+    if (NameOf(cell.jobs.at(ref.job), ref).job == name.job) ++count;
   }
 
   return count;
@@ -107,7 +107,7 @@
   if (!TakesTasks(state, worker) || worker.info.service != service) return std::nullopt;
   if (!HasRoom(worker, spec) || !HasLabel(worker, spec.required_label)) return std::nullopt;
 
-  const int32_t same = SameStep(worker, ref);
+  const int32_t same = SameStep(cell, worker, NameOf(job, ref));
   if (spec.most_per_worker > 0 && same >= spec.most_per_worker) return std::nullopt;
 
   int64_t score = 0;
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -90,6 +90,38 @@
   EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
 }
 
+// A task that only ever ran as a lent one has no run of its own, and its end was not recorded.
+TEST_F(Lending, EndsOfLentTasksSurviveTheLossOfAllEntries) {
+  JobSpec spec = Wide("a", 26, false);
+  spec.steps.push_back(spec.steps.front());
+  spec.steps[1].after = {0};
+  world_.Submit("e0", spec);
+  world_.Run(Millis(5'000));
+  for (const char* entry : {"e0", "e1", "e2", "e3"}) world_.Kill(entry);
+  world_.Run(Millis(500));
+  for (const char* entry : {"e0", "e1", "e2", "e3"}) world_.Start(entry);
+  world_.Run(Millis(25'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  for (const auto& [name, count] : world_.starts) {
+    if (name.step != 0) continue;
+
+    EXPECT_EQ(count, 1) << name.index;
+  }
+}
+
+// Each lasting task is lent as a job of its own, so the limit has to be kept across jobs.
+TEST_F(Lending, LentTasksKeepTheLimitForEachWorker) {
+  JobSpec spec = Wide("a", 4, true);
+  spec.steps[0].most_per_worker = 1;
+  world_.Submit("e0", spec);
+  world_.Run(Millis(6'000));
+
+  const std::vector<std::string> workers = world_.WorkersOf("a");
+  EXPECT_EQ(workers.size(), 4U);
+  EXPECT_EQ(std::set<std::string>(workers.begin(), workers.end()).size(), 4U);
+}
+
 TEST_F(Lending, LostAnswersLendNothingTwice) {
   world_.loss = 0.15;
   for (int round = 0; round < 4; ++round) {
