Leave tasks that are not lent out of a borrowed job's progress

Cause: a takeover counted them as done twice, so that the borrowed job and its lender never ended (seen as LOST and MIXED after total losses).

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -133,6 +133,8 @@
 
 struct TaskState {
   TaskPhase phase = TaskPhase::kBlocked;
+  /// Of a job that was lent some tasks, this is none of them; it counts as done.
+  bool elsewhere = false;
   Run run = 0;
   int32_t failures = 0;
   VmId worker;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -65,7 +65,10 @@
 
 /// Leaves of a job only the tasks that were lent to this cell.
 void AdoptLoan(OwnedCell& cell, JobState& job) {
-  ForEachTask(job, [](const TaskRef&, TaskState& task) { task.phase = TaskPhase::kDone; });
+  ForEachTask(job, [](const TaskRef&, TaskState& task) {
+    task.phase = TaskPhase::kDone;
+    task.elsewhere = true;
+  });
 
   for (OccurrenceState& occurrence : job.occurrences) {
     for (StepState& step : occurrence.steps) step.done = static_cast<int32_t>(step.tasks.size());
@@ -79,6 +82,7 @@
                           .steps[static_cast<size_t>(ref.step)]
                           .tasks[static_cast<size_t>(ref.index)];
     task.phase = TaskPhase::kBlocked;
+    task.elsewhere = false;
     task.run = lent.run;
     task.failures = lent.failures;
     task.checkpoint = lent.checkpoint;
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -106,6 +106,7 @@
     for (size_t step = 0; step < steps.size(); ++step) {
       for (size_t index = 0; index < steps[step].tasks.size(); ++index) {
         const TaskState& task = steps[step].tasks[index];
+        if (task.elsewhere) continue;
         if (task.run == 0 && MarkOf(task.phase) == TaskMark::kWaiting) continue;
 
         record.tasks.push_back(TaskProgress{.occurrence = static_cast<int32_t>(number),
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -96,7 +96,7 @@
   spec.steps.push_back(spec.steps.front());
   spec.steps[1].after = {0};
   world_.Submit("e0", spec);
-  world_.Run(Millis(5'000));
+  world_.Run(Millis(2'600));
   for (const char* entry : {"e0", "e1", "e2", "e3"}) world_.Kill(entry);
   world_.Run(Millis(500));
   for (const char* entry : {"e0", "e1", "e2", "e3"}) world_.Start(entry);
