--- a/main/currantpost-entry/main.cc
+++ b/main/currantpost-entry/main.cc
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <random>
 #include <string>
 
@@ -72,5 +73,13 @@
 
 int main() {
   SetUpLogging(Severity::kInfo);
-  return Run();
+
+  try {
+    return Run();
+  } catch (const std::exception& exception) {
+    // The platform starts the process again; whoever looks for the cause needs this line.
+    WriteLog(Severity::kError, "entry", "ended by an unexpected fault",
+             {{"what", exception.what()}});
+    return EXIT_FAILURE;
+  }
 }
