--- a/lib/transport/include/currantpost/transport/event_loop.h
+++ b/lib/transport/include/currantpost/transport/event_loop.h
@@ -17,7 +17,7 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  /// Runs until `Stop` is called.
+  /// Runs until `Stop` is called. May be called again after that.
   void Run();
 
   /// Makes `Run` return after the present handler.
--- a/lib/transport/source/event_loop.cc
+++ b/lib/transport/source/event_loop.cc
@@ -39,6 +39,7 @@
 EventLoop::~EventLoop() = default;
 
 void EventLoop::Run() {
+  impl_->context.restart();
   const auto guard = boost::asio::make_work_guard(impl_->context);
   impl_->context.run();
 }
--- a/lib/transport/source/http_server.cc
+++ b/lib/transport/source/http_server.cc
@@ -61,6 +61,8 @@
   http::response<http::string_body> response;
   SessionPhase phase = SessionPhase::kIdle;
   Millis since;
+  /// When the sweep first saw a part of a header.
+  std::optional<Millis> partial_since;
   /// Counts the requests of the connection, so that a second answer to one does nothing.
   uint64_t request = 0;
   bool keep = true;
@@ -93,6 +95,7 @@
 void Session::ReadHeader() {
   phase = SessionPhase::kIdle;
   since = server->clock.Now();
+  partial_since.reset();
   parser.emplace();
   parser->header_limit(static_cast<uint32_t>(server->limits.largest_header));
   parser->body_limit(server->limits.largest_body);
@@ -210,6 +213,28 @@
   });
 }
 
+/// Says whether a session took too long over what it is at.
+bool IsLate(Session& session, Millis now) {
+  const HttpServerLimits& limits = session.server->limits;
+
+  switch (session.phase) {
+    case SessionPhase::kAnswering:
+      return false;
+    case SessionPhase::kReading:
+      return now - session.since > limits.header_timeout;
+    case SessionPhase::kWriting:
+      return now - session.since > limits.idle_timeout;
+    case SessionPhase::kIdle:
+      break;
+  }
+
+  // The library reports a header only once it is whole; what has come of it lies in the buffer.
+  if (session.buffer.size() == 0) return now - session.since > limits.idle_timeout;
+  if (!session.partial_since) session.partial_since = now;
+
+  return now - *session.partial_since > limits.header_timeout;
+}
+
 /// Ends what took too long: idle connections, slow requests, and answers that nobody reads.
 void Sweep(const std::shared_ptr<ServerState>& server) {
   server->sweep.expires_after(std::chrono::milliseconds(kSweepInterval.Count()));
@@ -220,10 +245,7 @@
     std::vector<std::shared_ptr<Session>> late;
 
     for (Session& session : server->sessions) {
-      const Millis bound = session.phase == SessionPhase::kReading ? server->limits.header_timeout
-                                                                   : server->limits.idle_timeout;
-      if (session.phase == SessionPhase::kAnswering) continue;
-      if (now - session.since > bound) late.push_back(session.shared_from_this());
+      if (IsLate(session, now)) late.push_back(session.shared_from_this());
     }
 
     for (const auto& session : late) {
