--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -3,7 +3,8 @@
 add_library(currantpost_warnings INTERFACE)
 target_compile_options(
   currantpost_warnings INTERFACE -Wall -Wextra -Wno-missing-field-initializers
-                                 -Wno-maybe-uninitialized -Wno-restrict)
+                                 -Wno-unknown-warning-option -Wno-maybe-uninitialized
+                                 -Wno-restrict)
 
 # A deployment is built without it, so that no other compiler's warning stops it.
 option(CURRANTPOST_WARNINGS_ARE_ERRORS "Stop the build at a warning" ON)
--- a/lib/entry/include/currantpost/entry/entry.h
+++ b/lib/entry/include/currantpost/entry/entry.h
@@ -26,9 +26,8 @@
 /// An entry: the scheduler, and all that carries its effects out, on one loop.
 class Entry {
  public:
-  Entry(EventLoop& loop, const Clock& clock, EntryAddresses addresses,
-        scheduler::Settings settings, StorePort& store, WorkerPort& workers,
-        const CallerProtocol& callers);
+  Entry(EventLoop& loop, const Clock& clock, EntryAddresses addresses, scheduler::Settings settings,
+        StorePort& store, WorkerPort& workers, const CallerProtocol& callers);
   ~Entry();
   Entry(const Entry&) = delete;
   Entry& operator=(const Entry&) = delete;
--- a/lib/entry/source/entry.cc
+++ b/lib/entry/source/entry.cc
@@ -58,8 +58,8 @@
         peers(loop, clock, HttpClientLimits{}),
         wake(loop),
         caller_server(loop, clock, HttpServerLimits{},
-                      [this](ReceivedRequest request, Respond respond) {
-                        TakeCaller(std::move(request), std::move(respond));
+                      [this](const ReceivedRequest& request, Respond respond) {
+                        TakeCaller(request, std::move(respond));
                       }),
         readiness_server(loop, clock, HttpServerLimits{},
                          [this](const ReceivedRequest& request, const Respond& respond) {
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -79,7 +79,8 @@
   std::map<std::string, KvRevision> removed;
 };
 
-// ---- This entry's lease --------------------------------------------------------------------------
+// ---- This entry's lease
+// --------------------------------------------------------------------------
 
 struct LeaseState {
   LeaseId lease = 0;
@@ -98,7 +99,8 @@
   RequestId former_request = 0;
 };
 
-// ---- Cells that this entry owns ------------------------------------------------------------------
+// ---- Cells that this entry owns
+// ------------------------------------------------------------------
 
 /// How far a task is.
 enum class TaskPhase {
@@ -346,7 +348,8 @@
   Millis retry_at;
 };
 
-// ---- Callers' requests ---------------------------------------------------------------------------
+// ---- Callers' requests
+// ---------------------------------------------------------------------------
 
 /// A job on its way into the store.
 struct PendingSubmit {
@@ -442,7 +445,8 @@
   return settings;
 }
 
-// ---- All of it -----------------------------------------------------------------------------------
+// ---- All of it
+// -----------------------------------------------------------------------------------
 
 struct State {
   Settings settings;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -14,8 +14,7 @@
 constexpr Millis kRetryAfter = Millis(1'000);
 
 void Answer(Effects& effects, RequestId call, CallerOutcome outcome) {
-  effects.emplace_back(
-      AnswerCaller{.call = call, .outcome = outcome, .retry_after = kRetryAfter});
+  effects.emplace_back(AnswerCaller{.call = call, .outcome = outcome, .retry_after = kRetryAfter});
 }
 
 void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome) {
@@ -160,8 +159,7 @@
 
   if (job == state.view.jobs.end() || job->second.revision == 0) {
     cancel.reading = true;
-    cancel.request =
-        CallStore(state, effects, CancelStepped{id}, ReadRecord{JobKey(id)});
+    cancel.request = CallStore(state, effects, CancelStepped{id}, ReadRecord{JobKey(id)});
     return;
   }
 
@@ -215,8 +213,7 @@
   }
 }
 
-void HandleSubmitWritten(State& state, Effects& effects, const JobId& id,
-                         const StoreReply& reply) {
+void HandleSubmitWritten(State& state, Effects& effects, const JobId& id, const StoreReply& reply) {
   const auto found = state.submits.find(id);
   if (found == state.submits.end()) return;
 
@@ -264,8 +261,7 @@
   submit.retry_at = state.now + kStoreRetry;
 }
 
-void HandleCancelStepped(State& state, Effects& effects, const JobId& id,
-                         const StoreReply& reply) {
+void HandleCancelStepped(State& state, Effects& effects, const JobId& id, const StoreReply& reply) {
   const auto found = state.cancels.find(id);
   if (found == state.cancels.end()) return;
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -14,7 +14,8 @@
 constexpr int64_t kMoveRoom = 2;
 /// Kept beyond the promised time, so that an answer under way never meets a missing job.
 constexpr Millis kRemovalMargin = Millis(15'000);
-/// Pause between removals of ended jobs, and jobs removed at a time: three keys each, and the grant.
+/// Pause between removals of ended jobs, and jobs removed at a time: three keys each, and the
+/// grant.
 constexpr Millis kRemovalInterval = Millis(2'000);
 constexpr size_t kRemovedAtOnce = 10;
 
@@ -86,7 +87,9 @@
     task.run = lent.run;
     task.failures = lent.failures;
     task.checkpoint = lent.checkpoint;
-    --job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)].done;
+    --job.occurrences[static_cast<size_t>(ref.occurrence)]
+          .steps[static_cast<size_t>(ref.step)]
+          .done;
     cell.guests[NameOf(job, ref)] = ref;
   }
 }
@@ -99,8 +102,8 @@
   task.failures = progress.failures;
   task.checkpoint = progress.checkpoint;
 
-  StepState& step = job.occurrences[static_cast<size_t>(ref.occurrence)]
-                        .steps[static_cast<size_t>(ref.step)];
+  StepState& step =
+      job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
 
   switch (progress.mark) {
     case TaskMark::kWaiting:
@@ -204,7 +207,8 @@
                     ExpectedRecord{JobKey(id), view->second.revision},
                     ExpectedRecord{ProgressKey(id), job.progress_revision}};
   write.puts.push_back(RecordPut{JobKey(id), job.move->value, 0});
-  job.move->request = CallStore(state, effects, JobMoved{cell.cell, cell.grant, id}, std::move(write));
+  job.move->request =
+      CallStore(state, effects, JobMoved{cell.cell, cell.grant, id}, std::move(write));
 }
 
 void ConsiderMove(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
@@ -216,7 +220,9 @@
     return;
   }
 
-  if (!job.waits_since || job.loan || job.bound > 0 || job.cancelled || job.doomed || cell.releasing) return;
+  if (!job.waits_since || job.loan || job.bound > 0 || job.cancelled || job.doomed ||
+      cell.releasing)
+    return;
   if (cell.dirty.contains(job.record.spec.job) || job.recorded != job.version) return;
 
   const Millis due = *job.waits_since + kMoveAfter;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -131,8 +131,8 @@
 }
 
 void DriveLook(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
-  const bool needed = !worker.confirmed || !worker.tasks.empty() || !worker.ends.empty() ||
-                      !worker.strays.empty();
+  const bool needed =
+      !worker.confirmed || !worker.tasks.empty() || !worker.ends.empty() || !worker.strays.empty();
   if (!needed || worker.info.address.port == 0) return;
 
   const FencingToken token = TokenOf(cell, worker);
@@ -384,16 +384,14 @@
   }
 
   // Answers on two connections may overtake each other; the lists of the older one say nothing.
-  const bool older =
-      worker.clock_ms && reply.clock_ms && *reply.clock_ms < *worker.clock_ms;
+  const bool older = worker.clock_ms && reply.clock_ms && *reply.clock_ms < *worker.clock_ms;
 
   if (reply.clock_ms && !older) {
     worker.clock_ms = reply.clock_ms;
     worker.clock_at = state.now;
   }
 
-  std::erase_if(worker.ends,
-                [&](const auto& row) { return row.first <= look.forget_up_to; });
+  std::erase_if(worker.ends, [&](const auto& row) { return row.first <= look.forget_up_to; });
   worker.forgotten = std::max(worker.forgotten, look.forget_up_to);
 
   for (const EndedTask& row : reply.ended) TakeEndedRow(state, effects, cell, worker, row);
@@ -423,8 +421,7 @@
   if (refused) worker.confirmed = false;
 
   const Millis pause =
-      refused ? kRefusalPause
-              : std::min(kSilencePause * worker.failed_looks, kLongestSilencePause);
+      refused ? kRefusalPause : std::min(kSilencePause * worker.failed_looks, kLongestSilencePause);
   worker.next_look = state.now + pause;
 }
 
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -37,7 +37,7 @@
   uint64_t weight = 0;
   EntryId entry;
 
-  auto operator<=>(const Candidacy&) const = default;
+  auto operator<=>(const Candidacy&) const = default;  // NOLINT(modernize-use-nullptr): false
 };
 
 /// Returns the live entries in the order in which they are to claim a cell.
@@ -61,9 +61,9 @@
 void Claim(State& state, Effects& effects, const CellId& id, OrphanedCell& orphan) {
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(id), 0});
-  write.puts.push_back(
-      RecordPut{CellKey(id), Encode(CellRecord{state.settings.entry, state.settings.life}),
-                state.lease.lease});
+  write.puts.push_back(RecordPut{CellKey(id),
+                                 Encode(CellRecord{state.settings.entry, state.settings.life}),
+                                 state.lease.lease});
   orphan.claim = CallStore(state, effects, CellClaimed{id}, std::move(write));
 }
 
@@ -71,8 +71,8 @@
   OrphanedCell& orphan = state.orphans[id];
   if (orphan.claim != 0) return;
 
-  const Millis at = std::max(orphan.since + kRankDelay * static_cast<int64_t>(rank),
-                             orphan.retry_at);
+  const Millis at =
+      std::max(orphan.since + kRankDelay * static_cast<int64_t>(rank), orphan.retry_at);
   if (state.now < at) {
     WakeAt(state, at);
     return;
@@ -84,8 +84,8 @@
 /// Returns a grant that this entry has in the store and does not use: it was given up on a doubt
 /// that turned out to be unfounded. Nobody else could claim the cell before the lease ends.
 void ReturnUnusedGrant(State& state, Effects& effects, const CellId& id, const CellView& view) {
-  const bool own = view.record.owner == state.settings.entry &&
-                   view.record.life == state.settings.life;
+  const bool own =
+      view.record.owner == state.settings.entry && view.record.life == state.settings.life;
   if (!own || state.cells.contains(id)) return;
 
   OrphanedCell& orphan = state.orphans[id];
@@ -99,8 +99,7 @@
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(id), view.revision});
   write.removals = {CellKey(id)};
-  orphan.claim =
-      CallStore(state, effects, CellReleased{id, view.revision}, std::move(write));
+  orphan.claim = CallStore(state, effects, CellReleased{id, view.revision}, std::move(write));
 }
 
 /// Claims the cells without an owner that fall to this entry. All entries deal them out alike, one
@@ -124,8 +123,7 @@
     if (candidates.empty()) return;
 
     ++owned[candidates.front().entry];
-    const auto self =
-        std::ranges::find(candidates, state.settings.entry, &Candidacy::entry);
+    const auto self = std::ranges::find(candidates, state.settings.entry, &Candidacy::entry);
     if (self == candidates.end()) continue;
 
     OrphanedCell& orphan = state.orphans[id];
@@ -175,10 +173,9 @@
 }
 
 void ExtendLayout(State& state, Effects& effects) {
-  const bool keeper = !state.view.entries.empty() &&
-                      state.view.entries.begin()->first == state.settings.entry;
-  const bool informed =
-      state.feeds[Feed::kWorkers].synced && state.feeds[Feed::kRecords].synced;
+  const bool keeper =
+      !state.view.entries.empty() && state.view.entries.begin()->first == state.settings.entry;
+  const bool informed = state.feeds[Feed::kWorkers].synced && state.feeds[Feed::kRecords].synced;
   if (!keeper || !informed || state.layout_request != 0 || !HoldsLease(state)) return;
 
   if (state.now < state.layout_at) {
@@ -193,8 +190,7 @@
   Log(effects, Severity::kInfo, "putting new racks into cells",
       {{"racks", std::to_string(layout->cell_of_rack.size())}});
   WriteRecords write;
-  write.expected.push_back(
-      ExpectedRecord{std::string(kLayoutKey), state.view.layout_revision});
+  write.expected.push_back(ExpectedRecord{std::string(kLayoutKey), state.view.layout_revision});
   write.puts.push_back(RecordPut{std::string(kLayoutKey), Encode(*layout), 0});
   state.layout_request = CallStore(state, effects, LayoutWritten{}, std::move(write));
 }
@@ -307,7 +303,8 @@
   const Millis span = kStoreLease + kOutageHold + kWorkerLease;
   cell.inherited_until = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
   state.orphans.erase(id);
-  Log(effects, Severity::kInfo, "took cell", {{"cell", id.Text()}, {"grant", std::to_string(grant)}});
+  Log(effects, Severity::kInfo, "took cell",
+      {{"cell", id.Text()}, {"grant", std::to_string(grant)}});
 }
 
 void LoseCell(State& state, Effects& effects, const CellId& id, std::string_view reason) {
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -22,8 +22,7 @@
 
 /// Says whether this entry is the one that puts new racks into cells.
 bool KeepsLayout(const State& state) {
-  return !state.view.entries.empty() &&
-         state.view.entries.begin()->first == state.settings.entry;
+  return !state.view.entries.empty() && state.view.entries.begin()->first == state.settings.entry;
 }
 
 bool Wants(const State& state, Feed feed) {
@@ -98,8 +97,7 @@
   }
 }
 
-void TakePage(State& state, Effects& effects, Feed feed, FeedState& copy,
-              const StoreReply& reply) {
+void TakePage(State& state, Effects& effects, Feed feed, FeedState& copy, const StoreReply& reply) {
   // A list that is older than what is known already would bring back what has gone.
   if (reply.revision < copy.revision) {
     copy.page_after.clear();
@@ -155,8 +153,8 @@
     }
 
     if (!copy.synced) {
-      copy.request = CallStore(state, effects, FeedCalled{feed, true},
-                               ListFeed{feed, copy.page_after});
+      copy.request =
+          CallStore(state, effects, FeedCalled{feed, true}, ListFeed{feed, copy.page_after});
       continue;
     }
 
@@ -222,8 +220,7 @@
 
 void ApplyEntry(State& state, Effects& effects, const EntryId& id, const StoreItem& item) {
   const auto known = state.view.entries.find(id);
-  const KvRevision known_revision =
-      known == state.view.entries.end() ? 0 : known->second.revision;
+  const KvRevision known_revision = known == state.view.entries.end() ? 0 : known->second.revision;
 
   if (item.removed) {
     if (!NoteRemoval(state.view, item.key, known_revision, item.revision)) return;
@@ -273,8 +270,7 @@
   if (!record) return Unreadable(effects, item, record.error());
 
   state.view.cells[id] = CellView{*record, item.revision};
-  const bool own =
-      record->owner == state.settings.entry && record->life == state.settings.life;
+  const bool own = record->owner == state.settings.entry && record->life == state.settings.life;
 
   if (owned != state.cells.end() && owned->second.grant < item.revision) {
     LoseCell(state, effects, id, "another grant was made");
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -13,7 +13,8 @@
 
 namespace currantpost::scheduler {
 
-// ---- Times -----------------------------------------------------------------------------------------
+// ---- Times
+// -----------------------------------------------------------------------------------------
 
 /// Time to live of an entry's lease at the store. Its cells change hands about so long after it
 /// dies; three lost renewals must fit in it.
@@ -57,7 +58,8 @@
   return request;
 }
 
-// ---- Keys ------------------------------------------------------------------------------------------
+// ---- Keys
+// ------------------------------------------------------------------------------------------
 
 std::string EntryKey(const EntryId& entry);
 std::string CellKey(const CellId& cell);
@@ -66,7 +68,8 @@
 std::string ProgressKey(const JobId& job);
 std::string CancelKey(const JobId& job);
 
-// ---- Feeds and view --------------------------------------------------------------------------------
+// ---- Feeds and view
+// --------------------------------------------------------------------------------
 
 /// Lists and watches what this entry needs.
 void UpdateFeeds(State& state, Effects& effects);
@@ -75,7 +78,8 @@
 /// Takes in a record, from whatever source. Older news than what is known is passed over.
 void ApplyRecord(State& state, Effects& effects, const StoreItem& item);
 
-// ---- Lease, entries, cells ---------------------------------------------------------------------------
+// ---- Lease, entries, cells
+// ---------------------------------------------------------------------------
 
 void UpdateLease(State& state, Effects& effects);
 void HandleLeaseGranted(State& state, Effects& effects, const StoreReply& reply);
@@ -105,7 +109,8 @@
 /// Takes jobs over in cells whose records are known well enough.
 void OpenCells(State& state, Effects& effects);
 
-// ---- Jobs of owned cells -------------------------------------------------------------------------------
+// ---- Jobs of owned cells
+// -------------------------------------------------------------------------------
 
 /// Takes in a job of an owned, open cell. A known job is left as it is.
 void AddJob(State& state, Effects& effects, OwnedCell& cell, const JobId& id);
@@ -139,7 +144,8 @@
 void ForgetJob(OwnedCell& cell, const JobId& id);
 
 /// Binds a waiting task to a worker.
-void BindTask(State& state, OwnedCell& cell, JobState& job, const TaskRef& ref, WorkerState& worker);
+void BindTask(State& state, OwnedCell& cell, JobState& job, const TaskRef& ref,
+              WorkerState& worker);
 
 /// Adds a task's need to what a worker holds, or takes it off with a sign of -1.
 void CountNeed(WorkerState& worker, const StepSpec& spec, int64_t sign);
@@ -169,7 +175,8 @@
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell);
 void HandleJobMoved(State& state, Effects& effects, const JobMoved& moved, const StoreReply& reply);
 
-// ---- Lending ------------------------------------------------------------------------------------------
+// ---- Lending
+// ------------------------------------------------------------------------------------------
 
 /// Lends tasks that find no room to a cell that has it.
 void ConsiderLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job);
@@ -183,7 +190,8 @@
 /// Removes the records of jobs that ended long ago.
 void RemoveEnded(State& state, Effects& effects);
 
-// ---- Progress writes --------------------------------------------------------------------------------
+// ---- Progress writes
+// --------------------------------------------------------------------------------
 
 /// Returns what is to be recorded of a job.
 ProgressRecord ProgressOf(const JobState& job);
@@ -199,7 +207,8 @@
 /// Returns the owned cell of a grant, or null if this entry does not own it by that grant any more.
 OwnedCell* FindCell(State& state, const CellId& cell, KvRevision grant);
 
-// ---- Workers ------------------------------------------------------------------------------------------
+// ---- Workers
+// ------------------------------------------------------------------------------------------
 
 /// Brings the workers of owned cells in line with the registry.
 void ApplyRegistry(State& state, Effects& effects);
@@ -210,7 +219,8 @@
 /// Adds a worker that the registry or a binding names.
 WorkerState& AddWorker(OwnedCell& cell, const VmId& id);
 
-// ---- Placement and load ------------------------------------------------------------------------------
+// ---- Placement and load
+// ------------------------------------------------------------------------------
 
 /// Gives waiting tasks to workers with room.
 void PlaceTasks(State& state, Effects& effects, OwnedCell& cell);
@@ -230,10 +240,11 @@
 
 /// Returns how much stress the most strained lasting task of a worker can still bear once filling
 /// work of an image is added with a processor use in thousandths of a core. Below 0 it can not.
-double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker,
-                 const std::string& image, int64_t millicores);
+double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker, const std::string& image,
+                 int64_t millicores);
 
-// ---- Callers and peers ---------------------------------------------------------------------------------
+// ---- Callers and peers
+// ---------------------------------------------------------------------------------
 
 void HandleCaller(State& state, Effects& effects, const CallerAsked& asked);
 void HandleSubmitWritten(State& state, Effects& effects, const JobId& job, const StoreReply& reply);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -187,8 +187,7 @@
     batch.tasks.resize(static_cast<size_t>(fit));
   }
 
-  const int64_t demand =
-      batch.spec->need.millicores * static_cast<int64_t>(batch.tasks.size());
+  const int64_t demand = batch.spec->need.millicores * static_cast<int64_t>(batch.tasks.size());
   (batch.spec->filling ? state.sent_filling : state.sent_demand)[to] += demand;
   PrepareLoan(effects, cell, job, batch.tasks, to);
   SendLoan(state, effects, cell, job);
@@ -229,8 +228,7 @@
   job.loan.reset();
   const StoreItem progress{
       .key = ProgressKey(lent.job), .revision = revision, .value = loan.progress_value};
-  const StoreItem guest{
-      .key = JobKey(loan.guest), .revision = revision, .value = loan.guest_value};
+  const StoreItem guest{.key = JobKey(loan.guest), .revision = revision, .value = loan.guest_value};
 
   const auto owner = state.view.cells.find(loan.to);
   if (owner != state.view.cells.end()) {
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -85,13 +85,13 @@
   if (lease.lease == 0) {
     if (state.stopping) return;
 
-    lease.request = CallStore(state, effects, LeaseGranted{},
-                              GrantLease{std::max(kStoreLease, state.settings.shortest_store_lease)});
+    lease.request =
+        CallStore(state, effects, LeaseGranted{},
+                  GrantLease{std::max(kStoreLease, state.settings.shortest_store_lease)});
     return;
   }
 
-  lease.request =
-      CallStore(state, effects, LeaseKept{}, KeepLease{lease.lease}, kKeepTimeout);
+  lease.request = CallStore(state, effects, LeaseKept{}, KeepLease{lease.lease}, kKeepTimeout);
 }
 
 void HandleLeaseGranted(State& state, Effects& effects, const StoreReply& reply) {
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -6,8 +6,9 @@
 /// and rough, swing with the lasting tasks' own load, and run away within a second where filling
 /// work of a wrong image is put beside them.
 ///
-/// A tail is taken as `unloaded / (1 - stress)`. Stress is the lasting task's own load and what each
-/// image of filling work adds in proportion to its processor use, so it adds up where tails do not.
+/// A tail is taken as `unloaded / (1 - stress)`. Stress is the lasting task's own load and what
+/// each image of filling work adds in proportion to its processor use, so it adds up where tails do
+/// not.
 
 namespace currantpost::scheduler {
 namespace {
@@ -19,8 +20,8 @@
 constexpr double kRelievedStress = 0.80;
 /// Stress up to which filling tasks are placed; lower, as a lasting task's own load still swings.
 constexpr double kMostStressPlaced = 0.80;
-/// Own stress of lasting tasks taken until figures came, the weight of a figure in its mean, and how
-/// far above the mean it usually swings.
+/// Own stress of lasting tasks taken until figures came, the weight of a figure in its mean, and
+/// how far above the mean it usually swings.
 constexpr double kUsualStress = 0.48;
 constexpr double kUsualWeight = 0.02;
 constexpr double kUsualSwing = 0.12;
@@ -28,7 +29,8 @@
 constexpr double kNegligibleStress = 0.03;
 /// The target as a multiple of the unloaded tail, taken until a lower tail was seen.
 constexpr int64_t kTargetOfUnloaded = 6;
-/// The least tail seen is that of a lightly loaded task; unloaded it is this much of it, in percent.
+/// The least tail seen is that of a lightly loaded task; unloaded it is this much of it, in
+/// percent.
 constexpr int64_t kUnloadedPercent = 80;
 /// Time between two looks that are learned from; the figures cover half a second.
 constexpr Millis kLearnInterval = Millis(400);
@@ -192,9 +194,8 @@
               std::map<std::string, double>& paces) {
   const int64_t brief = worker.held.millicores - worker.lasting_millicores;
   const int64_t others = brief + worker.lasting_use;
-  const double room = Share(worker, static_cast<double>(worker.info.capacity.millicores *
-                                                            kMostUsePercent / 100 -
-                                                        others));
+  const int64_t most = worker.info.capacity.millicores * kMostUsePercent / 100;
+  const double room = Share(worker, static_cast<double>(most - others));
   double wanted = 0.0;
   for (const auto& [image, share] : full) wanted += share * paces[image];
   if (wanted <= room) return;
@@ -267,8 +268,8 @@
   });
 }
 
-double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker,
-                 const std::string& image, int64_t millicores) {
+double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker, const std::string& image,
+                 int64_t millicores) {
   if (!worker.expected_stress) worker.expected_stress = ExpectedStress(state, cell, worker);
 
   const double added = Share(worker, kUsualUse * static_cast<double>(millicores));
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -1,7 +1,8 @@
 #include "internal.h"
 
-/// Which worker takes a task, and which cell a job. Answers the load of lasting tasks that hold most
-/// of the room, short jobs that must find room at once, and filling work on what is left unused.
+/// Which worker takes a task, and which cell a job. Answers the load of lasting tasks that hold
+/// most of the room, short jobs that must find room at once, and filling work on what is left
+/// unused.
 
 namespace currantpost::scheduler {
 namespace {
@@ -30,8 +31,8 @@
 /// For each task of the same step on the worker, so that one loss takes few of them.
 constexpr int64_t kSameStepScore = -4'000;
 /// @}
-/// Slack of the lasting tasks above which more of it does not matter, and what a whole unit of slack
-/// counts, in thousandths of a core: a tenth as much as a third of a worker's processors.
+/// Slack of the lasting tasks above which more of it does not matter, and what a whole unit of
+/// slack counts, in thousandths of a core: a tenth as much as a third of a worker's processors.
 constexpr double kFullSlack = 0.3;
 constexpr double kSlackScore = 100'000.0;
 /// What the own data centre counts more when a cell is chosen, in thousandths of a cell's capacity.
@@ -71,7 +72,8 @@
   return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
 }
 
-/// Counts the tasks of the same step on a worker, also those that were lent to this cell one by one.
+/// Counts the tasks of the same step on a worker, also those that were lent to this cell one by
+/// one.
 int32_t SameStep(const OwnedCell& cell, const WorkerState& worker, const TaskName& name) {
   int32_t count = 0;
 
@@ -191,8 +193,7 @@
     const auto step = std::make_tuple(ref.job, ref.occurrence, ref.step);
     if (unfit.contains(step)) continue;
 
-    WorkerState* worker =
-        ChooseWorker(state, cell, job, ref, task, ServiceOf(state, job.record));
+    WorkerState* worker = ChooseWorker(state, cell, job, ref, task, ServiceOf(state, job.record));
 
     if (worker == nullptr) {
       unfit.insert(step);
@@ -266,8 +267,8 @@
       const ServiceLoad& room = load->second.services.at(service);
       const auto sent = state.sent_demand.find(id);
       const auto sent_filling = state.sent_filling.find(id);
-      const int64_t free = room.free - room.waiting - held -
-                           (sent == state.sent_demand.end() ? 0 : sent->second);
+      const int64_t free =
+          room.free - room.waiting - held - (sent == state.sent_demand.end() ? 0 : sent->second);
       const int64_t free_filling =
           room.free_filling - room.waiting_filling - filling -
           (sent_filling == state.sent_filling.end() ? 0 : sent_filling->second);
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -1,6 +1,7 @@
 #include "internal.h"
 
-/// Writes of progress: what is to be known before a task starts, and before a worker forgets an end.
+/// Writes of progress: what is to be known before a task starts, and before a worker forgets an
+/// end.
 
 namespace currantpost::scheduler {
 namespace {
@@ -79,7 +80,8 @@
   Log(effects, Severity::kWarning, "taking a job over again, its progress had moved on",
       {{"job", id.Text()}, {"revision", std::to_string(item.revision)}});
 
-  for (auto& [worker_id, worker] : cell.workers) {
+  for (auto& row : cell.workers) {
+    WorkerState& worker = row.second;
     std::erase_if(worker.tasks, [&](const TaskRef& ref) {
       if (ref.job != id) return false;
 
@@ -126,8 +128,8 @@
   return record;
 }
 
-void NoteRecorded(State& state, Effects& effects, OwnedCell& cell, JobState& job,
-                  uint64_t version, KvRevision revision) {
+void NoteRecorded(State& state, Effects& effects, OwnedCell& cell, JobState& job, uint64_t version,
+                  KvRevision revision) {
   job.recorded = std::max(job.recorded, version);
   job.progress_revision = revision;
   job.sent_values.clear();
@@ -227,10 +229,10 @@
         const auto sent = std::ranges::find(job->second.sent_values, version,
                                             [](const auto& row) { return row.second; });
         if (sent != job->second.sent_values.end()) {
-          ApplyRecord(state, effects,
-                      StoreItem{.key = ProgressKey(job_id),
-                                .revision = reply.revision,
-                                .value = sent->first});
+          ApplyRecord(
+              state, effects,
+              StoreItem{
+                  .key = ProgressKey(job_id), .revision = reply.revision, .value = sent->first});
         }
 
         NoteRecorded(state, effects, cell, job->second, version, reply.revision);
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -231,21 +231,16 @@
 }
 
 std::string Encode(const JobRecord& record) {
-  Json head{{"queue", record.queue},
-            {"cell", record.cell.Text()},
-            {"at", record.accepted_unix_ms}};
+  Json head{{"queue", record.queue}, {"cell", record.cell.Text()}, {"at", record.accepted_unix_ms}};
   if (record.spec.occurrences > 0) head["times"] = record.spec.occurrences;
   if (!record.parent.Empty()) head["parent"] = record.parent.Text();
 
   Json steps = Json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(StepJson(step));
 
-  Json rest{{"job", record.spec.job.Text()},
-            {"service", record.service},
-            {"priority", record.priority},
-            {"attempts", record.most_attempts},
-            {"payload", record.spec.payload},
-            {"steps", std::move(steps)}};
+  Json rest{{"job", record.spec.job.Text()},  {"service", record.service},
+            {"priority", record.priority},    {"attempts", record.most_attempts},
+            {"payload", record.spec.payload}, {"steps", std::move(steps)}};
 
   if (!record.lent.empty()) rest["lent"] = TasksJson(record.lent);
 
--- a/lib/scheduler/source/routing.cc
+++ b/lib/scheduler/source/routing.cc
@@ -19,7 +19,8 @@
 }
 
 const Queue* QueueTable::Match(std::string_view host, std::string_view path) const {
-  const auto found = by_host_.find(absl::AsciiStrToLower(std::string(host.substr(0, host.find(':')))));
+  const auto found =
+      by_host_.find(absl::AsciiStrToLower(std::string(host.substr(0, host.find(':')))));
   if (found == by_host_.end()) return nullptr;
 
   for (const Queue& queue : found->second) {
--- a/lib/transport/source/event_loop.cc
+++ b/lib/transport/source/event_loop.cc
@@ -16,13 +16,13 @@
 constexpr int kUserTimeoutMs = 4'000;
 
 void WaitForSignal(boost::asio::signal_set& signals, std::function<void(int)> action) {
-  signals.async_wait([&signals, action = std::move(action)](boost::system::error_code error,
-                                                            int number) {
-    if (error) return;
+  signals.async_wait(
+      [&signals, action = std::move(action)](boost::system::error_code error, int number) {
+        if (error) return;
 
-    action(number);
-    WaitForSignal(signals, action);
-  });
+        action(number);
+        WaitForSignal(signals, action);
+      });
 }
 
 }  // namespace
@@ -79,15 +79,16 @@
   const uint64_t setting = ++impl_->setting;
   impl_->timer.expires_after(std::chrono::milliseconds(span.Count()));
   // An expired wait may already be queued when the timer is set anew, so the setting decides.
-  impl_->timer.async_wait([impl = impl_, setting, action = std::move(action)](
-                              boost::system::error_code error) {
-    if (!error && impl->setting == setting) action();
-  });
+  impl_->timer.async_wait(
+      [impl = impl_, setting, action = std::move(action)](boost::system::error_code error) {
+        if (!error && impl->setting == setting) action();
+      });
 }
 
 void Timer::Cancel() {
   ++impl_->setting;
-  impl_->timer.cancel();
+  boost::system::error_code ignored;
+  impl_->timer.cancel(ignored);
 }
 
 }  // namespace currantpost
--- a/lib/transport/source/http_client.cc
+++ b/lib/transport/source/http_client.cc
@@ -108,8 +108,8 @@
     reply.response.body = std::move(response.body());
 
     for (const auto& field : response) {
-      reply.response.fields.emplace_back(std::string(field.name_string()),
-                                         std::string(field.value()));
+      reply.response.fields.emplace_back(field.name_string().to_string(),
+                                         field.value().to_string());
     }
 
     Finish(std::move(reply), response.keep_alive());
@@ -180,23 +180,22 @@
   std::shared_ptr<ClientConnection> connection = impl_->TakeIdle(to);
   if (!connection) connection = std::make_shared<ClientConnection>(impl_->context);
 
-  connection->Start(
-      to, request, timeout, impl_->limits.largest_body,
-      [weak = std::weak_ptr<Impl>(impl_), to, callback = std::move(callback)](
-          const std::shared_ptr<ClientConnection>& used, HttpReply reply, bool keep) {
-        const std::shared_ptr<Impl> impl = weak.lock();
-        if (!impl) return;
-
-        if (keep) {
-          used->idle_since = impl->clock.Now();
-          impl->idle[to].push_back(used);
-        } else {
-          // What silenced this connection may have silenced the idle ones too.
-          impl->idle.erase(to);
-        }
-
-        callback(std::move(reply));
-      });
+  connection->Start(to, request, timeout, impl_->limits.largest_body,
+                    [weak = std::weak_ptr<Impl>(impl_), to, callback = std::move(callback)](
+                        const std::shared_ptr<ClientConnection>& used, HttpReply reply, bool keep) {
+                      const std::shared_ptr<Impl> impl = weak.lock();
+                      if (!impl) return;
+
+                      if (keep) {
+                        used->idle_since = impl->clock.Now();
+                        impl->idle[to].push_back(used);
+                      } else {
+                        // What silenced this connection may have silenced the idle ones too.
+                        impl->idle.erase(to);
+                      }
+
+                      callback(std::move(reply));
+                    });
 }
 
 }  // namespace currantpost
--- a/lib/transport/source/http_server.cc
+++ b/lib/transport/source/http_server.cc
@@ -68,8 +68,7 @@
   bool keep = true;
 };
 
-using SessionList =
-    boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>>;
+using SessionList = boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>>;
 
 /// What the sessions of one server share.
 struct ServerState {
@@ -100,22 +99,21 @@
   parser->header_limit(static_cast<uint32_t>(server->limits.largest_header));
   parser->body_limit(server->limits.largest_body);
 
-  http::async_read_some(socket, buffer, *parser,
-                        [self = shared_from_this()](error_code error, size_t) {
-                          if (error == http::error::header_limit) return self->Refuse(431);
-                          if (error == http::error::body_limit) return self->Refuse(413);
-                          if (error == http::error::end_of_stream) return self->Close();
-                          if (error && error.category() == http::make_error_code(
-                                                               http::error::bad_method)
-                                                               .category()) {
-                            return self->Refuse(400);
-                          }
-                          if (error) return self->Close();
-
-                          self->phase = SessionPhase::kReading;
-                          self->since = self->server->clock.Now();
-                          self->ReadBody();
-                        });
+  http::async_read_some(
+      socket, buffer, *parser, [self = shared_from_this()](error_code error, size_t) {
+        if (error == http::error::header_limit) return self->Refuse(431);
+        if (error == http::error::body_limit) return self->Refuse(413);
+        if (error == http::error::end_of_stream) return self->Close();
+        if (error &&
+            error.category() == http::make_error_code(http::error::bad_method).category()) {
+          return self->Refuse(400);
+        }
+        if (error) return self->Close();
+
+        self->phase = SessionPhase::kReading;
+        self->since = self->server->clock.Now();
+        self->ReadBody();
+      });
 }
 
 void Session::ReadBody() {
@@ -268,14 +266,14 @@
 HttpServer::HttpServer(EventLoop& loop, const Clock& clock, HttpServerLimits limits,
                        Handler handler)
     : impl_(std::make_shared<Impl>()) {
-  impl_->state = std::make_shared<ServerState>(loop.impl().context, clock, limits,
-                                               std::move(handler));
+  impl_->state =
+      std::make_shared<ServerState>(loop.impl().context, clock, limits, std::move(handler));
 }
 
 HttpServer::~HttpServer() {
   error_code ignored;
   impl_->state->acceptor.close(ignored);
-  impl_->state->sweep.cancel();
+  impl_->state->sweep.cancel(ignored);
 }
 
 Error HttpServer::Listen(const Address& address) {
@@ -289,9 +287,9 @@
   if (!error) acceptor.listen(kBacklog, error);
 
   if (error) {
-    return MakeError(ErrorCode::kUnavailable, "listen on " + address.host + ":" +
-                                                  std::to_string(address.port) + ": " +
-                                                  error.message());
+    return MakeError(
+        ErrorCode::kUnavailable,
+        "listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.message());
   }
 
   Accept(impl_->state);
--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -21,8 +21,8 @@
 }
 
 std::string Item(const std::string& key, const std::string& value, int revision) {
-  return R"({"key":")" + key + R"(","value":")" + absl::Base64Escape(value) +
-         R"(","revision":)" + std::to_string(revision) + R"(,"create_revision":1,"lease":7})";
+  return R"({"key":")" + key + R"(","value":")" + absl::Base64Escape(value) + R"(","revision":)" +
+         std::to_string(revision) + R"(,"create_revision":1,"lease":7})";
 }
 
 // ---- Settings -----------------------------------------------------------------------------------
@@ -58,7 +58,8 @@
   EXPECT_EQ(settings.error().code, ErrorCode::kMalformed);
 }
 
-// ---- Documents -----------------------------------------------------------------------------------
+// ---- Documents
+// -----------------------------------------------------------------------------------
 
 constexpr const char* kWorker =
     R"({"service":"s","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":8,)"
@@ -127,7 +128,8 @@
   }
 }
 
-// ---- Store -------------------------------------------------------------------------------------------
+// ---- Store
+// -------------------------------------------------------------------------------------------
 
 TEST(Store, WritesATransaction) {
   scheduler::WriteRecords write;
@@ -137,10 +139,9 @@
   const HttpRequest request = EncodeStoreCall(write);
 
   EXPECT_EQ(request.target, "/kv-txn");
-  EXPECT_EQ(request.body,
-            R"({"expected_rev":[{"key":"currantpost/a","revision":3}],)"
-            R"("puts":[{"key":"currantpost/b","lease":9,"value":"dmFsdWU="}],)"
-            R"("remove":["currantpost/c"]})");
+  EXPECT_EQ(request.body, R"({"expected_rev":[{"key":"currantpost/a","revision":3}],)"
+                          R"("puts":[{"key":"currantpost/b","lease":9,"value":"dmFsdWU="}],)"
+                          R"("remove":["currantpost/c"]})");
 }
 
 TEST(Store, EscapesKeysInQueries) {
@@ -163,9 +164,8 @@
 
 TEST(Store, ReadsAConflict) {
   const auto reply = DecodeStoreReply(
-      scheduler::WriteRecords{},
-      Answered(412, R"({"items":[)" + Item("currantpost/a", "x", 5) +
-                        R"(,{"key":"currantpost/b","revision":0}]})"));
+      scheduler::WriteRecords{}, Answered(412, R"({"items":[)" + Item("currantpost/a", "x", 5) +
+                                                   R"(,{"key":"currantpost/b","revision":0}]})"));
 
   ASSERT_EQ(reply.status, StoreStatus::kConflict);
   ASSERT_EQ(reply.items.size(), 2U);
@@ -190,7 +190,8 @@
   EXPECT_EQ(DecodeStoreReply(watch, Answered(410, "")).status, StoreStatus::kHistoryGone);
 }
 
-// ---- Workers -----------------------------------------------------------------------------------------
+// ---- Workers
+// -----------------------------------------------------------------------------------------
 
 TEST(Workers, WritesAStart) {
   scheduler::WorkerCall call;
@@ -204,9 +205,8 @@
   const HttpRequest request = EncodeWorkerCall(call);
 
   EXPECT_EQ(request.target, "/run-start");
-  EXPECT_EQ(request.body,
-            R"({"checkpoint":"c","fencing_token":7,"run":2,"spec":"text",)"
-            R"("task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})");
+  EXPECT_EQ(request.body, R"({"checkpoint":"c","fencing_token":7,"run":2,"spec":"text",)"
+                          R"("task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})");
   EXPECT_EQ(request.fields[1], (std::pair<std::string, std::string>("Expect-Instance", "i-1")));
 }
 
@@ -241,11 +241,11 @@
   EXPECT_EQ(DecodeWorkerReply(Answered(500, "")).status, OrderStatus::kUnknown);
   EXPECT_EQ(DecodeWorkerReply(HttpReply{.outcome = CallOutcome::kNotSent}).status,
             OrderStatus::kUnreachable);
-  EXPECT_EQ(DecodeWorkerReply(Answered(200, R"({"running":[[1]]})")).status,
-            OrderStatus::kUnknown);
+  EXPECT_EQ(DecodeWorkerReply(Answered(200, R"({"running":[[1]]})")).status, OrderStatus::kUnknown);
 }
 
-// ---- Callers ---------------------------------------------------------------------------------------------
+// ---- Callers
+// ---------------------------------------------------------------------------------------------
 
 class Callers : public testing::Test {
  protected:
@@ -284,8 +284,8 @@
 }
 
 TEST_F(Callers, ReadsEachKindOfRequest) {
-  EXPECT_TRUE(std::holds_alternative<scheduler::JobAsked>(
-      Decode("GET", "/a/5c0e7a21d94b36f8")->body));
+  EXPECT_TRUE(
+      std::holds_alternative<scheduler::JobAsked>(Decode("GET", "/a/5c0e7a21d94b36f8")->body));
   EXPECT_TRUE(std::holds_alternative<scheduler::JobCancelled>(
       Decode("DELETE", "/a/5c0e7a21d94b36f8")->body));
   EXPECT_TRUE(std::holds_alternative<scheduler::PendingAsked>(Decode("GET", "/a/")->body));
@@ -310,8 +310,8 @@
   EXPECT_EQ(status(CallerOutcome::kUnknown), 504);
   EXPECT_EQ(status(CallerOutcome::kNoSuchJob), 410);
   EXPECT_EQ(status(CallerOutcome::kNoSuchQueue), 404);
-  const HttpResponse refusal = protocol_.Encode(scheduler::AnswerCaller{
-      .outcome = CallerOutcome::kRefused, .retry_after = Millis(1'200)});
+  const HttpResponse refusal = protocol_.Encode(
+      scheduler::AnswerCaller{.outcome = CallerOutcome::kRefused, .retry_after = Millis(1'200)});
   EXPECT_EQ(refusal.fields.back(), (std::pair<std::string, std::string>("Retry-After", "2")));
 }
 
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -2,7 +2,8 @@
 
 #include "world.h"
 
-/// Tasks that find no room in their cell run in another: wide jobs, and cells that fill up unevenly.
+/// Tasks that find no room in their cell run in another: wide jobs, and cells that fill up
+/// unevenly.
 
 namespace currantpost::scheduler {
 namespace {
--- a/tests/scheduler/sim_worker.cc
+++ b/tests/scheduler/sim_worker.cc
@@ -32,8 +32,7 @@
 
 void SimWorker::End(const TaskName& task, RunEnd end) {
   const auto run = running_.find(task);
-  ended_.push_back(
-      EndedTask{++last_number_, task, run->second.run, end, run->second.checkpoint});
+  ended_.push_back(EndedTask{++last_number_, task, run->second.run, end, run->second.checkpoint});
   over_[task] = std::max(over_[task], run->second.run);
   running_.erase(run);
 }
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -317,15 +317,13 @@
 void World::Submit(const std::string& entry, const JobSpec& spec) {
   const RequestId call = ++last_call_;
   job_of_call_[call] = spec.job.Text();
-  Deliver(entry, life_of_.at(entry),
-          CallerAsked{call, Millis(3'000), JobSubmitted{"queue", spec}});
+  Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobSubmitted{"queue", spec}});
 }
 
 void World::Cancel(const std::string& entry, const std::string& job) {
   const RequestId call = ++last_call_;
   job_of_call_[call] = job;
-  Deliver(entry, life_of_.at(entry),
-          CallerAsked{call, Millis(3'000), JobCancelled{JobId(job)}});
+  Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobCancelled{JobId(job)}});
 }
 
 void World::Ask(const std::string& entry, const std::string& job) {
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -34,8 +34,7 @@
   /// Sends a call and waits for its end.
   HttpReply Call(const HttpRequest& request, Millis timeout = Millis(2'000)) {
     std::optional<HttpReply> result;
-    client_.Send(address_, request, timeout,
-                 [&](HttpReply reply) { result = std::move(reply); });
+    client_.Send(address_, request, timeout, [&](HttpReply reply) { result = std::move(reply); });
     RunUntil([&] { return result.has_value(); });
     return result.value_or(HttpReply{});
   }
@@ -88,8 +87,7 @@
   Serve([](const ReceivedRequest& request, const Respond& respond) {
     respond(HttpResponse{.status = 201, .body = request.method + request.target + request.body});
   });
-  const HttpReply reply =
-      Call(HttpRequest{.method = "POST", .target = "/a?b=c", .body = "body"});
+  const HttpReply reply = Call(HttpRequest{.method = "POST", .target = "/a?b=c", .body = "body"});
 
   EXPECT_EQ(reply.outcome, CallOutcome::kAnswered);
   EXPECT_EQ(reply.response.status, 201);
@@ -130,8 +128,7 @@
   Serve([](const ReceivedRequest&, const Respond& respond) { respond(HttpResponse{}); },
         HttpServerLimits{.largest_body = 10});
 
-  EXPECT_NE(Raw("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n").find(" 413 "),
-            std::string::npos);
+  EXPECT_NE(Raw("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n").find(" 413 "), std::string::npos);
 }
 
 TEST_F(Http, AnswersATooLargeHeaderWith431) {
