Name each loan by the lender's progress, and stop jobs from moving to and fro

Change: a loan is named by the revision of the lender's progress, an existing job counts as ours only if it is the same; a job that was moved waits longer before it moves again; forgetting a job takes its tasks off the workers; a worker first met by a binding is waited for from then on.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -113,6 +113,8 @@
   CellId cell;
   /// Time of day of the acceptance; orders waiting jobs, and decides nothing else.
   int64_t accepted_unix_ms = 0;
+  /// How often the job was moved to another cell.
+  int32_t moves = 0;
   JobSpec spec;
   /// Of lent tasks: the job that they are of, and which they are. `spec` is that job's, but for the
   /// id.
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -224,8 +224,6 @@
     Millis retry_at;
   };
   std::optional<Loan> loan;
-  /// Loans made so far by this owner; names the next.
-  int32_t loans = 0;
   /// Tasks that other cells run.
   int32_t lent = 0;
   /// Tasks bound to a worker.
@@ -322,8 +320,6 @@
   KvRevision grant = 0;
   /// The records are known up to the grant, and the jobs were taken over.
   bool open = false;
-  /// Tasks bound by former owners to workers that do not answer may run until then.
-  Millis inherited_until;
   std::map<VmId, WorkerState> workers;
   std::map<JobId, JobState> jobs;
   /// Tasks that other cells have lent to this one, by the names that workers know them by.
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -10,6 +10,8 @@
 constexpr Millis kFailureDelay = Millis(50);
 /// A job that found no room for so long is moved to a cell that has it.
 constexpr Millis kMoveAfter = Millis(400);
+/// How often that wait is doubled at most.
+constexpr int32_t kMostMoveDoublings = 4;
 /// A cell takes a moved job only if it has so many times the room that the job asks for.
 constexpr int64_t kMoveRoom = 2;
 /// Kept beyond the promised time, so that an answer under way never meets a missing job.
@@ -117,7 +119,7 @@
       job.doomed = true;
       return;
     case TaskMark::kBound: {
-      WorkerState& worker = AddWorker(cell, progress.worker);
+      WorkerState& worker = AddWorker(state, cell, progress.worker);
       task.phase = TaskPhase::kStarting;
       task.sent = true;
       task.settled_at = state.order_count;
@@ -225,7 +227,9 @@
     return;
   if (cell.dirty.contains(job.record.spec.job) || job.recorded != job.version) return;
 
-  const Millis due = *job.waits_since + kMoveAfter;
+  // Reports of room are half a second old: a job that was moved in vain waits longer each time.
+  const int64_t patience = int64_t{1} << std::min(job.record.moves, kMostMoveDoublings);
+  const Millis due = *job.waits_since + kMoveAfter * patience;
   if (state.now < due) {
     WakeAt(state, due);
     return;
@@ -236,6 +240,7 @@
 
   JobRecord moved = job.record;
   moved.cell = *to;
+  ++moved.moves;
   job.move = JobState::Move{.to = *to, .value = Encode(moved)};
   state.sent_demand[*to] += FirstDemand(moved.spec).first;
   Log(effects, Severity::kInfo, "moving job to a cell with room",
@@ -347,6 +352,19 @@
 }
 
 void ForgetJob(OwnedCell& cell, const JobId& id) {
+  const JobState& job = cell.jobs.at(id);
+
+  // Nothing of it should be at a worker. What is all the same is then a stray there, and stopped.
+  for (auto& row : cell.workers) {
+    WorkerState& worker = row.second;
+    std::erase_if(worker.tasks, [&](const TaskRef& ref) {
+      if (ref.job != id) return false;
+
+      CountNeed(worker, SpecOf(job, ref), -1);
+      return true;
+    });
+  }
+
   std::erase_if(cell.waiting, [&](const WaitingKey& key) { return std::get<3>(key).job == id; });
   std::erase_if(cell.guests, [&](const auto& row) { return row.second.job == id; });
   cell.dirty.erase(id);
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -518,12 +518,14 @@
 
 }  // namespace
 
-WorkerState& AddWorker(OwnedCell& cell, const VmId& id) {
+WorkerState& AddWorker(const State& state, OwnedCell& cell, const VmId& id) {
   const auto [found, added] = cell.workers.try_emplace(id);
 
   if (added) {
     found->second.info.id = id;
-    found->second.lapses_at = cell.inherited_until;
+    // A former owner may renew leases for as long after the store last confirmed its own.
+    const Millis span = kStoreLease + kOutageHold + kWorkerLease;
+    found->second.lapses_at = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
   }
 
   return found->second;
@@ -556,7 +558,7 @@
     const auto cell = state.cells.find(cell_id->second);
     if (cell == state.cells.end() || !cell->second.open) continue;
 
-    WorkerState& worker = AddWorker(cell->second, worker_id);
+    WorkerState& worker = AddWorker(state, cell->second, worker_id);
     const int64_t known_life = worker.info.born;
     if (info.born < known_life) continue;
 
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -299,9 +299,6 @@
   cell.cell = id;
   cell.grant = grant;
   cell.releasing = state.stopping;
-  // A former owner may renew leases for as long after the store last confirmed its own.
-  const Millis span = kStoreLease + kOutageHold + kWorkerLease;
-  cell.inherited_until = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
   state.orphans.erase(id);
   Log(effects, Severity::kInfo, "took cell",
       {{"cell", id.Text()}, {"grant", std::to_string(grant)}});
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -140,7 +140,7 @@
 /// Makes a task wait for a worker.
 void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task);
 
-/// Forgets a job of which nothing runs here.
+/// Forgets a job, and takes its tasks off the workers here.
 void ForgetJob(OwnedCell& cell, const JobId& id);
 
 /// Binds a waiting task to a worker.
@@ -217,7 +217,7 @@
 void HandleWorkerAnswered(State& state, Effects& effects, const WorkerAnswered& answer);
 
 /// Adds a worker that the registry or a binding names.
-WorkerState& AddWorker(OwnedCell& cell, const VmId& id);
+WorkerState& AddWorker(const State& state, OwnedCell& cell, const VmId& id);
 
 // ---- Placement and load
 // ------------------------------------------------------------------------------
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -96,8 +96,8 @@
   JobRecord guest = job.record;
   guest.parent = job.record.spec.job;
   guest.cell = to;
-  guest.spec.job = JobId(guest.parent.Text() + "~" + std::to_string(cell.grant) + "-" +
-                         std::to_string(++job.loans));
+  // Each loan writes the lender's progress, so no two are made at one revision of it.
+  guest.spec.job = JobId(guest.parent.Text() + "~" + std::to_string(job.progress_revision));
 
   for (const TaskRef& ref : tasks) {
     TaskState& task = *FindTask(cell, ref);
@@ -208,7 +208,8 @@
   if (reply.status == StoreStatus::kConflict) {
     // An earlier try whose answer was lost shows by the job that it made.
     const auto made = std::ranges::find(reply.items, JobKey(job.loan->guest), &StoreItem::key);
-    const bool done = made != reply.items.end() && !made->removed && made->revision != 0;
+    const bool done =
+        made != reply.items.end() && !made->removed && made->value == job.loan->guest_value;
 
     if (!done) {
       const JobId guest = job.loan->guest;
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -80,16 +80,6 @@
   Log(effects, Severity::kWarning, "taking a job over again, its progress had moved on",
       {{"job", id.Text()}, {"revision", std::to_string(item.revision)}});
 
-  for (auto& row : cell.workers) {
-    WorkerState& worker = row.second;
-    std::erase_if(worker.tasks, [&](const TaskRef& ref) {
-      if (ref.job != id) return false;
-
-      CountNeed(worker, SpecOf(job, ref), -1);
-      return true;
-    });
-  }
-
   ForgetJob(cell, id);
   ApplyRecord(state, effects, item);
   AddJob(state, effects, cell, id);
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -123,6 +123,40 @@
   EXPECT_EQ(std::set<std::string>(workers.begin(), workers.end()).size(), 4U);
 }
 
+// A lent job's name used to be counted by the owner, from one on again whenever it took the job up,
+// so that a second loan took the job of the first for its own.
+TEST_F(Lending, LoansOfAJobThatCameBackHaveNamesOfTheirOwn) {
+  JobSpec spec = Wide("a", 28, false);
+  spec.steps.push_back(spec.steps.front());
+  spec.steps[1].after = {0};
+  spec.steps[1].task_count = 6;
+  spec.steps[1].need.millicores = 20'000;
+  world_.planner = [](const TaskName& name) {
+    return RunPlan{.duration = Millis(1'000),
+                   .need = Resources{.millicores = name.step == 0 ? 1'000 : 20'000}};
+  };
+  world_.Submit("e0", spec);
+  world_.Run(Millis(5'000));
+
+  // The second step fits nowhere yet. The job is moved away, and back.
+  auto record = DecodeJob(*world_.store.Value("jobs/a"));
+  ASSERT_TRUE(record);
+  const CellId home = record->cell;
+  for (const CellId& cell : {CellId(home.Text() == "dc0/0" ? "dc1/0" : "dc0/0"), home}) {
+    record->cell = cell;
+    world_.store.Handle(WriteRecords{.puts = {RecordPut{"jobs/a", Encode(*record), 0}}},
+                        world_.now(), [](const StoreReply&) {});
+    world_.Run(Millis(1'000));
+  }
+
+  for (const char* id : {"wr0-0-0", "wr0-0-1", "wr1-0-0", "wr1-0-1"}) {
+    world_.worker(id).info().capacity.millicores = 40'000;
+  }
+  world_.Run(Millis(12'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+}
+
 TEST_F(Lending, LostAnswersLendNothingTwice) {
   world_.loss = 0.15;
   for (int round = 0; round < 4; ++round) {
