Send cells home to their data centre

Change: entries of the cell's data centre are first to claim it, and a cell elsewhere is given back once one of them has been up for 3 s. Test: Home.ACellGoesBackToItsDataCentre (red without: the cell stays where it is).

--- a/lib/entry/include/currantpost/entry/entry.h
+++ b/lib/entry/include/currantpost/entry/entry.h
@@ -18,7 +18,7 @@
   Address callers;
   /// The balancer's question whether the entry takes new connections.
   Address readiness;
-  std::string readiness_path = "/readiness";
+  std::string readiness_path;
   /// Peers.
   Address peers;
 };
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -46,6 +46,8 @@
   EntryRecord record;
   KvRevision revision = 0;
   LeaseId lease = 0;
+  /// When this entry first saw this life of it.
+  Millis seen_at;
 };
 
 /// The present owner of a cell.
@@ -333,6 +335,7 @@
   Millis next_write;
   LoadRecord load;
   Millis next_load;
+  Millis taken_at;
   bool releasing = false;
   RequestId release_request = 0;
 };
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -16,6 +16,9 @@
 constexpr Millis kLayoutInterval = Millis(1'000);
 /// How much longer each further entry waits before it claims a cell that another one should.
 constexpr Millis kRankDelay = Millis(400);
+/// An entry must have been up so long before a cell is given back to its data centre, and the cell
+/// must have been owned so long: entries that are restarted in turn would pass it to and fro.
+constexpr Millis kHomeAfter = Millis(3'000);
 /// Pause before a claim of unknown outcome or without success is repeated.
 constexpr Millis kClaimRetry = Millis(500);
 
@@ -30,10 +33,11 @@
   return text.substr(0, text.rfind('/'));
 }
 
-/// How an entry stands with regard to a cell; the smallest is to own it.
+/// How an entry stands with regard to a cell; the smallest is to own it. Those of the cell's own
+/// data centre come first: when it is cut off, its workers are cut off from all others.
 struct Candidacy {
-  size_t cells = 0;
   bool elsewhere = false;
+  size_t cells = 0;
   uint64_t weight = 0;
   EntryId entry;
 
@@ -48,8 +52,8 @@
   for (const auto& [id, entry] : state.view.entries) {
     const auto count = owned.find(id);
     candidates.push_back(
-        Candidacy{.cells = count == owned.end() ? 0 : count->second,
-                  .elsewhere = entry.record.data_centre.Text() != DataCentreOf(cell),
+        Candidacy{.elsewhere = entry.record.data_centre.Text() != DataCentreOf(cell),
+                  .cells = count == owned.end() ? 0 : count->second,
                   .weight = Weight(id, cell),
                   .entry = id});
   }
@@ -132,6 +136,31 @@
   }
 }
 
+/// Gives a cell of another data centre back once an entry of that data centre has been up for a
+/// while; one at a time, as its starts pause meanwhile.
+void SendCellHome(State& state, Effects& effects) {
+  if (state.stopping || !HoldsLease(state)) return;
+
+  const bool busy = std::ranges::any_of(
+      state.cells, [](const auto& row) { return row.second.releasing || !row.second.open; });
+  if (busy) return;
+
+  for (auto& [id, cell] : state.cells) {
+    if (DataCentreOf(id) == state.settings.data_centre.Text()) continue;
+
+    const bool home_is_up = std::ranges::any_of(state.view.entries, [&](const auto& row) {
+      const EntryView& entry = row.second;
+      return entry.record.data_centre.Text() == DataCentreOf(id) &&
+             state.now - entry.seen_at >= kHomeAfter;
+    });
+    if (!home_is_up || state.now - cell.taken_at < kHomeAfter) continue;
+
+    Log(effects, Severity::kInfo, "giving a cell back to its data centre", {{"cell", id.Text()}});
+    cell.releasing = true;
+    return;
+  }
+}
+
 /// Puts racks that are in no cell into the smallest one of their data centre that has room left.
 std::optional<LayoutRecord> ExtendedLayout(const State& state) {
   std::map<RackId, size_t> rack_sizes;
@@ -197,9 +226,14 @@
 
 /// Takes in that a cell was given up, and tells the entry that is to claim it.
 void TellSuccessor(State& state, Effects& effects, const CellId& id, KvRevision revision) {
-  const std::vector<StoreItem> removals = {
-      StoreItem{.key = EntryKey(state.settings.entry), .revision = revision, .removed = true},
-      StoreItem{.key = CellKey(id), .revision = revision, .removed = true}};
+  std::vector<StoreItem> removals;
+
+  if (state.stopping) {
+    removals.push_back(
+        StoreItem{.key = EntryKey(state.settings.entry), .revision = revision, .removed = true});
+  }
+
+  removals.push_back(StoreItem{.key = CellKey(id), .revision = revision, .removed = true});
   for (const StoreItem& item : removals) ApplyRecord(state, effects, item);
 
   std::map<EntryId, size_t> owned;
@@ -224,8 +258,9 @@
 
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
+  write.removals = {CellKey(cell.cell), LoadKey(cell.cell)};
   // Without the entry's own record nobody waits for it to claim the cell again.
-  write.removals = {CellKey(cell.cell), LoadKey(cell.cell), EntryKey(state.settings.entry)};
+  if (state.stopping) write.removals.push_back(EntryKey(state.settings.entry));
   cell.release_request =
       CallStore(state, effects, CellReleased{cell.cell, cell.grant}, std::move(write));
 }
@@ -241,6 +276,7 @@
 void UpdateCells(State& state, Effects& effects) {
   ExtendLayout(state, effects);
   ClaimOrphans(state, effects);
+  SendCellHome(state, effects);
 
   for (auto& [id, cell] : state.cells) {
     if (cell.releasing) Release(state, effects, cell);
@@ -298,6 +334,7 @@
   OwnedCell& cell = state.cells[id];
   cell.cell = id;
   cell.grant = grant;
+  cell.taken_at = state.now;
   cell.releasing = state.stopping;
   state.orphans.erase(id);
   Log(effects, Severity::kInfo, "took cell",
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -235,7 +235,10 @@
   const Result<EntryRecord> record = DecodeEntry(item.value);
   if (!record) return Unreadable(effects, item, record.error());
 
-  state.view.entries[id] = EntryView{*record, item.revision, item.lease};
+  const bool same_life =
+      known != state.view.entries.end() && known->second.record.life == record->life;
+  const Millis seen_at = same_life ? known->second.seen_at : state.now;
+  state.view.entries[id] = EntryView{*record, item.revision, item.lease, seen_at};
 }
 
 void ApplyLayout(State& state, Effects& effects, const StoreItem& item) {
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "world.h"
 
 /// What must hold when workers, entries or the store fail.
@@ -93,6 +95,35 @@
   EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
 }
 
+// An owner in another data centre loses all of a cell's tasks when that data centre is cut off.
+TEST(Home, ACellGoesBackToItsDataCentre) {
+  World world{WorldShape{.entries = 4, .data_centres = 2, .racks = 1}};
+  world.Run(Millis(2'500));
+  world.planner = [](const TaskName&) { return RunPlan{.lasts = true}; };
+  JobSpec spec = MakeJob("a", 4);
+  spec.steps[0].lasting = true;
+  world.Submit("e0", spec);
+  world.Run(Millis(1'000));
+  const std::string first = world.OwnerOf("a");
+  ASSERT_FALSE(first.empty());
+  // Entries with even numbers are in one data centre, the others in the other.
+  const bool even = first == "e0" || first == "e2";
+  const std::vector<std::string> home =
+      even ? std::vector<std::string>{"e0", "e2"} : std::vector<std::string>{"e1", "e3"};
+
+  for (const std::string& entry : home) world.Kill(entry);
+  world.Run(Millis(4'000));
+  EXPECT_EQ(std::ranges::find(home, world.OwnerOf("a")), home.end());
+  EXPECT_EQ(world.WorkersOf("a").size(), 4U);
+
+  for (const std::string& entry : home) world.Start(entry);
+  world.Run(Millis(8'000));
+  EXPECT_NE(std::ranges::find(home, world.OwnerOf("a")), home.end());
+  EXPECT_EQ(world.WorkersOf("a").size(), 4U);
+  for (const auto& [name, count] : world.starts) EXPECT_EQ(count, 1) << name.index;
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(Trouble, KeysTakenAwayUnseenEndOwnership) {
   StartLasting("a", 2);
   const std::string owner = world_.OwnerOf("a");
