--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -8,6 +8,7 @@
 /// Wait before a task whose run failed is tried again; keeps tasks that fail at once from filling
 /// the workers with starts.
 constexpr Millis kFailureDelay = Millis(50);
+
 int32_t OccurrenceCount(const JobSpec& spec) { return std::max(spec.occurrences, 1); }
 
 bool HoldsWorker(TaskPhase phase) {
@@ -49,6 +50,17 @@
   cell.placement_due = true;
 }
 
+/// The opposite of `Attach`: the task is on no worker any more.
+void Detach(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task) {
+  const auto worker = cell.workers.find(task.worker);
+  if (worker != cell.workers.end() && worker->second.tasks.erase(ref) > 0) {
+    CountNeed(worker->second, SpecOf(job, ref), -1);
+  }
+
+  task.phase = TaskPhase::kBlocked;
+  --job.bound;
+}
+
 TaskRef RefOf(const JobId& job, const TaskProgress& task) {
   return TaskRef{job, task.occurrence, task.step, task.index};
 }
@@ -309,14 +321,8 @@
   });
 
   for (const TaskRef& ref : unsent) {
-    TaskState& task = *FindTask(cell, ref);
-    // The caller drops the whole job, so the state is not looked at again.
-    task.phase = TaskPhase::kBlocked;
-    const auto worker = cell.workers.find(task.worker);
-    if (worker != cell.workers.end() && worker->second.tasks.erase(ref) > 0) {
-      CountNeed(worker->second, SpecOf(job, ref), -1);
-    }
-    --job.bound;
+    // The caller makes the job's progress due.
+    Detach(cell, job, ref, *FindTask(cell, ref));
   }
 }
 
@@ -340,7 +346,6 @@
   JobState& job = cell.jobs[id];
   job.record = *std::move(record);
   job.phase = progress->phase;
-  // Loans of other owners of this cell have other names, as these hold the grant.
   job.progress_revision = view.progress_revision;
   job.taken_at = state.now;
   MakeTasks(job);
@@ -426,14 +431,8 @@
   TaskState& task = *FindTask(cell, ref);
   if (!HoldsWorker(task.phase)) return;
 
-  const auto worker = cell.workers.find(task.worker);
-  if (worker != cell.workers.end() && worker->second.tasks.erase(ref) > 0) {
-    CountNeed(worker->second, SpecOf(job, ref), -1);
-  }
-
-  task.phase = TaskPhase::kBlocked;
+  Detach(cell, job, ref, task);
   task.sent = false;
-  --job.bound;
   cell.placement_due = true;
   Touch(cell, job);
 }
