Forgive an upstream its slow answers while others are preferred to it

The better of two upstreams is chosen by the moving average of latency, and an upstream that gets no requests brings no samples: one slow answer on a busy machine kept it out for good. With two upstreams the choice is always between the same two.

Ruled out: hedging itself and the test's wait; the table alone shows it (Limits.OneSlowAnswerKeepsNoUpstreamWithoutRequestsForGood, red before: 0 of 10,000 requests after one answer of 20 ms).

Change: the one that is passed over is forgiven 0.25 % of its average each time, and loads within a tenth count as alike.

After: it gets its share again; an upstream ten times as slow gets at most 1 % (SlowUpstreamIsTriedSeldom, green before and after).

--- a/lib/traffic/source/upstream_table.cc
+++ b/lib/traffic/source/upstream_table.cc
@@ -9,6 +9,12 @@
 
 /// Weight of a new sample in the moving average of latency.
 constexpr double kLatencyWeight = 0.1;
+/// Share of its average latency that an upstream is forgiven each time another one is preferred to
+/// it. An upstream that gets no requests brings no samples, so one slow answer would count for
+/// good; one that is ten times as slow as its neighbour is tried by about 1 in 250 requests.
+constexpr double kLatencyForgiven = 0.0025;
+/// Loads that differ by less than this share are taken as alike; latencies are whole milliseconds.
+constexpr double kAlike = 0.1;
 /// Latencies kept of one upstream for its percentiles.
 constexpr size_t kLatenciesKept = 128;
 /// Latencies needed before a high percentile is believed.
@@ -191,7 +197,13 @@
   size_t second = second_choice(random_);
   if (second >= first) ++second;
 
-  return Load(*rows[second]) < Load(*rows[first]) ? rows[second] : rows[first];
+  Row* better = rows[first];
+  Row* other = rows[second];
+  if (Load(*other) < Load(*better)) std::swap(better, other);
+  if (Load(*other) <= Load(*better) * (1.0 + kAlike)) return rows[first];
+
+  other->latency -= other->latency * kLatencyForgiven;
+  return better;
 }
 
 void UpstreamTable::Learn(Row& row, const AttemptReport& report) {
--- a/tests/traffic/limits_test.cc
+++ b/tests/traffic/limits_test.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
+#include <map>
 #include <string>
 #include <thread>
 
@@ -80,6 +82,59 @@
   }
 }
 
+/// Sends requests one after the other through a table, each answered after `latency_of` its
+/// upstream; returns how many each upstream got.
+std::map<VmId, int> SendInTurn(UpstreamTable& table, int requests,
+                               const std::function<Millis(const VmId&)>& latency_of) {
+  std::map<VmId, int> served;
+
+  for (int sent = 0; sent < requests; ++sent) {
+    const std::optional<ReservedSlot> slot = table.Reserve({});
+    if (!slot) break;
+
+    ++served[slot->vm];
+    table.Release(*slot, {.verdict = AttemptVerdict::kAnswered, .latency = latency_of(slot->vm)});
+  }
+
+  return served;
+}
+
+TEST(Limits, OneSlowAnswerKeepsNoUpstreamWithoutRequestsForGood) {
+  UpstreamTable table(1);
+  RoutingSnapshot snapshot;
+  snapshot.own_data_centre = DataCentreId("here");
+  snapshot.upstreams = {Upstream(0, 1, 8, 8), Upstream(2, 1, 8, 8)};
+  table.Apply(snapshot);
+
+  bool was_slow = false;
+  SendInTurn(table, 40, [&](const VmId& vm) {
+    if (vm != VmId("vm0") || was_slow) return Millis(0);
+
+    was_slow = true;
+    return Millis(20);
+  });
+
+  // Both answer at once from now on, so they are alike after a while.
+  constexpr int kRequests = 10'000;
+  const auto served = SendInTurn(table, kRequests, [](const VmId&) { return Millis(0); });
+  EXPECT_GT(served.at(VmId("vm0")), kRequests / 4);
+}
+
+TEST(Limits, SlowUpstreamIsTriedSeldom) {
+  UpstreamTable table(1);
+  RoutingSnapshot snapshot;
+  snapshot.own_data_centre = DataCentreId("here");
+  snapshot.upstreams = {Upstream(0, 1, 8, 8), Upstream(2, 1, 8, 8)};
+  table.Apply(snapshot);
+
+  // At most one request in a hundred is as late as that, so the tail of 99 in 100 does not show it.
+  constexpr int kRequests = 10'000;
+  const auto served = SendInTurn(table, kRequests,
+                                 [](const VmId& vm) { return Millis(vm == VmId("vm0") ? 50 : 5); });
+  EXPECT_GT(served.at(VmId("vm0")), 0);
+  EXPECT_LE(served.at(VmId("vm0")), kRequests / 100);
+}
+
 RC_GTEST_PROP(Limits, ExtraAttemptsStayWithinTheBudget, ()) {
   const double share = *rc::gen::inRange(0, 100) / 100.0;
   RetryBudget budget;
