--- a/lib/policy/include/currantpost/policy/interference_model.h
+++ b/lib/policy/include/currantpost/policy/interference_model.h
@@ -52,6 +52,28 @@
   size_t most_kinds_per_service = 512;
 };
 
+/// What measurements say of one pair, in a form that adds up over those who measured: the sum of
+/// the measurements' precisions, and of their values weighted by these.
+struct PairEvidence {
+  std::string service_kind;
+  std::string batch_kind;
+  double precision = 0.0;
+  double weighted = 0.0;
+  int32_t measurements = 0;
+
+  bool operator==(const PairEvidence&) const = default;
+};
+
+/// What is believed of one pair.
+struct PairBelief {
+  std::string service_kind;
+  std::string batch_kind;
+  double mean = 0.0;
+  double deviation = 0.0;
+
+  bool operator==(const PairBelief&) const = default;
+};
+
 /// Learns how much each kind of batch slows down each kind of service.
 ///
 /// The slowdown of a service is taken as 1 + base + the sum of load times coefficient over the
@@ -73,6 +95,18 @@
   [[nodiscard]] double Harm(std::string_view service_kind, std::string_view batch_kind,
                             double load) const;
 
+  /// Returns what was measured here since the last call, for other models to absorb.
+  std::vector<PairEvidence> TakeEvidence();
+
+  /// Takes in what another model measured.
+  void Absorb(const PairEvidence& evidence);
+
+  /// Returns what is believed of each pair, at most so many of them.
+  [[nodiscard]] std::vector<PairBelief> Beliefs(size_t most) const;
+
+  /// Replaces what is believed of a pair, but for the evidence of it that was not taken yet.
+  void Adopt(const PairBelief& belief);
+
   /// Returns the number of pairs remembered.
   [[nodiscard]] size_t Pairs() const;
 
@@ -81,6 +115,10 @@
     double mean = 0.0;
     double variance = 0.0;
     uint64_t last_observed = 0;
+    /// Measured here and not taken yet.
+    double precision = 0.0;
+    double weighted = 0.0;
+    int32_t measurements = 0;
   };
 
   struct Service {
@@ -95,6 +133,8 @@
   [[nodiscard]] Coefficient FindKind(const Service* service, std::string_view batch_kind) const;
   [[nodiscard]] Coefficient Prior() const;
   void Correct(Coefficient& coefficient, double load, double error, double variance) const;
+  static void NoteEvidence(Coefficient& coefficient, double load, double error, double variance);
+  void Combine(Coefficient& coefficient, double precision, double weighted) const;
 
   InterferenceModelSettings settings_;
   std::map<std::string, Service, std::less<>> services_;
--- a/lib/policy/source/interference_model.cc
+++ b/lib/policy/source/interference_model.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace currantpost {
 namespace {
@@ -57,6 +58,7 @@
 
   Correct(service.base, 1.0, error, variance);
   for (size_t index = 0; index < coefficients.size(); ++index) {
+    NoteEvidence(*coefficients[index], observation.batch[index].load, error, variance);
     Correct(*coefficients[index], observation.batch[index].load, error, variance);
   }
 
@@ -86,6 +88,61 @@
   return std::max(0.0, (coefficient.mean + settings_.caution * deviation) * load);
 }
 
+std::vector<PairEvidence> InterferenceModel::TakeEvidence() {
+  std::vector<PairEvidence> taken;
+
+  for (auto& [kind, service] : services_) {
+    for (auto& [batch_kind, coefficient] : service.by_kind) {
+      if (coefficient.measurements == 0) continue;
+
+      taken.push_back(PairEvidence{.service_kind = kind,
+                                   .batch_kind = batch_kind,
+                                   .precision = std::exchange(coefficient.precision, 0.0),
+                                   .weighted = std::exchange(coefficient.weighted, 0.0),
+                                   .measurements = std::exchange(coefficient.measurements, 0)});
+    }
+  }
+
+  return taken;
+}
+
+void InterferenceModel::Absorb(const PairEvidence& evidence) {
+  if (!std::isfinite(evidence.precision) || !std::isfinite(evidence.weighted)) return;
+  if (evidence.precision <= 0.0 || evidence.measurements <= 0) return;
+
+  Coefficient& coefficient = RememberKind(Remember(evidence.service_kind), evidence.batch_kind);
+  Combine(coefficient, evidence.precision, evidence.weighted);
+  coefficient.variance += evidence.measurements * Square(settings_.drift_deviation);
+  coefficient.variance = std::min(coefficient.variance, Square(settings_.prior_deviation));
+}
+
+std::vector<PairBelief> InterferenceModel::Beliefs(size_t most) const {
+  std::vector<PairBelief> beliefs;
+
+  for (const auto& [kind, service] : services_) {
+    for (const auto& [batch_kind, coefficient] : service.by_kind) {
+      if (beliefs.size() >= most) return beliefs;
+
+      beliefs.push_back(PairBelief{.service_kind = kind,
+                                   .batch_kind = batch_kind,
+                                   .mean = coefficient.mean,
+                                   .deviation = std::sqrt(coefficient.variance)});
+    }
+  }
+
+  return beliefs;
+}
+
+void InterferenceModel::Adopt(const PairBelief& belief) {
+  if (!std::isfinite(belief.mean) || !std::isfinite(belief.deviation)) return;
+  if (belief.deviation <= 0.0) return;
+
+  Coefficient& coefficient = RememberKind(Remember(belief.service_kind), belief.batch_kind);
+  coefficient.mean = belief.mean;
+  coefficient.variance = std::min(Square(belief.deviation), Square(settings_.prior_deviation));
+  Combine(coefficient, coefficient.precision, coefficient.weighted);
+}
+
 size_t InterferenceModel::Pairs() const {
   size_t pairs = 0;
   for (const auto& [kind, service] : services_) pairs += service.by_kind.size();
@@ -137,6 +194,26 @@
   return Coefficient{.mean = settings_.prior_mean, .variance = Square(settings_.prior_deviation)};
 }
 
+void InterferenceModel::NoteEvidence(Coefficient& coefficient, double load, double error,
+                                     double variance) {
+  // What the measurement says of this pair alone: its value if all else was as expected, with the
+  // variance of all else.
+  const double rest = variance - coefficient.variance * Square(load);
+  if (load == 0.0 || rest <= 0.0) return;
+
+  const double precision = Square(load) / rest;
+  coefficient.precision += precision;
+  coefficient.weighted += precision * (coefficient.mean + error / load);
+  ++coefficient.measurements;
+}
+
+void InterferenceModel::Combine(Coefficient& coefficient, double precision, double weighted) const {
+  const double own = 1.0 / std::max(coefficient.variance, Square(settings_.drift_deviation));
+  const double total = own + precision;
+  coefficient.mean = (coefficient.mean * own + weighted) / total;
+  coefficient.variance = 1.0 / total;
+}
+
 void InterferenceModel::Correct(Coefficient& coefficient, double load, double error,
                                 double variance) const {
   const double gain = coefficient.variance * load / variance;
--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -10,6 +10,7 @@
 #include "currantpost/base/error.h"
 #include "currantpost/base/ids.h"
 #include "currantpost/model/vm.h"
+#include "currantpost/policy/interference_model.h"
 #include "currantpost/scheduler/job_spec.h"
 #include "currantpost/scheduler/worker.h"
 
@@ -29,6 +30,9 @@
 inline constexpr std::string_view kProgressPrefix = "progress/";
 inline constexpr std::string_view kCancelPrefix = "cancelled/";
 inline constexpr std::string_view kLayoutKey = "layout";
+inline constexpr std::string_view kLearnedKey = "learned";
+/// Of what entries tell the keeper of what was learned. Passed between peers, never stored.
+inline constexpr std::string_view kEvidencePrefix = "evidence/";
 /// @}
 
 /// A live entry. Attached to its lease.
@@ -71,6 +75,28 @@
   bool operator==(const LoadRecord&) const = default;
 };
 
+/// What is known of images beside how they disturb each other.
+struct ImageFigures {
+  /// Mean of the stress of each image of lasting tasks by their own load.
+  std::map<std::string, double> usual_stress;
+  /// Least tail seen of each image of lasting tasks, in milliseconds.
+  std::map<std::string, int64_t> least_tail;
+
+  bool operator==(const ImageFigures&) const = default;
+};
+
+/// What an entry measured since it last said so.
+struct EvidenceRecord {
+  std::vector<PairEvidence> pairs;
+  ImageFigures images;
+};
+
+/// What all entries learned together. Written by the keeper.
+struct LearnedRecord {
+  std::vector<PairBelief> pairs;
+  ImageFigures images;
+};
+
 /// What is recorded of a task.
 enum class TaskMark {
   /// Not begun, or to be begun again.
@@ -132,6 +158,8 @@
 std::string Encode(const LayoutRecord& record);
 std::string Encode(const CellRecord& record);
 std::string Encode(const LoadRecord& record);
+std::string Encode(const EvidenceRecord& record);
+std::string Encode(const LearnedRecord& record);
 std::string Encode(const JobRecord& record);
 std::string Encode(const ProgressRecord& record);
 
@@ -141,6 +169,8 @@
 Result<LayoutRecord> DecodeLayout(std::string_view value);
 Result<CellRecord> DecodeCell(std::string_view value);
 Result<LoadRecord> DecodeLoad(std::string_view value);
+Result<EvidenceRecord> DecodeEvidence(std::string_view value);
+Result<LearnedRecord> DecodeLearned(std::string_view value);
 Result<JobRecord> DecodeJob(std::string_view value);
 Result<ProgressRecord> DecodeProgress(std::string_view value);
 /// @}
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -161,8 +161,9 @@
   VmId avoid;
   /// Latest figure of the worker: tail of response times, or processor use.
   int64_t recent = 0;
-  /// When it last began to run here.
+  /// When it last began to run here, and when a look last showed it.
   Millis began;
+  Millis shown_at;
   /// Of a lasting task, how near its tail is to running away: 0 unloaded, 1 without bound.
   std::optional<double> stress;
   /// Since when its tail is over its target.
@@ -239,6 +240,11 @@
   Millis taken_at;
   std::optional<Millis> first_bound_at;
   Millis longest_wait;
+  /// Of its filling tasks, together: how long looks showed them running, and how much of that was
+  /// lost to pace and to processors that others used.
+  Millis filling_time;
+  Millis paced_time;
+  Millis starved_time;
 };
 
 /// A call to a worker under way.
@@ -421,10 +427,11 @@
   JobId job;
 };
 struct EndedRemoved {};
+struct LearnedWritten {};
 using StorePurpose =
     std::variant<FeedCalled, LeaseGranted, LeaseKept, FormerLeaseEnded, EntryRegistered,
                  LayoutWritten, CellClaimed, CellReleased, ProgressWritten, JobMoved, TasksLent,
-                 SubmitWritten, CancelStepped, JobRead, EndedRemoved>;
+                 SubmitWritten, CancelStepped, JobRead, EndedRemoved, LearnedWritten>;
 /// @}
 
 /// A call to a worker, by its request.
@@ -446,6 +453,16 @@
   return settings;
 }
 
+/// The exchange of what entries learned.
+struct LearningState {
+  /// Revision of the record that was last adopted or written.
+  KvRevision revision = 0;
+  RequestId request = 0;
+  Millis next_at;
+  /// The keeper knows more than the record says.
+  bool changed = false;
+};
+
 // ---- All of it
 // -----------------------------------------------------------------------------------
 
@@ -468,12 +485,10 @@
   std::map<CellId, OwnedCell> cells;
   std::map<CellId, OrphanedCell> orphans;
   /// How much stress each image of filling work adds to each image of lasting tasks, learned from
-  /// changes; forgotten with the process.
+  /// changes here and by the other entries.
   InterferenceModel interference = InterferenceModel(InterferenceSettings());
-  /// Mean of the stress of each image of lasting tasks by their own load.
-  std::map<std::string, double> usual_stress;
-  /// Least tail seen of each image of lasting tasks, in milliseconds.
-  std::map<std::string, int64_t> least_tail;
+  ImageFigures images;
+  LearningState learning;
   RequestId layout_request = 0;
   Millis layout_at;
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -529,6 +529,9 @@
          {"first_bound_ms",
           std::to_string((job.first_bound_at.value_or(state.now) - job.taken_at).Count())},
          {"longest_wait_ms", std::to_string(job.longest_wait.Count())},
+         {"filling_ms", std::to_string(job.filling_time.Count())},
+         {"paced_ms", std::to_string(job.paced_time.Count())},
+         {"starved_ms", std::to_string(job.starved_time.Count())},
          {"steps", std::to_string(job.record.spec.steps.size())}});
     return;
   }
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -275,7 +275,21 @@
        {"for_ms", std::to_string(span.Count())}});
 }
 
-void TakeRunningRow(OwnedCell& cell, WorkerState& worker, const RunningTask& row) {
+/// Notes what a filling task lost since the look before, for the log.
+void NoteLostTime(const State& state, JobState& job, const StepSpec& spec, TaskState& task) {
+  const Millis span = state.now - std::max(task.shown_at, task.began);
+  task.shown_at = state.now;
+  if (!spec.filling || spec.need.millicores <= 0) return;
+
+  const Millis paced(span.Count() * (100 - task.paced) / 100);
+  const Millis used(span.Count() * task.recent / spec.need.millicores);
+  job.filling_time = job.filling_time + span;
+  job.paced_time = job.paced_time + paced;
+  job.starved_time = job.starved_time + std::max(span - paced - used, Millis(0));
+}
+
+void TakeRunningRow(const State& state, OwnedCell& cell, WorkerState& worker,
+                    const RunningTask& row) {
   const TaskRef ref = RefOf(cell, row.task);
   TaskState* task = FindTask(cell, ref);
   const bool bound = task != nullptr && worker.tasks.contains(ref) && task->run == row.run;
@@ -287,7 +301,8 @@
 
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   task->recent = row.recent;
-  const JobState& job = cell.jobs.at(ref.job);
+  JobState& job = cell.jobs.at(ref.job);
+  NoteLostTime(state, job, SpecOf(job, ref), *task);
   const bool unwanted = job.cancelled || job.doomed;
 
   if (task->phase == TaskPhase::kStarting || task->phase == TaskPhase::kRunning) {
@@ -397,7 +412,7 @@
   for (const EndedTask& row : reply.ended) TakeEndedRow(state, effects, cell, worker, row);
 
   if (!older) {
-    for (const RunningTask& row : reply.running) TakeRunningRow(cell, worker, row);
+    for (const RunningTask& row : reply.running) TakeRunningRow(state, cell, worker, row);
     TakeMissing(state, effects, cell, worker, look, reply);
     UpdatePace(state, cell, worker);
   }
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -204,10 +204,8 @@
 }
 
 void ExtendLayout(State& state, Effects& effects) {
-  const bool keeper =
-      !state.view.entries.empty() && state.view.entries.begin()->first == state.settings.entry;
   const bool informed = state.feeds[Feed::kWorkers].synced && state.feeds[Feed::kRecords].synced;
-  if (!keeper || !informed || state.layout_request != 0 || !HoldsLease(state)) return;
+  if (!IsKeeper(state) || !informed || state.layout_request != 0 || !HoldsLease(state)) return;
 
   if (state.now < state.layout_at) {
     WakeAt(state, state.layout_at);
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -20,14 +20,9 @@
   return std::ranges::any_of(state.cells, [](const auto& row) { return !row.second.open; });
 }
 
-/// Says whether this entry is the one that puts new racks into cells.
-bool KeepsLayout(const State& state) {
-  return !state.view.entries.empty() && state.view.entries.begin()->first == state.settings.entry;
-}
-
 bool Wants(const State& state, Feed feed) {
   if (feed != Feed::kWorkers) return true;
-  return !state.cells.empty() || KeepsLayout(state);
+  return !state.cells.empty() || IsKeeper(state);
 }
 
 Millis PauseOf(const State& state, Feed feed) {
@@ -213,11 +208,6 @@
   return removed != view.removed.end() && item.revision <= removed->second;
 }
 
-void Unreadable(Effects& effects, const StoreItem& item, const Error& error) {
-  Log(effects, Severity::kError, "unreadable record, passed over",
-      {{"key", item.key}, {"error", error.detail}});
-}
-
 void ApplyEntry(State& state, Effects& effects, const EntryId& id, const StoreItem& item) {
   const auto known = state.view.entries.find(id);
   const KvRevision known_revision = known == state.view.entries.end() ? 0 : known->second.revision;
@@ -233,7 +223,7 @@
   if (item.revision <= known_revision) return;
 
   const Result<EntryRecord> record = DecodeEntry(item.value);
-  if (!record) return Unreadable(effects, item, record.error());
+  if (!record) return LogUnreadable(effects, item, record.error());
 
   const bool same_life =
       known != state.view.entries.end() && known->second.record.life == record->life;
@@ -245,7 +235,7 @@
   if (item.removed || item.revision <= state.view.layout_revision) return;
 
   const Result<LayoutRecord> record = DecodeLayout(item.value);
-  if (!record) return Unreadable(effects, item, record.error());
+  if (!record) return LogUnreadable(effects, item, record.error());
 
   state.view.layout = *record;
   state.view.layout_revision = item.revision;
@@ -270,7 +260,7 @@
   if (item.revision <= known_revision) return;
 
   const Result<CellRecord> record = DecodeCell(item.value);
-  if (!record) return Unreadable(effects, item, record.error());
+  if (!record) return LogUnreadable(effects, item, record.error());
 
   state.view.cells[id] = CellView{*record, item.revision};
   const bool own = record->owner == state.settings.entry && record->life == state.settings.life;
@@ -289,7 +279,7 @@
   }
 
   const Result<LoadRecord> record = DecodeLoad(item.value);
-  if (!record) return Unreadable(effects, item, record.error());
+  if (!record) return LogUnreadable(effects, item, record.error());
 
   state.view.loads[id] = *record;
   state.sent_demand.erase(id);
@@ -321,7 +311,7 @@
   if (item.revision <= job.revision) return;
 
   Result<JobHead> head = DecodeJobHead(item.value);
-  if (!head) return Unreadable(effects, item, head.error());
+  if (!head) return LogUnreadable(effects, item, head.error());
 
   job.head = *std::move(head);
   job.value = item.value;
@@ -337,7 +327,7 @@
   if (item.revision <= job.progress_revision) return;
 
   const Result<JobPhase> phase = DecodePhase(item.value);
-  if (!phase) return Unreadable(effects, item, phase.error());
+  if (!phase) return LogUnreadable(effects, item, phase.error());
 
   job.phase = *phase;
   job.progress_revision = item.revision;
@@ -378,7 +368,8 @@
 constexpr RecordKind<JobId> kJobKinds[] = {
     {kJobPrefix, ApplyJob}, {kProgressPrefix, ApplyProgress}, {kCancelPrefix, ApplyCancel}};
 constexpr RecordKind<CellId> kCellKinds[] = {{kCellPrefix, ApplyCell}, {kLoadPrefix, ApplyLoad}};
-constexpr RecordKind<EntryId> kEntryKinds[] = {{kEntryPrefix, ApplyEntry}};
+constexpr RecordKind<EntryId> kEntryKinds[] = {{kEntryPrefix, ApplyEntry},
+                                               {kEvidencePrefix, ApplyEvidence}};
 
 template <typename Name, size_t kCount>
 bool ApplyByPrefix(const RecordKind<Name> (&kinds)[kCount], State& state, Effects& effects,
@@ -395,10 +386,16 @@
 
 }  // namespace
 
+void LogUnreadable(Effects& effects, const StoreItem& item, const Error& error) {
+  Log(effects, Severity::kError, "unreadable record, passed over",
+      {{"key", item.key}, {"error", error.detail}});
+}
+
 void ApplyRecord(State& state, Effects& effects, const StoreItem& item) {
   if (!item.removed && WasRemoved(state.view, item)) return;
 
   if (item.key == kLayoutKey) return ApplyLayout(state, effects, item);
+  if (item.key == kLearnedKey) return ApplyLearned(state, effects, item);
   if (ApplyByPrefix(kJobKinds, state, effects, item)) return;
   if (ApplyByPrefix(kCellKinds, state, effects, item)) return;
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -71,6 +71,9 @@
 // ---- Feeds and view
 // --------------------------------------------------------------------------------
 
+/// Logs a record that can not be read.
+void LogUnreadable(Effects& effects, const StoreItem& item, const Error& error);
+
 /// Lists and watches what this entry needs.
 void UpdateFeeds(State& state, Effects& effects);
 void HandleFeed(State& state, Effects& effects, const FeedCalled& purpose, const StoreReply& reply);
@@ -246,6 +249,19 @@
 double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker, const std::string& image,
                  int64_t millicores);
 
+// ---- Learning together
+// ---------------------------------------------------------------------------------
+
+/// Says whether this entry is the one that keeps the records which all entries share: the first
+/// live one by name.
+bool IsKeeper(const State& state);
+
+/// Tells the keeper what was measured here, or writes what all entries learned.
+void UpdateLearning(State& state, Effects& effects);
+void ApplyEvidence(State& state, Effects& effects, const EntryId& entry, const StoreItem& item);
+void ApplyLearned(State& state, Effects& effects, const StoreItem& item);
+void HandleLearnedWritten(State& state, Effects& effects, const StoreReply& reply);
+
 // ---- Callers and peers
 // ---------------------------------------------------------------------------------
 
--- /dev/null
+++ b/lib/scheduler/source/learning.cc
@@ -0,0 +1,121 @@
+#include "internal.h"
+
+/// What entries learn of images, shared. Answers deployments of many entries: each sees so few of
+/// the pairs of images that it would learn for minutes what all know together within seconds.
+///
+/// Each entry tells the keeper what it measured; the keeper adds it up and writes what is believed
+/// of all pairs, which the others adopt, also those that start anew.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Time between two messages to the keeper, and between two writes by it. Factors are learned
+/// within several seconds; each write is sent to all entries.
+constexpr Millis kShareInterval = Millis(2'000);
+/// Pairs in the record: 18 images beside 10 are 180. Bounds what is sent to all entries at 80 KB.
+constexpr size_t kMostPairs = 2'000;
+/// Weight of another entry's mean of an image's usual stress.
+constexpr double kToldWeight = 0.1;
+
+void MergeImages(ImageFigures& known, const ImageFigures& told, double weight) {
+  for (const auto& [image, stress] : told.usual_stress) {
+    double& usual = known.usual_stress.try_emplace(image, stress).first->second;
+    usual += weight * (stress - usual);
+  }
+
+  for (const auto& [image, tail] : told.least_tail) {
+    if (tail <= 0) continue;
+
+    int64_t& least = known.least_tail.try_emplace(image, tail).first->second;
+    least = std::min(least, tail);
+  }
+}
+
+void TellKeeper(State& state, Effects& effects) {
+  if (state.view.entries.empty()) return;
+
+  EvidenceRecord record{.pairs = state.interference.TakeEvidence(), .images = state.images};
+  if (record.pairs.empty()) return;
+
+  effects.emplace_back(
+      PushRecords{state.view.entries.begin()->second.record.peer_address,
+                  {StoreItem{.key = std::string(kEvidencePrefix) + state.settings.entry.Text(),
+                             .value = Encode(record)}}});
+}
+
+void WriteLearned(State& state, Effects& effects) {
+  LearningState& learning = state.learning;
+  // What the keeper measured itself is in its beliefs already.
+  if (!state.interference.TakeEvidence().empty()) learning.changed = true;
+  if (!learning.changed || learning.request != 0 || !HoldsLease(state)) return;
+
+  learning.changed = false;
+  WriteRecords write;
+  write.expected.push_back(ExpectedRecord{std::string(kLearnedKey), learning.revision});
+  write.puts.push_back(
+      RecordPut{std::string(kLearnedKey),
+                Encode(LearnedRecord{.pairs = state.interference.Beliefs(kMostPairs),
+                                     .images = state.images}),
+                0});
+  learning.request = CallStore(state, effects, LearnedWritten{}, std::move(write));
+}
+
+}  // namespace
+
+bool IsKeeper(const State& state) {
+  return !state.view.entries.empty() && state.view.entries.begin()->first == state.settings.entry;
+}
+
+void UpdateLearning(State& state, Effects& effects) {
+  if (state.stopping || !state.feeds[Feed::kRecords].synced) return;
+
+  if (state.now < state.learning.next_at) {
+    WakeAt(state, state.learning.next_at);
+    return;
+  }
+
+  state.learning.next_at = state.now + kShareInterval;
+
+  if (IsKeeper(state)) {
+    WriteLearned(state, effects);
+  } else {
+    TellKeeper(state, effects);
+  }
+}
+
+void ApplyEvidence(State& state, Effects& effects, const EntryId& /*entry*/,
+                   const StoreItem& item) {
+  const Result<EvidenceRecord> record = DecodeEvidence(item.value);
+  if (!record) return LogUnreadable(effects, item, record.error());
+
+  for (const PairEvidence& pair : record->pairs) state.interference.Absorb(pair);
+  MergeImages(state.images, record->images, kToldWeight);
+  state.learning.changed = true;
+}
+
+void ApplyLearned(State& state, Effects& effects, const StoreItem& item) {
+  if (item.removed || item.revision <= state.learning.revision) return;
+
+  state.learning.revision = item.revision;
+  const Result<LearnedRecord> record = DecodeLearned(item.value);
+  if (!record) return LogUnreadable(effects, item, record.error());
+
+  for (const PairBelief& pair : record->pairs) state.interference.Adopt(pair);
+  MergeImages(state.images, record->images, 1.0);
+}
+
+void HandleLearnedWritten(State& state, Effects& effects, const StoreReply& reply) {
+  LearningState& learning = state.learning;
+  learning.request = 0;
+
+  if (reply.status == StoreStatus::kOk) {
+    learning.revision = std::max(learning.revision, reply.revision);
+    return;
+  }
+
+  // Tried again with the next interval; a record that another keeper wrote is adopted first.
+  learning.changed = true;
+  for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
+}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -52,7 +52,7 @@
 constexpr int32_t kMostPaceRise = 40;
 
 double Unloaded(State& state, const StepSpec& spec, int64_t tail) {
-  int64_t& least = state.least_tail[spec.image];
+  int64_t& least = state.images.least_tail[spec.image];
   if (least == 0 || tail < least) least = tail;
 
   const double by_target =
@@ -138,7 +138,7 @@
     own = std::max(own, 0.0);
     task.own_stress = own;
 
-    double& usual = state.usual_stress.try_emplace(spec.image, kUsualStress).first->second;
+    double& usual = state.images.usual_stress.try_emplace(spec.image, kUsualStress).first->second;
     usual += kUsualWeight * (own - usual);
   });
 
@@ -243,9 +243,9 @@
     stress = StressAfter(state, image, stress, measured, planned);
 
     // A load that is low now comes back to its usual height while the filling task still works.
-    const auto usual = state.usual_stress.find(image);
+    const auto usual = state.images.usual_stress.find(image);
     const double peak =
-        (usual == state.usual_stress.end() ? kUsualStress : usual->second) + kUsualSwing;
+        (usual == state.images.usual_stress.end() ? kUsualStress : usual->second) + kUsualSwing;
     stress = std::max(stress, StressAfter(state, image, peak, {}, planned));
   }
 
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -1,5 +1,6 @@
 #include "currantpost/scheduler/records.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace currantpost::scheduler {
@@ -100,6 +101,24 @@
   return Address{json.at(0).get<std::string>(), json.at(1).get<int>()};
 }
 
+/// Shortens a figure to four decimals; more say nothing, and each byte is sent to all entries.
+double Rounded(double figure) {
+  constexpr double kDecimals = 10'000.0;
+  return std::round(figure * kDecimals) / kDecimals;
+}
+
+Json ImagesJson(const ImageFigures& images) {
+  Json usual = Json::object();
+  for (const auto& [image, stress] : images.usual_stress) usual[image] = Rounded(stress);
+
+  return Json{{"usual", std::move(usual)}, {"least", images.least_tail}};
+}
+
+ImageFigures ImagesOf(const Json& json) {
+  return ImageFigures{.usual_stress = json.at("usual").get<std::map<std::string, double>>(),
+                      .least_tail = json.at("least").get<std::map<std::string, int64_t>>()};
+}
+
 /// Rows of tasks: what all have, then the worker and its life, or the job that a lent task is in,
 /// then the checkpoint.
 Json TasksJson(const std::vector<TaskProgress>& tasks) {
@@ -230,6 +249,61 @@
   });
 }
 
+std::string Encode(const EvidenceRecord& record) {
+  Json pairs = Json::array();
+
+  for (const PairEvidence& pair : record.pairs) {
+    pairs.push_back(Json::array({pair.service_kind, pair.batch_kind, Rounded(pair.precision),
+                                 Rounded(pair.weighted), pair.measurements}));
+  }
+
+  return Dump(Json{{"pairs", std::move(pairs)}, {"images", ImagesJson(record.images)}});
+}
+
+Result<EvidenceRecord> DecodeEvidence(std::string_view value) {
+  return Decode<EvidenceRecord>(value, "evidence record", [](const Json& json) {
+    EvidenceRecord record;
+
+    for (const Json& row : json.at("pairs")) {
+      record.pairs.push_back(PairEvidence{.service_kind = row.at(0).get<std::string>(),
+                                          .batch_kind = row.at(1).get<std::string>(),
+                                          .precision = row.at(2).get<double>(),
+                                          .weighted = row.at(3).get<double>(),
+                                          .measurements = row.at(4).get<int32_t>()});
+    }
+
+    record.images = ImagesOf(json.at("images"));
+    return record;
+  });
+}
+
+std::string Encode(const LearnedRecord& record) {
+  Json pairs = Json::array();
+
+  for (const PairBelief& pair : record.pairs) {
+    pairs.push_back(Json::array(
+        {pair.service_kind, pair.batch_kind, Rounded(pair.mean), Rounded(pair.deviation)}));
+  }
+
+  return Dump(Json{{"pairs", std::move(pairs)}, {"images", ImagesJson(record.images)}});
+}
+
+Result<LearnedRecord> DecodeLearned(std::string_view value) {
+  return Decode<LearnedRecord>(value, "learned record", [](const Json& json) {
+    LearnedRecord record;
+
+    for (const Json& row : json.at("pairs")) {
+      record.pairs.push_back(PairBelief{.service_kind = row.at(0).get<std::string>(),
+                                        .batch_kind = row.at(1).get<std::string>(),
+                                        .mean = row.at(2).get<double>(),
+                                        .deviation = row.at(3).get<double>()});
+    }
+
+    record.images = ImagesOf(json.at("images"));
+    return record;
+  });
+}
+
 std::string Encode(const JobRecord& record) {
   Json head{{"queue", record.queue}, {"cell", record.cell.Text()}, {"at", record.accepted_unix_ms}};
   if (record.spec.occurrences > 0) head["times"] = record.spec.occurrences;
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -48,6 +48,7 @@
   }
   void operator()(const JobRead& purpose) const { HandleJobRead(state, effects, purpose, reply); }
   void operator()(const EndedRemoved&) const {}
+  void operator()(const LearnedWritten&) const { HandleLearnedWritten(state, effects, reply); }
 };
 
 void HandleStoreAnswered(State& state, Effects& effects, const StoreAnswered& answered) {
@@ -151,6 +152,7 @@
 
   UpdateCalls(state, effects);
   RemoveEnded(state, effects);
+  UpdateLearning(state, effects);
   UpdateReadiness(state, effects);
 }
 
