--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -299,6 +299,10 @@
   int64_t forgotten = 0;
   int64_t last_end = 0;
   std::set<TaskRef> tasks;
+  /// Something about it changed, so that it may want a look or an order; else it is passed over
+  /// until something is due.
+  bool attention = true;
+  Millis due_at;
   /// Runs there that nobody wants.
   std::map<TaskName, Run> strays;
   /// What its tasks hold, and what filling tasks there ask for.
@@ -346,6 +350,10 @@
   /// Tasks that other cells have lent to this one, by the names that workers know them by.
   std::map<TaskName, TaskRef> guests;
   std::set<WaitingKey> waiting;
+  /// Any of the workers may want a look or an order.
+  bool sweep_due = true;
+  /// No round over the jobs before this.
+  Millis next_jobs;
   bool placement_due = false;
   /// No placement before this, so that what comes in a burst is placed together.
   Millis next_placement;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -9,6 +9,13 @@
 /// the workers with starts.
 constexpr Millis kFailureDelay = Millis(50);
 
+/// Classes of waiting tasks of one priority: lasting ones are placed first.
+constexpr int32_t kLastingRank = 0;
+constexpr int32_t kOtherRank = 1;
+/// Least time between two rounds over the jobs of a cell for what is due by time: less than any
+/// wait before a loan or a move.
+constexpr Millis kJobsInterval = Millis(40);
+
 int32_t OccurrenceCount(const JobSpec& spec) { return std::max(spec.occurrences, 1); }
 
 bool HoldsWorker(TaskPhase phase) {
@@ -233,10 +240,30 @@
 }
 
 WaitingKey KeyOf(const JobState& job, const TaskRef& ref) {
-  const int32_t class_rank = SpecOf(job, ref).lasting ? 0 : 1;
+  const int32_t class_rank = SpecOf(job, ref).lasting ? kLastingRank : kOtherRank;
   return {job.record.priority, class_rank, job.record.accepted_unix_ms, ref};
 }
 
+std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
+  const JobId& id = job.record.spec.job;
+  std::vector<TaskRef> tasks;
+
+  // Tasks of one job stand together within each class.
+  for (const int32_t class_rank : {kLastingRank, kOtherRank}) {
+    const WaitingKey first{job.record.priority, class_rank, job.record.accepted_unix_ms,
+                           TaskRef{.job = id}};
+
+    for (auto key = cell.waiting.lower_bound(first); key != cell.waiting.end(); ++key) {
+      const TaskRef& ref = std::get<3>(*key);
+      if (ref.job != id || std::get<1>(*key) != class_rank) break;
+
+      tasks.push_back(ref);
+    }
+  }
+
+  return tasks;
+}
+
 void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task) {
   task.phase = TaskPhase::kWaiting;
   cell.waiting.insert(KeyOf(job, ref));
@@ -271,6 +298,7 @@
 
 void ForgetJob(OwnedCell& cell, const JobId& id) {
   const JobState& job = cell.jobs.at(id);
+  cell.sweep_due = true;
 
   // Nothing of it should be at a worker. What is all the same is then a stray there, and stopped.
   for (auto& row : cell.workers) {
@@ -305,6 +333,7 @@
 }
 
 void StopJob(OwnedCell& cell, JobState& job) {
+  cell.sweep_due = true;
   std::vector<TaskRef> unsent;
 
   ForEachTask(job, [&](const TaskRef& ref, TaskState& task) {
@@ -546,6 +575,12 @@
 }
 
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell) {
+  if (state.now < cell.next_jobs) {
+    WakeAt(state, cell.next_jobs);
+    return;
+  }
+
+  cell.next_jobs = state.now + kJobsInterval;
   for (auto& [id, job] : cell.jobs) {
     if (job.record.spec.occurrences > 0 && !job.cancelled && !job.doomed) {
       StartOccurrences(state, cell, job);
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "internal.h"
 
 /// Workers of owned cells: looks, orders, and what their answers mean.
@@ -32,6 +34,9 @@
 /// Pause after a start that the worker rejected as invalid.
 constexpr Millis kInvalidPause = Millis(1'000);
 
+/// Longest time in which a worker without news is passed over.
+constexpr Millis kLongestRest = Millis(1'000);
+
 FencingToken TokenOf(const OwnedCell& cell, const WorkerState& worker) {
   return cell.grant * kFencesPerGrant + worker.fence;
 }
@@ -594,12 +599,24 @@
 }
 
 void UpdateWorkers(State& state, Effects& effects, OwnedCell& cell) {
+  const bool all = std::exchange(cell.sweep_due, false);
+  const Millis wake_at = state.wake_at;
+
   for (auto row = cell.workers.begin(); row != cell.workers.end();) {
     WorkerState& worker = row->second;
+
+    if (!all && !worker.attention && state.now < worker.due_at) {
+      ++row;
+      continue;
+    }
+
+    worker.attention = false;
+    state.wake_at = state.now + kLongestRest;
     if (worker.info.draining) FreeUnsent(state, cell, worker);
     ExpireTasks(state, effects, cell, worker);
     DriveLook(state, effects, cell, worker);
     DriveOrder(state, effects, cell, worker);
+    worker.due_at = state.wake_at;
 
     if (!worker.listed && IsIdle(worker)) {
       row = cell.workers.erase(row);
@@ -607,6 +624,9 @@
       ++row;
     }
   }
+
+  state.wake_at = wake_at;
+  for (const auto& [id, worker] : cell.workers) WakeAt(state, worker.due_at);
 }
 
 void HandleWorkerAnswered(State& state, Effects& effects, const WorkerAnswered& answered) {
@@ -623,6 +643,7 @@
   if (found == cell->second.workers.end()) return;
 
   WorkerState& worker = found->second;
+  worker.attention = true;
 
   if (!call.look) {
     if (worker.order_request == answered.request) {
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -154,6 +154,9 @@
 /// Returns the key under which a task waits.
 WaitingKey KeyOf(const JobState& job, const TaskRef& ref);
 
+/// Returns the waiting tasks of a job, lasting ones first.
+std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job);
+
 /// Makes a task wait for a worker.
 void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -33,9 +33,7 @@
 Batch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job) {
   Batch batch;
 
-  for (const WaitingKey& key : cell.waiting) {
-    const TaskRef& ref = std::get<3>(key);
-    if (ref.job != job.record.spec.job) continue;
+  for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
     if (FindTask(cell, ref)->not_before > state.now) continue;
 
     if (batch.tasks.empty()) batch.spec = &SpecOf(job, ref);
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -25,10 +25,7 @@
   int64_t filling = 0;
   int64_t largest = 0;
 
-  for (const WaitingKey& key : cell.waiting) {
-    const TaskRef& ref = std::get<3>(key);
-    if (ref.job != job.record.spec.job) continue;
-
+  for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
     const StepSpec& spec = SpecOf(job, ref);
     (spec.filling ? filling : held) += spec.need.millicores;
     if (!spec.filling) largest = std::max(largest, spec.need.millicores);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -57,6 +57,11 @@
   void operator()(const LearnedWritten&) const { HandleLearnedWritten(state, effects, reply); }
 };
 
+/// Lets all workers be looked at: what the store says may concern any of them.
+void SweepAll(State& state) {
+  for (auto& [id, cell] : state.cells) cell.sweep_due = true;
+}
+
 void HandleStoreAnswered(State& state, Effects& effects, const StoreAnswered& answered) {
   const auto found = state.store_calls.find(answered.request);
   if (found == state.store_calls.end()) return;
@@ -70,6 +75,7 @@
   }
 
   std::visit(StoreAnswerHandler{state, effects, answered.reply}, purpose);
+  SweepAll(state);
 }
 
 struct EventHandler {
@@ -84,6 +90,7 @@
   void operator()(const CallerAsked& event) const { HandleCaller(state, effects, event); }
   void operator()(const RecordsPushed& event) const {
     for (const StoreItem& item : event.items) ApplyRecord(state, effects, item);
+    SweepAll(state);
   }
   void operator()(const PeerAsked& event) const { HandlePeerAsked(state, effects, event); }
   void operator()(const PeerAnswered& event) const { HandlePeerAnswered(state, effects, event); }
