--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -70,6 +70,8 @@
   /// What waits for room.
   int64_t waiting = 0;
   int64_t waiting_filling = 0;
+  /// What lasting tasks hold, by image.
+  std::map<std::string, int64_t> lasting;
 
   bool operator==(const ServiceLoad&) const = default;
 };
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -86,9 +86,7 @@
   const std::optional<CellId> cell = ChooseCell(state, queue->service, submitted.spec);
   if (!cell) return Refuse(effects, asked.call, id, "no worker is known yet");
 
-  const auto [held, filling] = FirstDemand(submitted.spec);
-  state.sent_demand[*cell] += held;
-  state.sent_filling[*cell] += filling;
+  NoteSent(state, *cell, FirstDemand(submitted.spec));
 
   PendingSubmit& submit = state.submits[id];
   submit.calls.push_back(asked.call);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -254,12 +254,49 @@
 /// Counts the room of a cell.
 LoadRecord CountLoad(const State& state, const OwnedCell& cell);
 
-/// Chooses the cell for a new job, or nothing if no cell has an owner.
+// ---- Choice of cells
+// -----------------------------------------------------------------------------------
+
+/// What tasks ask of a cell, in thousandths of a core.
+struct Demand {
+  int64_t held = 0;
+  int64_t filling = 0;
+  /// The largest of the tasks that hold what they ask for.
+  int64_t largest = 0;
+  bool lasting = false;
+  /// Of the lasting or filling tasks among them.
+  std::string image;
+};
+
+/// Room of a cell beside what waits there and what was sent there since its last report.
+struct CellRoom {
+  int64_t capacity = 0;
+  int64_t held = 0;
+  int64_t largest = 0;
+  /// For filling work of the image that was asked for.
+  int64_t filling = 0;
+};
+
+/// Adds so many tasks of a step.
+void AddDemand(Demand& demand, const StepSpec& spec, int64_t tasks);
+
+/// Returns what the first steps of a job ask for.
+Demand FirstDemand(const JobSpec& spec);
+
+/// Returns the room of a cell for a service, or nothing if its owner has not told.
+std::optional<CellRoom> RoomOf(const State& state, const CellId& cell, const std::string& service,
+                               const std::string& image);
+
+/// Counts what was sent to a cell until that reports it itself.
+void NoteSent(State& state, const CellId& cell, const Demand& demand);
+
+/// Chooses the cell for a new job, or nothing if there is no cell.
 std::optional<CellId> ChooseCell(const State& state, const std::string& service,
                                  const JobSpec& spec);
 
-/// Returns the processor time that the first steps of a job ask for, held and filling.
-std::pair<int64_t, int64_t> FirstDemand(const JobSpec& spec);
+/// Chooses a cell with room for what a job asks for, or nothing.
+std::optional<CellId> ChooseOtherCell(const State& state, const CellId& except,
+                                      const JobRecord& record, const Demand& demand);
 
 /// Takes in the tails and uses of a look, and decides how fast filling tasks may work there.
 void UpdatePace(State& state, OwnedCell& cell, WorkerState& worker);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -51,24 +51,23 @@
 /// Returns how many tasks of a step a cell has room for.
 int64_t TasksThatFit(const State& state, const CellId& id, const std::string& service,
                      const StepSpec& spec) {
-  const auto load = state.view.loads.find(id);
-  if (load == state.view.loads.end() || !state.view.cells.contains(id)) return 0;
-
-  const auto found = load->second.services.find(service);
-  if (found == load->second.services.end()) return 0;
-
-  const ServiceLoad& room = found->second;
-  const auto& sent = spec.filling ? state.sent_filling : state.sent_demand;
-  const auto gone = sent.find(id);
-  int64_t free = spec.filling ? room.free_filling - room.waiting_filling : room.free - room.waiting;
-  if (gone != sent.end()) free -= gone->second;
-  if (!spec.filling && room.largest_free < spec.need.millicores) return 0;
+  const std::optional<CellRoom> room = RoomOf(state, id, service, spec.image);
+  if (!room || (!spec.filling && room->largest < spec.need.millicores)) return 0;
 
+  const int64_t free = spec.filling ? room->filling : room->held;
   return free * 100 / (std::max<int64_t>(spec.need.millicores, 1) * kLendRoomPercent);
 }
 
+/// Returns the cell that takes most of a batch, or one that suits lasting tasks, and how many.
 std::optional<std::pair<CellId, int64_t>> Borrower(const State& state, const OwnedCell& cell,
                                                    const JobState& job, const StepSpec& spec) {
+  if (spec.lasting) {
+    Demand demand;
+    AddDemand(demand, spec, 1);
+    const std::optional<CellId> to = ChooseOtherCell(state, cell.cell, job.record, demand);
+    return to ? std::optional(std::make_pair(*to, int64_t{1})) : std::nullopt;
+  }
+
   std::optional<std::pair<CellId, int64_t>> best;
 
   for (const auto& [id, load] : state.view.loads) {
@@ -209,8 +208,9 @@
     batch.tasks.resize(static_cast<size_t>(fit));
   }
 
-  const int64_t demand = batch.spec->need.millicores * static_cast<int64_t>(batch.tasks.size());
-  (batch.spec->filling ? state.sent_filling : state.sent_demand)[to] += demand;
+  Demand demand;
+  AddDemand(demand, *batch.spec, static_cast<int64_t>(batch.tasks.size()));
+  NoteSent(state, to, demand);
   PrepareLoan(state, effects, cell, job, batch.tasks, to);
   SendLoan(state, effects, cell, job);
 }
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -18,41 +18,21 @@
 constexpr Millis kRemovalInterval = Millis(2'000);
 constexpr size_t kRemovedAtOnce = 10;
 
+/// Returns what the waiting tasks of a job ask for.
+Demand WaitingDemand(const OwnedCell& cell, const JobState& job) {
+  Demand demand;
+  for (const TaskRef& ref : WaitingTasksOf(cell, job)) AddDemand(demand, SpecOf(job, ref), 1);
+
+  return demand;
+}
+
 /// Returns a cell with room for a job that finds none here, or nothing.
 std::optional<CellId> RoomElsewhere(const State& state, const OwnedCell& cell,
                                     const JobState& job) {
-  int64_t held = 0;
-  int64_t filling = 0;
-  int64_t largest = 0;
-
-  for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
-    const StepSpec& spec = SpecOf(job, ref);
-    (spec.filling ? filling : held) += spec.need.millicores;
-    if (!spec.filling) largest = std::max(largest, spec.need.millicores);
-  }
-
-  std::optional<CellId> best;
-  int64_t best_room = 0;
-
-  for (const auto& [id, load] : state.view.loads) {
-    if (id == cell.cell || !state.view.cells.contains(id)) continue;
-
-    const auto service = load.services.find(job.record.service);
-    if (service == load.services.end()) continue;
-
-    const auto sent = state.sent_demand.find(id);
-    const int64_t gone = sent == state.sent_demand.end() ? 0 : sent->second;
-    const int64_t room = service->second.free - service->second.waiting - gone;
-    const int64_t room_filling = service->second.free_filling - service->second.waiting_filling;
-    const bool fits = room >= held * kMoveRoom && service->second.largest_free >= largest &&
-                      room_filling >= filling * kMoveRoom;
-    if (!fits || room <= best_room) continue;
-
-    best = id;
-    best_room = room;
-  }
-
-  return best;
+  Demand demand = WaitingDemand(cell, job);
+  demand.held *= kMoveRoom;
+  demand.filling *= kMoveRoom;
+  return ChooseOtherCell(state, cell.cell, job.record, demand);
 }
 
 void SendMove(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
@@ -102,7 +82,7 @@
   ++moved.moves;
   moved.carried = ProgressOf(job).tasks;
   job.move = JobState::Move{.to = *to, .value = Encode(moved)};
-  state.sent_demand[*to] += FirstDemand(moved.spec).first;
+  NoteSent(state, *to, WaitingDemand(cell, job));
   Log(effects, Severity::kInfo, "moving job to a cell with room",
       {{"job", job.record.spec.job.Text()}, {"from", cell.cell.Text()}, {"to", to->Text()}});
   SendMove(state, effects, cell, job);
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -35,8 +35,6 @@
 /// slack counts, in thousandths of a core: a tenth as much as a third of a worker's processors.
 constexpr double kFullSlack = 0.3;
 constexpr double kSlackScore = 100'000.0;
-/// What the own data centre counts more when a cell is chosen, in thousandths of a cell's capacity.
-constexpr int64_t kLocalScore = 30;
 
 bool TakesTasks(const State& state, const WorkerState& worker) {
   if (!worker.listed || worker.info.draining || !worker.confirmed) return false;
@@ -218,6 +216,11 @@
     load.free += free;
     load.largest_free = std::max(load.largest_free, free);
     load.free_filling += std::max<int64_t>(FreeFilling(worker), 0);
+
+    for (const TaskRef& ref : worker.tasks) {
+      const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+      if (spec.lasting) load.lasting[spec.image] += spec.need.millicores;
+    }
   }
 
   for (const auto& [id, job] : cell.jobs) {
@@ -238,63 +241,4 @@
   return record;
 }
 
-std::pair<int64_t, int64_t> FirstDemand(const JobSpec& spec) {
-  int64_t held = 0;
-  int64_t filling = 0;
-
-  for (const StepSpec& step : spec.steps) {
-    if (!step.after.empty()) continue;
-    (step.filling ? filling : held) += step.need.millicores * step.task_count;
-  }
-
-  return {held, filling};
-}
-
-std::optional<CellId> ChooseCell(const State& state, const std::string& service,
-                                 const JobSpec& spec) {
-  const auto [held, filling] = FirstDemand(spec);
-  int64_t largest = 0;
-
-  for (const StepSpec& step : spec.steps) {
-    if (!step.filling) largest = std::max(largest, step.need.millicores);
-  }
-
-  std::optional<CellId> best;
-  std::pair<bool, int64_t> best_score;
-
-  for (const auto& [rack, id] : state.view.layout.cell_of_rack) {
-    if (best && *best == id) continue;
-
-    bool fits = false;
-    int64_t score = -1'000'000;
-    const auto load = state.view.loads.find(id);
-    const bool owned = state.view.cells.contains(id);
-
-    if (load != state.view.loads.end() && owned && load->second.services.contains(service)) {
-      const ServiceLoad& room = load->second.services.at(service);
-      const auto sent = state.sent_demand.find(id);
-      const auto sent_filling = state.sent_filling.find(id);
-      const int64_t free =
-          room.free - room.waiting - held - (sent == state.sent_demand.end() ? 0 : sent->second);
-      const int64_t free_filling =
-          room.free_filling - room.waiting_filling - filling -
-          (sent_filling == state.sent_filling.end() ? 0 : sent_filling->second);
-      const int64_t capacity = std::max<int64_t>(room.capacity, 1);
-
-      fits = (held == 0 || free >= 0) && (filling == 0 || free_filling >= 0) &&
-             room.largest_free >= largest;
-      score = (held > 0 ? free : free_filling) * 1'000 / capacity;
-      if (id.Text().starts_with(state.settings.data_centre.Text() + "/")) score += kLocalScore;
-    }
-
-    const std::pair<bool, int64_t> rating(fits, score);
-    if (best && rating <= best_score) continue;
-
-    best = id;
-    best_score = rating;
-  }
-
-  return best;
-}
-
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -228,7 +228,7 @@
 
   for (const auto& [service, load] : record.services) {
     json[service] = Json::array({load.capacity, load.free, load.largest_free, load.free_filling,
-                                 load.waiting, load.waiting_filling});
+                                 load.waiting, load.waiting_filling, load.lasting});
   }
 
   return Dump(Json{{"services", std::move(json)}, {"pending", record.pending}});
@@ -241,12 +241,14 @@
     record.pending = json.at("pending").get<std::map<std::string, int64_t>>();
 
     for (const auto& [service, row] : json.at("services").items()) {
-      record.services[service] = ServiceLoad{.capacity = row.at(0).get<int64_t>(),
-                                             .free = row.at(1).get<int64_t>(),
-                                             .largest_free = row.at(2).get<int64_t>(),
-                                             .free_filling = row.at(3).get<int64_t>(),
-                                             .waiting = row.at(4).get<int64_t>(),
-                                             .waiting_filling = row.at(5).get<int64_t>()};
+      record.services[service] =
+          ServiceLoad{.capacity = row.at(0).get<int64_t>(),
+                      .free = row.at(1).get<int64_t>(),
+                      .largest_free = row.at(2).get<int64_t>(),
+                      .free_filling = row.at(3).get<int64_t>(),
+                      .waiting = row.at(4).get<int64_t>(),
+                      .waiting_filling = row.at(5).get<int64_t>(),
+                      .lasting = row.at(6).get<std::map<std::string, int64_t>>()};
     }
 
     return record;
