--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -44,22 +44,20 @@
   return found == sent.end() ? 0 : found->second;
 }
 
-/// Returns the part of a cell's room that filling work of an image can use without harm.
+/// Returns the part of a cell's room that filling work of an image can use without harm: that
+/// beside lasting tasks of images that it leaves alone, as those of one image share workers.
 double HarmlessPart(const State& state, const ServiceLoad& load, const std::string& image) {
-  if (load.capacity <= 0) return 1.0;
-
-  double harm = 0.0;
+  double harmless = 0.0;
   int64_t lasting = 0;
 
   for (const auto& [other, millicores] : load.lasting) {
-    harm += state.interference.Harm(other, image, 1.0) * static_cast<double>(millicores);
+    const double harm = state.interference.Harm(other, image, 1.0);
+    harmless += std::max(0.0, 1.0 - harm / kHarmWithoutRoom) * static_cast<double>(millicores);
     lasting += millicores;
   }
 
   if (lasting == 0) return 1.0;
-
-  const double mean = harm / static_cast<double>(lasting);
-  return std::clamp(1.0 - mean / kHarmWithoutRoom, kLeastRoomPart, 1.0);
+  return std::max(harmless / static_cast<double>(lasting), kLeastRoomPart);
 }
 
 /// A cell that may be chosen.
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -157,11 +157,7 @@
   if (cell.write.request != 0) return;
 
   const bool load_due = state.now >= cell.next_load && !cell.releasing;
-  const LoadRecord load = load_due ? CountLoad(state, cell) : cell.load;
-  const bool load_news = load_due && IsNews(cell.load, load);
-
-  if (load_due && !load_news) cell.next_load = state.now + kLoadInterval;
-  if (cell.dirty.empty() && !load_news) {
+  if (cell.dirty.empty() && !load_due) {
     if (!cell.releasing) WakeAt(state, cell.next_load);
     return;
   }
@@ -171,6 +167,11 @@
     return;
   }
 
+  // Counted only now, as it is not cheap.
+  const LoadRecord load = load_due ? CountLoad(state, cell) : cell.load;
+  const bool load_news = load_due && IsNews(cell.load, load);
+  if (load_due) cell.next_load = state.now + kLoadInterval;
+
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
   cell.write.versions.clear();
@@ -190,7 +191,6 @@
   if (load_news) {
     write.puts.push_back(RecordPut{LoadKey(cell.cell), Encode(load), state.lease.lease});
     cell.load = load;
-    cell.next_load = state.now + kLoadInterval;
   }
 
   if (write.puts.empty()) return;
