Keep progress that is read before its job is known

A new owner reads the progress of its cell's jobs; news of a job (here a lent one) came after it, and the job's change of cell made the entry forget what it had just read. It took ended tasks for waiting ones, let workers forget their ends and started them again.

Ruled out: writes of the former owner after the grant (the store refuses them).

Change: progress is kept with the cell that it was recorded in, and forgotten only when the job is in another. Test red before (Watching.ProgressThatIsReadBeforeItsJobIsKept).

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -68,6 +68,8 @@
   JobPhase phase = JobPhase::kQueued;
   std::string progress;
   KvRevision progress_revision = 0;
+  /// The cell in which that was recorded; news of the job's move may come later.
+  CellId progress_cell;
   /// When this entry learned that the job had ended.
   std::optional<Millis> ended_at;
 };
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -315,7 +315,7 @@
   if (!head) return LogUnreadable(effects, item, head.error());
 
   if (job.revision == 0) job.seen_at = state.now;
-  if (job.head.cell != head->cell) ForgetProgress(job);
+  if (job.progress_cell != head->cell) ForgetProgress(job);
   job.head = *std::move(head);
   job.value = item.value;
   job.revision = item.revision;
@@ -348,8 +348,10 @@
   }
 
   JobView& job = state.view.jobs[id];
+  if (job.progress_cell != cell) ForgetProgress(job);
   if (item.revision <= job.progress_revision) return;
 
+  job.progress_cell = cell;
   job.phase = *phase;
   job.progress_revision = item.revision;
   job.progress = IsTerminal(*phase) ? std::string() : item.value;
@@ -415,6 +417,7 @@
 void ForgetProgress(JobView& job) {
   job.phase = JobPhase::kQueued;
   job.progress.clear();
+  job.progress_cell = CellId();
   job.progress_revision = 0;
   job.ended_at.reset();
 }
--- a/tests/scheduler/learning_test.cc
+++ b/tests/scheduler/learning_test.cc
@@ -54,6 +54,34 @@
   }
 }
 
+// A new owner reads what was recorded of the jobs, while news of the jobs themselves may still be
+// under way. It used to forget what it had read when these came, took ended tasks for waiting ones
+// and let workers forget their ends.
+TEST(Watching, ProgressThatIsReadBeforeItsJobIsKept) {
+  World world{WorldShape{.entries = 1, .racks = 1}};
+  world.Run(Millis(3'500));
+  State& state = world.state("e0");
+  ASSERT_EQ(state.cells.size(), 1U);
+  const CellId cell = state.cells.begin()->first;
+  const KvRevision revision = world.store.revision();
+
+  ProgressRecord progress{.phase = JobPhase::kActive};
+  progress.tasks.push_back(TaskProgress{.mark = TaskMark::kDone, .run = 1});
+  JobRecord record{.queue = "queue", .service = "service", .cell = cell, .spec = MakeJob("a", 2)};
+  RecordsPushed news;
+  news.items.push_back(StoreItem{.key = std::string(kProgressPrefix) + cell.Text() + "/a",
+                                 .revision = revision + 2,
+                                 .value = Encode(progress)});
+  news.items.push_back(StoreItem{
+      .key = std::string(kJobPrefix) + "a", .revision = revision + 1, .value = Encode(record)});
+  Effects effects;
+  Reduce(state, Event{world.now(), world.now().Count(), news}, effects);
+
+  const JobState& job = state.cells.at(cell).jobs.at(JobId("a"));
+  EXPECT_EQ(job.progress_revision, revision + 2);
+  EXPECT_EQ(job.occurrences[0].steps[0].tasks[0].phase, TaskPhase::kDone);
+}
+
 TEST(Watching, TheStateOfAJobIsReadFromTheStoreWhereItsOwnerIsGone) {
   World world{WorldShape{.entries = 3}};
   world.Run(Millis(3'500));
