Let orphaned cells wait for their data centre, and deal cells out evenly

One entry of 0.12 core owned seven cells for 20 s and was 5 to 10 s behind its feeds. An entry remembered since when a cell had once been without an owner, so that the wait by rank was over at once the second time: whoever heard first claimed all orphaned cells, from any data centre. And cells of one data centre were never dealt out again.

Ruled out: the feeds themselves (up to date on all other entries).

Change: the time without an owner counts from its own beginning; an entry gives a cell to another of the cell's data centre that has at least two fewer. The same mistake made pending counts of cells without an owner too high.

Tests: Claims, both red before.

--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -191,7 +191,7 @@
   }
 
   const auto orphan = state.orphans.find(id);
-  if (orphan == state.orphans.end()) return count;
+  if (orphan == state.orphans.end() || orphan->second.since == Millis(0)) return count;
 
   // Nothing begins in a cell without an owner.
   for (const auto& [job_id, job] : state.view.jobs) {
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -23,9 +23,12 @@
 constexpr Millis kLongestLayoutWait = Millis(4'000);
 /// How much longer each further entry waits before it claims a cell that another one should.
 constexpr Millis kRankDelay = Millis(400);
-/// An entry must have been up so long before a cell is given back to its data centre, and the cell
-/// must have been owned so long: entries that are restarted in turn would pass it to and fro.
-constexpr Millis kHomeAfter = Millis(3'000);
+/// An entry must have been up so long before a cell is given to it, and the cell must have been
+/// owned so long: entries that are restarted in turn would pass it to and fro.
+constexpr Millis kSettledAfter = Millis(3'000);
+/// An entry that has so many cells more than another gives one away: with one more it would only
+/// be the other's turn.
+constexpr size_t kCellsTooMany = 2;
 /// Pause before a claim of unknown outcome or without success is repeated.
 constexpr Millis kClaimRetry = Millis(500);
 
@@ -130,6 +133,9 @@
 
     if (view != state.view.cells.end()) {
       ReturnUnusedGrant(state, effects, id, view->second);
+      // The next time without an owner counts from its own beginning.
+      const auto former = state.orphans.find(id);
+      if (former != state.orphans.end()) former->second.since = Millis(0);
       continue;
     }
 
@@ -146,28 +152,41 @@
   }
 }
 
-/// Gives a cell of another data centre back once an entry of that data centre has been up for a
-/// while; one at a time, as its starts pause meanwhile.
-void SendCellHome(State& state, Effects& effects) {
+/// Says whether a cell is better off with another entry of its data centre that has been up for a
+/// while: this one is elsewhere, or has at least two cells more.
+bool IsBetterElsewhere(const State& state, const CellId& id,
+                       const std::map<EntryId, size_t>& owned) {
+  const bool elsewhere = DataCentreOf(id) != state.settings.data_centre.Text();
+
+  return std::ranges::any_of(state.view.entries, [&](const auto& row) {
+    const auto& [entry_id, entry] = row;
+    if (entry_id == state.settings.entry) return false;
+    if (entry.record.data_centre.Text() != DataCentreOf(id)) return false;
+    if (state.now - entry.seen_at < kSettledAfter) return false;
+
+    const auto count = owned.find(entry_id);
+    const size_t cells = count == owned.end() ? 0 : count->second;
+    return elsewhere || cells + kCellsTooMany <= state.cells.size();
+  });
+}
+
+/// Gives a cell away that is better off elsewhere; one at a time, as its starts pause meanwhile.
+void GiveCellAway(State& state, Effects& effects) {
   if (state.stopping || !HoldsLease(state)) return;
 
   const bool busy = std::ranges::any_of(
       state.cells, [](const auto& row) { return row.second.releasing || !row.second.open; });
   if (busy) return;
 
-  for (auto& owned : state.cells) {
-    const CellId& id = owned.first;
-    OwnedCell& cell = owned.second;
-    if (DataCentreOf(id) == state.settings.data_centre.Text()) continue;
+  std::map<EntryId, size_t> owned;
+  for (const auto& [id, cell] : state.view.cells) ++owned[cell.record.owner];
 
-    const bool home_is_up = std::ranges::any_of(state.view.entries, [&](const auto& row) {
-      const EntryView& entry = row.second;
-      return entry.record.data_centre.Text() == DataCentreOf(id) &&
-             state.now - entry.seen_at >= kHomeAfter;
-    });
-    if (!home_is_up || state.now - cell.taken_at < kHomeAfter) continue;
+  for (auto& [id, cell] : state.cells) {
+    if (state.now - cell.taken_at < kSettledAfter) continue;
+    if (!IsBetterElsewhere(state, id, owned)) continue;
 
-    Log(effects, Severity::kInfo, "giving a cell back to its data centre", {{"cell", id.Text()}});
+    Log(effects, Severity::kInfo, "giving a cell to a better suited entry",
+        {{"cell", id.Text()}, {"cells", std::to_string(state.cells.size())}});
     cell.releasing = true;
     return;
   }
@@ -332,7 +351,7 @@
 void UpdateCells(State& state, Effects& effects) {
   ExtendLayout(state, effects);
   ClaimOrphans(state, effects);
-  SendCellHome(state, effects);
+  GiveCellAway(state, effects);
 
   for (auto& [id, cell] : state.cells) {
     if (cell.releasing) Release(state, effects, cell);
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -124,6 +124,57 @@
   EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+/// Returns how many cells each entry owns by the records.
+std::map<std::string, int32_t> CellsOf(World& world, const std::string& observer) {
+  std::map<std::string, int32_t> cells;
+  for (const auto& [id, cell] : world.state(observer).view.cells) {
+    ++cells[cell.record.owner.Text()];
+  }
+
+  return cells;
+}
+
+// An entry remembered since when a cell had once been without an owner, so that the second time all
+// claimed it at once: whoever heard of it first got it, from any data centre, up to seven at a
+// time.
+TEST(Claims, ACellWhoseOwnerDiesStaysInItsDataCentre) {
+  World world{WorldShape{.entries = 6, .data_centres = 2, .racks = 1}};
+  world.Run(Millis(6'000));
+  const CellId cell("dc1/0");
+  const std::string key = std::string(kCellPrefix) + cell.Text();
+  const std::string owner = world.state("e0").view.cells.at(cell).record.owner.Text();
+  world.Kill(owner);
+  while (world.store.Value(key)) world.Run(Millis(5));
+
+  // Those of the data centre, the entries with odd numbers, hear of it a little later.
+  std::vector<std::string> home = {"e1", "e3", "e5"};
+  std::erase(home, owner);
+  for (const std::string& entry : home) world.Pause(entry);
+  world.Run(Millis(400));
+  EXPECT_FALSE(world.store.Value(key));
+  for (const std::string& entry : home) world.Resume(entry);
+  world.Run(Millis(1'000));
+
+  ASSERT_TRUE(world.store.Value(key));
+  const std::string successor = DecodeCell(*world.store.Value(key))->owner.Text();
+  EXPECT_NE(std::ranges::find(home, successor), home.end()) << successor;
+}
+
+TEST(Claims, AnEntryWithManyCellsGivesSomeToItsNeighbours) {
+  World world{WorldShape{.entries = 3, .racks = 3, .workers_per_rack = 12}};
+  world.Run(Millis(5'000));
+  ASSERT_EQ(CellsOf(world, "e0").size(), 3U);
+
+  for (const char* entry : {"e1", "e2"}) world.Kill(entry);
+  world.Run(Millis(5'000));
+  EXPECT_EQ(CellsOf(world, "e0")["e0"], 3);
+
+  for (const char* entry : {"e1", "e2"}) world.Start(entry);
+  world.Run(Millis(15'000));
+  for (const auto& [entry, cells] : CellsOf(world, "e0")) EXPECT_EQ(cells, 1) << entry;
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(Trouble, KeysTakenAwayUnseenEndOwnership) {
   StartLasting("a", 2);
   const std::string owner = world_.OwnerOf("a");
