Count what is shared once, and off the hot path

Found in a read of the whole change; no change of behaviour is meant. - The keeper went over the whole registry at every event to count the workers of new racks; now only when the registry or the layout has changed. - Cells by owner were counted in three places, twice at every event; one function now, once. - A question for pending jobs reckoned a cell's whole room; it counts the pending jobs, with the function that the report uses. - The data centre of a cell was read from its name in two ways. - Cells to choose from are those with a report, so no set of all cells is made. - The platform's name of a step's label is decoded to the code's own.

--- a/lib/scheduler/include/currantpost/scheduler/job_spec.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_spec.h
@@ -34,7 +34,7 @@
   /// Takes only the processor time that other tasks on its worker leave unused.
   bool filling = false;
   /// Label that a worker must have, empty for none.
-  std::string required_label;
+  std::string needed_label;
   /// Rack on which tasks run fastest, empty for none.
   std::string preferred_rack;
   /// Most tasks of the step on one worker, 0 for no limit.
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -372,6 +372,8 @@
 /// Workers of racks that are in no cell yet.
 struct NewRacks {
   size_t workers = 0;
+  /// The registry or the layout may have changed since they were counted.
+  bool recount = true;
   /// When there were none, and when their number last changed.
   Millis since;
   Millis changed_at;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -172,24 +172,19 @@
   SendCancel(state, effects, body.job, cancel);
 }
 
+int64_t CountOf(const std::map<std::string, int64_t>& pending, const std::string& queue) {
+  const auto row = pending.find(queue);
+  return row == pending.end() ? 0 : row->second;
+}
+
 /// Counts the jobs of a queue that have not begun in a cell.
 int64_t PendingIn(const State& state, const CellId& id, const std::string& queue) {
   const auto cell = state.cells.find(id);
   const bool own = cell != state.cells.end() && cell->second.open;
-  const auto told = state.view.pending.find(id);
-  int64_t count = 0;
-
-  if (own) {
-    const LoadRecord load = CountLoad(state, cell->second);
-    const auto row = load.pending.find(queue);
-    return row == load.pending.end() ? 0 : row->second;
-  }
-
-  if (told != state.view.pending.end()) {
-    const auto row = told->second.find(queue);
-    if (row != told->second.end()) count = row->second;
-  }
+  if (own) return CountOf(CountPending(cell->second), queue);
 
+  const auto told = state.view.pending.find(id);
+  int64_t count = told == state.view.pending.end() ? 0 : CountOf(told->second, queue);
   const auto orphan = state.orphans.find(id);
   if (orphan == state.orphans.end() || orphan->second.since == Millis(0)) return count;
 
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -1,7 +1,6 @@
 #include <xxhash.h>
 
 #include <cmath>
-#include <limits>
 
 #include "internal.h"
 
@@ -10,8 +9,8 @@
 /// images of filling work, and filling work that is to go where it harms nobody.
 ///
 /// Lasting tasks of an image gather in few cells, the same ones whoever chooses. All other work
-/// goes to a cell by chance in proportion to its room, so that entries do not all choose the one
-/// with the best report.
+/// goes to a cell by chance, the more likely the more room it has, so that entries do not all
+/// choose the one with the best report.
 
 namespace currantpost::scheduler {
 namespace {
@@ -73,7 +72,7 @@
                                   const Demand& demand) {
   std::vector<Candidate> candidates;
 
-  for (const CellId& id : AllCells(state)) {
+  for (const auto& [id, load] : state.view.loads) {
     const std::optional<CellRoom> room = RoomOf(state, id, service, demand.image);
     if (!room) continue;
 
@@ -86,7 +85,7 @@
     candidate.fits = (demand.held == 0 || room->held >= demand.held) &&
                      (demand.filling == 0 || room->filling >= demand.filling) &&
                      room->largest >= demand.largest;
-    candidate.local = id.Text().starts_with(state.settings.data_centre.Text() + "/");
+    candidate.local = DataCentreOf(id) == state.settings.data_centre.Text();
     candidates.push_back(std::move(candidate));
   }
 
@@ -113,7 +112,7 @@
   return best;
 }
 
-/// Returns a cell by chance in proportion to its room, of those that fit.
+/// Returns a cell by chance, weighted by `kRoomPower`, of those that fit.
 std::optional<CellId> SpreadByRoom(const std::vector<Candidate>& candidates, const JobId& job) {
   std::optional<CellId> best;
   double best_rank = 0.0;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -563,6 +563,8 @@
 }
 
 void ApplyRegistry(State& state, Effects& effects) {
+  state.new_racks.recount = true;
+
   for (auto& [id, cell] : state.cells) {
     if (!cell.open) continue;
 
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -1,6 +1,7 @@
 #include <xxhash.h>
 
 #include <optional>
+#include <utility>
 
 #include "internal.h"
 
@@ -37,10 +38,11 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
-/// Returns the data centre that a cell's name begins with.
-std::string_view DataCentreOf(const CellId& cell) {
-  const std::string_view text = cell.Text();
-  return text.substr(0, text.rfind('/'));
+std::map<EntryId, size_t> CellsByOwner(const State& state) {
+  std::map<EntryId, size_t> owned;
+  for (const auto& [id, cell] : state.view.cells) ++owned[cell.record.owner];
+
+  return owned;
 }
 
 /// How an entry stands with regard to a cell; the smallest is to own it. Those of the cell's own
@@ -121,13 +123,10 @@
 
 /// Claims the cells without an owner that fall to this entry. All entries deal them out alike, one
 /// after the other, so that no entry gets many.
-void ClaimOrphans(State& state, Effects& effects) {
+void ClaimOrphans(State& state, Effects& effects, std::map<EntryId, size_t> owned) {
   if (!HoldsLease(state) || !state.lease.registered || state.stopping) return;
   if (!state.feeds[Feed::kRecords].synced) return;
 
-  std::map<EntryId, size_t> owned;
-  for (const auto& [id, cell] : state.view.cells) ++owned[cell.record.owner];
-
   for (const CellId& id : AllCells(state)) {
     const auto view = state.view.cells.find(id);
 
@@ -171,16 +170,13 @@
 }
 
 /// Gives a cell away that is better off elsewhere; one at a time, as its starts pause meanwhile.
-void GiveCellAway(State& state, Effects& effects) {
+void GiveCellAway(State& state, Effects& effects, const std::map<EntryId, size_t>& owned) {
   if (state.stopping || !HoldsLease(state)) return;
 
   const bool busy = std::ranges::any_of(
       state.cells, [](const auto& row) { return row.second.releasing || !row.second.open; });
   if (busy) return;
 
-  std::map<EntryId, size_t> owned;
-  for (const auto& [id, cell] : state.view.cells) ++owned[cell.record.owner];
-
   for (auto& [id, cell] : state.cells) {
     if (state.now - cell.taken_at < kSettledAfter) continue;
     if (!IsBetterElsewhere(state, id, owned)) continue;
@@ -234,17 +230,19 @@
 
 /// Says whether the workers of new racks are all known, as far as can be told.
 bool NewRacksAreKnown(State& state) {
-  size_t workers = 0;
+  NewRacks& fresh = state.new_racks;
 
-  for (const auto& [id, worker] : state.registry) {
-    if (!state.view.layout.cell_of_rack.contains(worker.rack)) ++workers;
+  if (std::exchange(fresh.recount, false)) {
+    const auto is_new = [&](const auto& row) {
+      return !state.view.layout.cell_of_rack.contains(row.second.rack);
+    };
+    const auto workers = static_cast<size_t>(std::ranges::count_if(state.registry, is_new));
+    if (fresh.workers == 0) fresh.since = state.now;
+    if (fresh.workers != workers) fresh.changed_at = state.now;
+    fresh.workers = workers;
   }
 
-  NewRacks& fresh = state.new_racks;
-  if (fresh.workers == 0) fresh.since = state.now;
-  if (fresh.workers != workers) fresh.changed_at = state.now;
-  fresh.workers = workers;
-  if (workers == 0) return false;
+  if (fresh.workers == 0) return false;
 
   const Millis known_at =
       std::min(fresh.changed_at + kRegistryQuiet, fresh.since + kLongestLayoutWait);
@@ -289,10 +287,7 @@
   removals.push_back(StoreItem{.key = CellKey(id), .revision = revision, .removed = true});
   for (const StoreItem& item : removals) ApplyRecord(state, effects, item);
 
-  std::map<EntryId, size_t> owned;
-  for (const auto& [other, cell] : state.view.cells) ++owned[cell.record.owner];
-
-  const std::vector<Candidacy> candidates = Candidates(state, id, owned);
+  const std::vector<Candidacy> candidates = Candidates(state, id, CellsByOwner(state));
   if (candidates.empty()) return;
 
   const EntryView& successor = state.view.entries.at(candidates.front().entry);
@@ -342,6 +337,11 @@
   }
 }
 
+std::string_view DataCentreOf(const CellId& cell) {
+  const std::string_view text = cell.Text();
+  return text.substr(0, text.rfind('/'));
+}
+
 std::set<CellId> AllCells(const State& state) {
   std::set<CellId> cells;
   for (const auto& [rack, cell] : state.view.layout.cell_of_rack) cells.insert(cell);
@@ -349,9 +349,10 @@
 }
 
 void UpdateCells(State& state, Effects& effects) {
+  const std::map<EntryId, size_t> owned = CellsByOwner(state);
   ExtendLayout(state, effects);
-  ClaimOrphans(state, effects);
-  GiveCellAway(state, effects);
+  ClaimOrphans(state, effects, owned);
+  GiveCellAway(state, effects, owned);
 
   for (auto& [id, cell] : state.cells) {
     if (cell.releasing) Release(state, effects, cell);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -94,6 +94,9 @@
 /// Says whether the store surely still keeps this entry's lease.
 bool HoldsLease(const State& state);
 
+/// Returns the data centre that a cell's name begins with.
+std::string_view DataCentreOf(const CellId& cell);
+
 /// Returns all cells of the layout.
 std::set<CellId> AllCells(const State& state);
 
@@ -251,7 +254,11 @@
 /// Gives waiting tasks to workers with room.
 void PlaceTasks(State& state, Effects& effects, OwnedCell& cell);
 
-/// Counts the room of a cell.
+/// Counts the jobs of which no task has begun, by queue; without those that have times of their
+/// own.
+std::map<std::string, int64_t> CountPending(const OwnedCell& cell);
+
+/// Counts the room of a cell, and what waits there.
 LoadRecord CountLoad(const State& state, const OwnedCell& cell);
 
 // ---- Choice of cells
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -105,7 +105,7 @@
                              const std::string& service) {
   const StepSpec& spec = SpecOf(job, ref);
   if (!TakesTasks(state, worker) || worker.info.service != service) return std::nullopt;
-  if (!HasRoom(worker, spec) || !HasLabel(worker, spec.required_label)) return std::nullopt;
+  if (!HasRoom(worker, spec) || !HasLabel(worker, spec.needed_label)) return std::nullopt;
 
   const int32_t same = SameStep(cell, worker, NameOf(job, ref));
   if (spec.most_per_worker > 0 && same >= spec.most_per_worker) return std::nullopt;
@@ -204,6 +204,19 @@
   }
 }
 
+std::map<std::string, int64_t> CountPending(const OwnedCell& cell) {
+  std::map<std::string, int64_t> pending;
+
+  for (const auto& [id, job] : cell.jobs) {
+    const bool immediate = job.record.spec.occurrences == 0 && job.record.parent.Empty();
+    if (immediate && job.phase == JobPhase::kQueued && !job.cancelled) {
+      ++pending[job.record.queue];
+    }
+  }
+
+  return pending;
+}
+
 LoadRecord CountLoad(const State& state, const OwnedCell& cell) {
   LoadRecord record;
 
@@ -223,12 +236,7 @@
     }
   }
 
-  for (const auto& [id, job] : cell.jobs) {
-    const bool immediate = job.record.spec.occurrences == 0 && job.record.parent.Empty();
-    if (immediate && job.phase == JobPhase::kQueued && !job.cancelled) {
-      ++record.pending[job.record.queue];
-    }
-  }
+  record.pending = CountPending(cell);
 
   for (const WaitingKey& key : cell.waiting) {
     const TaskRef& ref = std::get<3>(key);
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -62,7 +62,7 @@
   SetUnlessDefault(json, "spec", step.speculative, common.speculative);
   SetUnlessDefault(json, "lasting", step.lasting, common.lasting);
   SetUnlessDefault(json, "fill", step.filling, common.filling);
-  SetUnlessDefault(json, "label", step.required_label, common.required_label);
+  SetUnlessDefault(json, "label", step.needed_label, common.needed_label);
   SetUnlessDefault(json, "rack", step.preferred_rack, common.preferred_rack);
   SetUnlessDefault(json, "per_worker", step.most_per_worker, common.most_per_worker);
   SetUnlessDefault(json, "image", step.image, common.image);
@@ -86,7 +86,7 @@
   step.speculative = json.value("spec", common.speculative);
   step.lasting = json.value("lasting", common.lasting);
   step.filling = json.value("fill", common.filling);
-  step.required_label = json.value("label", common.required_label);
+  step.needed_label = json.value("label", common.needed_label);
   step.preferred_rack = json.value("rack", common.preferred_rack);
   step.most_per_worker = json.value("per_worker", common.most_per_worker);
   step.image = json.value("image", common.image);
