Tell few tasks of a change of room, place jobs by when they are due, push cancels to borrowers

Its time went to orders on pace: 60 % of its calls to workers, most of them +-10 or 20 % for all filling tasks of a worker at each swing of what lasting and short tasks leave (counted by kind on a scratch copy). Jobs were placed in order of arrival, so that overdue ones took room from ones that could be in time. Borrowers heard of a cancellation by their watch alone.

Change: policy/pace_allotment slows the fastest and speeds up the slowest, by up to 40 % at a time, and leaves a slack of 0.02. policy/job_urgency and the job record's objective order what waits. The owner of a cancelled job tells the owners of cells that run lent tasks of it.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -149,6 +149,8 @@
   CellId cell;
   /// Time of day of the acceptance; orders waiting jobs, and decides nothing else.
   int64_t accepted_unix_ms = 0;
+  /// Time in which it should be done, 0 if there is none; orders waiting jobs too.
+  Millis objective;
   /// How often the job was moved to another cell.
   int32_t moves = 0;
   JobSpec spec;
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -332,7 +332,7 @@
   std::map<JobId, uint64_t> versions;
 };
 
-/// Orders waiting tasks: priority, lasting first, age, name.
+/// Orders waiting tasks: priority, lasting first, when their job should be done, name.
 using WaitingKey = std::tuple<int32_t, int32_t, int64_t, TaskRef>;
 
 /// A cell that this entry owns.
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -1,3 +1,5 @@
+#include <cmath>
+
 #include "internal.h"
 
 /// Callers' requests and peers' questions.
@@ -43,6 +45,27 @@
   return {};
 }
 
+/// Returns the time in which a job should be done by its estimates, or 0 if it has no such time.
+Millis ObjectiveOf(const Queue& queue, const JobSpec& spec) {
+  std::vector<int64_t> done_after;
+  int64_t chain = 0;
+
+  for (const StepSpec& step : spec.steps) {
+    if (step.lasting || spec.occurrences > 0) return Millis(0);
+
+    int64_t begin = 0;
+    for (const int32_t before : step.after) {
+      const bool known = before >= 0 && static_cast<size_t>(before) < done_after.size();
+      if (known) begin = std::max(begin, done_after[static_cast<size_t>(before)]);
+    }
+
+    done_after.push_back(begin + step.estimate.Count());
+    chain = std::max(chain, done_after.back());
+  }
+
+  return Millis(std::llround(queue.stretch * static_cast<double>(chain))) + queue.allowance;
+}
+
 void SendSubmit(State& state, Effects& effects, PendingSubmit& submit) {
   WriteRecords write;
   const std::string key = JobKey(submit.record.spec.job);
@@ -96,6 +119,7 @@
                             .most_attempts = queue->most_attempts,
                             .cell = *cell,
                             .accepted_unix_ms = state.unix_ms,
+                            .objective = ObjectiveOf(*queue, submitted.spec),
                             .spec = submitted.spec};
   submit.value = Encode(submit.record);
   submit.give_up_at = state.now + std::min(kSettleTime, asked.patience);
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -241,7 +241,11 @@
 
 WaitingKey KeyOf(const JobState& job, const TaskRef& ref) {
   const int32_t class_rank = SpecOf(job, ref).lasting ? kLastingRank : kOtherRank;
-  return {job.record.priority, class_rank, job.record.accepted_unix_ms, ref};
+  return {job.record.priority, class_rank, TimesOf(job.record).DueAt(), ref};
+}
+
+JobObjective TimesOf(const JobRecord& record) {
+  return JobObjective{record.accepted_unix_ms, record.objective};
 }
 
 std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
@@ -250,7 +254,7 @@
 
   // Tasks of one job stand together within each class.
   for (const int32_t class_rank : {kLastingRank, kOtherRank}) {
-    const WaitingKey first{job.record.priority, class_rank, job.record.accepted_unix_ms,
+    const WaitingKey first{job.record.priority, class_rank, TimesOf(job.record).DueAt(),
                            TaskRef{.job = id}};
 
     for (auto key = cell.waiting.lower_bound(first); key != cell.waiting.end(); ++key) {
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -367,6 +367,18 @@
   TakeLoanEnd(state, effects, parent, id, *phase);
 }
 
+/// Returns the cells that some jobs are in.
+std::set<CellId> CellsThatRun(const State& state, const std::set<JobId>& jobs) {
+  std::set<CellId> cells;
+
+  for (const JobId& id : jobs) {
+    const auto job = state.view.jobs.find(id);
+    if (job != state.view.jobs.end()) cells.insert(job->second.head.cell);
+  }
+
+  return cells;
+}
+
 void ApplyCancel(State& state, Effects& effects, const JobId& id, const StoreItem& item) {
   if (item.removed) return;
 
@@ -382,7 +394,12 @@
       if (job_id == id || held.record.parent == id) concerned.push_back(job_id);
     }
 
-    for (const JobId& job_id : concerned) CancelJob(state, effects, cell, cell.jobs.at(job_id));
+    for (const JobId& job_id : concerned) {
+      JobState& held = cell.jobs.at(job_id);
+      const std::set<CellId> borrowers = CellsThatRun(state, BorrowedJobs(held));
+      CancelJob(state, effects, cell, held);
+      for (const CellId& borrower : borrowers) TellOwner(state, effects, borrower, item);
+    }
   }
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "currantpost/policy/job_urgency.h"
 #include "currantpost/scheduler/effects.h"
 #include "currantpost/scheduler/state.h"
 
@@ -154,6 +155,9 @@
 /// Says whether a task is one of the job's own, or of those lent to it.
 bool IsKnownTask(const JobState& job, const TaskRef& ref);
 
+/// Returns when a job came and when it should be done.
+JobObjective TimesOf(const JobRecord& record);
+
 /// Returns the key under which a task waits.
 WaitingKey KeyOf(const JobState& job, const TaskRef& ref);
 
@@ -209,6 +213,9 @@
 void HandleTasksLent(State& state, Effects& effects, const TasksLent& lent,
                      const StoreReply& reply);
 
+/// Returns the jobs that run tasks which a job has lent.
+std::set<JobId> BorrowedJobs(const JobState& job);
+
 /// Asks those who run lent tasks how far they are, as word of their end may have been lost.
 void UpdateLoans(State& state, Effects& effects, JobState& job);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -135,21 +135,6 @@
        {"to", to.Text()}});
 }
 
-/// Returns the jobs that run tasks which a job has lent.
-std::set<JobId> BorrowedJobs(const JobState& job) {
-  std::set<JobId> jobs;
-
-  for (const OccurrenceState& occurrence : job.occurrences) {
-    for (const StepState& step : occurrence.steps) {
-      for (const TaskState& task : step.tasks) {
-        if (task.phase == TaskPhase::kLent) jobs.insert(task.lent_to);
-      }
-    }
-  }
-
-  return jobs;
-}
-
 /// Takes tasks back whose loan did not come about.
 void TakeBack(State& state, OwnedCell& cell, JobState& job, const JobId& guest) {
   for (size_t number = 0; number < job.occurrences.size(); ++number) {
@@ -173,6 +158,20 @@
 
 }  // namespace
 
+std::set<JobId> BorrowedJobs(const JobState& job) {
+  std::set<JobId> jobs;
+
+  for (const OccurrenceState& occurrence : job.occurrences) {
+    for (const StepState& step : occurrence.steps) {
+      for (const TaskState& task : step.tasks) {
+        if (task.phase == TaskPhase::kLent) jobs.insert(task.lent_to);
+      }
+    }
+  }
+
+  return jobs;
+}
+
 void ConsiderLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
   if (job.loan) {
     if (job.loan->request != 0) return;
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -1,5 +1,6 @@
 #include <cmath>
 
+#include "currantpost/policy/pace_allotment.h"
 #include "internal.h"
 
 /// How fast filling tasks may work beside lasting ones. Answers tails that come half a second late
@@ -47,9 +48,6 @@
 /// filling work, whatever was learned: 1.5 of 4 s, with two looks and the figures' half second to
 /// spare.
 constexpr int64_t kLongestOverEighths = 3;
-/// Paces are told in steps of this many percent, given back by no more than this at a time.
-constexpr int32_t kPaceStep = 10;
-constexpr int32_t kMostPaceRise = 40;
 
 double Unloaded(State& state, const StepSpec& spec, int64_t tail) {
   int64_t& least = state.images.least_tail[spec.image];
@@ -193,19 +191,45 @@
   }
 }
 
-/// Lowers all paces alike until the worker has processors for everything.
-void LimitUse(const WorkerState& worker, const std::map<std::string, double>& full,
-              std::map<std::string, double>& paces) {
+/// Returns the share of a worker that its filling tasks may use, so that all tasks together find
+/// processors.
+double ShareForFilling(const WorkerState& worker) {
   const int64_t brief = worker.held.millicores - worker.lasting_millicores;
   const int64_t others = brief + worker.lasting_use;
   const int64_t most = worker.info.capacity.millicores * kMostUsePercent / 100;
-  const double room = Share(worker, static_cast<double>(most - others));
-  double wanted = 0.0;
-  for (const auto& [image, share] : full) wanted += share * paces[image];
-  if (wanted <= room) return;
+  return std::max(Share(worker, static_cast<double>(most - others)), 0.0);
+}
+
+/// Gives each filling task of a worker its pace, the most urgent the highest.
+void SetPaces(const State& state, OwnedCell& cell, const WorkerState& worker,
+              const FillingBounds& bounds) {
+  std::vector<std::tuple<Urgency, WaitingKey, TaskState*>> most_urgent_first;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = cell.jobs.at(ref.job);
+    TaskState* task = FindTask(cell, ref);
+    const bool paced = SpecOf(job, ref).filling && task->phase != TaskPhase::kStopping;
+    if (!paced) continue;
+
+    const Urgency urgency = UrgencyOf(TimesOf(job.record), state.unix_ms);
+    most_urgent_first.emplace_back(urgency, KeyOf(job, ref), task);
+  }
+
+  std::ranges::sort(most_urgent_first);
+  std::vector<FillingTask> tasks;
+
+  for (const auto& [urgency, key, task] : most_urgent_first) {
+    const TaskRef& ref = std::get<3>(key);
+    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+    const double full = kUsualUse * static_cast<double>(spec.need.millicores);
+    tasks.push_back({spec.image, Share(worker, full), task->wanted_pace});
+  }
+
+  AllotPaces(PaceAllotmentSettings{}, bounds, tasks);
 
-  const double scale = std::max(room, 0.0) / wanted;
-  for (auto& [image, pace] : paces) pace *= scale;
+  for (size_t number = 0; number < tasks.size(); ++number) {
+    std::get<2>(most_urgent_first[number])->wanted_pace = tasks[number].pace;
+  }
 }
 
 /// Notes which lasting tasks are over their targets. Returns whether one has been for too long.
@@ -253,11 +277,6 @@
   return stress_now;
 }
 
-int32_t Percent(double pace) {
-  const auto steps = static_cast<int32_t>(std::floor(pace * 100.0 / kPaceStep + 0.001));
-  return std::clamp(steps * kPaceStep, 0, 100);
-}
-
 }  // namespace
 
 void UpdatePace(State& state, OwnedCell& cell, WorkerState& worker) {
@@ -280,18 +299,10 @@
     if (stress > kMostStress) Relieve(state, spec.image, stress - kRelievedStress, full, paces);
   });
 
-  LimitUse(worker, full, paces);
-
-  if (IsOverForLong(state, cell, worker)) {
-    for (auto& [image, pace] : paces) pace = 0.0;
-  }
-
-  ForEachTask(cell, worker, [&](const StepSpec& spec, TaskState& task) {
-    if (!spec.filling) return;
-
-    const int32_t wanted = Percent(paces[spec.image]);
-    task.wanted_pace = std::min(wanted, task.wanted_pace + kMostPaceRise);
-  });
+  FillingBounds bounds{.most = ShareForFilling(worker)};
+  for (const auto& [image, share] : full) bounds.most_of_image[image] = share * paces[image];
+  if (IsOverForLong(state, cell, worker)) bounds.most = 0.0;
+  SetPaces(state, cell, worker, bounds);
 }
 
 double SlackWith(const State& state, OwnedCell& cell, WorkerState& worker, const std::string& image,
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -159,6 +159,26 @@
   return queue == nullptr ? record.service : queue->service;
 }
 
+/// Returns the waiting tasks in the order in which they are placed: by priority, class and urgency,
+/// then by when their jobs should be done.
+std::vector<TaskRef> MostUrgentFirst(const State& state, const OwnedCell& cell) {
+  using Rank = std::tuple<int32_t, int32_t, Urgency>;
+  std::vector<std::pair<Rank, const TaskRef*>> ranked;
+  ranked.reserve(cell.waiting.size());
+
+  for (const WaitingKey& key : cell.waiting) {
+    const TaskRef& ref = std::get<3>(key);
+    const Urgency urgency = UrgencyOf(TimesOf(cell.jobs.at(ref.job).record), state.unix_ms);
+    ranked.emplace_back(Rank{std::get<0>(key), std::get<1>(key), urgency}, &ref);
+  }
+
+  std::ranges::stable_sort(ranked, {}, &std::pair<Rank, const TaskRef*>::first);
+  std::vector<TaskRef> refs;
+  refs.reserve(ranked.size());
+  for (const auto& [rank, ref] : ranked) refs.push_back(*ref);
+  return refs;
+}
+
 }  // namespace
 
 void PlaceTasks(State& state, Effects& /*effects*/, OwnedCell& cell) {
@@ -172,10 +192,8 @@
   cell.placement_due = false;
   cell.next_placement = state.now + kPlacementInterval;
   std::set<std::tuple<JobId, int32_t, int32_t>> unfit;
-  const std::vector<WaitingKey> waiting(cell.waiting.begin(), cell.waiting.end());
 
-  for (const WaitingKey& key : waiting) {
-    const TaskRef& ref = std::get<3>(key);
+  for (const TaskRef& ref : MostUrgentFirst(state, cell)) {
     JobState& job = cell.jobs.at(ref.job);
     const TaskState& task = *FindTask(cell, ref);
     if (job.move || job.loan) continue;
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -322,6 +322,7 @@
             {"priority", record.priority},    {"attempts", record.most_attempts},
             {"payload", record.spec.payload}, {"steps", std::move(steps)}};
 
+  if (record.objective > Millis(0)) rest["objective"] = record.objective.Count();
   if (record.moves > 0) rest["moves"] = record.moves;
   if (!record.lent.empty()) rest["lent"] = TasksJson(record.lent);
   if (!record.carried.empty()) rest["carried"] = TasksJson(record.carried);
@@ -358,6 +359,7 @@
     record.spec.occurrences = head_json->value("times", 0);
     record.spec.first_due_unix_ms = json.value("first", int64_t{0});
     record.spec.interval = Millis(json.value("interval", int64_t{0}));
+    record.objective = Millis(json.value("objective", int64_t{0}));
     record.moves = json.value("moves", 0);
     record.parent = head.parent;
     if (json.contains("lent")) record.lent = TasksOf(json.at("lent"));
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -76,6 +76,28 @@
   EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
 }
 
+// Borrowers heard of it by their watch alone, which on a small machine was seconds behind.
+TEST_F(Lending, BorrowersAreToldOfACancellationAtOnce) {
+  world_.Submit("e0", Wide("a", 28, true));
+  world_.Run(Millis(6'000));
+
+  // No entry watches the records for a while.
+  for (int round = 0; round < 300; ++round) {
+    for (const char* entry : {"e0", "e1", "e2", "e3"}) {
+      FeedState& feed = world_.state(entry).feeds[Feed::kRecords];
+      if (feed.request == 0) feed.next_at = world_.now() + Millis(5'000);
+    }
+    world_.Run(Millis(10));
+  }
+  for (const char* entry : {"e0", "e1", "e2", "e3"}) {
+    ASSERT_EQ(world_.state(entry).feeds[Feed::kRecords].request, 0U);
+  }
+
+  world_.Cancel(world_.OwnerOf("a"), "a");
+  world_.Run(Millis(700));
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
 TEST_F(Lending, LentTasksSurviveTheLossOfAllEntries) {
   world_.Submit("e0", Wide("a", 28, true));
   world_.Run(Millis(6'000));
