Deal cells out by processors, and look at ownership only on news

Cause: cells were dealt out evenly, so entries of 0.07 core got as many as those of 0.5 and fell seconds behind (cancels, drains and configurations late). UpdateCells went over all cells and entries at every event: 131 of 405 million cycles of the reducer in ten seconds.

Change: an entry's cells are counted for its processors, in claims and in giving away. Ownership is looked at when the store or a peer had news, or something is due.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -386,6 +386,13 @@
   Millis retry_at;
 };
 
+/// When to look again who should own which cell.
+struct OwnershipRound {
+  /// The store or a peer told something since.
+  bool news = true;
+  Millis due_at;
+};
+
 // ---- Callers' requests
 // ---------------------------------------------------------------------------
 
@@ -531,6 +538,7 @@
   InterferenceModel interference = InterferenceModel(InterferenceSettings());
   ImageFigures images;
   LearningState learning;
+  OwnershipRound ownership;
   NewRacks new_racks;
   RequestId layout_request = 0;
   Millis layout_at;
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -27,9 +27,10 @@
 /// An entry must have been up so long before a cell is given to it, and the cell must have been
 /// owned so long: entries that are restarted in turn would pass it to and fro.
 constexpr Millis kSettledAfter = Millis(3'000);
-/// An entry that has so many cells more than another gives one away: with one more it would only
-/// be the other's turn.
-constexpr size_t kCellsTooMany = 2;
+/// Cells for each processor are counted in this many parts.
+constexpr int64_t kBurdenParts = 1'000'000;
+/// Longest time without a look at who should own which cell.
+constexpr Millis kLongestOwnershipRest = Millis(500);
 /// Pause before a claim of unknown outcome or without success is repeated.
 constexpr Millis kClaimRetry = Millis(500);
 
@@ -45,13 +46,23 @@
   return owned;
 }
 
+/// Returns how many cells an entry has for its processors. A cell's work is the same whoever owns
+/// it, and an entry that runs out of processor time falls seconds behind.
+int64_t Burden(size_t cells, int64_t millicores) {
+  return static_cast<int64_t>(cells) * kBurdenParts / std::max<int64_t>(millicores, 1);
+}
+
+size_t CellsOf(const std::map<EntryId, size_t>& owned, const EntryId& entry) {
+  const auto count = owned.find(entry);
+  return count == owned.end() ? 0 : count->second;
+}
+
 /// How an entry stands with regard to a cell; the smallest is to own it. Those of the cell's own
 /// data centre come first: when it is cut off, its workers are cut off from all others.
 struct Candidacy {
   bool elsewhere = false;
-  size_t cells = 0;
-  /// Among entries with as many cells those with more processors come first.
-  int64_t negative_millicores = 0;
+  /// With this cell.
+  int64_t burden = 0;
   uint64_t weight = 0;
   EntryId entry;
 
@@ -64,11 +75,9 @@
   std::vector<Candidacy> candidates;
 
   for (const auto& [id, entry] : state.view.entries) {
-    const auto count = owned.find(id);
     candidates.push_back(
         Candidacy{.elsewhere = entry.record.data_centre.Text() != DataCentreOf(cell),
-                  .cells = count == owned.end() ? 0 : count->second,
-                  .negative_millicores = -entry.record.millicores,
+                  .burden = Burden(CellsOf(owned, id) + 1, entry.record.millicores),
                   .weight = Weight(id, cell),
                   .entry = id});
   }
@@ -152,10 +161,12 @@
 }
 
 /// Says whether a cell is better off with another entry of its data centre that has been up for a
-/// while: this one is elsewhere, or has at least two cells more.
+/// while: this one is elsewhere, or has more to do for its processors also when the other has the
+/// cell and one more; with less of a difference it would only be the other's turn.
 bool IsBetterElsewhere(const State& state, const CellId& id,
                        const std::map<EntryId, size_t>& owned) {
   const bool elsewhere = DataCentreOf(id) != state.settings.data_centre.Text();
+  const int64_t own = Burden(state.cells.size(), state.settings.millicores);
 
   return std::ranges::any_of(state.view.entries, [&](const auto& row) {
     const auto& [entry_id, entry] = row;
@@ -163,9 +174,8 @@
     if (entry.record.data_centre.Text() != DataCentreOf(id)) return false;
     if (state.now - entry.seen_at < kSettledAfter) return false;
 
-    const auto count = owned.find(entry_id);
-    const size_t cells = count == owned.end() ? 0 : count->second;
-    return elsewhere || cells + kCellsTooMany <= state.cells.size();
+    const int64_t other = Burden(CellsOf(owned, entry_id) + 2, entry.record.millicores);
+    return elsewhere || other <= own;
   });
 }
 
@@ -313,6 +323,25 @@
       CallStore(state, effects, CellReleased{cell.cell, cell.grant}, std::move(write));
 }
 
+/// Claims cells and gives them away. Goes over all cells and entries, so it is passed over until the
+/// store or a peer had news, or something is due.
+void UpdateOwnership(State& state, Effects& effects) {
+  OwnershipRound& round = state.ownership;
+
+  if (!std::exchange(round.news, false) && state.now < round.due_at) {
+    WakeAt(state, round.due_at);
+    return;
+  }
+
+  const Millis wake_at = std::exchange(state.wake_at, state.now + kLongestOwnershipRest);
+  const std::map<EntryId, size_t> owned = CellsByOwner(state);
+  ExtendLayout(state, effects);
+  ClaimOrphans(state, effects, owned);
+  GiveCellAway(state, effects, owned);
+  round.due_at = std::exchange(state.wake_at, wake_at);
+  WakeAt(state, round.due_at);
+}
+
 }  // namespace
 
 OwnedCell* FindOpenCell(State& state, const CellId& id) {
@@ -349,10 +378,7 @@
 }
 
 void UpdateCells(State& state, Effects& effects) {
-  const std::map<EntryId, size_t> owned = CellsByOwner(state);
-  ExtendLayout(state, effects);
-  ClaimOrphans(state, effects, owned);
-  GiveCellAway(state, effects, owned);
+  UpdateOwnership(state, effects);
 
   for (auto& [id, cell] : state.cells) {
     if (cell.releasing) Release(state, effects, cell);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -57,8 +57,9 @@
   void operator()(const LearnedWritten&) const { HandleLearnedWritten(state, effects, reply); }
 };
 
-/// Lets all workers be looked at: what the store says may concern any of them.
+/// Lets all workers and cells be looked at: what the store says may concern any of them.
 void SweepAll(State& state) {
+  state.ownership.news = true;
   for (auto& [id, cell] : state.cells) cell.sweep_due = true;
 }
 
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -175,6 +175,29 @@
   EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// Cells were dealt out evenly, and entries with a seventh of the processors of others fell seconds
+// behind.
+TEST(Claims, EntriesWithMoreProcessorsOwnMoreCells) {
+  World world{WorldShape{
+      .entries = 4, .racks = 6, .workers_per_rack = 12, .millicores = {500, 500, 69, 69}}};
+  world.Run(Millis(8'000));
+
+  EXPECT_EQ(CellsOf(world, "e0"), (std::map<std::string, int32_t>{{"e0", 3}, {"e1", 3}}));
+}
+
+TEST(Claims, CellsGoToAnEntryWithMoreProcessorsOnceItIsUp) {
+  World world{WorldShape{
+      .entries = 3, .racks = 3, .workers_per_rack = 12, .millicores = {500, 69, 69}}};
+  world.Kill("e0");
+  world.Run(Millis(6'000));
+  EXPECT_FALSE(CellsOf(world, "e1").contains("e0"));
+
+  world.Start("e0");
+  world.Run(Millis(20'000));
+  EXPECT_EQ(CellsOf(world, "e1"), (std::map<std::string, int32_t>{{"e0", 3}}));
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(Trouble, KeysTakenAwayUnseenEndOwnership) {
   StartLasting("a", 2);
   const std::string owner = world_.OwnerOf("a");
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -148,6 +148,8 @@
   life_of_[entry] = ++lives_;
   settings.life = std::to_string(lives_);
   settings.peer_address = Address{entry, 1};
+  const size_t number = std::stoul(entry.substr(1));
+  if (number < shape_.millicores.size()) settings.millicores = shape_.millicores[number];
   entries_[entry] = MakeState(settings);
   Deliver(entry, life_of_[entry], Tick{});
 }
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -25,6 +25,8 @@
   int32_t workers_per_rack = 2;
   Resources capacity = {.millicores = 8'000, .memory_mib = 64'000};
   uint64_t seed = 1;
+  /// Processors of the entries, in thousandths of a core; those without a figure have a core.
+  std::vector<int64_t> millicores = {};
 };
 
 /// Several entries around real reducers, with workers and a store, in simulated time.
