Give no entry more cells than its processors bear, and count lent jobs as waiting until they begin

Besides, a job counted as begun once its tasks were lent, though they waited on.

Ruled out: a lost push (the owner had it, late); removal of the lent job's record.

Change: an entry that would have more than one cell for 0.05 core comes after all others, also those of other data centres, and gives cells away to any that bears them. A job waits until a task of it begins here or where it was lent, as far as is known.

Tests: Claims.AnEntryTakesNoMoreCellsThanItsProcessorsBear and Lending.AJobWaitsUntilALentTaskBegins failed before.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -210,6 +210,8 @@
   bool cancelled = false;
   /// A task is out of attempts.
   bool doomed = false;
+  /// A task was given to a worker at least once, here or where it was lent, as far as is known.
+  bool begun = false;
   /// Rises with each change that is to be recorded; the last one that the store has.
   uint64_t version = 0;
   uint64_t recorded = 0;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -386,9 +386,8 @@
 
   if (!question.lender.Empty()) {
     // A cancelled job counts as ended there before its tasks have stopped.
-    const bool over =
-        answered.phase && IsTerminal(*answered.phase) && *answered.phase != JobPhase::kCancelled;
-    if (over) TakeLoanEnd(state, effects, question.lender, question.job, *answered.phase);
+    const bool telling = answered.phase && *answered.phase != JobPhase::kCancelled;
+    if (telling) TakeLoanPhase(state, effects, question.lender, question.job, *answered.phase);
     return;
   }
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -109,6 +109,8 @@
   task.run = progress.run;
   task.failures = progress.failures;
   task.checkpoint = progress.checkpoint;
+  // A lent task has a run if it had one before, and is done if its borrower said so.
+  job.begun = job.begun || progress.run > 0 || progress.mark == TaskMark::kDone;
 
   StepState& step =
       job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
@@ -451,6 +453,7 @@
   cell.waiting.erase(KeyOf(job, ref));
   job.longest_wait = std::max(job.longest_wait, state.now - task.not_before);
   if (!job.first_bound_at) job.first_bound_at = state.now;
+  job.begun = true;
   task.phase = TaskPhase::kBinding;
   ++task.run;
   task.worker_born = worker.info.born;
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -29,6 +29,9 @@
 constexpr Millis kSettledAfter = Millis(3'000);
 /// Cells for each processor are counted in this many parts.
 constexpr int64_t kBurdenParts = 1'000'000;
+/// A busy cell of 16 workers takes up to 0.04 of a core. An entry that has more than one cell for
+/// this many thousandths of a core falls behind, so that any other entry does better.
+constexpr int64_t kMillicoresPerCell = 50;
 /// Longest time without a look at who should own which cell.
 constexpr Millis kLongestOwnershipRest = Millis(500);
 /// Pause before a claim of unknown outcome or without success is repeated.
@@ -57,10 +60,24 @@
   return count == owned.end() ? 0 : count->second;
 }
 
-/// How an entry stands with regard to a cell; the smallest is to own it. Those of the cell's own
-/// data centre come first: when it is cut off, its workers are cut off from all others.
-struct Candidacy {
+/// How well an entry suits a cell; the smallest is to own it. Those of the cell's own data centre
+/// come first, unless they have too much to do: when it is cut off, its workers are cut off from
+/// all others.
+struct Standing {
+  bool overburdened = false;
   bool elsewhere = false;
+
+  auto operator<=>(const Standing&) const = default;  // NOLINT(modernize-use-nullptr): false
+};
+
+Standing StandingOf(const CellId& cell, const DataCentreId& data_centre, int64_t burden) {
+  return Standing{.overburdened = burden > kBurdenParts / kMillicoresPerCell,
+                  .elsewhere = data_centre.Text() != DataCentreOf(cell)};
+}
+
+/// An entry that may own a cell. Of those that suit it alike, the one with the least to do does.
+struct Candidacy {
+  Standing standing;
   /// With this cell.
   int64_t burden = 0;
   uint64_t weight = 0;
@@ -75,11 +92,11 @@
   std::vector<Candidacy> candidates;
 
   for (const auto& [id, entry] : state.view.entries) {
-    candidates.push_back(
-        Candidacy{.elsewhere = entry.record.data_centre.Text() != DataCentreOf(cell),
-                  .burden = Burden(CellsOf(owned, id) + 1, entry.record.millicores),
-                  .weight = Weight(id, cell),
-                  .entry = id});
+    const int64_t burden = Burden(CellsOf(owned, id) + 1, entry.record.millicores);
+    candidates.push_back(Candidacy{.standing = StandingOf(cell, entry.record.data_centre, burden),
+                                   .burden = burden,
+                                   .weight = Weight(id, cell),
+                                   .entry = id});
   }
 
   std::ranges::sort(candidates);
@@ -160,22 +177,25 @@
   }
 }
 
-/// Says whether a cell is better off with another entry of its data centre that has been up for a
-/// while: this one is elsewhere, or has more to do for its processors also when the other has the
-/// cell and one more; with less of a difference it would only be the other's turn.
+/// Says whether a cell is better off with another entry that has been up for a while: one that
+/// suits it better, or as well and has less to do for its processors also with the cell and one
+/// more. With less of a difference it would only be the other's turn.
 bool IsBetterElsewhere(const State& state, const CellId& id,
                        const std::map<EntryId, size_t>& owned) {
-  const bool elsewhere = DataCentreOf(id) != state.settings.data_centre.Text();
-  const int64_t own = Burden(state.cells.size(), state.settings.millicores);
+  const int64_t own_burden = Burden(state.cells.size(), state.settings.millicores);
+  const Standing own = StandingOf(id, state.settings.data_centre, own_burden);
 
   return std::ranges::any_of(state.view.entries, [&](const auto& row) {
     const auto& [entry_id, entry] = row;
     if (entry_id == state.settings.entry) return false;
-    if (entry.record.data_centre.Text() != DataCentreOf(id)) return false;
     if (state.now - entry.seen_at < kSettledAfter) return false;
 
-    const int64_t other = Burden(CellsOf(owned, entry_id) + 2, entry.record.millicores);
-    return elsewhere || other <= own;
+    const size_t cells = CellsOf(owned, entry_id);
+    const int64_t millicores = entry.record.millicores;
+    const Standing other = StandingOf(id, entry.record.data_centre, Burden(cells + 1, millicores));
+    if (other != own) return other < own;
+
+    return Burden(cells + 2, millicores) <= own_burden;
   });
 }
 
@@ -323,8 +343,8 @@
       CallStore(state, effects, CellReleased{cell.cell, cell.grant}, std::move(write));
 }
 
-/// Claims cells and gives them away. Goes over all cells and entries, so it is passed over until the
-/// store or a peer had news, or something is due.
+/// Claims cells and gives them away. Goes over all cells and entries, so it is passed over until
+/// the store or a peer had news, or something is due.
 void UpdateOwnership(State& state, Effects& effects) {
   OwnershipRound& round = state.ownership;
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -219,6 +219,10 @@
 /// Asks those who run lent tasks how far they are, as word of their end may have been lost.
 void UpdateLoans(State& state, Effects& effects, JobState& job);
 
+/// Takes in how far a job is that runs lent tasks.
+void TakeLoanPhase(State& state, Effects& effects, const JobId& parent, const JobId& guest,
+                   JobPhase phase);
+
 /// Takes in that the job which ran lent tasks has ended.
 void TakeLoanEnd(State& state, Effects& effects, const JobId& parent, const JobId& guest,
                  JobPhase phase);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -273,7 +273,7 @@
   if (first) return;
 
   const JobId parent = job.record.spec.job;
-  std::vector<std::pair<JobId, JobPhase>> ended;
+  std::vector<std::pair<JobId, JobPhase>> known;
 
   for (const JobId& guest : BorrowedJobs(job)) {
     const auto view = state.view.jobs.find(guest);
@@ -282,7 +282,7 @@
     const CellId& cell = view->second.head.cell;
 
     if (FindOpenCell(state, cell) != nullptr) {
-      ended.emplace_back(guest, view->second.phase);
+      known.emplace_back(guest, view->second.phase);
     } else if (const auto owner = OwnerOf(state, cell)) {
       const RequestId request = NextRequest(state);
       state.peer_questions[request] = PendingQuestion{.job = guest, .lender = parent};
@@ -290,8 +290,17 @@
     }
   }
 
-  for (const auto& [guest, phase] : ended) {
-    if (IsTerminal(phase)) TakeLoanEnd(state, effects, parent, guest, phase);
+  for (const auto& [guest, phase] : known) TakeLoanPhase(state, effects, parent, guest, phase);
+}
+
+void TakeLoanPhase(State& state, Effects& effects, const JobId& parent, const JobId& guest,
+                   JobPhase phase) {
+  if (IsTerminal(phase)) return TakeLoanEnd(state, effects, parent, guest, phase);
+  if (phase != JobPhase::kActive) return;
+
+  for (auto& [cell_id, cell] : state.cells) {
+    const auto found = cell.jobs.find(parent);
+    if (found != cell.jobs.end()) found->second.begun = true;
   }
 }
 
@@ -311,6 +320,7 @@
 
           --job.lent;
           changed = true;
+          job.begun = true;
           task.lent_to = JobId();
 
           switch (phase) {
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -98,6 +98,44 @@
   EXPECT_TRUE(world_.WorkersOf("a").empty());
 }
 
+// A job counted as begun once its tasks were lent, though they waited on with the borrower.
+TEST_F(Lending, AJobWaitsUntilALentTaskBegins) {
+  const std::string lender = world_.state("e0").view.cells.at(CellId("dc0/0")).record.owner.Text();
+  const std::string borrower =
+      world_.state("e0").view.cells.at(CellId("dc1/0")).record.owner.Text();
+  world_.DrainWorker("wr0-0-0");
+  world_.DrainWorker("wr0-0-1");
+  world_.Run(Millis(2'000));
+  world_.Pause(borrower);
+
+  // It asks for more than half of a cell, so that it is not moved as a whole.
+  JobRecord record{.queue = "queue", .service = "service", .cell = CellId("dc0/0")};
+  record.most_attempts = 3;
+  record.spec = Wide("a", 14, false);
+  world_.store.Handle(
+      WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + "a", Encode(record), 0}}},
+      world_.now(), [](const StoreReply&) {});
+  world_.Run(Millis(1'500));
+
+  std::set<JobId> lent;
+  for (const auto& [id, job] : world_.state(lender).view.jobs) {
+    if (!job.head.parent.Empty()) lent.insert(job.head.parent);
+  }
+  ASSERT_FALSE(lent.empty());
+
+  world_.AskPending(lender);
+  world_.Run(Millis(50));
+  ASSERT_EQ(world_.answers["pending"].size(), 1U);
+  EXPECT_GE(world_.answers["pending"][0].pending, static_cast<int64_t>(lent.size()));
+
+  world_.Resume(borrower);
+  world_.Run(Millis(12'000));
+  world_.AskPending(lender);
+  world_.Run(Millis(50));
+  ASSERT_EQ(world_.answers["pending"].size(), 2U);
+  EXPECT_EQ(world_.answers["pending"][1].pending, 0);
+}
+
 TEST_F(Lending, LentTasksSurviveTheLossOfAllEntries) {
   world_.Submit("e0", Wide("a", 28, true));
   world_.Run(Millis(6'000));
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -186,8 +186,8 @@
 }
 
 TEST(Claims, CellsGoToAnEntryWithMoreProcessorsOnceItIsUp) {
-  World world{WorldShape{
-      .entries = 3, .racks = 3, .workers_per_rack = 12, .millicores = {500, 69, 69}}};
+  World world{
+      WorldShape{.entries = 3, .racks = 3, .workers_per_rack = 12, .millicores = {500, 69, 69}}};
   world.Kill("e0");
   world.Run(Millis(6'000));
   EXPECT_FALSE(CellsOf(world, "e1").contains("e0"));
@@ -198,6 +198,36 @@
   EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The last entry of a data centre took all its cells, though it had the processors for one, and was
+// too far behind to hear that others had come back.
+TEST(Claims, AnEntryTakesNoMoreCellsThanItsProcessorsBear) {
+  World world{WorldShape{.entries = 4,
+                         .data_centres = 2,
+                         .racks = 3,
+                         .workers_per_rack = 12,
+                         .millicores = {500, 500, 69, 500}}};
+  world.Kill("e0");
+  world.Run(Millis(8'000));
+  std::map<std::string, int32_t> cells = CellsOf(world, "e1");
+  EXPECT_EQ(cells["e2"], 1);
+  EXPECT_EQ(cells["e1"] + cells["e3"], 5);
+
+  world.Start("e0");
+  world.Run(Millis(20'000));
+  EXPECT_EQ(CellsOf(world, "e1")["e0"], 3);
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST(Claims, TheLastEntryTakesAllCells) {
+  World world{
+      WorldShape{.entries = 2, .racks = 3, .workers_per_rack = 12, .millicores = {500, 69}}};
+  world.Run(Millis(4'000));
+  world.Kill("e0");
+  world.Run(Millis(8'000));
+
+  EXPECT_EQ(CellsOf(world, "e1")["e1"], 3);
+}
+
 TEST_F(Trouble, KeysTakenAwayUnseenEndOwnership) {
   StartLasting("a", 2);
   const std::string owner = world_.OwnerOf("a");
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -337,6 +337,12 @@
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobAsked{JobId(job)}});
 }
 
+void World::AskPending(const std::string& entry) {
+  const RequestId call = ++last_call_;
+  job_of_call_[call] = "pending";
+  Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), PendingAsked{"queue"}});
+}
+
 JobPhase World::Phase(const std::string& job) const {
   const auto job_value = store.Value(std::string(kJobPrefix) + job);
   if (!job_value) return JobPhase::kQueued;
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -67,6 +67,9 @@
   void Cancel(const std::string& entry, const std::string& job);
   void Ask(const std::string& entry, const std::string& job);
 
+  /// Asks for the number of waiting jobs; the answer goes to `answers` under "pending".
+  void AskPending(const std::string& entry);
+
   /// Returns the recorded phase of a job, or queued if nothing is recorded.
   [[nodiscard]] JobPhase Phase(const std::string& job) const;
   /// Returns the entry that owns the cell of a job, empty if none does.
