Watch anew once the store is back, and wait less for a watch

Ruled out: entries behind their feeds (the largest entries were as late as the smallest).

Change: once the store answers again, watches under way are given up and begun anew. All watches wait for 2 s at most, that of the configuration waited for 4.

Test: Trouble.NewsComesAtOnceOnceTheStoreIsBack failed before.

--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -5,9 +5,9 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// How long a watch waits for a change. Bounds how long a silent connection goes unnoticed.
+/// How long a watch waits for a change. With `kStoreTimeout` it bounds how long a silent connection
+/// goes unnoticed: less than the 4 s in which all must be known again after a fault.
 constexpr Millis kWatchWait = Millis(2'000);
-constexpr Millis kConfigurationWait = Millis(4'000);
 /// Pause between two watches of the records. Owners are told of new jobs by the entry that accepts
 /// them, so the watch only catches up; each call has its price.
 constexpr Millis kRecordsPause = Millis(350);
@@ -153,9 +153,20 @@
       continue;
     }
 
-    const Millis wait = feed == Feed::kConfiguration ? kConfigurationWait : kWatchWait;
-    copy.request = CallStore(state, effects, FeedCalled{feed, false},
-                             WatchFeed{feed, copy.revision, wait}, wait + kStoreTimeout);
+    copy.request =
+        CallStore(state, effects, FeedCalled{feed, false},
+                  WatchFeed{feed, copy.revision, kWatchWait}, kWatchWait + kStoreTimeout);
+  }
+}
+
+void RestartWatches(State& state) {
+  for (auto& [feed, copy] : state.feeds) {
+    if (!copy.synced || copy.request == 0) continue;
+
+    state.store_calls.erase(copy.request);
+    copy.request = 0;
+    copy.next_at = state.now;
+    WakeAt(state, state.now);
   }
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -79,6 +79,10 @@
 void UpdateFeeds(State& state, Effects& effects);
 void HandleFeed(State& state, Effects& effects, const FeedCalled& purpose, const StoreReply& reply);
 
+/// Watches anew where a watch is under way: the store was away, and what was asked before is not
+/// answered any more.
+void RestartWatches(State& state);
+
 /// Takes in a record, from whatever source. Older news than what is known is passed over.
 void ApplyRecord(State& state, Effects& effects, const StoreItem& item);
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -111,6 +111,7 @@
   if (reachable == state.store_reachable) return;
 
   state.store_reachable = reachable;
+  if (reachable) RestartWatches(state);
   Log(effects, reachable ? Severity::kInfo : Severity::kWarning,
       reachable ? "store answers" : "store does not answer", {});
 }
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -285,6 +285,23 @@
   for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1);
 }
 
+// A watch that was under way when the store fell silent was waited for to its end, so that all
+// entries went by an old configuration for seconds after the store was back.
+TEST_F(Trouble, NewsComesAtOnceOnceTheStoreIsBack) {
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Cut(entry, "store");
+  world_.Run(Millis(4'000));
+  world_.Mend();
+  Routing routing = *world_.state("e0").routing;
+  routing.version = 7;
+  world_.store.Configure(routing, world_.now());
+  // The next renewal shows that the store is back.
+  world_.Run(Millis(900));
+
+  for (const char* entry : {"e0", "e1", "e2"}) {
+    EXPECT_EQ(world_.state(entry).routing->version, 7) << entry;
+  }
+}
+
 TEST_F(Trouble, ADrainingWorkerGetsNothingNew) {
   const std::string leaving = "wr0-0-0";
   world_.DrainWorker(leaving);
