Count jobs of cells that nobody reports on as waiting

Change: of a cell without a report, jobs that came since the last one count as waiting; before, this was only so where the cell had no owner.

Test: Lending.JobsOfCellsThatNobodyReportsOnCountAsWaiting failed before.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -83,6 +83,8 @@
   std::map<CellId, LoadRecord> loads;
   /// Pending jobs by cell and queue as last told; kept when the owner is gone.
   std::map<CellId, std::map<std::string, int64_t>> pending;
+  /// Since when the owner of a cell tells nothing, if it ever told this entry anything.
+  std::map<CellId, Millis> silent_since;
   std::map<JobId, JobView> jobs;
   /// Removed records by key, so that late news of them is told from new ones.
   std::map<std::string, KvRevision> removed;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -209,13 +209,15 @@
 
   const auto told = state.view.pending.find(id);
   int64_t count = told == state.view.pending.end() ? 0 : CountOf(told->second, queue);
-  const auto orphan = state.orphans.find(id);
-  if (orphan == state.orphans.end() || orphan->second.since == Millis(0)) return count;
+  if (state.view.loads.contains(id)) return count;
+
+  // Nobody tells what has begun of the jobs that came since the last report; most of them wait.
+  const auto silent = state.view.silent_since.find(id);
+  const Millis since = silent == state.view.silent_since.end() ? Millis(0) : silent->second;
 
-  // Nothing begins in a cell without an owner.
   for (const auto& [job_id, job] : state.view.jobs) {
     if (job.revision == 0 || job.head.cell != id || job.head.queue != queue) continue;
-    if (job.head.immediate && !job.cancelled && job.seen_at >= orphan->second.since) ++count;
+    if (job.head.immediate && !job.cancelled && job.seen_at >= since) ++count;
   }
 
   return count;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -285,7 +285,7 @@
 
 void ApplyLoad(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
   if (item.removed) {
-    state.view.loads.erase(id);
+    if (state.view.loads.erase(id) > 0) state.view.silent_since[id] = state.now;
     return;
   }
 
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -136,6 +136,40 @@
   EXPECT_EQ(world_.answers["pending"][1].pending, 0);
 }
 
+// An entry that had just begun knew no report of the cells of others, and told that nothing waits.
+TEST_F(Lending, JobsOfCellsThatNobodyReportsOnCountAsWaiting) {
+  for (const char* hog : {"hog-a", "hog-b"}) {
+    world_.Submit("e0", Wide(hog, 16, true));
+    world_.Run(Millis(2'000));
+  }
+  for (int job = 0; job < 6; ++job) world_.Submit("e0", Wide("j" + std::to_string(job), 1, false));
+  world_.Run(Millis(1'000));
+
+  const std::vector<std::string> entries = {"e0", "e1", "e2", "e3"};
+  for (const std::string& entry : entries) world_.Kill(entry);
+  world_.Run(Millis(3'000));
+  for (const std::string& entry : entries) world_.Start(entry);
+
+  // Asks every entry all the time, from the first moment at which it is ready.
+  int asked = 0;
+  for (int round = 0; round < 400; ++round) {
+    world_.Run(Millis(5));
+
+    for (const std::string& entry : entries) {
+      if (!world_.state(entry).ready) continue;
+
+      world_.answers.clear();
+      world_.AskPending(entry);
+      world_.Run(Millis(2));
+      ASSERT_EQ(world_.answers["pending"].size(), 1U);
+      EXPECT_GE(world_.answers["pending"][0].pending, 3) << entry << " in round " << round;
+      ++asked;
+    }
+  }
+
+  EXPECT_GT(asked, 400);
+}
+
 TEST_F(Lending, LentTasksSurviveTheLossOfAllEntries) {
   world_.Submit("e0", Wide("a", 28, true));
   world_.Run(Millis(6'000));
