--- a/lib/base/include/currantpost/base/logging.h
+++ b/lib/base/include/currantpost/base/logging.h
@@ -23,7 +23,8 @@
   std::string value;
 };
 
-/// Sends all log lines to standard error. Call once, before the first line is written.
+/// Sends all log lines to standard output, without ever waiting for its reader. Call once, before
+/// the first line is written. Until then they go to standard error.
 void SetUpLogging(Severity least);
 
 /// Writes one line: time, severity, "[part]", a short sentence, and the fields as name=value.
--- a/lib/base/source/logging.cc
+++ b/lib/base/source/logging.cc
@@ -1,9 +1,12 @@
 #include "currantpost/base/logging.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include <algorithm>
 
+#include "currantpost/base/bounded_output.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace currantpost {
@@ -27,9 +30,33 @@
   return quoted + "\"";
 }
 
+/// Bytes of lines that wait for a slow reader: some seconds of a busy process.
+constexpr size_t kMostKept = 256U << 10U;
+constexpr const char* kSinkName = "BoundedOutput";
+
+/// Takes the lines of the logging library, in place of its own way to standard output, which waits
+/// for the reader.
+class Sink : public el::LogDispatchCallback {
+ public:
+  Sink() : output_(STDOUT_FILENO, kMostKept) {}
+
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    const el::LogMessage* message = data->logMessage();
+    output_.Write(message->logger()->logBuilder()->build(message, true));
+  }
+
+ private:
+  BoundedOutput output_;
+};
+
 }  // namespace
 
 void SetUpLogging(Severity least) {
+  el::Helpers::installLogDispatchCallback<Sink>(kSinkName);
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+      "DefaultLogDispatchCallback");
+
   el::Configurations configurations;
   configurations.setToDefault();
   configurations.setGlobally(el::ConfigurationType::ToFile, "false");
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -257,6 +257,13 @@
     case StoreStatus::kOk: {
       const StoreItem item{.key = JobKey(id), .revision = reply.revision, .value = submit.value};
       const CellId cell = submit.record.cell;
+      Log(effects, Severity::kInfo, "accepted job",
+          {{"job", id.Text()},
+           {"queue", submit.record.queue},
+           {"cell", cell.Text()},
+           {"steps", std::to_string(submit.record.spec.steps.size())},
+           {"objective_ms", std::to_string(submit.record.objective.Count())},
+           {"revision", std::to_string(reply.revision)}});
       AnswerAll(effects, submit.calls, CallerOutcome::kAccepted);
       state.submits.erase(found);
       TellOwner(state, effects, cell, item);
