--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -320,7 +320,7 @@
 
           --job.lent;
           changed = true;
-          job.begun = true;
+          job.begun = job.begun || phase == JobPhase::kCompleted || phase == JobPhase::kFailed;
           task.lent_to = JobId();
 
           switch (phase) {
--- a/lib/scheduler/source/pacing.cc
+++ b/lib/scheduler/source/pacing.cc
@@ -200,7 +200,8 @@
   return std::max(Share(worker, static_cast<double>(most - others)), 0.0);
 }
 
-/// Gives each filling task of a worker its pace, the most urgent the highest.
+/// Gives each filling task of a worker its pace. Of those that are equally fast, the most urgent is
+/// sped up first and slowed last.
 void SetPaces(const State& state, OwnedCell& cell, const WorkerState& worker,
               const FillingBounds& bounds) {
   std::vector<std::tuple<Urgency, WaitingKey, TaskState*>> most_urgent_first;
