Let lasting tasks go where they fit, whatever waits there

What waits in a cell counted against its room, also large tasks that do not fit into that room, so that cells with such tasks lent each other nothing.

Ruled out: slow word of the lost workers (runs were given up at second 30, as their leases lapsed).

Change: for lasting tasks a cell's room is what is free there, without regard to what waits.

Test: Lending.ALastingTaskGoesWhereItFitsWhateverWaitsThere failed before.

--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -82,7 +82,9 @@
     candidate.spare =
         static_cast<double>(fills ? room->filling - demand.filling : room->held - demand.held) /
         capacity;
-    candidate.fits = (demand.held == 0 || room->held >= demand.held) &&
+    // What waits in a cell does not fit there, so it takes no room from a lasting task that does.
+    const int64_t held = demand.lasting ? room->free : room->held;
+    candidate.fits = (demand.held == 0 || held >= demand.held) &&
                      (demand.filling == 0 || room->filling >= demand.filling) &&
                      room->largest >= demand.largest;
     candidate.local = DataCentreOf(id) == state.settings.data_centre.Text();
@@ -172,7 +174,8 @@
   CellRoom room;
   room.capacity = told.capacity;
   room.largest = told.largest_free;
-  room.held = told.free - told.waiting - Sent(state.sent_demand, cell);
+  room.free = told.free - Sent(state.sent_demand, cell);
+  room.held = room.free - told.waiting;
   const auto harmless = static_cast<double>(told.free_filling) * HarmlessPart(state, told, image);
   room.filling =
       static_cast<int64_t>(harmless) - told.waiting_filling - Sent(state.sent_filling, cell);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -293,6 +293,8 @@
 /// Room of a cell beside what waits there and what was sent there since its last report.
 struct CellRoom {
   int64_t capacity = 0;
+  /// Without regard to what waits.
+  int64_t free = 0;
   int64_t held = 0;
   int64_t largest = 0;
   /// For filling work of the image that was asked for.
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -170,6 +170,37 @@
   EXPECT_GT(asked, 400);
 }
 
+// Large tasks that wait in a cell counted against the room that they do not fit into, so that cells
+// with such tasks lent each other nothing and lasting tasks waited beside room for them.
+TEST_F(Lending, ALastingTaskGoesWhereItFitsWhateverWaitsThere) {
+  const std::map<std::string, int64_t> needs = {
+      {"hog-a", 6'000}, {"hog-b", 4'000}, {"large", 7'000}, {"small", 4'000}};
+  world_.planner = [needs](const TaskName& name) {
+    return RunPlan{.lasts = true,
+                   .need = Resources{.millicores = needs.at(name.job.Text()), .memory_mib = 100}};
+  };
+  const auto put = [&](const std::string& id, int32_t tasks, const std::string& cell) {
+    JobRecord record{.queue = "queue", .service = "service", .cell = CellId(cell)};
+    record.spec = MakeJob(id, tasks, needs.at(id));
+    record.spec.steps[0].lasting = true;
+    record.spec.steps[0].most_per_worker = 1;
+    world_.store.Handle(
+        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
+        world_.now(), [](const StoreReply&) {});
+    world_.Run(Millis(1'500));
+  };
+
+  // Two cores are left on each worker of one cell, four on each of the other.
+  put("hog-a", 2, "dc0/0");
+  put("hog-b", 2, "dc1/0");
+  put("large", 2, "dc1/0");
+  put("small", 1, "dc0/0");
+  world_.Run(Millis(3'000));
+
+  EXPECT_TRUE(world_.WorkersOf("large").empty());
+  EXPECT_EQ(world_.WorkersOf("small").size(), 1U);
+}
+
 TEST_F(Lending, LentTasksSurviveTheLossOfAllEntries) {
   world_.Submit("e0", Wide("a", 28, true));
   world_.Run(Millis(6'000));
