Log how a count of waiting jobs is made up, and when a worker first shows a run of a job

The line names what came from this entry's own cells, from reports, and from jobs of cells without a report, whether the records were ever listed, and how old the copy is. No decision changes.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -34,6 +34,10 @@
   /// The list or watch under way, 0 if there is none.
   RequestId request = 0;
   Millis next_at;
+  /// When the present request was sent, and when the last answered one was: the copy holds all that
+  /// the store had by then.
+  Millis sent_at;
+  Millis known_at;
   /// Of a list under way: where its next page begins, the revision to watch on from, and the keys
   /// seen.
   std::string page_after;
@@ -247,10 +251,11 @@
   int32_t bound = 0;
   /// Since when some task waits for room.
   std::optional<Millis> waits_since;
-  /// For the log: when this entry took the job up, when its first task was bound, and the longest
-  /// wait of a task for a worker.
+  /// For the log: when this entry took the job up, when its first task was bound, when a worker
+  /// first showed a run of it, and the longest wait of a task for a worker.
   Millis taken_at;
   std::optional<Millis> first_bound_at;
+  std::optional<Millis> first_run_at;
   Millis longest_wait;
   /// Of its filling tasks, together: how long looks showed them running, and how much of that was
   /// lost to pace and to processors that others used.
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -201,15 +201,36 @@
   return row == pending.end() ? 0 : row->second;
 }
 
+/// Jobs of a queue that have not begun, by what this entry knows that from.
+struct PendingCount {
+  /// In cells that this entry owns.
+  int64_t own = 0;
+  /// In cells of others, by their owners' last reports.
+  int64_t reported = 0;
+  /// Accepted since the last report of cells that nobody reports on.
+  int64_t unreported = 0;
+  int64_t cells = 0;
+  int64_t silent_cells = 0;
+
+  [[nodiscard]] int64_t Total() const { return own + reported + unreported; }
+};
+
 /// Counts the jobs of a queue that have not begun in a cell.
-int64_t PendingIn(const State& state, const CellId& id, const std::string& queue) {
+void CountPendingIn(const State& state, const CellId& id, const std::string& queue,
+                    PendingCount& count) {
+  ++count.cells;
   const auto cell = state.cells.find(id);
-  const bool own = cell != state.cells.end() && cell->second.open;
-  if (own) return CountOf(CountPending(cell->second), queue);
+
+  if (cell != state.cells.end() && cell->second.open) {
+    count.own += CountOf(CountPending(cell->second), queue);
+    return;
+  }
 
   const auto told = state.view.pending.find(id);
-  int64_t count = told == state.view.pending.end() ? 0 : CountOf(told->second, queue);
-  if (state.view.loads.contains(id)) return count;
+  if (told != state.view.pending.end()) count.reported += CountOf(told->second, queue);
+  if (state.view.loads.contains(id)) return;
+
+  ++count.silent_cells;
 
   // Nobody tells what has begun of the jobs that came since the last report; most of them wait.
   const auto silent = state.view.silent_since.find(id);
@@ -217,19 +238,29 @@
 
   for (const auto& [job_id, job] : state.view.jobs) {
     if (job.revision == 0 || job.head.cell != id || job.head.queue != queue) continue;
-    if (job.head.immediate && !job.cancelled && job.seen_at >= since) ++count;
+    if (job.head.immediate && !job.cancelled && job.seen_at >= since) ++count.unreported;
   }
-
-  return count;
 }
 
 void HandlePending(State& state, Effects& effects, RequestId call, const PendingAsked& body) {
-  int64_t pending = 0;
-
-  for (const CellId& cell : AllCells(state)) pending += PendingIn(state, cell, body.queue);
-
+  PendingCount count;
+
+  for (const CellId& cell : AllCells(state)) CountPendingIn(state, cell, body.queue, count);
+
+  const FeedState& records = state.feeds[Feed::kRecords];
+  Log(effects, Severity::kInfo, "counted waiting jobs",
+      {{"queue", body.queue},
+       {"pending", std::to_string(count.Total())},
+       {"own", std::to_string(count.own)},
+       {"reported", std::to_string(count.reported)},
+       {"unreported", std::to_string(count.unreported)},
+       {"cells", std::to_string(count.cells)},
+       {"silent_cells", std::to_string(count.silent_cells)},
+       {"listed", records.synced ? "yes" : "no"},
+       {"revision", std::to_string(records.revision)},
+       {"known_ms", std::to_string((state.now - records.known_at).Count())}});
   effects.emplace_back(
-      AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = pending});
+      AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = count.Total()});
 }
 
 }  // namespace
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -293,7 +293,21 @@
   job.starved_time = job.starved_time + std::max(span - paced - used, Millis(0));
 }
 
-void TakeRunningRow(const State& state, OwnedCell& cell, WorkerState& worker,
+/// Notes that a worker has begun a run of a job.
+void NoteRun(const State& state, Effects& effects, const OwnedCell& cell, JobState& job,
+             const WorkerState& worker) {
+  if (job.first_run_at) return;
+
+  job.first_run_at = state.now;
+  Log(effects, Severity::kInfo, "job has begun",
+      {{"job", job.record.spec.job.Text()},
+       {"cell", cell.cell.Text()},
+       {"worker", worker.info.id.Text()},
+       {"bound_ms",
+        std::to_string((state.now - job.first_bound_at.value_or(job.taken_at)).Count())}});
+}
+
+void TakeRunningRow(const State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                     const RunningTask& row) {
   const TaskRef ref = RefOf(cell, row.task);
   TaskState* task = FindTask(cell, ref);
@@ -307,6 +321,7 @@
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   task->recent = row.recent;
   JobState& job = cell.jobs.at(ref.job);
+  NoteRun(state, effects, cell, job, worker);
   NoteLostTime(state, job, SpecOf(job, ref), *task);
   const bool unwanted = job.cancelled || job.doomed;
 
@@ -326,6 +341,7 @@
   KeptEnd kept{.job = ref.job, .recorded = true};
 
   if (task != nullptr && worker.tasks.contains(ref) && task->run == row.run) {
+    NoteRun(state, effects, cell, cell.jobs.at(ref.job), worker);
     if (row.end == RunEnd::kFailed) NoteFailure(state, effects, worker);
     if (row.end == RunEnd::kDone) worker.failures_in_row = 0;
 
@@ -417,7 +433,7 @@
   for (const EndedTask& row : reply.ended) TakeEndedRow(state, effects, cell, worker, row);
 
   if (!older) {
-    for (const RunningTask& row : reply.running) TakeRunningRow(state, cell, worker, row);
+    for (const RunningTask& row : reply.running) TakeRunningRow(state, effects, cell, worker, row);
     TakeMissing(state, effects, cell, worker, look, reply);
     UpdatePace(state, cell, worker);
   }
@@ -457,6 +473,7 @@
   JobState& job = cell.jobs.at(ref.job);
 
   if (status == OrderStatus::kOk) {
+    NoteRun(state, effects, cell, job, worker);
     const bool unwanted = job.cancelled || job.doomed;
     task->phase = unwanted ? TaskPhase::kStopping : TaskPhase::kRunning;
     worker.answered_at = state.now;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -101,6 +101,7 @@
   }
 
   if (copy.page_after.empty()) {
+    copy.known_at = copy.sent_at;
     copy.listed_from = reply.revision;
     copy.listed_keys.clear();
   }
@@ -147,6 +148,8 @@
       continue;
     }
 
+    copy.sent_at = state.now;
+
     if (!copy.synced) {
       copy.request =
           CallStore(state, effects, FeedCalled{feed, true}, ListFeed{feed, copy.page_after});
@@ -194,6 +197,7 @@
   } else if (reply.revision >= copy.revision) {
     for (const StoreItem& item : reply.items) ApplyItem(state, effects, purpose.feed, item);
     copy.revision = reply.revision;
+    copy.known_at = copy.sent_at;
     copy.next_at = state.now + PauseOf(state, purpose.feed);
   } else {
     copy.next_at = state.now + kStoreRetry;
