Give no count of waiting jobs while the records are not known

Cause: HandlePending summed over the cells of the layout, whatever was known of them. The layout is the last key of a list, so an entry that was still listing the records knew no cell and told 0.

Change: a feed's copy says by when it was whole; a count is given only while that is no older than the time in which a job must be visible and the 2 s that a count may be old, and is refused as not known otherwise.

Both tests failed before: 0 told of 6, at each round until the list was whole, and 0 of 6 by an entry whose watch is 9 s late.

--- a/lib/scheduler/include/currantpost/scheduler/settings.h
+++ b/lib/scheduler/include/currantpost/scheduler/settings.h
@@ -24,6 +24,8 @@
   Millis stop_time = Millis(1'000);
   /// How long the state of an ended job can be asked for.
   Millis kept_after_end = Millis(120'000);
+  /// Time in which every entry knows an accepted job.
+  Millis visible_time = Millis(3'000);
   /// Shortest lease that the store grants.
   Millis shortest_store_lease = Millis(1'000);
   /// Time in which a lasting task above its latency target must be relieved.
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -34,12 +34,13 @@
   /// The list or watch under way, 0 if there is none.
   RequestId request = 0;
   Millis next_at;
-  /// When the present request was sent, and when the last answered one was: the copy holds all that
-  /// the store had by then.
+  /// When the last request was sent.
   Millis sent_at;
-  Millis known_at;
-  /// Of a list under way: where its next page begins, the revision to watch on from, and the keys
-  /// seen.
+  /// The copy holds all that the store had by then; nothing before the feed was first listed whole.
+  std::optional<Millis> known_at;
+  /// Of a list under way: when its first page was asked for, where its next page begins, the
+  /// revision to watch on from, and the keys seen.
+  Millis list_began_at;
   std::string page_after;
   KvRevision listed_from = 0;
   std::set<std::string> listed_keys;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -14,6 +14,8 @@
 constexpr Millis kPeerTimeout = Millis(250);
 /// When a caller that was refused is asked to come back, and the spread over callers.
 constexpr Millis kRetryAfter = Millis(1'000);
+/// A count of waiting jobs may be so old, beside the time in which a job becomes visible.
+constexpr Millis kCountAge = Millis(2'000);
 
 void Answer(Effects& effects, RequestId call, CallerOutcome outcome) {
   effects.emplace_back(AnswerCaller{.call = call, .outcome = outcome, .retry_after = kRetryAfter});
@@ -242,12 +244,30 @@
   }
 }
 
+std::string AgeOf(const State& state, const FeedState& records) {
+  return records.known_at ? std::to_string((state.now - *records.known_at).Count()) : "never";
+}
+
+/// Says whether this entry's copy of the records is recent enough to count the jobs that wait.
+bool KnowsWaitingJobs(const State& state, const FeedState& records) {
+  if (!records.known_at) return false;
+
+  return state.now - *records.known_at <= state.settings.visible_time + kCountAge;
+}
+
 void HandlePending(State& state, Effects& effects, RequestId call, const PendingAsked& body) {
+  const FeedState& records = state.feeds[Feed::kRecords];
+
+  if (!KnowsWaitingJobs(state, records)) {
+    Log(effects, Severity::kInfo, "refused to count waiting jobs, the records are not known",
+        {{"queue", body.queue}, {"known_ms", AgeOf(state, records)}});
+    return Answer(effects, call, CallerOutcome::kUnavailable);
+  }
+
   PendingCount count;
 
   for (const CellId& cell : AllCells(state)) CountPendingIn(state, cell, body.queue, count);
 
-  const FeedState& records = state.feeds[Feed::kRecords];
   Log(effects, Severity::kInfo, "counted waiting jobs",
       {{"queue", body.queue},
        {"pending", std::to_string(count.Total())},
@@ -256,9 +276,8 @@
        {"unreported", std::to_string(count.unreported)},
        {"cells", std::to_string(count.cells)},
        {"silent_cells", std::to_string(count.silent_cells)},
-       {"listed", records.synced ? "yes" : "no"},
        {"revision", std::to_string(records.revision)},
-       {"known_ms", std::to_string((state.now - records.known_at).Count())}});
+       {"known_ms", AgeOf(state, records)}});
   effects.emplace_back(
       AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = count.Total()});
 }
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -101,7 +101,7 @@
   }
 
   if (copy.page_after.empty()) {
-    copy.known_at = copy.sent_at;
+    copy.list_began_at = copy.sent_at;
     copy.listed_from = reply.revision;
     copy.listed_keys.clear();
   }
@@ -120,6 +120,7 @@
   copy.page_after.clear();
   copy.listed_keys.clear();
   copy.revision = copy.listed_from;
+  copy.known_at = copy.list_began_at;
   copy.synced = true;
 }
 
--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -30,7 +30,7 @@
 constexpr const char* kSettings =
     "node_name=front-a-1\nzone=a\nip=10.1.0.13\nlisten.front=10.1.0.13:8161\n"
     "listen.ready=10.1.0.13:8167\nplatform.address=10.200.1.7:8169\nport_range=7720,7735\n"
-    "bounds.hold_max_ms=9000\nbounds.status_s=1.5\nsome.new.field=x\n";
+    "bounds.hold_max_ms=9000\nbounds.status_s=1.5\nbounds.visible_ms=2500\nsome.new.field=x\n";
 
 TEST(NodeSettings, ReadsWhatItKnowsAndPassesOverTheRest) {
   const auto settings = ParseNodeSettings(kSettings);
@@ -41,6 +41,7 @@
   EXPECT_EQ(settings->scheduler.peer_address, (Address{"10.1.0.13", 7720}));
   EXPECT_EQ(settings->scheduler.longest_worker_lease, Millis(9'000));
   EXPECT_EQ(settings->scheduler.kept_after_end, Millis(1'500));
+  EXPECT_EQ(settings->scheduler.visible_time, Millis(2'500));
 }
 
 TEST(NodeSettings, NamesAMissingKey) {
--- a/tests/scheduler/sim_store.cc
+++ b/tests/scheduler/sim_store.cc
@@ -14,6 +14,14 @@
 
 }  // namespace
 
+void SimStore::AddToPage(StoreReply& page, const StoreItem& item) const {
+  if (page.items.size() < page_size) {
+    page.items.push_back(item);
+  } else {
+    page.truncated = true;
+  }
+}
+
 void SimStore::Change(Feed feed, StoreItem item, Millis /*now*/) {
   item.revision = revision_;
   items_[feed][item.key] = item;
@@ -110,14 +118,14 @@
 
   if (const auto* list = std::get_if<ListFeed>(&body)) {
     for (const auto& [key, item] : items_[list->feed]) {
-      if (key > list->after_key && IsShared(list->feed, item)) answer.items.push_back(item);
+      if (key > list->after_key && IsShared(list->feed, item)) AddToPage(answer, item);
     }
     return reply(answer);
   }
 
   if (const auto* list = std::get_if<ListRecords>(&body)) {
     for (const auto& [key, item] : items_[Feed::kRecords]) {
-      if (key > list->after_key && key.starts_with(list->prefix)) answer.items.push_back(item);
+      if (key > list->after_key && key.starts_with(list->prefix)) AddToPage(answer, item);
     }
     return reply(answer);
   }
--- a/tests/scheduler/sim_store.h
+++ b/tests/scheduler/sim_store.h
@@ -41,6 +41,9 @@
   [[nodiscard]] KvRevision revision() const { return revision_; }
   [[nodiscard]] int64_t writes() const { return writes_; }
 
+  /// Items on one page of a list at most.
+  size_t page_size = 10'000;
+
  private:
   struct Lease {
     Millis ttl;
@@ -53,6 +56,7 @@
     Reply reply;
   };
 
+  void AddToPage(StoreReply& page, const StoreItem& item) const;
   void Change(Feed feed, StoreItem item, Millis now);
   void Remove(Feed feed, const std::string& key, Millis now);
   void Write(const WriteRecords& write, Millis now, const Reply& reply);
--- /dev/null
+++ b/tests/scheduler/waiting_count_test.cc
@@ -0,0 +1,99 @@
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// The count of jobs that wait: whoever is asked, a job that was accepted and has not begun is in
+/// it.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Two cells of sixteen cores each, both held by lasting tasks, and jobs that wait.
+class WaitingCount : public testing::Test {
+ protected:
+  static constexpr int64_t kJobs = 6;
+
+  void SetUp() override { world_.Run(Millis(3'500)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  void FillWorkers() {
+    world_.planner = [](const TaskName& name) {
+      return RunPlan{.lasts = name.job.Text().starts_with("hog"),
+                     .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+    };
+
+    for (const char* id : {"hog-a", "hog-b"}) {
+      JobSpec hog = MakeJob(id, 16);
+      hog.steps[0].lasting = true;
+      world_.Submit("e0", hog);
+      world_.Run(Millis(2'000));
+    }
+  }
+
+  void SubmitJobs() {
+    for (int64_t job = 0; job < kJobs; ++job) {
+      world_.Submit("e0", MakeJob("j" + std::to_string(job), 1));
+    }
+  }
+
+  /// Returns what an entry tells, or nothing if it says that it can't.
+  std::optional<int64_t> CountAt(const std::string& entry) {
+    world_.answers["pending"].clear();
+    world_.AskPending(entry);
+    world_.Run(Millis(5));
+    const std::vector<AnswerCaller>& told = world_.answers["pending"];
+    if (told.size() != 1) {
+      ADD_FAILURE() << entry << " gave " << told.size() << " answers";
+      return std::nullopt;
+    }
+
+    if (told[0].outcome == CallerOutcome::kUnavailable) return std::nullopt;
+    EXPECT_EQ(told[0].outcome, CallerOutcome::kPending);
+    return told[0].pending;
+  }
+
+  const std::vector<std::string> entries_ = {"e0", "e1", "e2", "e3"};
+  World world_{WorldShape{.entries = 4, .data_centres = 2, .racks = 1}};
+};
+
+TEST_F(WaitingCount, AnEntryThatHasNotListedTheRecordsGivesNoCount) {
+  FillWorkers();
+  SubmitJobs();
+  world_.Run(Millis(1'000));
+
+  for (const std::string& entry : entries_) world_.Kill(entry);
+  world_.Run(Millis(3'000));
+  world_.store.page_size = 2;
+  world_.SlowLists("e0", Millis(1'000));
+  for (const std::string& entry : entries_) world_.Start(entry);
+
+  int64_t counts = 0;
+
+  for (int round = 0; round < 100; ++round) {
+    world_.Run(Millis(100));
+
+    for (const std::string& entry : entries_) {
+      const std::optional<int64_t> count = CountAt(entry);
+      if (!count) continue;
+
+      EXPECT_GE(*count, kJobs) << entry << " in round " << round;
+      ++counts;
+    }
+  }
+
+  EXPECT_GT(counts, 300);
+}
+
+TEST_F(WaitingCount, AnEntryFarBehindTheStoreGivesNoCount) {
+  FillWorkers();
+  world_.SlowWatches("e3", Millis(9'000));
+  world_.Run(Millis(3'000));
+  SubmitJobs();
+  world_.Run(Millis(5'000));
+
+  const std::optional<int64_t> count = CountAt("e3");
+  EXPECT_GE(count.value_or(kJobs), kJobs);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -224,11 +224,23 @@
   return loss > 0.0 && std::uniform_real_distribution<double>(0.0, 1.0)(random_) < loss;
 }
 
+Millis World::StoreDelay(const std::string& entry, const StoreBody& body) const {
+  const bool list =
+      std::holds_alternative<ListFeed>(body) || std::holds_alternative<ListRecords>(body);
+  if (!list && !std::holds_alternative<WatchFeed>(body)) return Millis(0);
+
+  const auto& delays = list ? slow_lists_ : slow_watches_;
+  const auto delay = delays.find(entry);
+  return delay == delays.end() ? Millis(0) : delay->second;
+}
+
 void World::CallStore(const std::string& entry, const StoreCall& call) {
   const uint64_t life = life_of_.at(entry);
   const auto answered = std::make_shared<bool>(false);
-  const auto answer = [this, entry, life, request = call.request, answered](StoreReply reply) {
-    At(now_ + kHop, [this, entry, life, request, answered, reply] {
+  const Millis delay = StoreDelay(entry, call.body);
+  const auto answer = [this, entry, life, delay, request = call.request,
+                       answered](StoreReply reply) {
+    At(now_ + kHop + delay, [this, entry, life, request, answered, reply] {
       if (*answered) return;
       if (IsCut(entry, "store") && reply.status != StoreStatus::kUnavailable) return;
       *answered = true;
@@ -236,7 +248,7 @@
     });
   };
 
-  At(now_ + call.timeout, [this, entry, life, request = call.request, answered] {
+  At(now_ + call.timeout + delay, [this, entry, life, request = call.request, answered] {
     if (*answered) return;
     *answered = true;
     Deliver(entry, life, StoreAnswered{request, StoreReply{.status = StoreStatus::kUnknown}});
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -55,6 +55,11 @@
   void LoseAnswers(const std::string& worker, bool lose) { Mark(mute_, worker, lose); }
   void DelayStarts(const std::string& worker, Millis span) { late_[worker] = span; }
 
+  /// Answers to an entry's lists take so much longer, each page of them.
+  void SlowLists(const std::string& entry, Millis span) { slow_lists_[entry] = span; }
+  /// The same for its watches: what the entry knows of the store is so old.
+  void SlowWatches(const std::string& entry, Millis span) { slow_watches_[entry] = span; }
+
   /// Adds a worker to a rack of a data centre.
   void AddWorkerTo(int32_t centre, int32_t rack, int32_t number);
   void CrashWorker(const std::string& worker);
@@ -100,6 +105,7 @@
   void Deliver(const std::string& entry, uint64_t life, decltype(Event::body) body);
   void Carry(const std::string& entry, Effects effects);
   void CallStore(const std::string& entry, const StoreCall& call);
+  [[nodiscard]] Millis StoreDelay(const std::string& entry, const StoreBody& body) const;
   void CallWorker(const std::string& entry, const WorkerCall& call);
   void Announce(const std::string& worker);
   void AddWorker(const std::string& id, const std::string& data_centre, const std::string& rack,
@@ -132,6 +138,8 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> mute_;
   std::map<std::string, Millis> late_;
+  std::map<std::string, Millis> slow_lists_;
+  std::map<std::string, Millis> slow_watches_;
   std::map<RequestId, std::string> job_of_call_;
   RequestId last_call_ = 0;
   std::mt19937_64 random_;
