Count a job as begun once a worker has begun a run of it

Cause: `begun` was set as a task was bound, before any start, and a successor took each run number above 0 for a run. A number is given at the binding, so refused, lost and unsent starts all looked like runs.

Ruled out: counting from the phase that the borrower of lent tasks records (it was active at the binding, by the same cause).

Change: the job's phase carries it. A job is queued until a look, an end or the answer to a start shows a run, here or where its tasks were lent to; the phase is recorded with the progress and goes along with a moved job. The separate flag is gone. Callers and peers are told the phase that the owner holds, an end only once it is recorded.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -139,6 +139,15 @@
   bool operator==(const TaskProgress&) const = default;
 };
 
+/// How far a job is. Written by the owner of its cell.
+struct ProgressRecord {
+  /// Queued until a worker has begun a run of it.
+  JobPhase phase = JobPhase::kQueued;
+  std::vector<TaskProgress> tasks;
+
+  bool operator==(const ProgressRecord&) const = default;
+};
+
 /// An accepted job, or some tasks of one that its cell has lent to another.
 struct JobRecord {
   std::string queue;
@@ -159,13 +168,7 @@
   JobId parent;
   std::vector<TaskProgress> lent;
   /// Of a moved job: what its former cells did of it.
-  std::vector<TaskProgress> carried;
-};
-
-/// How far a job is. Written by the owner of its cell.
-struct ProgressRecord {
-  JobPhase phase = JobPhase::kQueued;
-  std::vector<TaskProgress> tasks;
+  ProgressRecord carried;
 };
 
 std::string Encode(const EntryRecord& record);
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -217,8 +217,6 @@
   bool cancelled = false;
   /// A task is out of attempts.
   bool doomed = false;
-  /// A task was given to a worker at least once, here or where it was lent, as far as is known.
-  bool begun = false;
   /// Rises with each change that is to be recorded; the last one that the store has.
   uint64_t version = 0;
   uint64_t recorded = 0;
@@ -252,11 +250,10 @@
   int32_t bound = 0;
   /// Since when some task waits for room.
   std::optional<Millis> waits_since;
-  /// For the log: when this entry took the job up, when its first task was bound, when a worker
-  /// first showed a run of it, and the longest wait of a task for a worker.
+  /// For the log: when this entry took the job up, when its first task was bound, and the longest
+  /// wait of a task for a worker.
   Millis taken_at;
   std::optional<Millis> first_bound_at;
-  std::optional<Millis> first_run_at;
   Millis longest_wait;
   /// Of its filling tasks, together: how long looks showed them running, and how much of that was
   /// lost to pace and to processors that others used.
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -128,12 +128,6 @@
   SendSubmit(state, effects, submit);
 }
 
-/// Returns the phase of a job in an owned cell.
-JobPhase OwnPhase(const JobView& job) {
-  if (IsTerminal(job.phase)) return job.phase;
-  return job.cancelled ? JobPhase::kCancelled : job.phase;
-}
-
 void ReadPhase(State& state, Effects& effects, RequestId call, const JobId& id,
                const CellId& cell) {
   CallStore(state, effects, PhaseRead{call, id}, ReadRecord{ProgressKey(cell, id)});
@@ -144,7 +138,9 @@
   const JobView& job = state.view.jobs.at(id);
   const CellId& cell = job.head.cell;
 
-  if (FindOpenCell(state, cell) != nullptr) return AnswerPhase(effects, call, OwnPhase(job));
+  if (const OwnedCell* own = FindOpenCell(state, cell)) {
+    return AnswerPhase(effects, call, ShownPhase(*own, id, job));
+  }
 
   const auto owner = OwnerOf(state, cell);
   if (!owner) return ReadPhase(state, effects, call, id, cell);
@@ -186,7 +182,7 @@
   const auto job = state.view.jobs.find(body.job);
 
   if (job != state.view.jobs.end() && job->second.revision != 0 &&
-      IsTerminal(OwnPhase(job->second))) {
+      (job->second.cancelled || IsTerminal(job->second.phase))) {
     return Answer(effects, asked.call, CallerOutcome::kCancelled);
   }
 
@@ -429,11 +425,12 @@
 
 void HandlePeerAsked(State& state, Effects& effects, const PeerAsked& asked) {
   const auto job = state.view.jobs.find(asked.job);
-  const bool known = job != state.view.jobs.end() && job->second.revision != 0 &&
-                     FindOpenCell(state, job->second.head.cell) != nullptr;
+  const bool known = job != state.view.jobs.end() && job->second.revision != 0;
+  const OwnedCell* cell = known ? FindOpenCell(state, job->second.head.cell) : nullptr;
+  AnswerPeer answer{.call = asked.call};
+  if (cell != nullptr) answer.phase = ShownPhase(*cell, asked.job, job->second);
 
-  effects.emplace_back(
-      AnswerPeer{asked.call, known ? std::optional(OwnPhase(job->second)) : std::nullopt});
+  effects.emplace_back(answer);
 }
 
 void HandlePeerAnswered(State& state, Effects& effects, const PeerAnswered& answered) {
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -109,8 +109,6 @@
   task.run = progress.run;
   task.failures = progress.failures;
   task.checkpoint = progress.checkpoint;
-  // A lent task has a run if it had one before, and is done if its borrower said so.
-  job.begun = job.begun || progress.run > 0 || progress.mark == TaskMark::kDone;
 
   StepState& step =
       job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
@@ -170,9 +168,8 @@
 /// Returns what was done of a job: here, or else in the cells that it was in before.
 Result<ProgressRecord> PresentProgress(const JobView& view, const Result<JobRecord>& record) {
   if (view.progress_revision != 0) return DecodeProgress(view.progress);
-  if (!record || record->carried.empty()) return ProgressRecord{};
 
-  return ProgressRecord{.phase = JobPhase::kActive, .tasks = record->carried};
+  return record ? record->carried : ProgressRecord{};
 }
 
 /// Takes in loans that ended while nobody owned the cell.
@@ -338,6 +335,23 @@
   cell.dirty.insert(job.record.spec.job);
 }
 
+void NoteBegun(OwnedCell& cell, JobState& job) {
+  if (job.phase != JobPhase::kQueued) return;
+
+  job.phase = JobPhase::kActive;
+  Touch(cell, job);
+}
+
+JobPhase ShownPhase(const OwnedCell& cell, const JobId& id, const JobView& view) {
+  if (IsTerminal(view.phase)) return view.phase;
+  if (view.cancelled) return JobPhase::kCancelled;
+
+  const auto job = cell.jobs.find(id);
+  if (job == cell.jobs.end()) return view.phase;
+
+  return IsTerminal(job->second.phase) ? JobPhase::kActive : job->second.phase;
+}
+
 void StopJob(OwnedCell& cell, JobState& job) {
   cell.sweep_due = true;
   std::vector<TaskRef> unsent;
@@ -453,7 +467,6 @@
   cell.waiting.erase(KeyOf(job, ref));
   job.longest_wait = std::max(job.longest_wait, state.now - task.not_before);
   if (!job.first_bound_at) job.first_bound_at = state.now;
-  job.begun = true;
   task.phase = TaskPhase::kBinding;
   ++task.run;
   task.worker_born = worker.info.born;
@@ -466,7 +479,6 @@
   Attach(cell, job, ref, task, worker);
   Touch(cell, job);
   task.bound_version = job.version;
-  job.phase = JobPhase::kActive;
 }
 
 void UnbindTask(State& /*state*/, OwnedCell& cell, JobState& job, const TaskRef& ref) {
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -294,11 +294,11 @@
 }
 
 /// Notes that a worker has begun a run of a job.
-void NoteRun(const State& state, Effects& effects, const OwnedCell& cell, JobState& job,
+void NoteRun(const State& state, Effects& effects, OwnedCell& cell, JobState& job,
              const WorkerState& worker) {
-  if (job.first_run_at) return;
+  if (job.phase != JobPhase::kQueued) return;
 
-  job.first_run_at = state.now;
+  NoteBegun(cell, job);
   Log(effects, Severity::kInfo, "job has begun",
       {{"job", job.record.spec.job.Text()},
        {"cell", cell.cell.Text()},
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -146,6 +146,13 @@
 /// Cancels a job.
 void CancelJob(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 
+/// Returns how far a job of an owned cell is as far as it may be told: an end only once it is
+/// recorded, as a successor might not know of it else.
+JobPhase ShownPhase(const OwnedCell& cell, const JobId& id, const JobView& view);
+
+/// Notes that a worker has begun a run of a job, here or where tasks of it were lent to.
+void NoteBegun(OwnedCell& cell, JobState& job);
+
 /// Makes the job's progress due to be recorded.
 void Touch(OwnedCell& cell, JobState& job);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -98,7 +98,7 @@
   JobRecord guest = job.record;
   guest.parent = job.record.spec.job;
   guest.cell = to;
-  guest.carried.clear();
+  guest.carried = ProgressRecord{};
   // Each loan writes the lender's progress, and each move its record, so no two are made at the
   // same revisions.
   const KvRevision revision =
@@ -120,7 +120,6 @@
   }
 
   ++job.version;
-  job.phase = JobPhase::kActive;
   job.waits_since.reset();
   job.loan = JobState::Loan{.to = to,
                             .guest = guest.spec.job,
@@ -282,7 +281,7 @@
     const CellId& cell = view->second.head.cell;
 
     if (FindOpenCell(state, cell) != nullptr) {
-      known.emplace_back(guest, view->second.phase);
+      known.emplace_back(guest, ShownPhase(*FindOpenCell(state, cell), guest, view->second));
     } else if (const auto owner = OwnerOf(state, cell)) {
       const RequestId request = NextRequest(state);
       state.peer_questions[request] = PendingQuestion{.job = guest, .lender = parent};
@@ -300,7 +299,7 @@
 
   for (auto& [cell_id, cell] : state.cells) {
     const auto found = cell.jobs.find(parent);
-    if (found != cell.jobs.end()) found->second.begun = true;
+    if (found != cell.jobs.end()) NoteBegun(cell, found->second);
   }
 }
 
@@ -320,7 +319,6 @@
 
           --job.lent;
           changed = true;
-          job.begun = job.begun || phase == JobPhase::kCompleted || phase == JobPhase::kFailed;
           task.lent_to = JobId();
 
           switch (phase) {
@@ -342,6 +340,7 @@
 
     if (!changed) continue;
 
+    if (phase != JobPhase::kCancelled) NoteBegun(cell, job);
     if (job.doomed) StopJob(cell, job);
     Touch(cell, job);
     Unblock(state, cell, job);
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -80,7 +80,7 @@
   JobRecord moved = job.record;
   moved.cell = *to;
   ++moved.moves;
-  moved.carried = ProgressOf(job).tasks;
+  moved.carried = ProgressOf(job);
   job.move = JobState::Move{.to = *to, .value = Encode(moved)};
   NoteSent(state, *to, WaitingDemand(cell, job));
   Log(effects, Severity::kInfo, "moving job to a cell with room",
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -227,7 +227,7 @@
 
   for (const auto& [id, job] : cell.jobs) {
     const bool immediate = job.record.spec.occurrences == 0 && job.record.parent.Empty();
-    if (immediate && !job.begun && !IsTerminal(job.phase) && !job.cancelled) {
+    if (immediate && job.phase == JobPhase::kQueued && !job.cancelled) {
       ++pending[job.record.queue];
     }
   }
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -168,6 +168,16 @@
   return tasks;
 }
 
+Json ProgressJson(const ProgressRecord& progress) {
+  return Json{{"phase", kJobPhaseNames.Name(progress.phase)}, {"tasks", TasksJson(progress.tasks)}};
+}
+
+ProgressRecord ProgressOf(const Json& json) {
+  const auto phase = kJobPhaseNames.Find(json.at("phase").get<std::string>());
+  return ProgressRecord{.phase = phase.value_or(JobPhase::kQueued),
+                        .tasks = TasksOf(json.at("tasks"))};
+}
+
 JobHead HeadOfJob(const Json& json) {
   return JobHead{.queue = json.at("queue").get<std::string>(),
                  .cell = CellId(json.at("cell").get<std::string>()),
@@ -325,7 +335,7 @@
   if (record.objective > Millis(0)) rest["objective"] = record.objective.Count();
   if (record.moves > 0) rest["moves"] = record.moves;
   if (!record.lent.empty()) rest["lent"] = TasksJson(record.lent);
-  if (!record.carried.empty()) rest["carried"] = TasksJson(record.carried);
+  if (record.carried != ProgressRecord{}) rest["carried"] = ProgressJson(record.carried);
 
   if (record.spec.occurrences > 0) {
     rest["first"] = record.spec.first_due_unix_ms;
@@ -363,7 +373,7 @@
     record.moves = json.value("moves", 0);
     record.parent = head.parent;
     if (json.contains("lent")) record.lent = TasksOf(json.at("lent"));
-    if (json.contains("carried")) record.carried = TasksOf(json.at("carried"));
+    if (json.contains("carried")) record.carried = ProgressOf(json.at("carried"));
     return record;
   });
 }
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -271,7 +271,7 @@
     // As an owner moves it: with what was done of it.
     const std::string progress = std::string(kProgressPrefix) + record->cell.Text() + "/a";
     if (const auto value = world_.store.Value(progress)) {
-      record->carried = DecodeProgress(*value)->tasks;
+      record->carried = *DecodeProgress(*value);
     }
     record->cell = cell;
     world_.store.Handle(
--- a/tests/scheduler/waiting_count_test.cc
+++ b/tests/scheduler/waiting_count_test.cc
@@ -95,5 +95,60 @@
   EXPECT_GE(count.value_or(kJobs), kJobs);
 }
 
+TEST_F(WaitingCount, AJobWhoseStartsAreRefusedWaits) {
+  world_.planner = [](const TaskName&) {
+    return RunPlan{.need = Resources{.millicores = 100'000, .memory_mib = 100}};
+  };
+  SubmitJobs();
+  world_.Run(Millis(6'000));
+
+  for (const std::string& entry : entries_) {
+    EXPECT_GE(CountAt(entry).value_or(0), kJobs) << entry;
+  }
+}
+
+TEST_F(WaitingCount, AJobThatAFormerOwnerOnlyBoundWaits) {
+  for (const std::string& entry : entries_) {
+    for (const char* worker : {"wr0-0-0", "wr0-0-1", "wr1-0-0", "wr1-0-1"}) {
+      world_.Cut(entry, worker);
+    }
+  }
+  SubmitJobs();
+  world_.Run(Millis(1'000));
+  for (const std::string& entry : entries_) world_.Kill(entry);
+  world_.Run(Millis(3'000));
+  for (const std::string& entry : entries_) world_.Start(entry);
+  world_.Run(Millis(5'000));
+
+  for (const std::string& entry : entries_) {
+    EXPECT_GE(CountAt(entry).value_or(0), kJobs) << entry;
+  }
+}
+
+TEST_F(WaitingCount, AMovedJobThatWasOnlyBoundWaits) {
+  world_.planner = [](const TaskName&) {
+    return RunPlan{.need = Resources{.millicores = 100'000, .memory_mib = 100}};
+  };
+  JobRecord record{.queue = "queue", .service = "service", .cell = CellId("dc0/0"), .moves = 1};
+  record.spec = MakeJob("j", 1);
+  record.carried.tasks = {TaskProgress{.run = 3}};
+  world_.store.Handle(
+      WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + "j", Encode(record), 0}}},
+      world_.now(), [](const StoreReply&) {});
+  world_.Run(Millis(6'000));
+
+  for (const std::string& entry : entries_) EXPECT_EQ(CountAt(entry).value_or(0), 1) << entry;
+}
+
+TEST_F(WaitingCount, AJobThatHasBegunWaitsNoMore) {
+  world_.planner = [](const TaskName&) {
+    return RunPlan{.lasts = true, .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+  };
+  SubmitJobs();
+  world_.Run(Millis(2'500));
+
+  for (const std::string& entry : entries_) EXPECT_EQ(CountAt(entry).value_or(kJobs), 0) << entry;
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
