--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -168,14 +168,12 @@
   return tasks;
 }
 
-Json ProgressJson(const ProgressRecord& progress) {
-  return Json{{"phase", kJobPhaseNames.Name(progress.phase)}, {"tasks", TasksJson(progress.tasks)}};
-}
+ProgressRecord CarriedOf(const Json& json) {
+  if (!json.contains("carried")) return ProgressRecord{};
 
-ProgressRecord ProgressOf(const Json& json) {
-  const auto phase = kJobPhaseNames.Find(json.at("phase").get<std::string>());
+  const auto phase = kJobPhaseNames.Find(json.value("phase", std::string()));
   return ProgressRecord{.phase = phase.value_or(JobPhase::kQueued),
-                        .tasks = TasksOf(json.at("tasks"))};
+                        .tasks = TasksOf(json.at("carried"))};
 }
 
 JobHead HeadOfJob(const Json& json) {
@@ -335,7 +333,10 @@
   if (record.objective > Millis(0)) rest["objective"] = record.objective.Count();
   if (record.moves > 0) rest["moves"] = record.moves;
   if (!record.lent.empty()) rest["lent"] = TasksJson(record.lent);
-  if (record.carried != ProgressRecord{}) rest["carried"] = ProgressJson(record.carried);
+  if (record.carried != ProgressRecord{}) {
+    rest["carried"] = TasksJson(record.carried.tasks);
+    rest["phase"] = kJobPhaseNames.Name(record.carried.phase);
+  }
 
   if (record.spec.occurrences > 0) {
     rest["first"] = record.spec.first_due_unix_ms;
@@ -373,7 +374,7 @@
     record.moves = json.value("moves", 0);
     record.parent = head.parent;
     if (json.contains("lent")) record.lent = TasksOf(json.at("lent"));
-    if (json.contains("carried")) record.carried = ProgressOf(json.at("carried"));
+    record.carried = CarriedOf(json);
     return record;
   });
 }
