Say in a cell's report up to which revision its owner knew the jobs

Cause: a count adds up the last report of each cell, and took it for the present however little its author knew. Jobs accepted after the last report of an owner that died were in nobody's count until a successor had opened the cell, as only those heard of after the removal of the report were added; and an owner that is behind the store reports the cell as it was, for as long as it is behind.

Ruled out: adding all jobs younger than some seconds to each count, which guesses how far behind an owner may be.

Change: a report carries the revision of its owner's copy and counts the jobs recorded up to it. Whoever answers adds the jobs that it knows of with a later revision; the time at which a report went missing plays no part any more. A cell reports anew once its owner's copy covers a job that the last report does not.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -76,11 +76,19 @@
   bool operator==(const ServiceLoad&) const = default;
 };
 
+/// Jobs of a cell of which no task has begun, without those that have times of their own.
+struct WaitingJobs {
+  std::map<std::string, int64_t> by_queue;
+  /// Jobs recorded up to this revision are counted, later ones are not.
+  KvRevision up_to = 0;
+
+  bool operator==(const WaitingJobs&) const = default;
+};
+
 /// What the owner of a cell tells of it. Attached to the owner's lease.
 struct LoadRecord {
   std::map<std::string, ServiceLoad> services;
-  /// Jobs of which no task has begun, by queue; without those that have times of their own.
-  std::map<std::string, int64_t> pending;
+  WaitingJobs waiting;
 
   bool operator==(const LoadRecord&) const = default;
 };
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -86,10 +86,8 @@
   KvRevision layout_revision = 0;
   std::map<CellId, CellView> cells;
   std::map<CellId, LoadRecord> loads;
-  /// Pending jobs by cell and queue as last told; kept when the owner is gone.
-  std::map<CellId, std::map<std::string, int64_t>> pending;
-  /// Since when the owner of a cell tells nothing, if it ever told this entry anything.
-  std::map<CellId, Millis> silent_since;
+  /// Of each cell what its owner told last; kept when the owner is gone.
+  std::map<CellId, WaitingJobs> waiting;
   std::map<JobId, JobView> jobs;
   /// Removed records by key, so that late news of them is told from new ones.
   std::map<std::string, KvRevision> removed;
@@ -356,6 +354,8 @@
   bool open = false;
   std::map<VmId, WorkerState> workers;
   std::map<JobId, JobState> jobs;
+  /// The latest revision that recorded one of the jobs taken in.
+  KvRevision newest_job = 0;
   /// Tasks that other cells have lent to this one, by the names that workers know them by.
   std::map<TaskName, TaskRef> guests;
   std::set<WaitingKey> waiting;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -1,4 +1,5 @@
 #include <cmath>
+#include <limits>
 
 #include "internal.h"
 
@@ -14,6 +15,8 @@
 constexpr Millis kPeerTimeout = Millis(250);
 /// When a caller that was refused is asked to come back, and the spread over callers.
 constexpr Millis kRetryAfter = Millis(1'000);
+/// Above every revision.
+constexpr KvRevision kAnyRevision = std::numeric_limits<KvRevision>::max();
 /// A count of waiting jobs may be so old, beside the time in which a job becomes visible.
 constexpr Millis kCountAge = Millis(2'000);
 
@@ -194,50 +197,49 @@
   SendCancel(state, effects, body.job, cancel);
 }
 
-int64_t CountOf(const std::map<std::string, int64_t>& pending, const std::string& queue) {
-  const auto row = pending.find(queue);
-  return row == pending.end() ? 0 : row->second;
-}
-
-/// Jobs of a queue that have not begun, by what this entry knows that from.
-struct PendingCount {
+/// Jobs of a queue that wait, by what this entry knows that from.
+struct WaitingCount {
   /// In cells that this entry owns.
   int64_t own = 0;
   /// In cells of others, by their owners' last reports.
   int64_t reported = 0;
-  /// Accepted since the last report of cells that nobody reports on.
+  /// Recorded since those reports, or of cells that no report is known of; some may have begun.
   int64_t unreported = 0;
-  int64_t cells = 0;
-  int64_t silent_cells = 0;
 
   [[nodiscard]] int64_t Total() const { return own + reported + unreported; }
 };
 
-/// Counts the jobs of a queue that have not begun in a cell.
-void CountPendingIn(const State& state, const CellId& id, const std::string& queue,
-                    PendingCount& count) {
-  ++count.cells;
-  const auto cell = state.cells.find(id);
+int64_t CountOf(const WaitingJobs& waiting, const std::string& queue) {
+  const auto row = waiting.by_queue.find(queue);
+  return row == waiting.by_queue.end() ? 0 : row->second;
+}
+
+/// Says whether a job is in no owner's count.
+bool IsUnreported(State& state, const JobView& job) {
+  if (FindOpenCell(state, job.head.cell) != nullptr) return false;
 
-  if (cell != state.cells.end() && cell->second.open) {
-    count.own += CountOf(CountPending(cell->second), queue);
-    return;
-  }
+  const auto told = state.view.waiting.find(job.head.cell);
+  return told == state.view.waiting.end() || job.revision > told->second.up_to;
+}
 
-  const auto told = state.view.pending.find(id);
-  if (told != state.view.pending.end()) count.reported += CountOf(told->second, queue);
-  if (state.view.loads.contains(id)) return;
+WaitingCount CountWaitingJobs(State& state, const std::string& queue) {
+  WaitingCount count;
 
-  ++count.silent_cells;
+  for (const auto& [id, waiting] : state.view.waiting) {
+    if (FindOpenCell(state, id) == nullptr) count.reported += CountOf(waiting, queue);
+  }
 
-  // Nobody tells what has begun of the jobs that came since the last report; most of them wait.
-  const auto silent = state.view.silent_since.find(id);
-  const Millis since = silent == state.view.silent_since.end() ? Millis(0) : silent->second;
+  for (const auto& [id, cell] : state.cells) {
+    if (cell.open) count.own += CountOf(CountWaiting(state, cell, kAnyRevision), queue);
+  }
 
-  for (const auto& [job_id, job] : state.view.jobs) {
-    if (job.revision == 0 || job.head.cell != id || job.head.queue != queue) continue;
-    if (job.head.immediate && !job.cancelled && job.seen_at >= since) ++count.unreported;
+  for (const auto& [id, job] : state.view.jobs) {
+    const bool waits = job.revision != 0 && job.head.immediate && !job.cancelled &&
+                       !IsTerminal(job.phase) && job.head.queue == queue;
+    if (waits && IsUnreported(state, job)) ++count.unreported;
   }
+
+  return count;
 }
 
 std::string AgeOf(const State& state, const FeedState& records) {
@@ -260,18 +262,13 @@
     return Answer(effects, call, CallerOutcome::kUnavailable);
   }
 
-  PendingCount count;
-
-  for (const CellId& cell : AllCells(state)) CountPendingIn(state, cell, body.queue, count);
-
+  const WaitingCount count = CountWaitingJobs(state, body.queue);
   Log(effects, Severity::kInfo, "counted waiting jobs",
       {{"queue", body.queue},
        {"pending", std::to_string(count.Total())},
        {"own", std::to_string(count.own)},
        {"reported", std::to_string(count.reported)},
        {"unreported", std::to_string(count.unreported)},
-       {"cells", std::to_string(count.cells)},
-       {"silent_cells", std::to_string(count.silent_cells)},
        {"revision", std::to_string(records.revision)},
        {"known_ms", AgeOf(state, records)}});
   effects.emplace_back(
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -398,6 +398,7 @@
     return;
   }
 
+  cell.newest_job = std::max(cell.newest_job, view.revision);
   JobState& job = cell.jobs[id];
   job.record = *std::move(record);
   job.phase = progress->phase;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -290,7 +290,7 @@
 
 void ApplyLoad(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
   if (item.removed) {
-    if (state.view.loads.erase(id) > 0) state.view.silent_since[id] = state.now;
+    state.view.loads.erase(id);
     return;
   }
 
@@ -298,7 +298,7 @@
   if (!record) return LogUnreadable(effects, item, record.error());
 
   state.view.loads[id] = *record;
-  state.view.pending[id] = record->pending;
+  state.view.waiting[id] = record->waiting;
   state.sent_demand.erase(id);
   state.sent_filling.erase(id);
 }
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -276,9 +276,8 @@
 /// Gives waiting tasks to workers with room.
 void PlaceTasks(State& state, Effects& effects, OwnedCell& cell);
 
-/// Counts the jobs of which no task has begun, by queue; without those that have times of their
-/// own.
-std::map<std::string, int64_t> CountPending(const OwnedCell& cell);
+/// Counts the jobs of a cell that wait, of those recorded up to a revision.
+WaitingJobs CountWaiting(const State& state, const OwnedCell& cell, KvRevision up_to);
 
 /// Counts the room of a cell, and what waits there.
 LoadRecord CountLoad(const State& state, const OwnedCell& cell);
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -222,17 +222,20 @@
   }
 }
 
-std::map<std::string, int64_t> CountPending(const OwnedCell& cell) {
-  std::map<std::string, int64_t> pending;
+WaitingJobs CountWaiting(const State& state, const OwnedCell& cell, KvRevision up_to) {
+  WaitingJobs waiting{.up_to = up_to};
 
   for (const auto& [id, job] : cell.jobs) {
     const bool immediate = job.record.spec.occurrences == 0 && job.record.parent.Empty();
-    if (immediate && job.phase == JobPhase::kQueued && !job.cancelled) {
-      ++pending[job.record.queue];
-    }
+    if (!immediate || job.phase != JobPhase::kQueued || job.cancelled) continue;
+
+    const auto view = state.view.jobs.find(id);
+    if (view != state.view.jobs.end() && view->second.revision > up_to) continue;
+
+    ++waiting.by_queue[job.record.queue];
   }
 
-  return pending;
+  return waiting;
 }
 
 LoadRecord CountLoad(const State& state, const OwnedCell& cell) {
@@ -254,7 +257,7 @@
     }
   }
 
-  record.pending = CountPending(cell);
+  record.waiting = CountWaiting(state, cell, state.feeds.at(Feed::kRecords).revision);
 
   for (const WaitingKey& key : cell.waiting) {
     const TaskRef& ref = std::get<3>(key);
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -42,9 +42,11 @@
   return std::abs(left - right) * 100 > capacity * kLoadChangePercent;
 }
 
-bool IsNews(const LoadRecord& told, const LoadRecord& present) {
+bool IsNews(const OwnedCell& cell, const LoadRecord& present) {
+  const LoadRecord& told = cell.load;
   if (told.services.size() != present.services.size()) return true;
-  if (told.pending != present.pending) return true;
+  if (told.waiting.by_queue != present.waiting.by_queue) return true;
+  if (told.waiting.up_to < std::min(cell.newest_job, present.waiting.up_to)) return true;
 
   for (const auto& [service, load] : present.services) {
     const auto known = told.services.find(service);
@@ -169,7 +171,7 @@
 
   // Counted only now, as it is not cheap.
   const LoadRecord load = load_due ? CountLoad(state, cell) : cell.load;
-  const bool load_news = load_due && IsNews(cell.load, load);
+  const bool load_news = load_due && IsNews(cell, load);
   if (load_due) cell.next_load = state.now + kLoadInterval;
 
   WriteRecords write;
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -239,14 +239,17 @@
                                  load.waiting, load.waiting_filling, load.lasting});
   }
 
-  return Dump(Json{{"services", std::move(json)}, {"pending", record.pending}});
+  return Dump(Json{{"services", std::move(json)},
+                   {"pending", record.waiting.by_queue},
+                   {"up_to", record.waiting.up_to}});
 }
 
 Result<LoadRecord> DecodeLoad(std::string_view value) {
   return Decode<LoadRecord>(value, "load record", [](const Json& json) {
     LoadRecord record;
 
-    record.pending = json.at("pending").get<std::map<std::string, int64_t>>();
+    record.waiting.by_queue = json.at("pending").get<std::map<std::string, int64_t>>();
+    record.waiting.up_to = json.value("up_to", KvRevision{0});
 
     for (const auto& [service, row] : json.at("services").items()) {
       record.services[service] =
--- a/tests/scheduler/waiting_count_test.cc
+++ b/tests/scheduler/waiting_count_test.cc
@@ -36,6 +36,25 @@
     }
   }
 
+  /// Writes jobs as the entry that accepts them does, but into a cell of the test's choice.
+  void PutJobs(const std::string& cell) {
+    for (int64_t job = 0; job < kJobs; ++job) {
+      const std::string id = "j" + std::to_string(job);
+      const JobRecord record{.queue = "queue",
+                             .service = "service",
+                             .most_attempts = 3,
+                             .cell = CellId(cell),
+                             .spec = MakeJob(id, 1)};
+      world_.store.Handle(
+          WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
+          world_.now(), [](const StoreReply&) {});
+    }
+  }
+
+  std::string OwnerOfCell(const std::string& cell) {
+    return world_.state("e0").view.cells.at(CellId(cell)).record.owner.Text();
+  }
+
   /// Returns what an entry tells, or nothing if it says that it can't.
   std::optional<int64_t> CountAt(const std::string& entry) {
     world_.answers["pending"].clear();
@@ -140,6 +159,40 @@
   for (const std::string& entry : entries_) EXPECT_EQ(CountAt(entry).value_or(0), 1) << entry;
 }
 
+TEST_F(WaitingCount, JobsThatAnOwnerFarBehindTheStoreDoesNotKnowWait) {
+  FillWorkers();
+  const std::string owner = OwnerOfCell("dc0/0");
+  world_.SlowWatches(owner, Millis(12'000));
+  world_.Run(Millis(3'000));
+  PutJobs("dc0/0");
+  world_.Run(Millis(5'000));
+
+  for (const std::string& entry : entries_) {
+    if (entry == owner) continue;
+    EXPECT_GE(CountAt(entry).value_or(0), kJobs) << entry;
+  }
+}
+
+TEST_F(WaitingCount, JobsAcceptedAfterTheLastReportOfADeadOwnerWait) {
+  FillWorkers();
+  const std::string owner = OwnerOfCell("dc0/0");
+  // A successor reads what was recorded before it opens the cell.
+  for (const std::string& entry : entries_) world_.SlowLists(entry, Millis(4'000));
+  PutJobs("dc0/0");
+  world_.Run(Millis(10));
+  world_.Kill(owner);
+  world_.Run(Millis(5'000));
+
+  for (int round = 0; round < 20; ++round) {
+    world_.Run(Millis(50));
+
+    for (const std::string& entry : entries_) {
+      if (entry == owner) continue;
+      EXPECT_GE(CountAt(entry).value_or(0), kJobs) << entry;
+    }
+  }
+}
+
 TEST_F(WaitingCount, AJobThatHasBegunWaitsNoMore) {
   world_.planner = [](const TaskName&) {
     return RunPlan{.lasts = true, .need = Resources{.millicores = 1'000, .memory_mib = 100}};
