Keep only the head of an ended job's record

Cause: an entry that begins lists the records of all jobs of the last 135 s, ended ones with their whole specification. All small entries were ready at the same moment and the large ones behind 200 Mbit/s in 0.9 s, so the time went into the link: some 11 to 13 MB.

Change: the write that records a job's end replaces the job's record by its head (queue, cell, parent), which is all that answers need of it.

Ruled out: the processor (large and small entries differ by it as well, but the small ones are ready within 0.1 s of each other whatever cells they had).

The test failed before: 4178 bytes were left of a job of 4000.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -186,6 +186,8 @@
 std::string Encode(const EvidenceRecord& record);
 std::string Encode(const LearnedRecord& record);
 std::string Encode(const JobRecord& record);
+/// Only what `DecodeJobHead` reads.
+std::string EncodeHead(const JobRecord& record);
 std::string Encode(const ProgressRecord& record);
 
 /// Each fails with `kMalformed` on a value that is not such a record.
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -9,9 +9,11 @@
 /// Least time between two writes of one cell, so that what happens meanwhile shares a call; each
 /// call has its price. A start and the end of each step wait for half of it on average.
 constexpr Millis kWriteInterval = Millis(60);
-/// Jobs in one write: the store takes 32 rows, of which the grant is one, the load another, and
-/// each job takes two.
-constexpr size_t kJobsAtOnce = 14;
+/// The store takes so many rows in one write. The grant is one, the load another.
+constexpr size_t kRowsAtOnce = 32;
+/// Rows of a job: the revision to expect and the progress, and the record of one that has ended.
+constexpr size_t kRowsOfJob = 2;
+constexpr size_t kRowsOfEndedJob = 3;
 /// Least time between two reports of a cell's load without another reason to write.
 constexpr Millis kLoadInterval = Millis(500);
 /// A load is told anew when a figure has changed by this share of the capacity, in percent.
@@ -178,10 +180,18 @@
   write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
   cell.write.versions.clear();
 
+  size_t rows = 2;
+
   for (const JobId& id : cell.dirty) {
     JobState& job = cell.jobs.at(id);
     if (job.move || job.loan) continue;
-    if (cell.write.versions.size() >= kJobsAtOnce) break;
+
+    const bool ended = IsTerminal(job.phase);
+    rows += ended ? kRowsOfEndedJob : kRowsOfJob;
+    if (rows > kRowsAtOnce) break;
+
+    // What is left of an ended job is what answers need, so that an entry that begins reads little.
+    if (ended) write.puts.push_back(RecordPut{JobKey(id), EncodeHead(job.record), 0});
 
     std::string value = Encode(ProgressOf(job));
     job.sent_values[value] = job.version;
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -321,11 +321,15 @@
   });
 }
 
-std::string Encode(const JobRecord& record) {
+std::string EncodeHead(const JobRecord& record) {
   Json head{{"queue", record.queue}, {"cell", record.cell.Text()}, {"at", record.accepted_unix_ms}};
   if (record.spec.occurrences > 0) head["times"] = record.spec.occurrences;
   if (!record.parent.Empty()) head["parent"] = record.parent.Text();
 
+  return Dump(head);
+}
+
+std::string Encode(const JobRecord& record) {
   Json steps = Json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(StepJson(step));
 
@@ -346,7 +350,7 @@
     rest["interval"] = record.spec.interval.Count();
   }
 
-  return Dump(head) + kLineEnd + Dump(rest);
+  return EncodeHead(record) + kLineEnd + Dump(rest);
 }
 
 Result<JobHead> DecodeJobHead(std::string_view value) {
--- a/tests/scheduler/path_test.cc
+++ b/tests/scheduler/path_test.cc
@@ -25,6 +25,40 @@
   EXPECT_EQ(world_.starts.size(), 5U);
 }
 
+TEST_F(Path, AnEndedJobLeavesALittleRecordThatAnswersAllTheSame) {
+  JobSpec spec = MakeJob("a", 2);
+  spec.payload = std::string(4'000, 'x');
+  world_.Submit("e0", spec);
+  world_.Run(Millis(2'000));
+  ASSERT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+
+  constexpr size_t kLittle = 200;
+  EXPECT_LT(world_.store.Value(std::string(kJobPrefix) + "a")->size(), kLittle);
+
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Kill(entry);
+  world_.Run(Millis(3'000));
+  for (const char* entry : {"e0", "e1", "e2"}) world_.Start(entry);
+  world_.Run(Millis(3'000));
+  world_.answers.clear();
+
+  for (const char* entry : {"e0", "e1", "e2"}) {
+    world_.Ask(entry, "a");
+    world_.Run(Millis(500));
+    world_.Submit(entry, spec);
+    world_.Run(Millis(500));
+  }
+  world_.Cancel("e1", "a");
+  world_.Run(Millis(1'000));
+
+  ASSERT_EQ(world_.answers["a"].size(), 7U);
+  for (size_t number = 0; number < 6; number += 2) {
+    EXPECT_EQ(world_.answers["a"][number].phase, JobPhase::kCompleted);
+    EXPECT_EQ(world_.answers["a"][number + 1].outcome, CallerOutcome::kAccepted);
+  }
+  EXPECT_EQ(world_.answers["a"][6].outcome, CallerOutcome::kCancelled);
+  for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1) << name.index;
+}
+
 TEST_F(Path, StartsEachTaskOnce) {
   world_.Submit("e1", MakeJob("a", 12));
   world_.Run(Millis(3'000));
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -370,8 +370,8 @@
   const auto value = store.Value(std::string(kJobPrefix) + job);
   if (!value) return {};
 
-  const auto record = DecodeJob(*value);
-  const auto cell = store.Value(std::string(kCellPrefix) + record->cell.Text());
+  const auto head = DecodeJobHead(*value);
+  const auto cell = store.Value(std::string(kCellPrefix) + head->cell.Text());
   if (!cell) return {};
 
   return DecodeCell(*cell)->owner.Text();
