--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -214,6 +214,19 @@
   return row == waiting.by_queue.end() ? 0 : row->second;
 }
 
+/// Returns the revision up to which the reports of all cells count jobs.
+KvRevision LeastReported(const State& state) {
+  const std::set<CellId> cells = AllCells(state);
+  KvRevision least = cells.empty() ? 0 : kAnyRevision;
+
+  for (const CellId& id : cells) {
+    const auto told = state.view.waiting.find(id);
+    least = std::min(least, told == state.view.waiting.end() ? 0 : told->second.up_to);
+  }
+
+  return least;
+}
+
 /// Says whether a job is in no owner's count.
 bool IsUnreported(State& state, const JobView& job) {
   if (FindOpenCell(state, job.head.cell) != nullptr) return false;
@@ -233,7 +246,11 @@
     if (cell.open) count.own += CountOf(CountWaiting(state, cell, kAnyRevision), queue);
   }
 
+  const KvRevision least = LeastReported(state);
+
   for (const auto& [id, job] : state.view.jobs) {
+    if (job.revision <= least) continue;
+
     const bool waits = job.revision != 0 && job.head.immediate && !job.cancelled &&
                        !IsTerminal(job.phase) && job.head.queue == queue;
     if (waits && IsUnreported(state, job)) ++count.unreported;
