Know a loan whose answer was lost by the lender's own record

Callers would see: tasks that have ended run again (TWICE).

Cause: after a conflict a loan counted as made if the guest's record still had the value that the loan wrote. Since ended jobs keep only the head of their record, a guest that ended within the time-out looked like a loan that never came about; one that its borrower had moved looked so before. The lender took the tasks back, met its own record at the next write, took the job over again and forgot ends that it had not recorded yet.

Change: the lender's progress record is looked at, which only its cell's owner writes. The test failed before.

--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -226,10 +226,12 @@
   KvRevision revision = reply.revision;
 
   if (reply.status == StoreStatus::kConflict) {
-    // An earlier try whose answer was lost shows by the job that it made.
-    const auto made = std::ranges::find(reply.items, JobKey(job.loan->guest), &StoreItem::key);
+    // An earlier try whose answer was lost shows by the lender's own record, which nobody else
+    // writes; the borrower may have moved or ended the guest meanwhile.
+    const auto made =
+        std::ranges::find(reply.items, ProgressKey(lent.from, lent.job), &StoreItem::key);
     const bool done =
-        made != reply.items.end() && !made->removed && made->value == job.loan->guest_value;
+        made != reply.items.end() && !made->removed && made->value == job.loan->progress_value;
 
     if (!done) {
       const JobId guest = job.loan->guest;
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "world.h"
 
 /// Tasks that find no room in their cell run in another: wide jobs, and cells that fill up
@@ -289,6 +291,40 @@
   EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
 }
 
+TEST_F(Lending, ALoanWhoseAnswerWasLostIsKnownThoughTheLentTasksHaveEnded) {
+  world_.planner = [](const TaskName&) {
+    return RunPlan{.duration = Millis(300),
+                   .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+  };
+  JobSpec wide = MakeJob("a", 24);
+  wide.steps.push_back(wide.steps.front());
+  wide.steps[1].task_count = 1;
+  wide.steps[1].after = {0};
+  world_.Submit("e0", wide);
+
+  const auto logged = [&](const std::string& sentence) {
+    return std::ranges::any_of(world_.log, [&](const std::string& line) {
+      return line.find(sentence) != std::string::npos;
+    });
+  };
+  while (!logged("lending tasks") && world_.now() < Millis(10'000)) world_.Run(Millis(5));
+  ASSERT_TRUE(logged("lending tasks"));
+
+  const std::string lender = world_.OwnerOf("a");
+  world_.Run(Millis(5));
+  world_.Cut(lender, "store");
+  world_.Run(Millis(20));
+  world_.Mend();
+  const Millis lent_at = world_.now();
+  while (world_.Phase("a") != JobPhase::kCompleted && world_.now() < Millis(30'000)) {
+    world_.Run(Millis(50));
+  }
+
+  EXPECT_FALSE(logged("taking a job over again"));
+  EXPECT_LT(world_.now() - lent_at, Millis(4'000));
+  for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1) << name.index;
+}
+
 TEST_F(Lending, LostAnswersLendNothingTwice) {
   world_.loss = 0.15;
   for (int round = 0; round < 4; ++round) {
