Say in an ended job's record how it ended, and count it as waiting no more

Callers would see: a count of waiting jobs with jobs that have ended, up to the number of all that the last 135 s brought, for as long as a cell makes no new report, and after each restart of all entries.

Cause: whoever answers adds the jobs whose record is newer than the last report, and cutting an ended job's record down made it newer. Entries other than the owner did not know that it had ended.

Change: what is left of an ended job says how it ended. Such jobs are in no count and are not taken in by a new owner. The test failed before.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -186,8 +187,8 @@
 std::string Encode(const EvidenceRecord& record);
 std::string Encode(const LearnedRecord& record);
 std::string Encode(const JobRecord& record);
-/// Only what `DecodeJobHead` reads.
-std::string EncodeHead(const JobRecord& record);
+/// What is left of an ended job: the head, with how it ended.
+std::string EncodeEnded(const JobRecord& record, JobPhase phase);
 std::string Encode(const ProgressRecord& record);
 
 /// Each fails with `kMalformed` on a value that is not such a record.
@@ -211,6 +212,8 @@
   bool immediate = true;
   /// Of lent tasks, the job that they are of.
   JobId parent;
+  /// How it ended, if it has.
+  std::optional<JobPhase> ended;
 };
 Result<JobHead> DecodeJobHead(std::string_view value);
 
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -251,8 +251,8 @@
   for (const auto& [id, job] : state.view.jobs) {
     if (job.revision <= least) continue;
 
-    const bool waits = job.revision != 0 && job.head.immediate && !job.cancelled &&
-                       !IsTerminal(job.phase) && job.head.queue == queue;
+    const bool waits = job.revision != 0 && job.head.immediate && !job.head.ended &&
+                       !job.cancelled && job.head.queue == queue;
     if (waits && IsUnreported(state, job)) ++count.unreported;
   }
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -387,7 +387,7 @@
   if (cell.jobs.contains(id)) return;
 
   const JobView& view = state.view.jobs.at(id);
-  if (IsTerminal(view.phase)) return;
+  if (IsTerminal(view.phase) || view.head.ended) return;
 
   Result<JobRecord> record = DecodeJob(view.value);
   Result<ProgressRecord> progress = PresentProgress(view, record);
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -191,7 +191,7 @@
     if (rows > kRowsAtOnce) break;
 
     // What is left of an ended job is what answers need, so that an entry that begins reads little.
-    if (ended) write.puts.push_back(RecordPut{JobKey(id), EncodeHead(job.record), 0});
+    if (ended) write.puts.push_back(RecordPut{JobKey(id), EncodeEnded(job.record, job.phase), 0});
 
     std::string value = Encode(ProgressOf(job));
     job.sent_values[value] = job.version;
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -176,12 +176,21 @@
                         .tasks = TasksOf(json.at("carried"))};
 }
 
+Json HeadJson(const JobRecord& record) {
+  Json head{{"queue", record.queue}, {"cell", record.cell.Text()}, {"at", record.accepted_unix_ms}};
+  if (record.spec.occurrences > 0) head["times"] = record.spec.occurrences;
+  if (!record.parent.Empty()) head["parent"] = record.parent.Text();
+
+  return head;
+}
+
 JobHead HeadOfJob(const Json& json) {
   return JobHead{.queue = json.at("queue").get<std::string>(),
                  .cell = CellId(json.at("cell").get<std::string>()),
                  .accepted_unix_ms = json.at("at").get<int64_t>(),
                  .immediate = json.value("times", 0) == 0 && !json.contains("parent"),
-                 .parent = JobId(json.value("parent", std::string()))};
+                 .parent = JobId(json.value("parent", std::string())),
+                 .ended = kJobPhaseNames.Find(json.value("ended", std::string()))};
 }
 
 }  // namespace
@@ -321,11 +330,9 @@
   });
 }
 
-std::string EncodeHead(const JobRecord& record) {
-  Json head{{"queue", record.queue}, {"cell", record.cell.Text()}, {"at", record.accepted_unix_ms}};
-  if (record.spec.occurrences > 0) head["times"] = record.spec.occurrences;
-  if (!record.parent.Empty()) head["parent"] = record.parent.Text();
-
+std::string EncodeEnded(const JobRecord& record, JobPhase phase) {
+  Json head = HeadJson(record);
+  head["ended"] = kJobPhaseNames.Name(phase);
   return Dump(head);
 }
 
@@ -350,7 +357,7 @@
     rest["interval"] = record.spec.interval.Count();
   }
 
-  return EncodeHead(record) + kLineEnd + Dump(rest);
+  return Dump(HeadJson(record)) + kLineEnd + Dump(rest);
 }
 
 Result<JobHead> DecodeJobHead(std::string_view value) {
--- a/tests/scheduler/waiting_count_test.cc
+++ b/tests/scheduler/waiting_count_test.cc
@@ -193,6 +193,26 @@
   }
 }
 
+TEST_F(WaitingCount, JobsThatHaveEndedWaitNoMore) {
+  world_.planner = [](const TaskName&) {
+    return RunPlan{.need = Resources{.millicores = 100, .memory_mib = 100}};
+  };
+  for (int64_t job = 0; job < kJobs; ++job) {
+    world_.Submit("e0", MakeJob("j" + std::to_string(job), 1, 100));
+  }
+  world_.Run(Millis(10'000));
+  for (const std::string& entry : entries_) EXPECT_EQ(CountAt(entry), 0) << entry;
+
+  for (const std::string& entry : entries_) world_.Kill(entry);
+  world_.Run(Millis(3'000));
+  for (const std::string& entry : entries_) world_.Start(entry);
+
+  for (int round = 0; round < 100; ++round) {
+    world_.Run(Millis(100));
+    for (const std::string& entry : entries_) EXPECT_EQ(CountAt(entry).value_or(0), 0) << entry;
+  }
+}
+
 TEST_F(WaitingCount, AJobThatHasBegunWaitsNoMore) {
   world_.planner = [](const TaskName&) {
     return RunPlan{.lasts = true, .need = Resources{.millicores = 1'000, .memory_mib = 100}};
