Make a cell's report again whose write was lost

Callers would see: a count of waiting jobs that stays as an old report had it, though nothing waits any more; the same report tells the room by which jobs are moved and lent.

Cause: a report was taken for known once it was sent. If its write failed, nothing was news against it, so a quiet cell never reported again.

Change: a report counts as told once the store has taken it. The test failed before.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -335,6 +335,8 @@
   RequestId request = 0;
   /// Versions of the jobs that it holds.
   std::map<JobId, uint64_t> versions;
+  /// The report that it holds.
+  std::optional<LoadRecord> load;
 };
 
 /// Orders waiting tasks: priority, lasting first, when their job should be done, name.
@@ -369,6 +371,7 @@
   std::set<JobId> dirty;
   ProgressWrite write;
   Millis next_write;
+  /// The last report that the store has.
   LoadRecord load;
   Millis next_load;
   Millis taken_at;
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -172,9 +172,13 @@
   }
 
   // Counted only now, as it is not cheap.
-  const LoadRecord load = load_due ? CountLoad(state, cell) : cell.load;
-  const bool load_news = load_due && IsNews(cell, load);
-  if (load_due) cell.next_load = state.now + kLoadInterval;
+  cell.write.load.reset();
+
+  if (load_due) {
+    LoadRecord load = CountLoad(state, cell);
+    if (IsNews(cell, load)) cell.write.load = std::move(load);
+    cell.next_load = state.now + kLoadInterval;
+  }
 
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
@@ -200,9 +204,9 @@
     cell.write.versions[id] = job.version;
   }
 
-  if (load_news) {
-    write.puts.push_back(RecordPut{LoadKey(cell.cell), Encode(load), state.lease.lease});
-    cell.load = load;
+  if (cell.write.load) {
+    write.puts.push_back(
+        RecordPut{LoadKey(cell.cell), Encode(*cell.write.load), state.lease.lease});
   }
 
   if (write.puts.empty()) return;
@@ -225,6 +229,8 @@
 
   switch (reply.status) {
     case StoreStatus::kOk:
+      if (cell.write.load) cell.load = *std::move(cell.write.load);
+
       for (const auto& [job_id, version] : versions) {
         const auto job = cell.jobs.find(job_id);
         if (job == cell.jobs.end()) continue;
--- a/tests/scheduler/waiting_count_test.cc
+++ b/tests/scheduler/waiting_count_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "world.h"
 
 /// The count of jobs that wait: whoever is asked, a job that was accepted and has not begun is in
@@ -213,6 +215,30 @@
   }
 }
 
+TEST_F(WaitingCount, AReportWhoseWriteWasLostIsMadeAgain) {
+  FillWorkers();
+  const std::set<std::string> owners = {OwnerOfCell("dc0/0"), OwnerOfCell("dc1/0")};
+  const auto other = std::ranges::find_if(
+      entries_, [&](const std::string& entry) { return !owners.contains(entry); });
+  ASSERT_NE(other, entries_.end());
+
+  // One of the cuts meets the report that is due after the cancellation.
+  for (int round = 0; round < 14; ++round) {
+    const std::string id = "j" + std::to_string(round);
+    world_.Submit(*other, MakeJob(id, 1));
+    world_.Run(Millis(4'000));
+    EXPECT_EQ(CountAt(*other), 1) << id;
+
+    world_.Cancel(*other, id);
+    world_.Run(Millis(50 * round));
+    for (const std::string& owner : owners) world_.Cut(owner, "store");
+    world_.Run(Millis(100));
+    world_.Mend();
+    world_.Run(Millis(5'000));
+    EXPECT_EQ(CountAt(*other), 0) << id;
+  }
+}
+
 TEST_F(WaitingCount, AJobThatHasBegunWaitsNoMore) {
   world_.planner = [](const TaskName&) {
     return RunPlan{.lasts = true, .need = Resources{.millicores = 1'000, .memory_mib = 100}};
