Keep no connection on which more than the answer came

Callers would see: answers to what somebody else asked. HttpClient carries the calls to the store, to workers and to peers; an answer of one job taken for that of another gives a state that is not the job's.

Cause: a connection was kept for the next call by the Connection header alone. Bytes that had come behind the answer stayed in its buffer, which the next call reads first; IsSpoiled looks only at the socket.

Evidence: CrossedAnswers.BytesBehindAnAnswerAnswerNoOtherCall failed before: the second call was answered 'stray'.

A connection whose buffer is not empty is now closed, so there is nothing left to misread.

--- a/lib/transport/source/http_client.cc
+++ b/lib/transport/source/http_client.cc
@@ -112,7 +112,8 @@
                                          field.value().to_string());
     }
 
-    Finish(std::move(reply), response.keep_alive());
+    // What came behind the answer would be read as the answer to the next call.
+    Finish(std::move(reply), response.keep_alive() && buffer.size() == 0);
   }
 
   /// Ends the present call. Without a response the connection is of no more use.
