Forget reports of cells that a new list lacks, and pass older ones over

Callers would see: too small a count of waiting jobs, and jobs sent to the room of an owner that is gone. A cell whose report is there counts as reported on, so jobs that came to it since are left out.

Cause: reports were applied without regard to their revision, and KnownKeys did not name them, so a report whose removal fell into dropped history stayed until a new owner told.

Evidence: three tests of StaleRecords failed before: the report was still there after a list without it; an older one (0 waiting) replaced a newer one (3 waiting), and an older removal removed it; a report came back after its removal.

Ruled out: cancels. They are never taken back, and go in the same write as their job, whose removal drops the mark too.

Reports now carry their revision and take the same way as the records of entries and cells.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -61,6 +61,12 @@
   KvRevision revision = 0;
 };
 
+/// What the owner of a cell last told.
+struct LoadView {
+  LoadRecord record;
+  KvRevision revision = 0;
+};
+
 /// A job as recorded.
 struct JobView {
   JobHead head;
@@ -85,7 +91,7 @@
   LayoutRecord layout;
   KvRevision layout_revision = 0;
   std::map<CellId, CellView> cells;
-  std::map<CellId, LoadRecord> loads;
+  std::map<CellId, LoadView> loads;
   /// Of each cell what its owner told last; kept when the owner is gone.
   std::map<CellId, WaitingJobs> waiting;
   std::map<JobId, JobView> jobs;
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -167,8 +167,8 @@
   const auto load = state.view.loads.find(cell);
   if (load == state.view.loads.end() || !state.view.cells.contains(cell)) return std::nullopt;
 
-  const auto found = load->second.services.find(service);
-  if (found == load->second.services.end()) return std::nullopt;
+  const auto found = load->second.record.services.find(service);
+  if (found == load->second.record.services.end()) return std::nullopt;
 
   const ServiceLoad& told = found->second;
   CellRoom room;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -74,6 +74,7 @@
   const View& view = state.view;
   for (const auto& [id, entry] : view.entries) keys.emplace_back(EntryKey(id), entry.revision);
   for (const auto& [id, cell] : view.cells) keys.emplace_back(CellKey(id), cell.revision);
+  for (const auto& [id, load] : view.loads) keys.emplace_back(LoadKey(id), load.revision);
 
   for (const auto& [id, job] : view.jobs) {
     if (job.revision != 0) keys.emplace_back(JobKey(id), job.revision);
@@ -289,15 +290,22 @@
 }
 
 void ApplyLoad(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
+  const auto known = state.view.loads.find(id);
+  const KvRevision known_revision = known == state.view.loads.end() ? 0 : known->second.revision;
+
   if (item.removed) {
-    state.view.loads.erase(id);
+    if (NoteRemoval(state.view, item.key, known_revision, item.revision)) {
+      state.view.loads.erase(id);
+    }
     return;
   }
 
+  if (item.revision <= known_revision) return;
+
   const Result<LoadRecord> record = DecodeLoad(item.value);
   if (!record) return LogUnreadable(effects, item, record.error());
 
-  state.view.loads[id] = *record;
+  state.view.loads[id] = LoadView{*record, item.revision};
   state.view.waiting[id] = record->waiting;
   state.sent_demand.erase(id);
   state.sent_filling.erase(id);
--- /dev/null
+++ b/tests/scheduler/lone_entry.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "currantpost/scheduler/scheduler.h"
+#include "currantpost/scheduler/state.h"
+
+namespace currantpost::scheduler {
+
+/// One reducer whose calls the test answers by itself, in any order.
+class LoneEntry {
+ public:
+  LoneEntry() {
+    Settings settings;
+    settings.entry = EntryId("e0");
+    settings.life = "1";
+    state_ = MakeState(settings);
+    Take(Tick{});
+  }
+
+  void Take(decltype(Event::body) body) {
+    now_ = now_ + Millis(5);
+    Reduce(*state_, Event{now_, now_.Count(), std::move(body)}, effects);
+  }
+
+  void Push(StoreItem item) { Take(RecordsPushed{{std::move(item)}}); }
+  void Answer(RequestId request, StoreReply reply) {
+    Take(StoreAnswered{request, std::move(reply)});
+  }
+
+  void Wait(Millis span) {
+    now_ = now_ + span;
+    Take(Tick{});
+  }
+
+  /// Returns the latest call of a kind that the entry made of the store, 0 if there is none.
+  template <typename Body, typename Matches>
+  [[nodiscard]] RequestId LatestCall(Matches matches) const {
+    RequestId latest = 0;
+
+    for (const Effect& effect : effects) {
+      const auto* call = std::get_if<StoreCall>(&effect);
+      const auto* body = call == nullptr ? nullptr : std::get_if<Body>(&call->body);
+      if (body != nullptr && matches(*body)) latest = call->request;
+    }
+
+    return latest;
+  }
+
+  /// Returns the answers that callers got.
+  [[nodiscard]] std::vector<AnswerCaller> Answers() const {
+    std::vector<AnswerCaller> answers;
+
+    for (const Effect& effect : effects) {
+      if (const auto* answer = std::get_if<AnswerCaller>(&effect)) answers.push_back(*answer);
+    }
+
+    return answers;
+  }
+
+  [[nodiscard]] State& state() { return *state_; }
+
+  /// All that it decided.
+  Effects effects;
+
+ private:
+  std::unique_ptr<State> state_;
+  Millis now_ = Millis(1'000);
+};
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/stale_records_test.cc
@@ -0,0 +1,59 @@
+#include <gtest/gtest.h>
+
+#include "lone_entry.h"
+
+/// Records that are gone, or are older than what is known.
+
+namespace currantpost::scheduler {
+namespace {
+
+std::string LoadKeyOf(const std::string& cell) { return std::string(kLoadPrefix) + cell; }
+
+class StaleRecords : public testing::Test {
+ protected:
+  static StoreItem Load(const std::string& cell, KvRevision revision, int64_t pending) {
+    LoadRecord record;
+    record.waiting.by_queue["queue"] = pending;
+    return StoreItem{.key = LoadKeyOf(cell), .revision = revision, .value = Encode(record)};
+  }
+
+  /// Answers the list or watch of the records that is under way.
+  void AnswerRecords(StoreReply reply) {
+    entry_.Wait(Millis(1'000));
+    const RequestId request = entry_.state().feeds[Feed::kRecords].request;
+    ASSERT_NE(request, 0U);
+    entry_.Answer(request, std::move(reply));
+  }
+
+  LoneEntry entry_;
+};
+
+TEST_F(StaleRecords, AReportThatANewListLacksIsForgotten) {
+  AnswerRecords({.status = StoreStatus::kOk, .revision = 5, .items = {Load("dc0/0", 4, 3)}});
+  ASSERT_TRUE(entry_.state().view.loads.contains(CellId("dc0/0")));
+  AnswerRecords({.status = StoreStatus::kHistoryGone});
+  AnswerRecords({.status = StoreStatus::kOk, .revision = 9});
+
+  EXPECT_FALSE(entry_.state().view.loads.contains(CellId("dc0/0")));
+}
+
+TEST_F(StaleRecords, AnOlderReportIsPassedOver) {
+  entry_.Push(Load("dc0/0", 8, 3));
+  entry_.Push(Load("dc0/0", 6, 0));
+  EXPECT_EQ(entry_.state().view.waiting.at(CellId("dc0/0")).by_queue.at("queue"), 3);
+
+  StoreItem removal{.key = LoadKeyOf("dc0/0"), .revision = 7, .removed = true};
+  entry_.Push(removal);
+  EXPECT_TRUE(entry_.state().view.loads.contains(CellId("dc0/0")));
+}
+
+TEST_F(StaleRecords, AReportOlderThanItsRemovalIsPassedOver) {
+  entry_.Push(Load("dc0/0", 6, 3));
+  entry_.Push(StoreItem{.key = LoadKeyOf("dc0/0"), .revision = 8, .removed = true});
+  entry_.Push(Load("dc0/0", 7, 3));
+
+  EXPECT_FALSE(entry_.state().view.loads.contains(CellId("dc0/0")));
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
