Answer a cancellation whose job is gone from the records by then

Callers would see: broken connections, as the process aborts.

Cause: HandleCancelStepped took the job's cell from the records by map::at.

Evidence: StaleCancels.AJobRemovedBeforeItsCancelIsAnsweredHarmsNobody failed before: std::out_of_range, map::at.

Without the job there is nobody to tell and nothing to cancel; the caller is answered as before.

--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -384,7 +384,11 @@
     const StoreItem item{.key = CancelKey(id), .revision = reply.revision, .value = "{}"};
     AnswerAll(effects, cancel.calls, CallerOutcome::kCancelled);
     state.cancels.erase(found);
-    TellOwner(state, effects, state.view.jobs.at(id).head.cell, item);
+    // The job's removal may be known before this answer.
+    const auto job = state.view.jobs.find(id);
+    if (job == state.view.jobs.end()) return;
+
+    TellOwner(state, effects, job->second.head.cell, item);
     ApplyRecord(state, effects, item);
     return;
   } else if (reply.status == StoreStatus::kConflict) {
--- /dev/null
+++ b/tests/scheduler/stale_cancel_test.cc
@@ -0,0 +1,48 @@
+#include <gtest/gtest.h>
+
+#include "lone_entry.h"
+#include "world.h"
+
+/// Cancelling jobs that the store has removed.
+
+namespace currantpost::scheduler {
+namespace {
+
+std::string JobKeyOf(const std::string& job) { return std::string(kJobPrefix) + job; }
+
+class StaleCancels : public testing::Test {
+ protected:
+  static StoreItem Job(const std::string& id, KvRevision revision) {
+    JobRecord record{.queue = "queue", .service = "service", .cell = CellId("dc0/0")};
+    record.spec = MakeJob(id, 1);
+    return StoreItem{.key = JobKeyOf(id), .revision = revision, .value = Encode(record)};
+  }
+
+  void Cancel() {
+    entry_.Take(CallerAsked{1, Millis(3'000), JobCancelled{JobId("a")}});
+    request_ = LatestCancel();
+    ASSERT_NE(request_, 0U);
+  }
+
+  [[nodiscard]] RequestId LatestCancel() const {
+    return entry_.LatestCall<WriteRecords>([](const WriteRecords& write) {
+      return !write.puts.empty() && write.puts.front().key == std::string(kCancelPrefix) + "a";
+    });
+  }
+
+  LoneEntry entry_;
+  RequestId request_ = 0;
+};
+
+TEST_F(StaleCancels, AJobRemovedBeforeItsCancelIsAnsweredHarmsNobody) {
+  entry_.Push(Job("a", 5));
+  Cancel();
+  entry_.Push(StoreItem{.key = JobKeyOf("a"), .revision = 7, .removed = true});
+  EXPECT_NO_THROW(entry_.Answer(request_, {.status = StoreStatus::kOk, .revision = 6}));
+
+  ASSERT_EQ(entry_.Answers().size(), 1U);
+  EXPECT_EQ(entry_.Answers()[0].outcome, CallerOutcome::kCancelled);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
