Answer a cancellation of a job that the store has removed with 410

Callers would see: 504 after 2.5 s for a job that is gone, where 410 is due at once.

Cause: on a conflict the store says that the record is not there, without a revision, so it is older than what the entry knows and was passed over. The write was then sent again at once, with the same expectation, until the watch brought the removal or the caller's time was over.

Evidence: StaleCancels.CancellingAJobThatWasRemovedIsAnsweredAtOnce failed before: the write was sent again and nothing was answered.

The write expects one record, so a conflict that shows it as removed says that there is no such job.

--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -392,6 +392,15 @@
     ApplyRecord(state, effects, item);
     return;
   } else if (reply.status == StoreStatus::kConflict) {
+    const bool gone = std::ranges::any_of(
+        reply.items, [&](const StoreItem& item) { return item.key == JobKey(id) && item.removed; });
+
+    if (gone) {
+      AnswerAll(effects, cancel.calls, CallerOutcome::kNoSuchJob);
+      state.cancels.erase(found);
+      return;
+    }
+
     for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
   }
 
--- a/tests/scheduler/stale_cancel_test.cc
+++ b/tests/scheduler/stale_cancel_test.cc
@@ -44,5 +44,16 @@
   EXPECT_EQ(entry_.Answers()[0].outcome, CallerOutcome::kCancelled);
 }
 
+TEST_F(StaleCancels, CancellingAJobThatWasRemovedIsAnsweredAtOnce) {
+  entry_.Push(Job("a", 5));
+  Cancel();
+  const StoreItem gone{.key = JobKeyOf("a"), .removed = true};
+  entry_.Answer(request_, {.status = StoreStatus::kConflict, .items = {gone}});
+
+  EXPECT_EQ(LatestCancel(), request_) << "it was sent again";
+  ASSERT_EQ(entry_.Answers().size(), 1U);
+  EXPECT_EQ(entry_.Answers()[0].outcome, CallerOutcome::kNoSuchJob);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
