Ask where a job is before telling that nothing was recorded of it

Callers would see: 'queued' for a job that has completed, or that is gone, from an entry that has not heard of its move or its removal and gets no answer of the owner.

Cause: HandlePhaseRead took a missing progress record for a job that waits. A move removes the record and a removal does too.

Evidence: two tests of MovedJob failed before: queued instead of completed, a phase instead of 410.

Ruled out: 'completed' too early by this way. The record that is read is one that an owner wrote, and an end is not taken back. Also HandlePeerAsked: it speaks for open cells of its own and of what the store has acknowledged.

The job's record is now read too, as for unknown jobs; if it names another cell, that one is asked. This costs one read more, and only where neither the owner nor the store tells how far the job is.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -485,10 +485,13 @@
 struct JobRead {
   RequestId call = 0;
   JobId job;
+  /// The cell in which nothing was found recorded of it, if that was looked for.
+  CellId unrecorded;
 };
 struct PhaseRead {
   RequestId call = 0;
   JobId job;
+  CellId cell;
 };
 struct EndedRemoved {};
 struct LearnedWritten {};
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -133,7 +133,11 @@
 
 void ReadPhase(State& state, Effects& effects, RequestId call, const JobId& id,
                const CellId& cell) {
-  CallStore(state, effects, PhaseRead{call, id}, ReadRecord{ProgressKey(cell, id)});
+  CallStore(state, effects, PhaseRead{call, id, cell}, ReadRecord{ProgressKey(cell, id)});
+}
+
+void ReadJob(State& state, Effects& effects, const JobRead& read) {
+  CallStore(state, effects, read, ReadRecord{JobKey(read.job)});
 }
 
 /// Finds out how far a known job is: the owner of its cell knows, or else the store.
@@ -157,8 +161,7 @@
   const auto job = state.view.jobs.find(body.job);
 
   if (job == state.view.jobs.end() || job->second.revision == 0) {
-    CallStore(state, effects, JobRead{asked.call, body.job}, ReadRecord{JobKey(body.job)});
-    return;
+    return ReadJob(state, effects, JobRead{asked.call, body.job, CellId()});
   }
 
   FindPhase(state, effects, asked.call, body.job);
@@ -422,17 +425,19 @@
     return Answer(effects, read.call, CallerOutcome::kUnavailable);
   }
 
+  if (job->second.head.cell == read.unrecorded) {
+    const bool cancelled = job->second.cancelled;
+    return AnswerPhase(effects, read.call, cancelled ? JobPhase::kCancelled : JobPhase::kQueued);
+  }
+
   FindPhase(state, effects, read.call, read.job);
 }
 
 void HandlePhaseRead(State& state, Effects& effects, const PhaseRead& read,
                      const StoreReply& reply) {
-  const auto job = state.view.jobs.find(read.job);
-  const bool cancelled = job != state.view.jobs.end() && job->second.cancelled;
-
-  // Nothing was recorded of it yet.
+  // Nothing was recorded of it yet, or it was moved or removed and this entry has not heard of it.
   if (reply.status == StoreStatus::kNotFound) {
-    return AnswerPhase(effects, read.call, cancelled ? JobPhase::kCancelled : JobPhase::kQueued);
+    return ReadJob(state, effects, JobRead{read.call, read.job, read.cell});
   }
 
   if (reply.status != StoreStatus::kOk || reply.items.empty()) {
@@ -446,6 +451,8 @@
     return Answer(effects, read.call, CallerOutcome::kUnavailable);
   }
 
+  const auto job = state.view.jobs.find(read.job);
+  const bool cancelled = job != state.view.jobs.end() && job->second.cancelled;
   const bool over = cancelled && !IsTerminal(*phase);
   AnswerPhase(effects, read.call, over ? JobPhase::kCancelled : *phase);
 }
--- /dev/null
+++ b/tests/scheduler/moved_job_test.cc
@@ -0,0 +1,124 @@
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// Jobs that are moved while entries know of it late, or not at all.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Two cells of sixteen cores each, and an entry that owns neither.
+class MovedJob : public testing::Test {
+ protected:
+  static constexpr const char* kHome = "dc0/0";
+  static constexpr const char* kAway = "dc1/0";
+
+  void SetUp() override {
+    world_.planner = [](const TaskName& name) {
+      const bool hog = name.job.Text() == "hog";
+      return RunPlan{.duration = Millis(200),
+                     .lasts = hog,
+                     .need = Resources{.millicores = hog ? 1'000 : 0, .memory_mib = 100}};
+    };
+    world_.Run(Millis(3'500));
+  }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  static std::string JobKeyOf(const std::string& job) { return std::string(kJobPrefix) + job; }
+  static std::string ProgressKeyOf(const std::string& cell, const std::string& job) {
+    return std::string(kProgressPrefix) + cell + "/" + job;
+  }
+
+  void Write(WriteRecords write) {
+    world_.store.Handle(write, world_.now(), [](const StoreReply&) {});
+  }
+
+  void Put(const std::string& cell, const JobSpec& spec) {
+    JobRecord record{.queue = "queue", .service = "service", .cell = CellId(cell), .spec = spec};
+    record.most_attempts = 3;
+    Write({.puts = {RecordPut{JobKeyOf(spec.job.Text()), Encode(record), 0}}});
+  }
+
+  /// As an owner does it.
+  void Move(const std::string& job, const std::string& to) {
+    JobRecord record = *DecodeJob(*world_.store.Value(JobKeyOf(job)));
+    const std::string progress = ProgressKeyOf(record.cell.Text(), job);
+    const auto value = world_.store.Value(progress);
+    if (value) record.carried = *DecodeProgress(*value);
+    record.cell = CellId(to);
+    ++record.moves;
+    Write({.puts = {RecordPut{JobKeyOf(job), Encode(record), 0}}, .removals = {progress}});
+  }
+
+  std::string OwnerOfCell(const std::string& cell) {
+    return world_.state("e0").view.cells.at(CellId(cell)).record.owner.Text();
+  }
+
+  std::string Bystander() {
+    for (const char* entry : {"e0", "e1", "e2", "e3"}) {
+      if (world_.state(entry).cells.empty()) return entry;
+    }
+    ADD_FAILURE() << "every entry has a cell";
+    return {};
+  }
+
+  /// Lasting tasks that take a whole cell.
+  void FillHome() {
+    JobSpec hog = MakeJob("hog", 16);
+    hog.steps[0].lasting = true;
+    hog.steps[0].need.memory_mib = 4'000;
+    Put(kHome, hog);
+    world_.Run(Millis(2'000));
+  }
+
+  JobPhase Told(const std::string& entry, const std::string& job) {
+    world_.answers[job].clear();
+    world_.Ask(entry, job);
+    world_.Run(Millis(1'000));
+    EXPECT_EQ(world_.answers[job].size(), 1U);
+    if (world_.answers[job].empty()) return JobPhase::kQueued;
+    EXPECT_EQ(world_.answers[job][0].outcome, CallerOutcome::kPhase);
+    return world_.answers[job][0].phase;
+  }
+
+  World world_{WorldShape{.entries = 4, .data_centres = 2, .racks = 1}};
+};
+
+TEST_F(MovedJob, AnEntryThatHasNotHeardOfTheMoveTellsHowFarItIs) {
+  FillHome();
+  JobSpec spec = MakeJob("a", 1);
+  spec.steps[0].need.millicores = 20'000;
+  Put(kHome, spec);
+  world_.Run(Millis(1'500));
+  const std::string late = Bystander();
+  world_.SlowWatches(late, Millis(30'000));
+  world_.Run(Millis(4'000));
+
+  for (const char* id : {"wr1-0-0", "wr1-0-1"}) {
+    world_.worker(id).info().capacity.millicores = 40'000;
+  }
+  Move("a", kAway);
+  world_.Run(Millis(4'000));
+  ASSERT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+
+  EXPECT_EQ(Told(late, "a"), JobPhase::kCompleted);
+}
+
+TEST_F(MovedJob, AnEntryThatHasNotHeardOfItsRemovalSaysThatItIsGone) {
+  Put(kAway, MakeJob("a", 1));
+  world_.Run(Millis(3'000));
+  ASSERT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  const std::string late = Bystander();
+  world_.SlowWatches(late, Millis(30'000));
+  world_.Run(Millis(4'000));
+  Write({.removals = {JobKeyOf("a"), ProgressKeyOf(kAway, "a")}});
+  world_.Run(Millis(500));
+  world_.Ask(late, "a");
+  world_.Run(Millis(1'000));
+
+  ASSERT_EQ(world_.answers["a"].size(), 1U);
+  EXPECT_EQ(world_.answers["a"][0].outcome, CallerOutcome::kNoSuchJob);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -349,6 +349,10 @@
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobAsked{JobId(job)}});
 }
 
+void World::Push(const std::string& entry, const StoreItem& item) {
+  Deliver(entry, life_of_.at(entry), RecordsPushed{{item}});
+}
+
 void World::AskPending(const std::string& entry) {
   const RequestId call = ++last_call_;
   job_of_call_[call] = "pending";
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -72,6 +72,9 @@
   void Cancel(const std::string& entry, const std::string& job);
   void Ask(const std::string& entry, const std::string& job);
 
+  /// A peer passes a record on to an entry.
+  void Push(const std::string& entry, const StoreItem& item);
+
   /// Asks for the number of waiting jobs; the answer goes to `answers` under "pending".
   void AskPending(const std::string& entry);
 
