Take a job up anew whenever it was moved, also back to its cell

Callers would see: a job that never goes on (LOST), or tasks that run again though they are done (TWICE).

Cause: while a job lives, its record is written anew only by a move, but an owner looked only whether the cell is another one. Where it knew the job in the same cell before it was moved away and back (the answer to its own move was lost, or a list skipped the move), it kept its old tasks and the old progress. All its writes then met a conflict, or its move was sent again against the present record and wiped out what the other cell had done.

Evidence: two tests of MovedJob failed before: a job that came back unseen was still 'queued' 6 s after there was room; and 'started after done: a.0.0', two starts, after the move was sent again.

A new record now drops the tasks kept here and all progress that is older than it; what was done comes with the record. The move under way goes with the tasks, so it is not sent again.

The record of an ended job, which is its head alone, is no move: MovedJob.AnEndIsNoMove guards that; it was not run on the code before.

--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -311,16 +311,17 @@
   state.sent_filling.erase(id);
 }
 
-/// Hands a job to the owned cell that it is in, and takes it from one that it has left.
+/// Hands a job that is new or was moved to the owned cell that it is in, and takes it from those
+/// that it has left.
 void PlaceInCell(State& state, Effects& effects, const JobId& id, const JobView& job) {
   for (auto& [cell_id, cell] : state.cells) {
-    if (cell_id == job.head.cell) {
-      if (cell.open) AddJob(state, effects, cell, id);
-      continue;
-    }
+    const bool here = cell_id == job.head.cell;
+    // The owner wrote that itself, and settles the job once the write is answered.
+    if (here && job.head.ended) continue;
 
     // Nothing of it runs: a job is moved only then.
     if (cell.jobs.contains(id)) ForgetJob(cell, id);
+    if (here && cell.open) AddJob(state, effects, cell, id);
   }
 }
 
@@ -339,7 +340,9 @@
   if (!head) return LogUnreadable(effects, item, head.error());
 
   if (job.revision == 0) job.seen_at = state.now;
-  if (job.progress_cell != head->cell) ForgetProgress(job);
+  // A move takes the job's progress away, also one that leads back to the cell.
+  const bool moved = !head->ended && job.progress_revision < item.revision;
+  if (moved || job.progress_cell != head->cell) ForgetProgress(job);
   job.head = *std::move(head);
   job.value = item.value;
   job.revision = item.revision;
--- a/tests/scheduler/moved_job_test.cc
+++ b/tests/scheduler/moved_job_test.cc
@@ -120,5 +120,96 @@
   EXPECT_EQ(world_.answers["a"][0].outcome, CallerOutcome::kNoSuchJob);
 }
 
+TEST_F(MovedJob, AJobThatCameBackUnseenGoesOnWhereItWas) {
+  JobSpec spec = MakeJob("a", 1);
+  spec.steps.push_back(spec.steps.front());
+  spec.steps[1].after = {0};
+  spec.steps[1].need.millicores = 20'000;
+  Put(kHome, spec);
+  world_.Run(Millis(2'000));
+  ASSERT_TRUE(world_.store.Value(ProgressKeyOf(kHome, "a")));
+
+  world_.Cut(OwnerOfCell(kHome), "store");
+  Move("a", kAway);
+  Move("a", kHome);
+  world_.store.DropHistory();
+  world_.Run(Millis(100));
+  world_.Mend();
+  world_.Run(Millis(5'000));
+
+  for (const char* id : {"wr0-0-0", "wr0-0-1"}) {
+    world_.worker(id).info().capacity.millicores = 40'000;
+  }
+  world_.Run(Millis(6'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1) << name.step;
+}
+
+// The move was sent again against the record of the job as it had come back, and wiped out what had
+// been done of it elsewhere.
+TEST_F(MovedJob, AMoveThatIsSentAgainWipesNothingOut) {
+  FillHome();
+  JobSpec spec = MakeJob("a", 1);
+  spec.steps[0].filling = true;
+  spec.steps[0].need.memory_mib = 40'000;
+  spec.steps.push_back(spec.steps.front());
+  spec.steps[1].after = {0};
+  spec.steps[1].need.millicores = 20'000;
+  const std::string owner = OwnerOfCell(kHome);
+  world_.SlowWatches(owner, Millis(8'000));
+  world_.Run(Millis(2'500));
+  Put(kHome, spec);
+  world_.Push(owner, StoreItem{.key = JobKeyOf("a"),
+                               .revision = world_.store.revision(),
+                               .value = *world_.store.Value(JobKeyOf("a"))});
+
+  // The answer to the move is lost.
+  const auto moving = [&] {
+    const auto& jobs = world_.state(owner).cells.at(CellId(kHome)).jobs;
+    const auto job = jobs.find(JobId("a"));
+    return job != jobs.end() && job->second.move && job->second.move->request != 0;
+  };
+  for (int round = 0; round < 400 && !moving(); ++round) world_.Run(Millis(5));
+  ASSERT_TRUE(moving());
+  world_.Cut(owner, "store");
+  world_.Run(Millis(20));
+  world_.Mend();
+
+  world_.Run(Millis(1'200));
+  ASSERT_EQ((world_.starts[TaskName{JobId("a"), 0, 0, 0}]), 1);
+  ASSERT_TRUE(world_.store.Value(ProgressKeyOf(kAway, "a")));
+  Move("a", kHome);
+  world_.Push(owner, StoreItem{.key = JobKeyOf("a"),
+                               .revision = world_.store.revision(),
+                               .value = *world_.store.Value(JobKeyOf("a"))});
+  world_.Run(Millis(4'000));
+
+  EXPECT_EQ((world_.starts[TaskName{JobId("a"), 0, 0, 0}]), 1);
+}
+
+// The record of an ended job is new too, and may come before the answer to the write of the end.
+TEST_F(MovedJob, AnEndIsNoMove) {
+  Put(kHome, MakeJob("a", 1));
+  const std::string owner = OwnerOfCell(kHome);
+  const auto ending = [&] {
+    const auto& cell = world_.state(owner).cells.at(CellId(kHome));
+    const auto job = cell.jobs.find(JobId("a"));
+    return job != cell.jobs.end() && IsTerminal(job->second.phase) && cell.write.request != 0;
+  };
+  for (int round = 0; round < 600 && !ending(); ++round) world_.Run(Millis(5));
+  ASSERT_TRUE(ending());
+  world_.Cut(owner, "store");
+  world_.Run(Millis(20));
+  world_.Mend();
+  world_.Push(owner, StoreItem{.key = JobKeyOf("a"),
+                               .revision = world_.store.revision(),
+                               .value = *world_.store.Value(JobKeyOf("a"))});
+  ASSERT_TRUE(world_.state(owner).view.jobs.at(JobId("a")).head.ended);
+  world_.Run(Millis(4'000));
+
+  EXPECT_EQ(Told(owner, "a"), JobPhase::kCompleted);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
