Look whether a start reached a worker's new life before giving the run up

Callers would see nothing; the task ran twice (TWICE), and an end of the first run was thrown away.

Cause: a worker that starts again under its id takes a start that was meant for its former life. BeginLife gave up all runs of the former life at once, this one too, and the task was started once more while the first run went on as a stray.

Evidence: WorkerLife.AStartThatReachedTheNewLifeIsNoLostRun failed before: two and three starts of each of six tasks.

A run that a look has shown was one of the former life and is given up as before, so is one whose start has not left. If the worker does not answer, they wait for the longest lease that it grants.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -72,7 +72,27 @@
   worker.lapses_at = std::max(worker.lapses_at, lapses);
 }
 
-/// Ends the former life of a worker: nothing of it runs any more.
+/// Notes that the worker may hold the longest lease that it grants: a lease by the clock of another
+/// life is shortened to that.
+void NoteLongestLease(const State& state, WorkerState& worker) {
+  const Millis span = state.settings.longest_worker_lease;
+  const Millis lapses = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
+  worker.lapses_at = std::max(worker.lapses_at, lapses);
+}
+
+bool IsAtWorker(TaskPhase phase) {
+  return phase == TaskPhase::kRunning || phase == TaskPhase::kStopping;
+}
+
+/// Says whether the start of a task may have reached a later life of its worker than the one that
+/// it was bound to: it has left, and no look has shown the run yet.
+bool MayHaveMetNewLife(const TaskState& task) {
+  const bool started = task.phase == TaskPhase::kStarting ? task.sent : IsAtWorker(task.phase);
+  return started && task.shown_at <= task.began;
+}
+
+/// Ends the former life of a worker: nothing of it runs any more. The next look tells of runs whose
+/// start may have reached the new one.
 void BeginLife(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker, int64_t born) {
   const bool first_met = worker.info.born == 0;
 
@@ -100,7 +120,11 @@
 
   for (const TaskRef& ref : refs) {
     const TaskState* task = FindTask(cell, ref);
-    if (task != nullptr && task->worker_born < born) {
+    if (task == nullptr || task->worker_born >= born) continue;
+
+    if (MayHaveMetNewLife(*task)) {
+      NoteLongestLease(state, worker);
+    } else {
       TakeLostRun(state, effects, cell, ref, "the worker began a new life");
     }
   }
--- /dev/null
+++ b/tests/scheduler/worker_life_test.cc
@@ -0,0 +1,33 @@
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// Workers that begin a new life under the name that they had.
+
+namespace currantpost::scheduler {
+namespace {
+
+// A start that was meant for the former life and reached the new one was taken for lost, and the
+// task was started once more.
+TEST(WorkerLife, AStartThatReachedTheNewLifeIsNoLostRun) {
+  World world(WorldShape{.entries = 1, .racks = 1});
+  world.planner = [](const TaskName&) {
+    return RunPlan{.duration = Millis(5'000),
+                   .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+  };
+  world.Run(Millis(3'500));
+  for (const char* id : {"wr0-0-0", "wr0-0-1"}) {
+    SimWorker& worker = world.worker(id);
+    worker.Restart(worker.info().born + 1);
+  }
+  world.Submit("e0", MakeJob("a", 6));
+  world.Run(Millis(12'000));
+
+  EXPECT_EQ(world.Phase("a"), JobPhase::kCompleted);
+  EXPECT_EQ(world.starts.size(), 6U);
+  for (const auto& [name, count] : world.starts) EXPECT_EQ(count, 1) << name.index;
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
