--- a/tests/scheduler/sim_store.cc
+++ b/tests/scheduler/sim_store.cc
@@ -85,10 +85,12 @@
     return true;
   }
 
-  for (const auto& [feed, item] : history_) {
-    if (feed == waiting.watch.feed && item.revision > waiting.watch.after && IsShared(feed, item)) {
-      answer.items.push_back(item);
-    }
+  const auto newer = std::ranges::upper_bound(history_, waiting.watch.after, {},
+                                              [](const auto& row) { return row.second.revision; });
+
+  for (auto row = newer; row != history_.end(); ++row) {
+    const auto& [feed, item] = *row;
+    if (feed == waiting.watch.feed && IsShared(feed, item)) answer.items.push_back(item);
   }
 
   if (answer.items.empty() && !at_last) return false;
--- a/tests/scheduler/sim_worker.cc
+++ b/tests/scheduler/sim_worker.cc
@@ -35,6 +35,7 @@
   ended_.push_back(EndedTask{++last_number_, task, run->second.run, end, run->second.checkpoint});
   over_[task] = std::max(over_[task], run->second.run);
   running_.erase(run);
+  if (on_end) on_end(task, end);
 }
 
 void SimWorker::Start(const StartTask& start, Millis now, const Reply& reply) {
@@ -99,7 +100,8 @@
   if (look.lease_until_ms) lease_until_ = std::max(lease_until_, Millis(*look.lease_until_ms));
 
   for (const EndedTask& end : ended_) {
-    if (end.number <= look.forget_up_to && on_forget) on_forget(end);
+    if (end.number > look.forget_up_to || !on_forget) continue;
+    on_forget(end, end.number <= lapsed_number_);
   }
 
   std::erase_if(ended_, [&](const EndedTask& end) { return end.number <= look.forget_up_to; });
@@ -113,6 +115,7 @@
   if (!up) return;
 
   const std::vector<TaskName> names = Running();
+  if (now >= lease_until_) lapsed_number_ = last_number_;
 
   for (const TaskName& name : names) {
     const RunState& run = running_.at(name);
@@ -145,6 +148,7 @@
   over_.clear();
   ended_.clear();
   last_number_ = 0;
+  lapsed_number_ = 0;
   waiting_.clear();
 }
 
--- a/tests/scheduler/sim_worker.h
+++ b/tests/scheduler/sim_worker.h
@@ -44,9 +44,11 @@
   [[nodiscard]] Resources Held() const;
 
   bool up = true;
-  /// Called for each run that begins, and for each end that the worker is told to forget.
+  /// Called for each run that begins or ends, and for each end that the worker is told to forget,
+  /// with whether the worker's lease lapsed after that end.
   std::function<void(const TaskName&, Run)> on_start;
-  std::function<void(const EndedTask&)> on_forget;
+  std::function<void(const TaskName&, RunEnd)> on_end;
+  std::function<void(const EndedTask&, bool)> on_forget;
   int32_t starts = 0;
   std::map<TaskName, int32_t> pace;
 
@@ -76,6 +78,8 @@
   std::map<TaskName, Run> over_;
   std::vector<EndedTask> ended_;
   int64_t last_number_ = 0;
+  /// Last end that was listed when the lease lapsed.
+  int64_t lapsed_number_ = 0;
   std::vector<Waiting> waiting_;
 };
 
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <algorithm>
+#include <array>
 
 namespace currantpost::scheduler {
 namespace {
@@ -85,21 +86,28 @@
   auto worker =
       std::make_unique<SimWorker>(info, [this](const TaskName& name) { return planner(name); });
 
-  worker->on_start = [this, id](const TaskName& name, scheduler::Run) {
+  worker->on_start = [this, id](const TaskName& name, scheduler::Run run) {
     ++starts[name];
-    if (done.contains(name)) violations.push_back("started after done: " + Text(name));
+    Note(id, "begins " + Text(name) + ", run " + std::to_string(run));
+    if (done.contains(name)) Violate("started after done: " + Text(name));
 
     for (const auto& [other, present] : workers_) {
       if (other == id || !present->up) continue;
 
       const std::vector<TaskName> running = present->Running();
       if (std::ranges::find(running, name) != running.end()) {
-        violations.push_back("runs twice: " + Text(name) + " on " + other + " and " + id);
+        Violate("runs twice: " + Text(name) + " on " + other + " and " + id);
       }
     }
   };
-  worker->on_forget = [this](const EndedTask& end) {
-    if (end.end == RunEnd::kDone) done.insert(end.task);
+  worker->on_end = [this, id](const TaskName& name, RunEnd end) {
+    ++ends[name][end];
+    Note(id, "ends " + Text(name) + " as " + std::string(kRunEndNames.Name(end)));
+  };
+  worker->on_forget = [this, id](const EndedTask& end, bool lapsed) {
+    Note(id, "forgets " + Text(end.task));
+    // An end stands only if its worker's lease did not lapse before the store had it.
+    if (end.end == RunEnd::kDone && !lapsed) done.insert(end.task);
   };
 
   workers_[id] = std::move(worker);
@@ -124,6 +132,7 @@
 
   while (now_ < end) {
     now_ = now_ + kStep;
+    NoteDisturbances();
     store.Advance(now_);
     for (auto& [id, worker] : workers_) worker->Advance(now_);
 
@@ -135,12 +144,20 @@
 
     for (const auto& [id, worker] : workers_) {
       if (!FitsWithin(worker->Held(), worker->info().capacity)) {
-        violations.push_back("over capacity: " + id);
+        Violate("over capacity: " + id);
       }
     }
   }
 }
 
+void World::Violate(const std::string& what) {
+  violations.push_back(std::to_string(now_.Count()) + " ms: " + what);
+}
+
+void World::Note(const std::string& who, const std::string& what) {
+  log.push_back(std::to_string(now_.Count()) + " " + who + " " + what);
+}
+
 void World::Start(const std::string& entry) {
   Settings settings;
   settings.entry = EntryId(entry);
@@ -151,6 +168,7 @@
   const size_t number = std::stoul(entry.substr(1));
   if (number < shape_.millicores.size()) settings.millicores = shape_.millicores[number];
   entries_[entry] = MakeState(settings);
+  disturbed_at_[entry] = now_;
   Deliver(entry, life_of_[entry], Tick{});
 }
 
@@ -193,8 +211,6 @@
 }
 
 void World::Carry(const std::string& entry, Effects effects) {
-  const uint64_t life = life_of_.at(entry);
-
   for (const Effect& effect : effects) {
     if (const auto* call = std::get_if<StoreCall>(&effect)) {
       CallStore(entry, *call);
@@ -207,19 +223,41 @@
         if (life_of_.contains(peer)) Deliver(peer, life_of_.at(peer), RecordsPushed{items});
       });
     } else if (const auto* ask = std::get_if<AskPeer>(&effect)) {
-      At(now_ + ask->timeout, [this, entry, life, request = ask->request] {
-        Deliver(entry, life, PeerAnswered{.request = request});
-      });
+      CallPeer(entry, *ask);
+    } else if (const auto* answer = std::get_if<AnswerPeer>(&effect)) {
+      peer_calls_.at(answer->call)(answer->phase);
     } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
-      answers[job_of_call_[answer->call]].push_back(*answer);
+      Answer(entry, *answer);
     } else if (const auto* line = std::get_if<LogLine>(&effect)) {
-      std::string text = std::to_string(now_.Count()) + " " + entry + " " + line->sentence;
+      std::string text = line->sentence;
       for (const LogField& field : line->fields) text += " " + field.name + "=" + field.value;
-      log.push_back(std::move(text));
+      Note(entry, text);
     }
   }
 }
 
+void World::Answer(const std::string& entry, const AnswerCaller& answer) {
+  const Call& call = calls_.at(answer.call);
+  answers[call.subject].push_back(answer);
+  if (on_answer) on_answer(Told{entry, call.subject, call.asked_at, answer});
+}
+
+void World::NoteDisturbances() {
+  if (loss > 0.0) disturbed_at_["store"] = now_;
+
+  for (const auto& [entry, place] : place_of_) {
+    const bool disturbed = !IsUp(entry) || paused_.contains(entry) || IsCut(entry, "store");
+    if (disturbed) disturbed_at_[entry] = now_;
+  }
+}
+
+bool World::InTouch(const std::string& entry, Millis span) const {
+  return std::ranges::all_of(std::to_array<std::string>({entry, "store"}), [&](const auto& place) {
+    const auto at = disturbed_at_.find(place);
+    return at == disturbed_at_.end() || now_ - at->second >= span;
+  });
+}
+
 bool World::Loses() {
   return loss > 0.0 && std::uniform_real_distribution<double>(0.0, 1.0)(random_) < loss;
 }
@@ -288,22 +326,52 @@
   const auto late = late_.find(id);
   const Millis delay = is_start && late != late_.end() ? late->second : Millis(0);
   const bool lost = Loses() || delay > Millis(0);
+  const int64_t born = workers_.contains(id) ? workers_.at(id)->info().born : 0;
 
-  At(now_ + kHop + delay, [this, id, call, answer, lost] {
+  At(now_ + kHop + delay, [this, id, call, answer, lost, born] {
     const auto worker = workers_.find(id);
     if (worker == workers_.end() || !worker->second->up) return;
+    // The connections of a former life are gone.
+    if (worker->second->info().born != born) return;
 
     worker->second->Handle(call.token, call.order, now_,
                            lost ? SimWorker::Reply([](const WorkerReply&) {}) : answer);
   });
 }
 
+void World::CallPeer(const std::string& entry, const AskPeer& ask) {
+  const uint64_t life = life_of_.at(entry);
+  const std::string peer = ask.peer.host;
+  const auto answered = std::make_shared<bool>(false);
+  const auto settle = [this, entry, life, answered,
+                       request = ask.request](std::optional<JobPhase> phase) {
+    if (std::exchange(*answered, true)) return;
+    Deliver(entry, life, PeerAnswered{request, phase});
+  };
+
+  At(now_ + ask.timeout, [settle] { settle(std::nullopt); });
+  if (IsCut(entry, peer) || !IsUp(peer)) return;
+
+  const RequestId call = ++last_call_;
+  peer_calls_[call] = [this, entry, peer, settle](std::optional<JobPhase> phase) {
+    if (!IsCut(entry, peer)) At(now_ + kHop, [settle, phase] { settle(phase); });
+  };
+  At(now_ + kHop, [this, peer, call, job = ask.job] {
+    if (IsUp(peer)) Deliver(peer, life_of_.at(peer), PeerAsked{call, job});
+  });
+}
+
 bool World::IsCut(const std::string& one, const std::string& other) const {
   return cuts_.contains({one, other}) || cuts_.contains({other, one});
 }
 
 void World::Cut(const std::string& one, const std::string& other) { cuts_.emplace(one, other); }
 
+void World::Mend(const std::string& one, const std::string& other) {
+  cuts_.erase({one, other});
+  cuts_.erase({other, one});
+}
+
 void World::Mark(std::set<std::string>& marks, const std::string& name, bool set) {
   if (set) {
     marks.insert(name);
@@ -331,21 +399,23 @@
   store.Announce(workers_.at(id)->info(), now_);
 }
 
+RequestId World::NewCall(const std::string& subject) {
+  calls_[++last_call_] = Call{subject, now_};
+  return last_call_;
+}
+
 void World::Submit(const std::string& entry, const JobSpec& spec) {
-  const RequestId call = ++last_call_;
-  job_of_call_[call] = spec.job.Text();
+  const RequestId call = NewCall(spec.job.Text());
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobSubmitted{"queue", spec}});
 }
 
 void World::Cancel(const std::string& entry, const std::string& job) {
-  const RequestId call = ++last_call_;
-  job_of_call_[call] = job;
+  const RequestId call = NewCall(job);
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobCancelled{JobId(job)}});
 }
 
 void World::Ask(const std::string& entry, const std::string& job) {
-  const RequestId call = ++last_call_;
-  job_of_call_[call] = job;
+  const RequestId call = NewCall(job);
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobAsked{JobId(job)}});
 }
 
@@ -354,8 +424,7 @@
 }
 
 void World::AskPending(const std::string& entry) {
-  const RequestId call = ++last_call_;
-  job_of_call_[call] = "pending";
+  const RequestId call = NewCall("pending");
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), PendingAsked{"queue"}});
 }
 
@@ -381,6 +450,12 @@
   return DecodeCell(*cell)->owner.Text();
 }
 
+std::vector<std::string> World::Workers() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : workers_) ids.push_back(id);
+  return ids;
+}
+
 std::vector<std::string> World::WorkersOf(const std::string& job) const {
   std::vector<std::string> ids;
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -29,6 +30,15 @@
   std::vector<int64_t> millicores = {};
 };
 
+/// What a caller was told.
+struct Told {
+  std::string entry;
+  /// The job, or "pending".
+  std::string subject;
+  Millis asked_at;
+  AnswerCaller answer;
+};
+
 /// Several entries around real reducers, with workers and a store, in simulated time.
 ///
 /// The world watches what callers and workers see: it notes each start, each end that a worker is
@@ -50,6 +60,7 @@
   /// Cuts or mends the way between two places: entries, workers and "store".
   void Cut(const std::string& one, const std::string& other);
   void Mend() { cuts_.clear(); }
+  void Mend(const std::string& one, const std::string& other);
 
   /// Answers of calls to a worker are lost while set; `late` orders are carried out so much later.
   void LoseAnswers(const std::string& worker, bool lose) { Mark(mute_, worker, lose); }
@@ -67,6 +78,9 @@
   void WithdrawWorker(const std::string& worker);
   void DrainWorker(const std::string& worker);
 
+  /// Adds a line to `log`.
+  void Note(const std::string& who, const std::string& what);
+
   /// Hands a job in at an entry; the answer goes to `answers`.
   void Submit(const std::string& entry, const JobSpec& spec);
   void Cancel(const std::string& entry, const std::string& job);
@@ -82,6 +96,11 @@
   [[nodiscard]] JobPhase Phase(const std::string& job) const;
   /// Returns the entry that owns the cell of a job, empty if none does.
   [[nodiscard]] std::string OwnerOf(const std::string& job) const;
+  [[nodiscard]] bool IsUp(const std::string& entry) const { return entries_.contains(entry); }
+  /// Says whether an entry was up, not paused and not cut from the store for so long, and the store
+  /// lost no answers meanwhile.
+  [[nodiscard]] bool InTouch(const std::string& entry, Millis span) const;
+  [[nodiscard]] std::vector<std::string> Workers() const;
   [[nodiscard]] SimWorker& worker(const std::string& id) { return *workers_.at(id); }
   [[nodiscard]] State& state(const std::string& entry) { return *entries_.at(entry); }
   [[nodiscard]] std::vector<std::string> WorkersOf(const std::string& job) const;
@@ -90,11 +109,15 @@
   SimStore store;
   /// Answers to callers, by job.
   std::map<std::string, std::vector<AnswerCaller>> answers;
+  /// Called for each answer to a caller.
+  std::function<void(const Told&)> on_answer;
   /// What must never be, as it was seen.
   std::vector<std::string> violations;
   /// Runs begun by task.
   std::map<TaskName, int32_t> starts;
   std::set<TaskName> done;
+  /// Ends of runs at workers, whether an entry heard of them or not.
+  std::map<TaskName, std::map<RunEnd, int32_t>> ends;
   /// Decides what the runs of a task do.
   SimWorker::Planner planner;
   /// Chance that an answer is lost, for every call.
@@ -110,6 +133,11 @@
   void CallStore(const std::string& entry, const StoreCall& call);
   [[nodiscard]] Millis StoreDelay(const std::string& entry, const StoreBody& body) const;
   void CallWorker(const std::string& entry, const WorkerCall& call);
+  void CallPeer(const std::string& entry, const AskPeer& ask);
+  void Answer(const std::string& entry, const AnswerCaller& answer);
+  void NoteDisturbances();
+  void Violate(const std::string& what);
+  RequestId NewCall(const std::string& subject);
   void Announce(const std::string& worker);
   void AddWorker(const std::string& id, const std::string& data_centre, const std::string& rack,
                  const Resources& capacity);
@@ -143,7 +171,15 @@
   std::map<std::string, Millis> late_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
-  std::map<RequestId, std::string> job_of_call_;
+  /// When an entry, or the store, was last disturbed.
+  std::map<std::string, Millis> disturbed_at_;
+  struct Call {
+    std::string subject;
+    Millis asked_at;
+  };
+  std::map<RequestId, Call> calls_;
+  /// Who takes a peer's answer, by the call that asked for it.
+  std::map<RequestId, std::function<void(std::optional<JobPhase>)>> peer_calls_;
   RequestId last_call_ = 0;
   std::mt19937_64 random_;
 };
