Keep the ends of a worker's new life until the store has them

Callers would see: a task that has ended runs again (TWICE).

Cause: the look that found a worker's new life put the number up to which ends are forgotten back to that of the former life, just after it had been cleared. Each life numbers its ends from 1, so the worker was told to forget ends that the store did not have; where the owner then lost the store or died, its successor started the tasks again.

EndsAreKeptUntilTheStoreHasThem failed before.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -416,6 +416,8 @@
 
 void TakeLook(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
               const LookUnderWay& look, const WorkerReply& reply) {
+  int64_t forgotten = look.forget_up_to;
+
   // An answer of another life than the one that is known is news of that life.
   if (reply.born != 0 && reply.born != worker.info.born) {
     if (reply.born < worker.info.born) {
@@ -423,6 +425,8 @@
       return;
     }
     BeginLife(state, effects, cell, worker, reply.born);
+    // Each life numbers its ends anew.
+    forgotten = 0;
   }
 
   worker.failed_looks = 0;
@@ -451,8 +455,8 @@
     worker.clock_at = state.now;
   }
 
-  std::erase_if(worker.ends, [&](const auto& row) { return row.first <= look.forget_up_to; });
-  worker.forgotten = std::max(worker.forgotten, look.forget_up_to);
+  std::erase_if(worker.ends, [&](const auto& row) { return row.first <= forgotten; });
+  worker.forgotten = std::max(worker.forgotten, forgotten);
 
   for (const EndedTask& row : reply.ended) TakeEndedRow(state, effects, cell, worker, row);
 
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -49,6 +49,60 @@
   EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
 }
 
+/// Two workers whose new lives the entries hear of from the workers themselves, seconds before the
+/// registry tells.
+class NewLives : public testing::Test {
+ protected:
+  void SetUp() override {
+    world_.Run(Millis(3'500));
+    for (const char* entry : {"e0", "e1", "e2"}) world_.SlowWatches(entry, Millis(2'000));
+    world_.Run(Millis(3'000));
+  }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  void RestartWorkers() {
+    for (const std::string& worker : world_.Workers()) world_.RestartWorker(worker);
+  }
+
+  World world_{WorldShape{.racks = 1}};
+};
+
+// Tasks whose starts the new life had carried out counted as lost with the former life, and were
+// started elsewhere while they ran.
+TEST_F(NewLives, AStartThatMeetsANewLifeRunsOnce) {
+  RestartWorkers();
+  world_.Submit("e0", MakeJob("a", 4));
+  world_.Run(Millis(4'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  for (const auto& [name, count] : world_.starts) EXPECT_EQ(count, 1) << name.index;
+}
+
+// The look that found the new life set the number up to which ends are forgotten to that of the
+// former life, so that a worker forgot ends that the store did not have.
+TEST_F(NewLives, EndsAreKeptUntilTheStoreHasThem) {
+  world_.Submit("e0", MakeJob("a", 12));
+  world_.Run(Millis(4'000));
+  ASSERT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+  RestartWorkers();
+  // Finds the new lives.
+  world_.Submit("e0", MakeJob("b", 4));
+  world_.Run(Millis(5'000));
+
+  world_.Submit("e0", MakeJob("c", 4));
+  world_.Run(Millis(200));
+  const std::string owner = world_.OwnerOf("c");
+  world_.Cut(owner, "store");
+  world_.Run(Millis(1'500));
+  EXPECT_EQ((world_.ends[TaskName{JobId("c"), 0, 0, 3}][RunEnd::kDone]), 1);
+  world_.Run(Millis(8'000));
+
+  EXPECT_EQ(world_.Phase("c"), JobPhase::kCompleted);
+  for (int32_t index = 0; index < 4; ++index) {
+    EXPECT_EQ((world_.starts[TaskName{JobId("c"), 0, 0, index}]), 1) << index;
+  }
+}
+
 TEST_F(Trouble, TasksOfACutOffWorkerNeverRunTwice) {
   StartLasting("a", 2);
   const std::string lost = world_.WorkersOf("a").front();
