Take a peer's word that lent tasks were cancelled

Callers saw nothing: they were told `cancelled`. The job's record stayed in the store for good.

Cause: a lender that was down when the end of cancelled lent tasks was passed on asks for it each 3 s, and took no `cancelled` for an answer, as one once could be told before the tasks had stopped. An end is shown only once it is recorded, so the reason is gone.

Evidence: found by the audit of answers; the test failed before, the job was still active 25 s after its cancellation.

--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -475,9 +475,9 @@
   state.peer_questions.erase(found);
 
   if (!question.lender.Empty()) {
-    // A cancelled job counts as ended there before its tasks have stopped.
-    const bool telling = answered.phase && *answered.phase != JobPhase::kCancelled;
-    if (telling) TakeLoanPhase(state, effects, question.lender, question.job, *answered.phase);
+    if (answered.phase) {
+      TakeLoanPhase(state, effects, question.lender, question.job, *answered.phase);
+    }
     return;
   }
 
--- a/tests/scheduler/lending_test.cc
+++ b/tests/scheduler/lending_test.cc
@@ -100,6 +100,20 @@
   EXPECT_TRUE(world_.WorkersOf("a").empty());
 }
 
+// Whoever lost the word of the end of cancelled lent tasks took no answer for it later, so that the
+// job was never recorded as ended, and never removed.
+TEST_F(Lending, ACancelledJobEndsThoughWordOfItsLentTasksWasLost) {
+  world_.Submit("e0", Wide("a", 28, true));
+  world_.Run(Millis(6'000));
+  const std::string lender = world_.OwnerOf("a");
+  world_.Kill(lender);
+  world_.Cancel(lender == "e1" ? "e2" : "e1", "a");
+  world_.Run(Millis(25'000));
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
+}
+
 // A job counted as begun once its tasks were lent, though they waited on with the borrower.
 TEST_F(Lending, AJobWaitsUntilALentTaskBegins) {
   const std::string lender = world_.state("e0").view.cells.at(CellId("dc0/0")).record.owner.Text();
