--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -73,8 +73,6 @@
   std::string value;
   KvRevision revision = 0;
   bool cancelled = false;
-  /// When this entry first heard of it.
-  Millis seen_at;
   /// The rest is known of jobs in owned cells only.
   JobPhase phase = JobPhase::kQueued;
   std::string progress;
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -15,8 +15,8 @@
 constexpr Millis kPeerTimeout = Millis(250);
 /// When a caller that was refused is asked to come back, and the spread over callers.
 constexpr Millis kRetryAfter = Millis(1'000);
-/// Above every revision.
-constexpr KvRevision kAnyRevision = std::numeric_limits<KvRevision>::max();
+/// Counts jobs of every revision.
+constexpr KvRevision kNoLimit = std::numeric_limits<KvRevision>::max();
 /// A count of waiting jobs may be so old, beside the time in which a job becomes visible.
 constexpr Millis kCountAge = Millis(2'000);
 
@@ -220,7 +220,7 @@
 /// Returns the revision up to which the reports of all cells count jobs.
 KvRevision LeastReported(const State& state) {
   const std::set<CellId> cells = AllCells(state);
-  KvRevision least = cells.empty() ? 0 : kAnyRevision;
+  KvRevision least = cells.empty() ? 0 : kNoLimit;
 
   for (const CellId& id : cells) {
     const auto told = state.view.waiting.find(id);
@@ -230,7 +230,7 @@
   return least;
 }
 
-/// Says whether a job is in no owner's count.
+/// Says whether a job is not covered by any owner's report.
 bool IsUnreported(State& state, const JobView& job) {
   if (FindOpenCell(state, job.head.cell) != nullptr) return false;
 
@@ -246,7 +246,7 @@
   }
 
   for (const auto& [id, cell] : state.cells) {
-    if (cell.open) count.own += CountOf(CountWaiting(state, cell, kAnyRevision), queue);
+    if (cell.open) count.own += CountOf(CountWaiting(state, cell, kNoLimit), queue);
   }
 
   const KvRevision least = LeastReported(state);
@@ -262,7 +262,7 @@
   return count;
 }
 
-std::string AgeOf(const State& state, const FeedState& records) {
+std::string AgeText(const State& state, const FeedState& records) {
   return records.known_at ? std::to_string((state.now - *records.known_at).Count()) : "never";
 }
 
@@ -278,7 +278,7 @@
 
   if (!KnowsWaitingJobs(state, records)) {
     Log(effects, Severity::kInfo, "refused to count waiting jobs, the records are not known",
-        {{"queue", body.queue}, {"known_ms", AgeOf(state, records)}});
+        {{"queue", body.queue}, {"known_ms", AgeText(state, records)}});
     return Answer(effects, call, CallerOutcome::kUnavailable);
   }
 
@@ -290,7 +290,7 @@
        {"reported", std::to_string(count.reported)},
        {"unreported", std::to_string(count.unreported)},
        {"revision", std::to_string(records.revision)},
-       {"known_ms", AgeOf(state, records)}});
+       {"known_ms", AgeText(state, records)}});
   effects.emplace_back(
       AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = count.Total()});
 }
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -339,7 +339,6 @@
   Result<JobHead> head = DecodeJobHead(item.value);
   if (!head) return LogUnreadable(effects, item, head.error());
 
-  if (job.revision == 0) job.seen_at = state.now;
   // A move takes the job's progress away, also one that leads back to the cell.
   const bool moved = !head->ended && job.progress_revision < item.revision;
   if (moved || job.progress_cell != head->cell) ForgetProgress(job);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -146,8 +146,8 @@
 /// Cancels a job.
 void CancelJob(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 
-/// Returns how far a job of an owned cell is as far as it may be told: an end only once it is
-/// recorded, as a successor might not know of it else.
+/// Returns the phase of a job of an owned cell that may be shown: a terminal phase only once it is
+/// recorded, as a successor might not know it.
 JobPhase ShownPhase(const OwnedCell& cell, const JobId& id, const JobView& view);
 
 /// Notes that a worker has begun a run of a job, here or where tasks of it were lent to.
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -282,8 +282,8 @@
 
     const CellId& cell = view->second.head.cell;
 
-    if (FindOpenCell(state, cell) != nullptr) {
-      known.emplace_back(guest, ShownPhase(*FindOpenCell(state, cell), guest, view->second));
+    if (const OwnedCell* own = FindOpenCell(state, cell)) {
+      known.emplace_back(guest, ShownPhase(*own, guest, view->second));
     } else if (const auto owner = OwnerOf(state, cell)) {
       const RequestId request = NextRequest(state);
       state.peer_questions[request] = PendingQuestion{.job = guest, .lender = parent};
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -9,11 +9,13 @@
 /// Least time between two writes of one cell, so that what happens meanwhile shares a call; each
 /// call has its price. A start and the end of each step wait for half of it on average.
 constexpr Millis kWriteInterval = Millis(60);
-/// The store takes so many rows in one write. The grant is one, the load another.
-constexpr size_t kRowsAtOnce = 32;
-/// Rows of a job: the revision to expect and the progress, and the record of one that has ended.
-constexpr size_t kRowsOfJob = 2;
-constexpr size_t kRowsOfEndedJob = 3;
+/// Most entries of one transaction of the store.
+constexpr size_t kEntriesAtOnce = 32;
+/// Entries that are no job's: the expected grant and the load.
+constexpr size_t kEntriesOfCell = 2;
+/// Entries of a job: the expected revision and the progress, and the record of one that has ended.
+constexpr size_t kEntriesOfJob = 2;
+constexpr size_t kEntriesOfEndedJob = 3;
 /// Least time between two reports of a cell's load without another reason to write.
 constexpr Millis kLoadInterval = Millis(500);
 /// A load is told anew when a figure has changed by this share of the capacity, in percent.
@@ -65,6 +67,20 @@
   return false;
 }
 
+/// Adds a job's progress to a write.
+void AddProgress(OwnedCell& cell, const JobId& id, JobState& job, WriteRecords& write) {
+  // What is left of an ended job is what answers need, so that an entry that begins reads little.
+  if (IsTerminal(job.phase)) {
+    write.puts.push_back(RecordPut{JobKey(id), EncodeEnded(job.record, job.phase), 0});
+  }
+
+  std::string value = Encode(ProgressOf(job));
+  job.sent_values[value] = job.version;
+  write.expected.push_back(ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision});
+  write.puts.push_back(RecordPut{ProgressKey(cell.cell, id), std::move(value), 0});
+  cell.write.versions[id] = job.version;
+}
+
 /// Takes in what the store holds of a job whose write met another revision.
 void TakePresentProgress(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                          const StoreItem& item) {
@@ -184,24 +200,16 @@
   write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
   cell.write.versions.clear();
 
-  size_t rows = 2;
+  size_t entries = kEntriesOfCell;
 
   for (const JobId& id : cell.dirty) {
     JobState& job = cell.jobs.at(id);
     if (job.move || job.loan) continue;
 
-    const bool ended = IsTerminal(job.phase);
-    rows += ended ? kRowsOfEndedJob : kRowsOfJob;
-    if (rows > kRowsAtOnce) break;
-
-    // What is left of an ended job is what answers need, so that an entry that begins reads little.
-    if (ended) write.puts.push_back(RecordPut{JobKey(id), EncodeEnded(job.record, job.phase), 0});
+    entries += IsTerminal(job.phase) ? kEntriesOfEndedJob : kEntriesOfJob;
+    if (entries > kEntriesAtOnce) break;
 
-    std::string value = Encode(ProgressOf(job));
-    job.sent_values[value] = job.version;
-    write.expected.push_back(ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision});
-    write.puts.push_back(RecordPut{ProgressKey(cell.cell, id), std::move(value), 0});
-    cell.write.versions[id] = job.version;
+    AddProgress(cell, id, job, write);
   }
 
   if (cell.write.load) {
