--- a/tests/scheduler/waiting_count_test.cc
+++ b/tests/scheduler/waiting_count_test.cc
@@ -223,7 +223,7 @@
   ASSERT_NE(other, entries_.end());
 
   // One of the cuts meets the report that is due after the cancellation.
-  for (int round = 0; round < 14; ++round) {
+  for (int64_t round = 0; round < 14; ++round) {
     const std::string id = "j" + std::to_string(round);
     world_.Submit(*other, MakeJob(id, 1));
     world_.Run(Millis(4'000));
