Log who learns of a cancel when, and how old an owner's copy of the records is

The log could not tell whether a task of a cancelled job ran on because its owner did not know of the cancel, knew it late, or had a stop waiting: the entry that took the cancel logged nothing, the owner's line had no cell and no age of its copy, a stop that failed left no line, and nothing told that a process was behind.

All are bounded by cancels, failed stops or changes of state. No decision changes.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -252,9 +252,10 @@
   int32_t bound = 0;
   /// Since when some task waits for room.
   std::optional<Millis> waits_since;
-  /// For the log: when this entry took the job up, when its first task was bound, and the longest
-  /// wait of a task for a worker.
+  /// For the log: when this entry took the job up, when it learned of its cancelling, when its first
+  /// task was bound, and the longest wait of a task for a worker.
   Millis taken_at;
+  std::optional<Millis> cancelled_at;
   std::optional<Millis> first_bound_at;
   Millis longest_wait;
   /// Of its filling tasks, together: how long looks showed them running, and how much of that was
@@ -576,6 +577,8 @@
   bool stopping = false;
   Millis stop_requested_at;
   bool exit_announced = false;
+  /// For the log: the copy of the records was noted as old.
+  bool noted_old_records = false;
   Millis next_removal;
 };
 
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -262,10 +262,6 @@
   return count;
 }
 
-std::string AgeText(const State& state, const FeedState& records) {
-  return records.known_at ? std::to_string((state.now - *records.known_at).Count()) : "never";
-}
-
 /// Says whether this entry's copy of the records is recent enough to count the jobs that wait.
 bool KnowsWaitingJobs(const State& state, const FeedState& records) {
   if (!records.known_at) return false;
@@ -278,7 +274,7 @@
 
   if (!KnowsWaitingJobs(state, records)) {
     Log(effects, Severity::kInfo, "refused to count waiting jobs, the records are not known",
-        {{"queue", body.queue}, {"known_ms", AgeText(state, records)}});
+        {{"queue", body.queue}, {"known_ms", RecordsAgeText(state)}});
     return Answer(effects, call, CallerOutcome::kUnavailable);
   }
 
@@ -290,11 +286,24 @@
        {"reported", std::to_string(count.reported)},
        {"unreported", std::to_string(count.unreported)},
        {"revision", std::to_string(records.revision)},
-       {"known_ms", AgeText(state, records)}});
+       {"known_ms", RecordsAgeText(state)}});
   effects.emplace_back(
       AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = count.Total()});
 }
 
+/// Logs a cancellation that the store has taken, and who is to carry it out.
+void LogCancelled(const State& state, Effects& effects, const JobId& id, KvRevision revision) {
+  const auto job = state.view.jobs.find(id);
+  const bool known = job != state.view.jobs.end();
+  const CellId cell = known ? job->second.head.cell : CellId();
+  const auto owner = state.view.cells.find(cell);
+  Log(effects, Severity::kInfo, "cancelled job",
+      {{"job", id.Text()},
+       {"cell", cell.Text()},
+       {"owner", owner == state.view.cells.end() ? "" : owner->second.record.owner.Text()},
+       {"revision", std::to_string(revision)}});
+}
+
 }  // namespace
 
 void HandleCaller(State& state, Effects& effects, const CallerAsked& asked) {
@@ -385,6 +394,7 @@
     }
   } else if (reply.status == StoreStatus::kOk) {
     const StoreItem item{.key = CancelKey(id), .revision = reply.revision, .value = "{}"};
+    LogCancelled(state, effects, id, reply.revision);
     AnswerAll(effects, cancel.calls, CallerOutcome::kCancelled);
     state.cancels.erase(found);
     // The job's removal may be known before this answer.
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -455,8 +455,13 @@
   if (job.cancelled) return;
 
   job.cancelled = true;
+  job.cancelled_at = state.now;
   Log(effects, Severity::kInfo, "cancelling job",
-      {{"job", job.record.spec.job.Text()}, {"bound", std::to_string(job.bound)}});
+      {{"job", job.record.spec.job.Text()},
+       {"cell", cell.cell.Text()},
+       {"bound", std::to_string(job.bound)},
+       {"lent", std::to_string(job.lent)},
+       {"known_ms", RecordsAgeText(state)}});
   StopJob(cell, job);
   Touch(cell, job);
   SettleJob(state, effects, cell, job.record.spec.job);
@@ -581,6 +586,8 @@
          {"queue", job.record.queue},
          {"phase", std::string(kJobPhaseNames.Name(job.phase))},
          {"ms", std::to_string((state.now - job.taken_at).Count())},
+         {"cancelling_ms",
+          std::to_string((state.now - job.cancelled_at.value_or(state.now)).Count())},
          {"first_bound_ms",
           std::to_string((job.first_bound_at.value_or(state.now) - job.taken_at).Count())},
          {"longest_wait_ms", std::to_string(job.longest_wait.Count())},
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -572,6 +572,17 @@
     if (reply.status == OrderStatus::kOk) task->paced = pace->percent;
   }
 
+  if (const auto* stop = std::get_if<StopTask>(&order);
+      stop != nullptr && reply.status != OrderStatus::kOk) {
+    Log(effects, Severity::kInfo, "stop did not succeed",
+        {{"job", stop->task.job.Text()},
+         {"step", std::to_string(stop->task.step)},
+         {"task", std::to_string(stop->task.index)},
+         {"run", std::to_string(stop->run)},
+         {"worker", worker.info.id.Text()},
+         {"status", std::string(kOrderStatusNames.Name(reply.status))}});
+  }
+
   if (reply.status != OrderStatus::kOk) worker.next_order = state.now + kRefusalPause;
 }
 
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -13,6 +13,9 @@
 constexpr Millis kRecordsPause = Millis(350);
 /// The same for the registry, in which every worker writes each 1.5 s.
 constexpr Millis kRegistryPause = Millis(700);
+/// An owner's copy of the records that is older is worth a line in the log: a watch that waits in
+/// vain takes `kWatchWait`, its pause and the answer.
+constexpr Millis kOldRecords = Millis(2'500);
 /// Removed keys that are remembered. Many more than are removed while a late answer is under way.
 constexpr size_t kMostRemoved = 4'000;
 
@@ -164,6 +167,29 @@
   }
 }
 
+std::string RecordsAgeText(const State& state) {
+  const auto records = state.feeds.find(Feed::kRecords);
+  if (records == state.feeds.end() || !records->second.known_at) return "never";
+
+  return std::to_string((state.now - *records->second.known_at).Count());
+}
+
+void NoteOldRecords(State& state, Effects& effects) {
+  const FeedState& records = state.feeds[Feed::kRecords];
+  const bool works =
+      std::ranges::any_of(state.cells, [](const auto& row) { return row.second.open; });
+  const bool old = works && records.known_at && state.now - *records.known_at > kOldRecords;
+  if (old == state.noted_old_records) return;
+
+  state.noted_old_records = old;
+  Log(effects, old ? Severity::kWarning : Severity::kInfo,
+      old ? "copy of the records is old" : "copy of the records is recent again",
+      {{"known_ms", RecordsAgeText(state)},
+       {"listing", records.synced ? "no" : "yes"},
+       {"revision", std::to_string(records.revision)},
+       {"cells", std::to_string(state.cells.size())}});
+}
+
 void RestartWatches(State& state) {
   for (auto& [feed, copy] : state.feeds) {
     if (!copy.synced || copy.request == 0) continue;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -79,6 +79,12 @@
 void UpdateFeeds(State& state, Effects& effects);
 void HandleFeed(State& state, Effects& effects, const FeedCalled& purpose, const StoreReply& reply);
 
+/// Returns how old this entry's copy of the records is, for the log.
+std::string RecordsAgeText(const State& state);
+
+/// Logs that an owner's copy of the records has become old, or recent again.
+void NoteOldRecords(State& state, Effects& effects);
+
 /// Watches anew where a watch is under way: the store was away, and what was asked before is not
 /// answered any more.
 void RestartWatches(State& state);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -153,6 +153,7 @@
 
   UpdateLease(state, effects);
   UpdateFeeds(state, effects);
+  NoteOldRecords(state, effects);
   UpdateCells(state, effects);
   OpenCells(state, effects);
 
