Tests for work of a cancelled job that starts or runs on, failing

hypothesis 1, an old copy of the records AnOwnerWithAnOldCopyOfTheRecordsStartsNothingOfIt: 4 starts more than 4 s after the cancel was acknowledged AnOwnerThatListsTheRecordsAnewStartsNothingOfIt: the same while a list is under way in an open cell hypothesis 2, a stop that waits AStopWithoutAnAnswerIsRepeatedAtOnce, AnEntryThatGivesItsCellsAwayStopsIt hypothesis 3, a cancel that reaches nobody ACancelThatTheStoreTakesLateIsNotGivenUp

That any of them is what the users saw is not shown by these tests.

--- /dev/null
+++ b/tests/scheduler/cancelled_job_test.cc
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// Work of a cancelled job: nothing of it starts, and what runs is stopped, in time.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// A task starts so long after its job's cancelling at most, and one that runs is gone within the
+/// time for a stop more. Figures of a deployment.
+constexpr Millis kCancelTime = Millis(4'000);
+constexpr Millis kStopTime = Millis(900);
+
+class CancelledJob : public testing::Test {
+ protected:
+  void SetUp() override { world_.Run(Millis(3'500)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  /// Lets a job of lasting tasks hold all workers, and notes who owns the cell.
+  void Occupy() {
+    world_.planner = [this](const TaskName& name) {
+      return RunPlan{.lasts = name.job.Text() == "holder",
+                     .need = Resources{.millicores = name.job.Text() == "holder" ? 8'000 : 1'000}};
+    };
+    JobSpec spec = MakeJob("holder", 2, 8'000);
+    spec.steps[0].lasting = true;
+    world_.Submit("e0", spec);
+    world_.Run(Millis(1'000));
+    ASSERT_EQ(world_.WorkersOf("holder").size(), 2U);
+
+    owner_ = world_.OwnerOf("holder");
+    other_ = owner_ == "e0" ? "e1" : "e0";
+  }
+
+  /// Cancels a job at the entry that does not own its cell, and waits for the answer.
+  void CancelElsewhere(const std::string& job) {
+    world_.Cancel(other_, job);
+    world_.Run(Millis(50));
+    ASSERT_EQ(world_.answers[job].back().outcome, CallerOutcome::kCancelled);
+    cancelled_at_ = world_.now();
+  }
+
+  [[nodiscard]] int32_t StartsOf(const std::string& job) {
+    int32_t count = 0;
+    for (const auto& [name, starts] : world_.starts) {
+      if (name.job.Text() == job) count += starts;
+    }
+    return count;
+  }
+
+  World world_{WorldShape{.entries = 2, .racks = 1, .workers_per_rack = 2}};
+  std::string owner_;
+  std::string other_;
+  Millis cancelled_at_;
+};
+
+TEST_F(CancelledJob, AnOwnerWithAnOldCopyOfTheRecordsStartsNothingOfIt) {
+  Occupy();
+  world_.Submit(owner_, MakeJob("waits", 4));
+  world_.SlowWatches(owner_, Millis(9'000));
+  world_.Cut(owner_, other_);
+  world_.Run(Millis(2'500));
+  CancelElsewhere("waits");
+  world_.Run(kCancelTime);
+
+  // Frees the workers.
+  world_.Cancel(owner_, "holder");
+  world_.Run(Millis(12'000));
+  EXPECT_EQ(StartsOf("waits"), 0);
+  EXPECT_EQ(world_.Phase("waits"), JobPhase::kCancelled);
+}
+
+TEST_F(CancelledJob, AnOwnerThatListsTheRecordsAnewStartsNothingOfIt) {
+  Occupy();
+  world_.Submit(owner_, MakeJob("waits", 4));
+  world_.Cut(owner_, other_);
+  world_.Cut(owner_, "store");
+  world_.Submit(other_, MakeJob("unrelated", 1));
+  world_.Run(Millis(500));
+  world_.store.DropHistory();
+  world_.store.page_size = 1;
+  world_.SlowLists(owner_, Millis(1'000));
+  world_.Mend(owner_, "store");
+  world_.Run(Millis(4'000));
+  CancelElsewhere("waits");
+  world_.Run(kCancelTime);
+
+  world_.Cancel(owner_, "holder");
+  world_.Run(Millis(12'000));
+  EXPECT_EQ(StartsOf("waits"), 0);
+}
+
+TEST_F(CancelledJob, AStopWithoutAnAnswerIsRepeatedAtOnce) {
+  Occupy();
+  for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, true);
+  CancelElsewhere("holder");
+  world_.Run(Millis(3'000));
+  for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, false);
+  world_.Run(cancelled_at_ + kCancelTime + kStopTime - world_.now());
+
+  EXPECT_TRUE(world_.WorkersOf("holder").empty());
+}
+
+TEST_F(CancelledJob, AnEntryThatGivesItsCellsAwayStopsIt) {
+  Occupy();
+  world_.Cut(owner_, "store");
+  world_.Stop(owner_);
+  CancelElsewhere("holder");
+  world_.Run(kStopTime);
+
+  EXPECT_TRUE(world_.WorkersOf("holder").empty());
+}
+
+TEST_F(CancelledJob, ACancelThatTheStoreTakesLateIsNotGivenUp) {
+  Occupy();
+  world_.Cut(owner_, "store");
+  world_.Cut(other_, "store");
+  world_.Cancel(other_, "holder");
+  world_.Run(Millis(3'500));
+  ASSERT_EQ(world_.answers["holder"].back().outcome, CallerOutcome::kUnknown);
+  world_.Mend();
+  world_.Run(kCancelTime + kStopTime);
+
+  EXPECT_TRUE(world_.WorkersOf("holder").empty());
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -321,6 +321,7 @@
   });
 
   if (IsCut(entry, id)) return;
+  if (std::holds_alternative<StopTask>(call.order) && deaf_to_stops_.contains(id)) return;
 
   const bool is_start = std::holds_alternative<StartTask>(call.order);
   const auto late = late_.find(id);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -65,6 +65,8 @@
   /// Answers of calls to a worker are lost while set; `late` orders are carried out so much later.
   void LoseAnswers(const std::string& worker, bool lose) { Mark(mute_, worker, lose); }
   void DelayStarts(const std::string& worker, Millis span) { late_[worker] = span; }
+  /// Stops that are sent to a worker are lost while set.
+  void LoseStops(const std::string& worker, bool lose) { Mark(deaf_to_stops_, worker, lose); }
 
   /// Answers to an entry's lists take so much longer, each page of them.
   void SlowLists(const std::string& entry, Millis span) { slow_lists_[entry] = span; }
@@ -168,6 +170,7 @@
   std::map<std::string, std::vector<Action>> held_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> mute_;
+  std::set<std::string> deaf_to_stops_;
   std::map<std::string, Millis> late_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
