Start no task while the cancels of the last seconds are not known

Callers saw: a task of a cancelled job started more than 4 s after the cancel was acknowledged.

Cause: an owner decided on starts from its copy of the records whatever the age of that copy. HoldsLease only asks whether a renewal was answered in the last 2.5 s. A watch that is late, a list that is under way in an open cell, a full link or a process that is behind leave the copy seconds old, and the push of a cancel to the owner is a hint that takes the same way, or is not sent where no owner is known.

Ruled out: a check of the age of the copy alone, as a list of seconds would then stop all starts of an entry.

Change: a start leaves only while all cancels are known up to cancel_time, less the longest time of an order, ago. Where the copy is late, the keys of cancelled jobs are read by themselves, so that starts go on and stops are not late either. A watch of the records waits 0.5 s instead of 2 s, so that the copy of a quiet store counts as 1.35 s old at most.

--- a/lib/scheduler/include/currantpost/scheduler/settings.h
+++ b/lib/scheduler/include/currantpost/scheduler/settings.h
@@ -22,6 +22,8 @@
   Millis longest_worker_lease = Millis(10'000);
   /// How long a worker takes at most to stop a task.
   Millis stop_time = Millis(1'000);
+  /// Time after the acknowledgement of a job's cancelling in which nothing of it starts any more.
+  Millis cancel_time = Millis(4'000);
   /// How long the state of an ended job can be asked for.
   Millis kept_after_end = Millis(120'000);
   /// Time in which every entry knows an accepted job.
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -46,6 +46,19 @@
   std::set<std::string> listed_keys;
 };
 
+/// Reads of the cancelled jobs alone, while the copy of the records is late: they are short, and
+/// nothing of these jobs may start.
+struct CancelReads {
+  /// The read under way, 0 if there is none.
+  RequestId request = 0;
+  /// Where the next page begins, and when the first one was asked for.
+  std::string page_after;
+  Millis began_at;
+  Millis next_at;
+  /// All jobs that were cancelled by then are known.
+  std::optional<Millis> known_at;
+};
+
 /// A live entry.
 struct EntryView {
   EntryRecord record;
@@ -252,8 +265,8 @@
   int32_t bound = 0;
   /// Since when some task waits for room.
   std::optional<Millis> waits_since;
-  /// For the log: when this entry took the job up, when it learned of its cancelling, when its first
-  /// task was bound, and the longest wait of a task for a worker.
+  /// For the log: when this entry took the job up, when it learned of its cancelling, when its
+  /// first task was bound, and the longest wait of a task for a worker.
   Millis taken_at;
   std::optional<Millis> cancelled_at;
   std::optional<Millis> first_bound_at;
@@ -494,11 +507,12 @@
 };
 struct EndedRemoved {};
 struct LearnedWritten {};
+struct CancelsRead {};
 using StorePurpose =
     std::variant<FeedCalled, LeaseGranted, LeaseKept, FormerLeaseEnded, EntryRegistered,
                  LayoutWritten, CellClaimed, CellReleased, ProgressListed, ProgressWritten,
                  JobMoved, TasksLent, SubmitWritten, CancelStepped, JobRead, PhaseRead,
-                 EndedRemoved, LearnedWritten>;
+                 EndedRemoved, LearnedWritten, CancelsRead>;
 /// @}
 
 /// A call to a worker, by its request.
@@ -544,6 +558,7 @@
   Millis wake_at;
 
   std::map<Feed, FeedState> feeds;
+  CancelReads cancel_reads;
   View view;
   std::shared_ptr<const Routing> routing;
   QueueTable queues;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -210,6 +210,7 @@
   switch (task.phase) {
     case TaskPhase::kStarting: {
       if (task.sent || worker.info.draining || !HoldsLease(state)) return std::nullopt;
+      if (!KnowsCancels(state)) return std::nullopt;
 
       const std::optional<int64_t> until = LeaseUntil(state, worker);
       if (!until) return std::nullopt;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -8,6 +8,8 @@
 /// How long a watch waits for a change. With `kStoreTimeout` it bounds how long a silent connection
 /// goes unnoticed: less than the 4 s in which all must be known again after a fault.
 constexpr Millis kWatchWait = Millis(2'000);
+/// The same for the records: what an owner knows is never older than two waits and a pause.
+constexpr Millis kRecordsWait = Millis(500);
 /// Pause between two watches of the records. Owners are told of new jobs by the entry that accepts
 /// them, so the watch only catches up; each call has its price.
 constexpr Millis kRecordsPause = Millis(350);
@@ -161,9 +163,9 @@
       continue;
     }
 
-    copy.request =
-        CallStore(state, effects, FeedCalled{feed, false},
-                  WatchFeed{feed, copy.revision, kWatchWait}, kWatchWait + kStoreTimeout);
+    const Millis wait = feed == Feed::kRecords ? kRecordsWait : kWatchWait;
+    copy.request = CallStore(state, effects, FeedCalled{feed, false},
+                             WatchFeed{feed, copy.revision, wait}, wait + kStoreTimeout);
   }
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -89,6 +89,13 @@
 /// answered any more.
 void RestartWatches(State& state);
 
+/// Reads which jobs are cancelled where the copy of the records is late and tasks may start.
+void UpdateCancelReads(State& state, Effects& effects);
+void HandleCancelsRead(State& state, Effects& effects, const StoreReply& reply);
+
+/// Says whether this entry knows of all cancels that forbid a start now.
+bool KnowsCancels(const State& state);
+
 /// Takes in a record, from whatever source. Older news than what is known is passed over.
 void ApplyRecord(State& state, Effects& effects, const StoreItem& item);
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -55,6 +55,7 @@
   }
   void operator()(const EndedRemoved&) const {}
   void operator()(const LearnedWritten&) const { HandleLearnedWritten(state, effects, reply); }
+  void operator()(const CancelsRead&) const { HandleCancelsRead(state, effects, reply); }
 };
 
 /// Lets all workers and cells be looked at: what the store says may concern any of them.
@@ -153,6 +154,7 @@
 
   UpdateLease(state, effects);
   UpdateFeeds(state, effects);
+  UpdateCancelReads(state, effects);
   NoteOldRecords(state, effects);
   UpdateCells(state, effects);
   OpenCells(state, effects);
