Order stops before starts and paces, and repeat a stop without an answer at once

Callers saw: a task of a cancelled job ran on for seconds after its owner had learned of the cancel.

Cause: a worker is sent one order at a time, chosen by the job's name, so a stop waited behind starts and paces of other tasks.

Change: stops are looked for first, at workers that have some; a stop that was not carried out is ordered again after the usual pause. A worker without stops is passed over by a flag, so that the usual round costs the same.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -324,6 +324,8 @@
   int64_t forgotten = 0;
   int64_t last_end = 0;
   std::set<TaskRef> tasks;
+  /// Some of them may be in the phase of stopping.
+  bool has_stops = false;
   /// Something about it changed, so that it may want a look or an order; else it is passed over
   /// until something is due.
   bool attention = true;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -352,6 +352,11 @@
   return IsTerminal(job->second.phase) ? JobPhase::kActive : job->second.phase;
 }
 
+void SetStopping(WorkerState& worker, TaskState& task) {
+  task.phase = TaskPhase::kStopping;
+  worker.has_stops = true;
+}
+
 void StopJob(OwnedCell& cell, JobState& job) {
   cell.sweep_due = true;
   std::vector<TaskRef> unsent;
@@ -370,7 +375,7 @@
         // Where the start has left, the next look settles it; the stop follows.
         break;
       case TaskPhase::kRunning:
-        task.phase = TaskPhase::kStopping;
+        SetStopping(cell.workers.at(task.worker), task);
         break;
       default:
         break;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -201,6 +201,13 @@
                                   .timeout = order.wait + kOrderTimeout});
 }
 
+/// Says whether a task is to be stopped by an order now.
+bool WantsStop(const State& state, const TaskState& task) {
+  if (task.phase != TaskPhase::kStopping) return false;
+
+  return !task.stop_sent || state.now - *task.stop_sent >= state.settings.stop_time + kStopGrace;
+}
+
 /// Returns the order that a task asks for, if it asks for one.
 std::optional<WorkerOrder> TaskOrder(State& state, OwnedCell& cell, WorkerState& worker,
                                      const TaskRef& ref) {
@@ -224,13 +231,11 @@
                        .checkpoint = task.checkpoint,
                        .lease_until_ms = *until};
     }
-    case TaskPhase::kStopping: {
-      const Millis patience = state.settings.stop_time + kStopGrace;
-      if (task.stop_sent && state.now - *task.stop_sent < patience) return std::nullopt;
+    case TaskPhase::kStopping:
+      if (!WantsStop(state, task)) return std::nullopt;
 
       task.stop_sent = state.now;
       return StopTask{NameOf(job, ref), task.run};
-    }
     case TaskPhase::kRunning:
       if (task.paced == task.wanted_pace) return std::nullopt;
       return PaceTask{NameOf(job, ref), task.run, task.wanted_pace};
@@ -239,6 +244,24 @@
   }
 }
 
+/// Returns the stop that is to be ordered next. A worker is sent one order at a time, so stops go
+/// before starts and paces.
+std::optional<WorkerOrder> NextStop(State& state, OwnedCell& cell, WorkerState& worker) {
+  if (!worker.has_stops) return std::nullopt;
+
+  worker.has_stops = false;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const TaskState& task = *FindTask(cell, ref);
+    if (task.phase != TaskPhase::kStopping) continue;
+
+    worker.has_stops = true;
+    if (WantsStop(state, task)) return TaskOrder(state, cell, worker, ref);
+  }
+
+  return std::nullopt;
+}
+
 std::optional<WorkerOrder> NextOrder(State& state, OwnedCell& cell, WorkerState& worker) {
   if (!worker.strays.empty()) {
     const auto stray = worker.strays.begin();
@@ -247,6 +270,8 @@
     return order;
   }
 
+  if (auto stop = NextStop(state, cell, worker)) return stop;
+
   for (const TaskRef& ref : worker.tasks) {
     if (auto order = TaskOrder(state, cell, worker, ref)) return order;
   }
@@ -349,8 +374,9 @@
   const bool unwanted = job.cancelled || job.doomed;
 
   if (task->phase == TaskPhase::kStarting || task->phase == TaskPhase::kRunning) {
-    task->phase = unwanted ? TaskPhase::kStopping : TaskPhase::kRunning;
+    task->phase = TaskPhase::kRunning;
     task->sent = true;
+    if (unwanted) SetStopping(worker, *task);
   }
 }
 
@@ -502,7 +528,8 @@
   if (status == OrderStatus::kOk) {
     NoteRun(state, effects, cell, job, worker);
     const bool unwanted = job.cancelled || job.doomed;
-    task->phase = unwanted ? TaskPhase::kStopping : TaskPhase::kRunning;
+    task->phase = TaskPhase::kRunning;
+    if (unwanted) SetStopping(worker, *task);
     worker.answered_at = state.now;
     // It works at full pace until it is told otherwise.
     if (SpecOf(job, ref).filling) UpdatePace(state, cell, worker);
@@ -555,6 +582,23 @@
   SettleJob(state, effects, cell, ref.job);
 }
 
+void TakeFailedStop(Effects& effects, OwnedCell& cell, const WorkerState& worker,
+                    const StopTask& stop, OrderStatus status) {
+  Log(effects, Severity::kInfo, "stop did not succeed",
+      {{"job", stop.task.job.Text()},
+       {"step", std::to_string(stop.task.step)},
+       {"task", std::to_string(stop.task.index)},
+       {"run", std::to_string(stop.run)},
+       {"worker", worker.info.id.Text()},
+       {"status", std::string(kOrderStatusNames.Name(status))}});
+
+  // The run is over already, and the next look lists its end.
+  if (status == OrderStatus::kOldRun) return;
+
+  TaskState* task = FindTask(cell, RefOf(cell, stop.task));
+  if (task != nullptr && task->run == stop.run) task->stop_sent.reset();
+}
+
 void TakeOrderAnswer(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const WorkerReply& reply) {
   const WorkerOrder order = std::move(worker.order);
@@ -573,15 +617,9 @@
     if (reply.status == OrderStatus::kOk) task->paced = pace->percent;
   }
 
-  if (const auto* stop = std::get_if<StopTask>(&order);
-      stop != nullptr && reply.status != OrderStatus::kOk) {
-    Log(effects, Severity::kInfo, "stop did not succeed",
-        {{"job", stop->task.job.Text()},
-         {"step", std::to_string(stop->task.step)},
-         {"task", std::to_string(stop->task.index)},
-         {"run", std::to_string(stop->run)},
-         {"worker", worker.info.id.Text()},
-         {"status", std::string(kOrderStatusNames.Name(reply.status))}});
+  const auto* stop = std::get_if<StopTask>(&order);
+  if (stop != nullptr && reply.status != OrderStatus::kOk) {
+    TakeFailedStop(effects, cell, worker, *stop, reply.status);
   }
 
   if (reply.status != OrderStatus::kOk) worker.next_order = state.now + kRefusalPause;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -153,6 +153,9 @@
 /// Takes in a job of an owned, open cell. A known job is left as it is.
 void AddJob(State& state, Effects& effects, OwnedCell& cell, const JobId& id);
 
+/// Decides that a task which runs is to be stopped.
+void SetStopping(WorkerState& worker, TaskState& task);
+
 /// Stops whatever runs of a job and drops what waits.
 void StopJob(OwnedCell& cell, JobState& job);
 
