Go on stopping tasks of cancelled jobs while a cell is given away

Callers saw: a task of a cancelled job ran on while its cell changed hands.

Cause: an owner that gives a cell away, to a better suited entry or because it is stopping, sent no orders at all until the store had taken the release, which waits for all progress to be recorded and for the store. The cancel was then left to the next owner, after its claim, its reading of the progress and its first look at the worker.

Evidence: CancelledJob.AnEntryThatGivesItsCellsAwayStopsIt, the tasks ran on before.

Change: stops go on until the cell is gone; starts and paces still wait for the next owner. A stop that arrives after the next owner's first look carries an older token and is void; one before it stops what has to be stopped.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -272,6 +272,9 @@
 
   if (auto stop = NextStop(state, cell, worker)) return stop;
 
+  // The next owner starts and paces.
+  if (cell.releasing) return std::nullopt;
+
   for (const TaskRef& ref : worker.tasks) {
     if (auto order = TaskOrder(state, cell, worker, ref)) return order;
   }
@@ -280,7 +283,7 @@
 }
 
 void DriveOrder(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
-  if (worker.order_request != 0 || !worker.confirmed || cell.releasing) return;
+  if (worker.order_request != 0 || !worker.confirmed) return;
 
   if (state.now < worker.next_order) {
     if (!worker.tasks.empty()) WakeAt(state, worker.next_order);
