Go on writing a cancel whose caller was told that its outcome is not known

Callers saw: a cancel that got no answer in 2.5 s was never carried out unless the caller asked again; the job's tasks ran on.

Cause: a cancellation was dropped with its answer. While the store is slow, away or turns this entry away for a while, that is every cancel there.

Evidence: CancelledJob.ACancelThatTheStoreTakesLateIsNotGivenUp, the store never had the cancel before. Ruled out: a longer wait for the answer, as the caller is to hear at once when the entry has given up waiting.

Change: the caller is answered as before, and the cancel is tried for 15 s. A stop of the entry waits only for cancels that a caller waits for.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -443,6 +443,8 @@
   RequestId request = 0;
   bool reading = false;
   Millis retry_at;
+  /// When the callers are told that the outcome is not known, and when it is not tried any more.
+  Millis answer_by;
   Millis give_up_at;
 };
 
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -11,6 +11,9 @@
 /// A submission or cancellation that the store has not settled by then is answered as unknown, so
 /// that the caller asks again. Within the callers' usual patience of 3 s.
 constexpr Millis kSettleTime = Millis(2'500);
+/// How long a cancellation is tried after its caller was told that the outcome is not known: the
+/// store's outages and cuts last less, and the caller may not ask again.
+constexpr Millis kCancelPersistence = Millis(15'000);
 /// Bound on a question to a peer; peers answer in a few milliseconds.
 constexpr Millis kPeerTimeout = Millis(250);
 /// When a caller that was refused is asked to come back, and the spread over callers.
@@ -192,12 +195,13 @@
     return Answer(effects, asked.call, CallerOutcome::kCancelled);
   }
 
-  PendingCancel& cancel = state.cancels[body.job];
+  const auto [found, is_new] = state.cancels.try_emplace(body.job);
+  PendingCancel& cancel = found->second;
+  const Millis answer_by = state.now + std::min(kSettleTime, asked.patience);
+  cancel.answer_by = cancel.calls.empty() ? answer_by : std::min(cancel.answer_by, answer_by);
+  cancel.give_up_at = state.now + kCancelPersistence;
   cancel.calls.push_back(asked.call);
-  if (cancel.calls.size() > 1) return;
-
-  cancel.give_up_at = state.now + std::min(kSettleTime, asked.patience);
-  SendCancel(state, effects, body.job, cancel);
+  if (is_new) SendCancel(state, effects, body.job, cancel);
 }
 
 /// Jobs of a queue that wait, by what this entry knows that from.
@@ -501,6 +505,11 @@
   ReadPhase(state, effects, question.call, question.job, job->second.head.cell);
 }
 
+bool HasOpenCancels(const State& state) {
+  return std::ranges::any_of(state.cancels,
+                             [](const auto& row) { return !row.second.calls.empty(); });
+}
+
 void UpdateCalls(State& state, Effects& effects) {
   for (auto row = state.submits.begin(); row != state.submits.end();) {
     PendingSubmit& submit = row->second;
@@ -521,13 +530,19 @@
   for (auto row = state.cancels.begin(); row != state.cancels.end();) {
     PendingCancel& cancel = row->second;
 
-    if (state.now >= cancel.give_up_at) {
+    if (state.now >= cancel.answer_by) {
       AnswerAll(effects, cancel.calls, CallerOutcome::kUnknown);
+      cancel.calls.clear();
+    }
+
+    if (state.now >= cancel.give_up_at) {
+      Log(effects, Severity::kWarning, "gave a cancel up, the store does not take it",
+          {{"job", row->first.Text()}});
       row = state.cancels.erase(row);
       continue;
     }
 
-    WakeAt(state, cancel.give_up_at);
+    WakeAt(state, cancel.calls.empty() ? cancel.give_up_at : cancel.answer_by);
     if (cancel.request == 0 && state.now >= cancel.retry_at) {
       SendCancel(state, effects, row->first, cancel);
     }
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -378,6 +378,9 @@
 void HandlePeerAnswered(State& state, Effects& effects, const PeerAnswered& answered);
 void UpdateCalls(State& state, Effects& effects);
 
+/// Says whether a caller waits for the outcome of a cancellation.
+bool HasOpenCancels(const State& state);
+
 /// Says whether the entry takes new connections, and whether it may end.
 void UpdateReadiness(State& state, Effects& effects);
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -130,7 +130,7 @@
   }
 
   if (!state.stopping || state.exit_announced) return;
-  if (!state.cells.empty() || !state.submits.empty() || !state.cancels.empty()) return;
+  if (!state.cells.empty() || !state.submits.empty() || HasOpenCancels(state)) return;
 
   state.exit_announced = true;
   if (state.lease.lease != 0) {
