Pass over a cancel's record that is older than its removal

Callers would see: a job that is handed in again under an id whose former job was cancelled and removed is taken for cancelled.

Cause: the removal of a cancel's record left no trace, so that a late read of the cancelled jobs could bring it back.

--- a/lib/scheduler/source/cancel_reads.cc
+++ b/lib/scheduler/source/cancel_reads.cc
@@ -24,7 +24,10 @@
   return std::max(by_copy, state.cancel_reads.known_at);
 }
 
+/// Says whether tasks may start once the cancels are known.
 bool MayStartTasks(const State& state) {
+  if (!state.store_reachable) return false;
+
   return std::ranges::any_of(state.cells, [](const auto& row) { return row.second.open; });
 }
 
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -434,7 +434,10 @@
 }
 
 void ApplyCancel(State& state, Effects& effects, const JobId& id, const StoreItem& item) {
-  if (item.removed) return;
+  if (item.removed) {
+    NoteRemoval(state.view, item.key, 0, item.revision);
+    return;
+  }
 
   JobView& job = state.view.jobs[id];
   if (job.cancelled) return;
--- a/tests/scheduler/stale_cancel_test.cc
+++ b/tests/scheduler/stale_cancel_test.cc
@@ -44,6 +44,16 @@
   EXPECT_EQ(entry_.Answers()[0].outcome, CallerOutcome::kCancelled);
 }
 
+TEST_F(StaleCancels, ACancelThatIsOlderThanItsRemovalIsPassedOver) {
+  const std::string key = std::string(kCancelPrefix) + "a";
+  entry_.Push(StoreItem{.key = JobKeyOf("a"), .revision = 8, .removed = true});
+  entry_.Push(StoreItem{.key = key, .revision = 8, .removed = true});
+  entry_.Push(StoreItem{.key = key, .revision = 6, .value = "{}"});
+  entry_.Push(Job("a", 9));
+
+  EXPECT_FALSE(entry_.state().view.jobs.at(JobId("a")).cancelled);
+}
+
 TEST_F(StaleCancels, CancellingAJobThatWasRemovedIsAnsweredAtOnce) {
   entry_.Push(Job("a", 5));
   Cancel();
