Tell how old the copy of the records is by revisions, and catch up without a pause

Callers saw: a task of a cancelled job starts or runs on long after the cancel was acknowledged, by an entry that takes its copy for recent.

Cause: an answer to a watch counted as all that the store had when the watch was sent. The store cuts long answers off, at about 500 changes: an entry that was behind took one part for the whole, said that its copy was a second old, and paused 350 ms before it asked for the next part.

Ruled out: fewer changes a second alone, as any bound is exceeded by an entry that is behind for long enough.

Change: the copy is known to be whole by when a call was sent whose answer told a revision that the copy holds; calls other than watches tell it, and an owner makes some each second. A short answer that reaches the latest revision known when it was asked for still shows the same. After any other answer the next watch is sent at once. Counts of waiting jobs, starts and reads of the cancelled jobs go by the true age now.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -34,8 +34,9 @@
   /// The list or watch under way, 0 if there is none.
   RequestId request = 0;
   Millis next_at;
-  /// When the last request was sent.
+  /// When the last request was sent, and the latest revision that the store was known to have then.
   Millis sent_at;
+  KvRevision least_revision = 0;
   /// The copy holds all that the store had by then; nothing before the feed was first listed whole.
   std::optional<Millis> known_at;
   /// Of a list under way: when its first page was asked for, where its next page begins, the
@@ -46,6 +47,12 @@
   std::set<std::string> listed_keys;
 };
 
+/// An answer of the store that says how many changes there were when the call was sent, at most.
+struct RevisionMark {
+  Millis sent_at;
+  KvRevision revision = 0;
+};
+
 /// Reads of the cancelled jobs alone, while the copy of the records is late: they are short, and
 /// nothing of these jobs may start.
 struct CancelReads {
@@ -519,6 +526,12 @@
                  EndedRemoved, LearnedWritten, CancelsRead>;
 /// @}
 
+/// A call to the store under way.
+struct StoreCallUnderWay {
+  StorePurpose purpose;
+  Millis sent_at;
+};
+
 /// A call to a worker, by its request.
 struct WorkerPurpose {
   CellId cell;
@@ -580,7 +593,10 @@
   RequestId layout_request = 0;
   Millis layout_at;
 
-  absl::flat_hash_map<RequestId, StorePurpose> store_calls;
+  absl::flat_hash_map<RequestId, StoreCallUnderWay> store_calls;
+  /// By time, later than what the copy of the records holds.
+  std::deque<RevisionMark> marks;
+  KvRevision latest_revision = 0;
   absl::flat_hash_map<RequestId, WorkerPurpose> worker_calls;
   std::map<JobId, PendingSubmit> submits;
   std::map<JobId, PendingCancel> cancels;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -21,6 +21,14 @@
 /// Removed keys that are remembered. Many more than are removed while a late answer is under way.
 constexpr size_t kMostRemoved = 4'000;
 
+/// An answer to a watch that has so many changes or bytes may be cut off, and more may follow: half
+/// of what the store's pages hold.
+constexpr size_t kLongAnswerItems = 250;
+constexpr size_t kLongAnswerBytes = 400'000;
+/// Least time between two marks of the store's revision that are kept, and their number.
+constexpr Millis kMarkInterval = Millis(100);
+constexpr size_t kMostMarks = 300;
+
 bool AwaitsRecords(const State& state) {
   return std::ranges::any_of(state.cells, [](const auto& row) { return !row.second.open; });
 }
@@ -130,6 +138,35 @@
   copy.synced = true;
 }
 
+bool IsLong(const StoreReply& reply) {
+  size_t bytes = 0;
+  for (const StoreItem& item : reply.items) bytes += item.value.size();
+
+  return reply.items.size() >= kLongAnswerItems || bytes >= kLongAnswerBytes;
+}
+
+/// Notes by when the copy of the records is surely whole: what the store had when a call was sent
+/// whose answer tells a revision that the copy holds.
+void NoteKnownBy(State& state, FeedState& copy) {
+  while (!state.marks.empty() && state.marks.front().revision <= copy.revision) {
+    copy.known_at = std::max(copy.known_at, std::optional(state.marks.front().sent_at));
+    state.marks.pop_front();
+  }
+}
+
+/// Takes the answer to a watch in. It may be cut off, so that it does not show by itself that the
+/// copy is whole.
+void TakeChanges(State& state, Effects& effects, Feed feed, FeedState& copy,
+                 const StoreReply& reply) {
+  for (const StoreItem& item : reply.items) ApplyItem(state, effects, feed, item);
+
+  const bool whole = !IsLong(reply) && reply.revision >= copy.least_revision;
+  copy.revision = reply.revision;
+  if (whole) copy.known_at = std::max(copy.known_at, std::optional(copy.sent_at));
+  if (feed == Feed::kRecords) NoteKnownBy(state, copy);
+  copy.next_at = whole ? state.now + PauseOf(state, feed) : state.now;
+}
+
 void Forget(FeedState& copy) {
   copy.synced = false;
   copy.page_after.clear();
@@ -156,10 +193,11 @@
     }
 
     copy.sent_at = state.now;
+    copy.least_revision = state.latest_revision;
 
     if (!copy.synced) {
-      copy.request =
-          CallStore(state, effects, FeedCalled{feed, true}, ListFeed{feed, copy.page_after});
+      copy.request = CallStore(state, effects, FeedCalled{feed, true},
+                               ListFeed{feed, copy.page_after}, kStoreTimeout);
       continue;
     }
 
@@ -169,6 +207,15 @@
   }
 }
 
+void NoteRevision(State& state, Millis sent_at, KvRevision revision) {
+  state.latest_revision = std::max(state.latest_revision, revision);
+
+  const bool late = !state.marks.empty() && sent_at < state.marks.back().sent_at + kMarkInterval;
+  if (revision == 0 || late || state.marks.size() >= kMostMarks) return;
+
+  state.marks.push_back(RevisionMark{sent_at, revision});
+}
+
 std::string RecordsAgeText(const State& state) {
   const auto records = state.feeds.find(Feed::kRecords);
   if (records == state.feeds.end() || !records->second.known_at) return "never";
@@ -225,10 +272,7 @@
   if (purpose.list) {
     TakePage(state, effects, purpose.feed, copy, reply);
   } else if (reply.revision >= copy.revision) {
-    for (const StoreItem& item : reply.items) ApplyItem(state, effects, purpose.feed, item);
-    copy.revision = reply.revision;
-    copy.known_at = copy.sent_at;
-    copy.next_at = state.now + PauseOf(state, purpose.feed);
+    TakeChanges(state, effects, purpose.feed, copy, reply);
   } else {
     copy.next_at = state.now + kStoreRetry;
   }
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -54,7 +54,7 @@
 RequestId CallStore(State& state, Effects& effects, Purpose purpose, Body body,
                     Millis timeout = kStoreTimeout) {
   const RequestId request = NextRequest(state);
-  state.store_calls[request] = std::move(purpose);
+  state.store_calls[request] = StoreCallUnderWay{std::move(purpose), state.now};
   effects.emplace_back(StoreCall{request, std::move(body), timeout});
   return request;
 }
@@ -85,6 +85,9 @@
 /// Logs that an owner's copy of the records has become old, or recent again.
 void NoteOldRecords(State& state, Effects& effects);
 
+/// Notes the revision that the store told in answer to a call other than a watch.
+void NoteRevision(State& state, Millis sent_at, KvRevision revision);
+
 /// Watches anew where a watch is under way: the store was away, and what was asked before is not
 /// answered any more.
 void RestartWatches(State& state);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -68,7 +68,7 @@
   const auto found = state.store_calls.find(answered.request);
   if (found == state.store_calls.end()) return;
 
-  const StorePurpose purpose = std::move(found->second);
+  const StoreCallUnderWay call = std::move(found->second);
   state.store_calls.erase(found);
 
   const StoreStatus status = answered.reply.status;
@@ -76,7 +76,13 @@
     state.store_answered_at = state.now;
   }
 
-  std::visit(StoreAnswerHandler{state, effects, answered.reply}, purpose);
+  const auto* feed = std::get_if<FeedCalled>(&call.purpose);
+  const bool watch = feed != nullptr && !feed->list;
+  if (status == StoreStatus::kOk && !watch) {
+    NoteRevision(state, call.sent_at, answered.reply.revision);
+  }
+
+  std::visit(StoreAnswerHandler{state, effects, answered.reply}, call.purpose);
   SweepAll(state);
 }
 
--- a/tests/scheduler/cancelled_job_test.cc
+++ b/tests/scheduler/cancelled_job_test.cc
@@ -91,6 +91,23 @@
   EXPECT_EQ(StartsOf("waits"), 0);
 }
 
+TEST_F(CancelledJob, AnOwnerThatCatchesUpBySmallAnswersStartsNothingOfIt) {
+  Occupy();
+  world_.Submit(owner_, MakeJob("waits", 4));
+  world_.Cut(owner_, other_);
+  world_.store.changes_in_answer = 1;
+  for (int32_t number = 0; number < 30; ++number) {
+    world_.Submit(other_, MakeJob("other" + std::to_string(number), 1));
+  }
+  world_.Run(Millis(500));
+  CancelElsewhere("waits");
+  world_.Run(kCancelTime);
+
+  world_.Cancel(owner_, "holder");
+  world_.Run(Millis(3'000));
+  EXPECT_EQ(StartsOf("waits"), 0);
+}
+
 TEST_F(CancelledJob, AStopWithoutAnAnswerIsRepeatedAtOnce) {
   Occupy();
   for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, true);
--- a/tests/scheduler/sim_store.cc
+++ b/tests/scheduler/sim_store.cc
@@ -90,7 +90,15 @@
 
   for (auto row = newer; row != history_.end(); ++row) {
     const auto& [feed, item] = *row;
-    if (feed == waiting.watch.feed && IsShared(feed, item)) answer.items.push_back(item);
+    if (feed != waiting.watch.feed || !IsShared(feed, item)) continue;
+
+    const bool full = answer.items.size() >= changes_in_answer;
+    if (full && answer.items.back().revision != item.revision) {
+      answer.revision = answer.items.back().revision;
+      break;
+    }
+
+    answer.items.push_back(item);
   }
 
   if (answer.items.empty() && !at_last) return false;
--- a/tests/scheduler/sim_store.h
+++ b/tests/scheduler/sim_store.h
@@ -43,6 +43,8 @@
 
   /// Items on one page of a list at most.
   size_t page_size = 10'000;
+  /// Changes in one answer to a watch at most; those of one revision stay together.
+  size_t changes_in_answer = 10'000;
 
  private:
   struct Lease {
