Give a list or watch of the store that was not answered in time more time

In a test StaleRecords.AWatchThatWasNotAnsweredInTimeIsGivenMoreTime. Ruled out: a longer bound from the start, as it is what finds silent connections.

Change: each timeout in a row doubles the bound, up to eight times.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -37,6 +37,8 @@
   /// When the last request was sent, and the latest revision that the store was known to have then.
   Millis sent_at;
   KvRevision least_revision = 0;
+  /// Requests in a row that were not answered in time.
+  int32_t timeouts = 0;
   /// The copy holds all that the store had by then; nothing before the feed was first listed whole.
   std::optional<Millis> known_at;
   /// Of a list under way: when its first page was asked for, where its next page begins, the
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -25,6 +25,9 @@
 /// of what the store's pages hold.
 constexpr size_t kLongAnswerItems = 250;
 constexpr size_t kLongAnswerBytes = 400'000;
+/// How often the bound on a feed's request is doubled at most. What an entry that is behind asks
+/// for is long, and would never come if it were thrown away half read.
+constexpr int32_t kMostTimeoutDoublings = 3;
 /// Least time between two marks of the store's revision that are kept, and their number.
 constexpr Millis kMarkInterval = Millis(100);
 constexpr size_t kMostMarks = 300;
@@ -167,6 +170,11 @@
   copy.next_at = whole ? state.now + PauseOf(state, feed) : state.now;
 }
 
+/// Returns the bound on a request of a feed.
+Millis TimeoutOf(const FeedState& copy, Millis wait) {
+  return (wait + kStoreTimeout) * (int64_t{1} << std::min(copy.timeouts, kMostTimeoutDoublings));
+}
+
 void Forget(FeedState& copy) {
   copy.synced = false;
   copy.page_after.clear();
@@ -197,13 +205,13 @@
 
     if (!copy.synced) {
       copy.request = CallStore(state, effects, FeedCalled{feed, true},
-                               ListFeed{feed, copy.page_after}, kStoreTimeout);
+                               ListFeed{feed, copy.page_after}, TimeoutOf(copy, Millis(0)));
       continue;
     }
 
     const Millis wait = feed == Feed::kRecords ? kRecordsWait : kWatchWait;
     copy.request = CallStore(state, effects, FeedCalled{feed, false},
-                             WatchFeed{feed, copy.revision, wait}, wait + kStoreTimeout);
+                             WatchFeed{feed, copy.revision, wait}, TimeoutOf(copy, wait));
   }
 }
 
@@ -265,10 +273,13 @@
       copy.next_at = state.now;
       return;
     default:
+      if (reply.status == StoreStatus::kUnknown) ++copy.timeouts;
       copy.next_at = state.now + kStoreRetry;
       return;
   }
 
+  copy.timeouts = 0;
+
   if (purpose.list) {
     TakePage(state, effects, purpose.feed, copy, reply);
   } else if (reply.revision >= copy.revision) {
--- a/tests/scheduler/stale_records_test.cc
+++ b/tests/scheduler/stale_records_test.cc
@@ -25,6 +25,19 @@
     entry_.Answer(request, std::move(reply));
   }
 
+  /// Returns the bound on the latest watch of the records.
+  [[nodiscard]] Millis WatchTimeout() const {
+    Millis timeout;
+
+    for (const Effect& effect : entry_.effects) {
+      const auto* call = std::get_if<StoreCall>(&effect);
+      const auto* watch = call == nullptr ? nullptr : std::get_if<WatchFeed>(&call->body);
+      if (watch != nullptr && watch->feed == Feed::kRecords) timeout = call->timeout;
+    }
+
+    return timeout;
+  }
+
   LoneEntry entry_;
 };
 
@@ -37,6 +50,21 @@
   EXPECT_FALSE(entry_.state().view.loads.contains(CellId("dc0/0")));
 }
 
+// Each answer was thrown away half read, and what the next one had to bring was longer.
+TEST_F(StaleRecords, AWatchThatWasNotAnsweredInTimeIsGivenMoreTime) {
+  AnswerRecords({.status = StoreStatus::kOk, .revision = 5});
+  AnswerRecords({.status = StoreStatus::kUnknown});
+  entry_.Wait(Millis(1'000));
+  const Millis first = WatchTimeout();
+  AnswerRecords({.status = StoreStatus::kUnknown});
+  entry_.Wait(Millis(1'000));
+  EXPECT_GE(WatchTimeout(), first * 2);
+
+  AnswerRecords({.status = StoreStatus::kOk, .revision = 6});
+  entry_.Wait(Millis(1'000));
+  EXPECT_LT(WatchTimeout(), first);
+}
+
 TEST_F(StaleRecords, AnOlderReportIsPassedOver) {
   entry_.Push(Load("dc0/0", 8, 3));
   entry_.Push(Load("dc0/0", 6, 0));
