Give the first watch of the records its former bound, and double it for records only

Cause: with its shorter wait a watch of the records was bounded by 2 s instead of 3.5 s, so that more long answers were thrown away half read. Doubling the bound of the registry and the configuration would hide silent connections.

--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -8,15 +8,15 @@
 /// How long a watch waits for a change. With `kStoreTimeout` it bounds how long a silent connection
 /// goes unnoticed: less than the 4 s in which all must be known again after a fault.
 constexpr Millis kWatchWait = Millis(2'000);
-/// The same for the records: what an owner knows is never older than two waits and a pause.
+/// The same for the records, so that the copy of a quiet store does not count as old. A long answer
+/// may take as long as that to any other watch.
 constexpr Millis kRecordsWait = Millis(500);
 /// Pause between two watches of the records. Owners are told of new jobs by the entry that accepts
 /// them, so the watch only catches up; each call has its price.
 constexpr Millis kRecordsPause = Millis(350);
 /// The same for the registry, in which every worker writes each 1.5 s.
 constexpr Millis kRegistryPause = Millis(700);
-/// An owner's copy of the records that is older is worth a line in the log: a watch that waits in
-/// vain takes `kWatchWait`, its pause and the answer.
+/// An owner's copy of the records that is older is worth a line in the log.
 constexpr Millis kOldRecords = Millis(2'500);
 /// Removed keys that are remembered. Many more than are removed while a late answer is under way.
 constexpr size_t kMostRemoved = 4'000;
@@ -25,9 +25,9 @@
 /// of what the store's pages hold.
 constexpr size_t kLongAnswerItems = 250;
 constexpr size_t kLongAnswerBytes = 400'000;
-/// How often the bound on a feed's request is doubled at most. What an entry that is behind asks
-/// for is long, and would never come if it were thrown away half read.
-constexpr int32_t kMostTimeoutDoublings = 3;
+/// How often the bound on a request for records is doubled at most. What an entry that is behind
+/// asks for is long, and would never come if it were thrown away half read.
+constexpr int32_t kMostTimeoutDoublings = 2;
 /// Least time between two marks of the store's revision that are kept, and their number.
 constexpr Millis kMarkInterval = Millis(100);
 constexpr size_t kMostMarks = 300;
@@ -170,9 +170,12 @@
   copy.next_at = whole ? state.now + PauseOf(state, feed) : state.now;
 }
 
-/// Returns the bound on a request of a feed.
-Millis TimeoutOf(const FeedState& copy, Millis wait) {
-  return (wait + kStoreTimeout) * (int64_t{1} << std::min(copy.timeouts, kMostTimeoutDoublings));
+/// Returns the bound on a request of a feed that may wait so long at the store.
+Millis TimeoutOf(Feed feed, const FeedState& copy, Millis wait) {
+  const Millis usual = wait + kStoreTimeout;
+  if (feed != Feed::kRecords) return usual;
+
+  return usual * (int64_t{1} << std::min(copy.timeouts, kMostTimeoutDoublings));
 }
 
 void Forget(FeedState& copy) {
@@ -205,13 +208,14 @@
 
     if (!copy.synced) {
       copy.request = CallStore(state, effects, FeedCalled{feed, true},
-                               ListFeed{feed, copy.page_after}, TimeoutOf(copy, Millis(0)));
+                               ListFeed{feed, copy.page_after}, TimeoutOf(feed, copy, Millis(0)));
       continue;
     }
 
     const Millis wait = feed == Feed::kRecords ? kRecordsWait : kWatchWait;
-    copy.request = CallStore(state, effects, FeedCalled{feed, false},
-                             WatchFeed{feed, copy.revision, wait}, TimeoutOf(copy, wait));
+    copy.request =
+        CallStore(state, effects, FeedCalled{feed, false}, WatchFeed{feed, copy.revision, wait},
+                  TimeoutOf(feed, copy, kWatchWait));
   }
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -73,6 +73,9 @@
   /// The same for its watches: what the entry knows of the store is so old.
   void SlowWatches(const std::string& entry, Millis span) { slow_watches_[entry] = span; }
 
+  /// Answers to an entry's watches take so much longer, and its patience is what it is.
+  void DelayWatches(const std::string& entry, Millis span) { delayed_watches_[entry] = span; }
+
   /// Adds a worker to a rack of a data centre.
   void AddWorkerTo(int32_t centre, int32_t rack, int32_t number);
   void CrashWorker(const std::string& worker);
@@ -174,6 +177,7 @@
   std::map<std::string, Millis> late_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
+  std::map<std::string, Millis> delayed_watches_;
   /// When an entry, or the store, was last disturbed.
   std::map<std::string, Millis> disturbed_at_;
   struct Call {
