Let starts and the release of a cell go on while a stop gets no answer

Callers would see: work that waits on a worker with free room, and cells that an entry never gives away, while stops to a worker are lost.

Cause: a stop that failed was chosen again before any other order, and each try held the worker's only order slot for 0.8 s; a cell was released only in a moment without any order under way.

Change: a failed stop is tried again after a pause that leaves a turn to another order; a release does not wait for stops, which are of use or void whenever they arrive.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -193,8 +193,8 @@
   uint64_t settled_at = 0;
   /// Version of the job that first holds the present binding.
   uint64_t bound_version = 0;
-  /// The stop left for the worker at this time.
-  std::optional<Millis> stop_sent;
+  /// No stop is ordered before this: one has left, or was not carried out just now.
+  Millis next_stop;
   /// The last worker on which it failed, to be avoided.
   VmId avoid;
   /// Latest figure of the worker: tail of response times, or processor use.
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -482,7 +482,7 @@
   ++task.run;
   task.worker_born = worker.info.born;
   task.sent = false;
-  task.stop_sent.reset();
+  task.next_stop = Millis(0);
   task.paced = 100;
   task.wanted_pace = 100;
   task.recent = 0;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -26,6 +26,9 @@
 constexpr size_t kEndsInAnswer = 500;
 /// A stop whose end is not listed so long after `Settings::stop_time` is ordered again.
 constexpr Millis kStopGrace = Millis(1'500);
+/// A stop that failed is ordered again after this pause. Longer than `kRefusalPause`, so that an
+/// order for another task of the worker comes between two tries.
+constexpr Millis kStopRetry = Millis(500);
 /// Failed runs in a row after which a worker is given a rest. One in twenty runs fails by itself,
 /// so two in a row by chance are one in four hundred.
 constexpr int32_t kFailuresToQuarantine = 2;
@@ -203,9 +206,7 @@
 
 /// Says whether a task is to be stopped by an order now.
 bool WantsStop(const State& state, const TaskState& task) {
-  if (task.phase != TaskPhase::kStopping) return false;
-
-  return !task.stop_sent || state.now - *task.stop_sent >= state.settings.stop_time + kStopGrace;
+  return task.phase == TaskPhase::kStopping && state.now >= task.next_stop;
 }
 
 /// Returns the order that a task asks for, if it asks for one.
@@ -234,7 +235,7 @@
     case TaskPhase::kStopping:
       if (!WantsStop(state, task)) return std::nullopt;
 
-      task.stop_sent = state.now;
+      task.next_stop = state.now + state.settings.stop_time + kStopGrace;
       return StopTask{NameOf(job, ref), task.run};
     case TaskPhase::kRunning:
       if (task.paced == task.wanted_pace) return std::nullopt;
@@ -257,6 +258,8 @@
 
     worker.has_stops = true;
     if (WantsStop(state, task)) return TaskOrder(state, cell, worker, ref);
+
+    WakeAt(state, task.next_stop);
   }
 
   return std::nullopt;
@@ -585,8 +588,8 @@
   SettleJob(state, effects, cell, ref.job);
 }
 
-void TakeFailedStop(Effects& effects, OwnedCell& cell, const WorkerState& worker,
-                    const StopTask& stop, OrderStatus status) {
+void TakeFailedStop(const State& state, Effects& effects, OwnedCell& cell,
+                    const WorkerState& worker, const StopTask& stop, OrderStatus status) {
   Log(effects, Severity::kInfo, "stop did not succeed",
       {{"job", stop.task.job.Text()},
        {"step", std::to_string(stop.task.step)},
@@ -599,7 +602,7 @@
   if (status == OrderStatus::kOldRun) return;
 
   TaskState* task = FindTask(cell, RefOf(cell, stop.task));
-  if (task != nullptr && task->run == stop.run) task->stop_sent.reset();
+  if (task != nullptr && task->run == stop.run) task->next_stop = state.now + kStopRetry;
 }
 
 void TakeOrderAnswer(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
@@ -622,7 +625,7 @@
 
   const auto* stop = std::get_if<StopTask>(&order);
   if (stop != nullptr && reply.status != OrderStatus::kOk) {
-    TakeFailedStop(effects, cell, worker, *stop, reply.status);
+    TakeFailedStop(state, effects, cell, worker, *stop, reply.status);
   }
 
   if (reply.status != OrderStatus::kOk) worker.next_order = state.now + kRefusalPause;
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -328,8 +328,11 @@
 void Release(State& state, Effects& effects, OwnedCell& cell) {
   if (cell.release_request != 0 || cell.write.request != 0) return;
 
-  const bool busy = std::ranges::any_of(
-      cell.workers, [](const auto& row) { return row.second.order_request != 0; });
+  // A stop is of use or void whenever it arrives, and may never be answered.
+  const bool busy = std::ranges::any_of(cell.workers, [](const auto& row) {
+    const WorkerState& worker = row.second;
+    return worker.order_request != 0 && !std::holds_alternative<StopTask>(worker.order);
+  });
   const bool moving =
       std::ranges::any_of(cell.jobs, [](const auto& row) { return row.second.move.has_value(); });
   if (busy || moving || !cell.dirty.empty()) return;
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -9,6 +9,9 @@
 constexpr Millis kKeepRetry = Millis(300);
 /// Bound on a renewal; one that takes longer is repeated.
 constexpr Millis kKeepTimeout = Millis(900);
+/// A renewal that takes so long is worth a line in the log: the store, the link or this process is
+/// behind.
+constexpr Millis kSlowRenewal = Millis(300);
 
 /// Ends the lease of this entry's former life, so that its cells are free at once: that life is
 /// over, as the machine runs one process of this entry.
@@ -116,6 +119,15 @@
   LeaseState& lease = state.lease;
   lease.request = 0;
 
+  const Millis took = state.now - lease.sent_at;
+
+  if (took >= kSlowRenewal) {
+    Log(effects, Severity::kWarning, "renewing the lease took long",
+        {{"ms", std::to_string(took.Count())},
+         {"status", std::string(kStoreStatusNames.Name(reply.status))},
+         {"cells", std::to_string(state.cells.size())}});
+  }
+
   if (reply.status == StoreStatus::kOk) {
     // The lease runs from the arrival of the renewal, which is not before it was sent.
     lease.valid_until = lease.sent_at + std::min(reply.ttl, kStoreLease);
--- a/tests/scheduler/cancelled_job_test.cc
+++ b/tests/scheduler/cancelled_job_test.cc
@@ -41,6 +41,16 @@
     cancelled_at_ = world_.now();
   }
 
+  /// Has the owner learn of many changes one by one, by nothing but its watch.
+  void FallBehind() {
+    world_.Cut(owner_, other_);
+    world_.store.changes_in_answer = 1;
+    for (int32_t number = 0; number < 30; ++number) {
+      world_.Submit(other_, MakeJob("other" + std::to_string(number), 1));
+    }
+    world_.Run(Millis(500));
+  }
+
   [[nodiscard]] int32_t StartsOf(const std::string& job) {
     int32_t count = 0;
     for (const auto& [name, starts] : world_.starts) {
@@ -94,12 +104,7 @@
 TEST_F(CancelledJob, AnOwnerThatCatchesUpBySmallAnswersStartsNothingOfIt) {
   Occupy();
   world_.Submit(owner_, MakeJob("waits", 4));
-  world_.Cut(owner_, other_);
-  world_.store.changes_in_answer = 1;
-  for (int32_t number = 0; number < 30; ++number) {
-    world_.Submit(other_, MakeJob("other" + std::to_string(number), 1));
-  }
-  world_.Run(Millis(500));
+  FallBehind();
   CancelElsewhere("waits");
   world_.Run(kCancelTime);
 
@@ -142,5 +147,41 @@
   EXPECT_TRUE(world_.WorkersOf("holder").empty());
 }
 
+TEST_F(CancelledJob, AnOwnerThatCatchesUpBySmallAnswersStopsItInTime) {
+  Occupy();
+  FallBehind();
+  CancelElsewhere("holder");
+  world_.Run(kCancelTime + kStopTime);
+
+  EXPECT_TRUE(world_.WorkersOf("holder").empty());
+}
+
+TEST_F(CancelledJob, LostStopsDoNotKeepAnEntryThatStopsFromGivingItsCellAway) {
+  Occupy();
+  for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, true);
+  CancelElsewhere("holder");
+  world_.Stop(owner_);
+  world_.Run(Millis(2'000));
+
+  EXPECT_TRUE(world_.state(owner_).cells.empty());
+}
+
+TEST_F(CancelledJob, ALostStopDoesNotHoldUpStartsOnItsWorker) {
+  world_.planner = [](const TaskName& name) {
+    return RunPlan{.lasts = name.job.Text() == "lasts", .need = Resources{.millicores = 1'000}};
+  };
+  JobSpec spec = MakeJob("lasts", 2);
+  spec.steps[0].lasting = true;
+  world_.Submit("e0", spec);
+  world_.Run(Millis(1'000));
+  for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, true);
+  world_.Cancel("e0", "lasts");
+  world_.Run(Millis(50));
+  world_.Submit("e0", MakeJob("later", 1));
+  world_.Run(Millis(2'000));
+
+  EXPECT_EQ(StartsOf("later"), 1);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
