--- a/lib/entry/source/entry.cc
+++ b/lib/entry/source/entry.cc
@@ -19,9 +19,6 @@
 /// Longest wait for open requests after that.
 constexpr Millis kDrainTime = Millis(1'500);
 constexpr Millis kDrainPoll = Millis(50);
-/// A timer that is so late is worth a line in the log, and the least time between two such lines.
-constexpr Millis kLateness = Millis(500);
-constexpr Millis kLatenessPause = Millis(1'000);
 
 int64_t UnixMillis() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -82,21 +79,7 @@
     for (scheduler::Effect& effect : effects) std::visit(*this, effect);
 
     const Millis pause = std::max(state->wake_at - clock.Now(), Millis(1));
-    const Millis due = clock.Now() + pause;
-    wake.Set(pause, [this, due] {
-      NoteLateness(due);
-      Dispatch(scheduler::Tick{});
-    });
-  }
-
-  /// Logs that the process is behind: what has arrived meanwhile was not taken up either.
-  void NoteLateness(Millis due) {
-    const Millis now = clock.Now();
-    if (now - due < kLateness || now < next_lateness_line) return;
-
-    next_lateness_line = now + kLatenessPause;
-    WriteLog(Severity::kWarning, "entry", "the process is behind",
-             {{"late_ms", std::to_string((now - due).Count())}});
+    wake.Set(pause, [this] { Dispatch(scheduler::Tick{}); });
   }
 
   // Effects.
@@ -259,7 +242,6 @@
   std::map<RequestId, Respond> open_calls;
   RequestId last_call = 0;
   bool ready = false;
-  Millis next_lateness_line;
   std::function<void()> done;
 };
 
