Do not send a start of a cancelled job again after it was fenced off

Cause: a start that is under way when the cancel comes is left alone by StopJob, to be settled by its answer or the next look. If the worker answers that the fence or the lease of the start is over, the task went back to "to be sent" without a look at the job, and no look settles a start that counts as not sent. The next order to the worker was the start. That is usually within milliseconds; where the worker answers no look meanwhile, it is as late as the worker answers.

Test before: CancelReachOneCell.AStartThatWasFencedOffIsNotSentAgain, StartsOf("a") is 1, not 0.

Now the binding is given up, as for the other answers that say that nothing was done.

Ruled out: the other ways to a start of a cancelled job that has not left (StopJob unbinds these, Unblock and RequeueTask look at the job, adopted tasks count as sent).

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -497,10 +497,10 @@
 
   task->settled_at = ++state.order_count;
   JobState& job = cell.jobs.at(ref.job);
+  const bool unwanted = job.cancelled || job.doomed;
 
   if (status == OrderStatus::kOk) {
     NoteRun(state, effects, cell, job, worker);
-    const bool unwanted = job.cancelled || job.doomed;
     task->phase = unwanted ? TaskPhase::kStopping : TaskPhase::kRunning;
     worker.answered_at = state.now;
     // It works at full pace until it is told otherwise.
@@ -524,9 +524,11 @@
       return;
     case OrderStatus::kFenced:
     case OrderStatus::kLate:
-      task->sent = false;
       worker.confirmed = false;
       worker.next_look = state.now;
+      if (unwanted) break;
+
+      task->sent = false;
       return;
     case OrderStatus::kUnreachable:
     case OrderStatus::kOtherLife:
@@ -545,7 +547,7 @@
       break;
   }
 
-  if (job.cancelled || job.doomed) {
+  if (unwanted) {
     UnbindTask(state, cell, job, ref);
   } else {
     RequeueTask(state, cell, job, ref, not_before);
--- /dev/null
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -0,0 +1,108 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "world.h"
+
+/// Whether a cancel reaches what runs the tasks: lent and moved ones, starts that have left, cells
+/// that change hands.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Nothing of a cancelled job runs longer: the time for a start and the time for a stop. Figures of
+/// a deployment.
+constexpr Millis kGoneTime = Millis(4'900);
+
+std::string JobKeyOf(const std::string& job) { return std::string(kJobPrefix) + job; }
+
+class CancelReach : public testing::Test {
+ protected:
+  explicit CancelReach(WorldShape shape) : world_(shape) {}
+  void SetUp() override { world_.Run(Millis(3'500)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  [[nodiscard]] bool Logged(const std::string& sentence) const {
+    return std::ranges::any_of(world_.log, [&](const std::string& line) {
+      return line.find(sentence) != std::string::npos;
+    });
+  }
+
+  /// Lets time pass until a line is in the log.
+  void RunUntilLogged(const std::string& sentence) {
+    const Millis end = world_.now() + Millis(10'000);
+    while (!Logged(sentence) && world_.now() < end) world_.Run(Millis(5));
+    ASSERT_TRUE(Logged(sentence)) << sentence;
+  }
+
+  void Write(WriteRecords write) {
+    world_.store.Handle(write, world_.now(), [](const StoreReply&) {});
+  }
+
+  /// The store takes a cancel now, and tells it to nobody but those who watch.
+  void CancelInStore(const std::string& job) {
+    Write({.puts = {RecordPut{std::string(kCancelPrefix) + job, "{}", 0}}});
+  }
+
+  [[nodiscard]] int32_t StartsOf(const std::string& job) const {
+    int32_t count = 0;
+    for (const auto& [name, starts] : world_.starts) {
+      if (name.job.Text() == job) count += starts;
+    }
+    return count;
+  }
+
+  World world_;
+};
+
+// ---- One cell -----------------------------------------------------------------------------------
+
+class CancelReachOneCell : public CancelReach {
+ protected:
+  CancelReachOneCell() : CancelReach({.entries = 2, .racks = 1, .workers_per_rack = 1}) {
+    world_.planner = [](const TaskName&) {
+      return RunPlan{.lasts = true, .need = Resources{.millicores = 1'000}};
+    };
+  }
+
+  void SubmitLasting() {
+    JobSpec spec = MakeJob("a", 1);
+    spec.steps[0].lasting = true;
+    world_.Submit("e0", spec);
+  }
+
+  WorkerState& OnlyWorker() {
+    State& state = world_.state(world_.OwnerOf("a"));
+    return state.cells.begin()->second.workers.begin()->second;
+  }
+};
+
+TEST_F(CancelReachOneCell, AStartThatWasFencedOffIsNotSentAgain) {
+  SubmitLasting();
+  const auto starting = [&] {
+    if (!world_.store.Value(JobKeyOf("a"))) return false;
+    return std::holds_alternative<StartTask>(OnlyWorker().order) && OnlyWorker().order_request != 0;
+  };
+  for (int round = 0; round < 400 && !starting(); ++round) world_.Run(Millis(1));
+  ASSERT_TRUE(starting());
+
+  // A look under a higher fence overtakes the start.
+  const std::string owner = world_.OwnerOf("a");
+  const OwnedCell& cell = world_.state(owner).cells.begin()->second;
+  const std::string worker = OnlyWorker().info.id.Text();
+  OnlyWorker().fence += 1;
+  OnlyWorker().confirmed = false;
+  world_.worker(worker).Handle(cell.grant * (FencingToken{1} << 20U) + OnlyWorker().fence,
+                               LookAtWorker{}, world_.now(), [](const WorkerReply&) {});
+  CancelInStore("a");
+  world_.Push(owner, StoreItem{.key = std::string(kCancelPrefix) + "a",
+                               .revision = world_.store.revision(),
+                               .value = "{}"});
+  world_.Run(kGoneTime);
+
+  EXPECT_EQ(StartsOf("a"), 0);
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
