Let the store reject loans and moves of cancelled jobs

Cause: the write of a loan or a move expected the grant, the job's record and its progress. A cancel is a record of its own and changes none of these. An owner that has not heard of it could hand tasks of the cancelled job to another cell; the entry that took the cancel had told the former cell's owner only, and the borrower learns of it by its own watch.

Now these writes also expect that there is no record of the cancel, of the parent's for lent tasks. The conflict brings that record, so the owner learns of the cancel by the same answer, also of the tasks that run in its own cell; no further call is made.

Ruled out: a loan or move that a conflict shows to be done goes on as before, as it is told by the lender's progress and by the job's record.

--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -247,6 +247,10 @@
   return JobObjective{record.accepted_unix_ms, record.objective};
 }
 
+ExpectedRecord NotCancelled(const JobRecord& record) {
+  return ExpectedRecord{CancelKey(record.parent.Empty() ? record.spec.job : record.parent), 0};
+}
+
 std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
   const JobId& id = job.record.spec.job;
   std::vector<TaskRef> tasks;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -152,6 +152,10 @@
 /// Cancels a job.
 void CancelJob(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 
+/// Returns the expectation that the store knows of no cancelling of a job, or of the job that its
+/// tasks are lent from.
+ExpectedRecord NotCancelled(const JobRecord& record);
+
 /// Returns the phase of a job of an owned cell that may be shown: a terminal phase only once it is
 /// recorded, as a successor might not know it.
 JobPhase ShownPhase(const OwnedCell& cell, const JobId& id, const JobView& view);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -85,7 +85,7 @@
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
                     ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision},
-                    ExpectedRecord{JobKey(job.loan->guest), 0}};
+                    ExpectedRecord{JobKey(job.loan->guest), 0}, NotCancelled(job.record)};
   write.puts = {RecordPut{ProgressKey(cell.cell, id), job.loan->progress_value, 0},
                 RecordPut{JobKey(job.loan->guest), job.loan->guest_value, 0}};
   job.loan->request =
@@ -238,6 +238,7 @@
       job.loan.reset();
       TakeBack(state, *cell, job, guest);
       SettleJob(state, effects, *cell, lent.job);
+      for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
       return;
     }
 
@@ -258,6 +259,7 @@
   NoteRecorded(state, effects, *cell, job, loan.version, revision);
   // Last, as this entry may own the borrowing cell too.
   ApplyRecord(state, effects, guest);
+  for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
 }
 
 void UpdateLoans(State& state, Effects& effects, JobState& job) {
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -43,7 +43,8 @@
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
                     ExpectedRecord{JobKey(id), view->second.revision},
-                    ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision}};
+                    ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision},
+                    NotCancelled(job.record)};
   write.puts.push_back(RecordPut{JobKey(id), job.move->value, 0});
   if (job.progress_revision != 0) write.removals.push_back(ProgressKey(cell.cell, id));
   job.move->request =
--- a/tests/scheduler/cancel_reach_test.cc
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -104,5 +104,99 @@
   EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
 }
 
+// ---- Lent and moved -----------------------------------------------------------------------------
+
+/// For entries whose copy of the records is to be older than any of these times.
+constexpr Millis kVeryLate = Millis(30'000);
+
+/// Two cells of sixteen cores each, and two entries that own neither.
+class CancelReachTwoCells : public CancelReach {
+ protected:
+  static constexpr const char* kHome = "dc0/0";
+  static constexpr const char* kAway = "dc1/0";
+
+  CancelReachTwoCells() : CancelReach({.entries = 4, .data_centres = 2, .racks = 1}) {
+    world_.planner = [](const TaskName& name) {
+      return RunPlan{.duration = Millis(200),
+                     .lasts = name.job.Text() != "short",
+                     .need = Resources{.millicores = name.job.Text() == "short" ? 0 : 1'000,
+                                       .memory_mib = 100}};
+    };
+  }
+
+  void SetUp() override {
+    CancelReach::SetUp();
+    home_ = OwnerOfCell(kHome);
+    away_ = OwnerOfCell(kAway);
+    for (const char* entry : {"e0", "e1", "e2", "e3"}) {
+      if (world_.state(entry).cells.empty()) bystander_ = entry;
+    }
+    ASSERT_FALSE(bystander_.empty());
+    ASSERT_NE(home_, away_);
+  }
+
+  [[nodiscard]] std::string OwnerOfCell(const std::string& cell) {
+    const auto& cells = world_.state("e0").view.cells;
+    const auto view = cells.find(CellId(cell));
+    return view == cells.end() ? std::string() : view->second.record.owner.Text();
+  }
+
+  /// From now on an entry learns of records only by what it writes and what peers tell it.
+  void StopWatching(const std::string& entry) { world_.SlowWatches(entry, kVeryLate); }
+
+  /// Hands a job to the owner of a cell.
+  void Put(const std::string& cell, const JobSpec& spec) {
+    JobRecord record{.queue = "queue", .service = "service", .cell = CellId(cell), .spec = spec};
+    record.most_attempts = 3;
+    const std::string key = JobKeyOf(spec.job.Text());
+    Write({.puts = {RecordPut{key, Encode(record), 0}}});
+    world_.Push(OwnerOfCell(cell), StoreItem{.key = key,
+                                             .revision = world_.store.revision(),
+                                             .value = *world_.store.Value(key)});
+  }
+
+  [[nodiscard]] static JobSpec Lasting(const std::string& id, int32_t tasks) {
+    JobSpec spec = MakeJob(id, tasks);
+    spec.steps[0].lasting = true;
+    return spec;
+  }
+
+  std::string home_;
+  std::string away_;
+  std::string bystander_;
+};
+
+TEST_F(CancelReachTwoCells, TasksOfACancelledJobAreNotLent) {
+  StopWatching(home_);
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  Put(kHome, Lasting("a", 20));
+  RunUntilLogged("lending tasks");
+  CancelInStore("a");
+  world_.Run(kGoneTime);
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
+TEST_F(CancelReachTwoCells, ACancelledJobIsNotMoved) {
+  JobSpec hog = Lasting("hog", 16);
+  hog.steps[0].need.memory_mib = 4'000;
+  Put(kHome, hog);
+  world_.Run(Millis(2'000));
+  StopWatching(home_);
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  JobSpec spec = MakeJob("short", 1);
+  spec.steps[0].filling = true;
+  spec.steps[0].need.memory_mib = 40'000;
+  Put(kHome, spec);
+  RunUntilLogged("moving job");
+  CancelInStore("short");
+  world_.Run(kGoneTime);
+
+  EXPECT_EQ(StartsOf("short"), 0);
+  EXPECT_EQ(world_.Phase("short"), JobPhase::kCancelled);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
