Let a new owner tell borrowers of a cancel that it finds

Cause: borrowers were told of a cancel only where a lender that knew the job learned of it. A cancel that is taken while the lender's cell has no owner is found by the next owner when it takes the jobs over, and that told nobody. The borrower then learned of it by its own watch only.

Test before: CancelReachTwoCells.ANewOwnerPassesACancelOnToBorrowers (the lender's owner is gone, the borrower's watch is late): lent tasks run 8 s after the cancel.

Now the borrowers are told wherever a job is cancelled.

Ruled out: a new owner misses the cancel itself; it takes jobs over only with all records known up to its grant, and reads on by the watch. Guests have no borrowers, so nobody is told twice.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -73,6 +73,7 @@
   std::string value;
   KvRevision revision = 0;
   bool cancelled = false;
+  KvRevision cancel_revision = 0;
   /// The rest is known of jobs in owned cells only.
   JobPhase phase = JobPhase::kQueued;
   std::string progress;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -466,6 +466,7 @@
        {"bound", std::to_string(job.bound)},
        {"lent", std::to_string(job.lent)},
        {"known_ms", RecordsAgeText(state)}});
+  TellBorrowers(state, effects, job);
   StopJob(cell, job);
   Touch(cell, job);
   SettleJob(state, effects, cell, job.record.spec.job);
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -419,18 +419,6 @@
   TakeLoanEnd(state, effects, parent, id, *phase);
 }
 
-/// Returns the cells that some jobs are in.
-std::set<CellId> CellsThatRun(const State& state, const std::set<JobId>& jobs) {
-  std::set<CellId> cells;
-
-  for (const JobId& id : jobs) {
-    const auto job = state.view.jobs.find(id);
-    if (job != state.view.jobs.end()) cells.insert(job->second.head.cell);
-  }
-
-  return cells;
-}
-
 void ApplyCancel(State& state, Effects& effects, const JobId& id, const StoreItem& item) {
   if (item.removed) return;
 
@@ -438,6 +426,7 @@
   if (job.cancelled) return;
 
   job.cancelled = true;
+  job.cancel_revision = item.revision;
 
   for (auto& [cell_id, cell] : state.cells) {
     std::vector<JobId> concerned;
@@ -447,10 +436,7 @@
     }
 
     for (const JobId& job_id : concerned) {
-      JobState& held = cell.jobs.at(job_id);
-      const std::set<CellId> borrowers = CellsThatRun(state, BorrowedJobs(held));
-      CancelJob(state, effects, cell, held);
-      for (const CellId& borrower : borrowers) TellOwner(state, effects, borrower, item);
+      CancelJob(state, effects, cell, cell.jobs.at(job_id));
     }
   }
 }
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -237,6 +237,9 @@
 /// Returns the jobs that run tasks which a job has lent.
 std::set<JobId> BorrowedJobs(const JobState& job);
 
+/// Tells those who run lent tasks that their job was cancelled.
+void TellBorrowers(State& state, Effects& effects, const JobState& job);
+
 /// Asks those who run lent tasks how far they are, as word of their end may have been lost.
 void UpdateLoans(State& state, Effects& effects, JobState& job);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -171,6 +171,22 @@
   return jobs;
 }
 
+void TellBorrowers(State& state, Effects& effects, const JobState& job) {
+  const JobId& id = job.record.spec.job;
+  std::set<CellId> borrowers;
+
+  for (const JobId& guest : BorrowedJobs(job)) {
+    const auto view = state.view.jobs.find(guest);
+    if (view != state.view.jobs.end()) borrowers.insert(view->second.head.cell);
+  }
+
+  if (borrowers.empty()) return;
+
+  const StoreItem cancel{
+      .key = CancelKey(id), .revision = state.view.jobs.at(id).cancel_revision, .value = "{}"};
+  for (const CellId& borrower : borrowers) TellOwner(state, effects, borrower, cancel);
+}
+
 void ConsiderLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
   if (job.loan) {
     if (job.loan->request != 0) return;
--- a/tests/scheduler/cancel_reach_test.cc
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -198,5 +198,24 @@
   EXPECT_EQ(world_.Phase("short"), JobPhase::kCancelled);
 }
 
+TEST_F(CancelReachTwoCells, ANewOwnerPassesACancelOnToBorrowers) {
+  Put(kHome, Lasting("a", 20));
+  world_.Run(Millis(2'000));
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  ASSERT_EQ(world_.WorkersOf("a").size(), 20U);
+
+  world_.Kill(home_);
+  world_.Run(Millis(500));
+  world_.Cut(away_, bystander_);
+  world_.Cancel(bystander_, "a");
+  world_.Run(Millis(100));
+  ASSERT_EQ(world_.answers["a"].back().outcome, CallerOutcome::kCancelled);
+  world_.Mend();
+  world_.Run(Millis(8'000));
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
