Tell the borrower of a cancel while the loan is under way

Cause: a lender tells those whose guests it knows. A loan whose outcome is not known yet may be in the store, and the borrower may run the guest, while the lender knows no guest; once the answer came, the cancel was known already and was not passed on.

Test before: CancelReachTwoCells.ACancelReachesTheBorrowerWhileTheLoanIsUnderWay (the answer to the loan is lost, the borrower's watch is late): lent tasks run 4.9 s after the cancel.

Now the borrower of a loan under way is told as well.

Ruled out: a loan that the store takes after the cancel; it rejects that one.

--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -180,6 +180,8 @@
     if (view != state.view.jobs.end()) borrowers.insert(view->second.head.cell);
   }
 
+  // The store may have the loan already.
+  if (job.loan) borrowers.insert(job.loan->to);
   if (borrowers.empty()) return;
 
   const StoreItem cancel{
--- a/tests/scheduler/cancel_reach_test.cc
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -198,6 +198,22 @@
   EXPECT_EQ(world_.Phase("short"), JobPhase::kCancelled);
 }
 
+TEST_F(CancelReachTwoCells, ACancelReachesTheBorrowerWhileTheLoanIsUnderWay) {
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  Put(kHome, Lasting("a", 20));
+  RunUntilLogged("lending tasks");
+  world_.Run(Millis(5));
+  world_.Cut(home_, "store");
+  world_.Cancel(bystander_, "a");
+  world_.Run(Millis(50));
+  world_.Mend();
+  ASSERT_EQ(world_.answers["a"].back().outcome, CallerOutcome::kCancelled);
+  world_.Run(kGoneTime);
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
 TEST_F(CancelReachTwoCells, ANewOwnerPassesACancelOnToBorrowers) {
   Put(kHome, Lasting("a", 20));
   world_.Run(Millis(2'000));
