Cancel a job when a borrower tells that its lent tasks were cancelled

Cause: a cancelled job of lent tasks gave its tasks back to the lender, to be started once more. Lent tasks are cancelled only as their job is, so that is word of the cancel; a lender that had not heard of it by the store's watch started the tasks in its own cell or lent them again, and went on with the rest of the job.

Test before: CancelReachTwoCells.ACancelledLoanCancelsItsJob (the lender's watch is late, the entry that took the cancel does not reach it): StartsOf("a") is 20, not 16, and tasks run 4.9 s after the cancel.

Now the lender takes such an end for the cancel that it is.

Ruled out: a guest that is cancelled for another reason; only CancelJob makes that phase, and it is called for the parent's cancel only. Loans that did not come about are taken back by TakeBack, not by this.

--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -425,20 +425,8 @@
   JobView& job = state.view.jobs[id];
   if (job.cancelled) return;
 
-  job.cancelled = true;
   job.cancel_revision = item.revision;
-
-  for (auto& [cell_id, cell] : state.cells) {
-    std::vector<JobId> concerned;
-
-    for (const auto& [job_id, held] : cell.jobs) {
-      if (job_id == id || held.record.parent == id) concerned.push_back(job_id);
-    }
-
-    for (const JobId& job_id : concerned) {
-      CancelJob(state, effects, cell, cell.jobs.at(job_id));
-    }
-  }
+  NoteCancelled(state, effects, id);
 }
 
 /// Which function takes the records of a prefix.
@@ -469,6 +457,25 @@
 
 }  // namespace
 
+void NoteCancelled(State& state, Effects& effects, const JobId& id) {
+  const auto view = state.view.jobs.find(id);
+  if (view == state.view.jobs.end() || view->second.cancelled) return;
+
+  view->second.cancelled = true;
+
+  for (auto& [cell_id, cell] : state.cells) {
+    std::vector<JobId> concerned;
+
+    for (const auto& [job_id, held] : cell.jobs) {
+      if (job_id == id || held.record.parent == id) concerned.push_back(job_id);
+    }
+
+    for (const JobId& job_id : concerned) {
+      CancelJob(state, effects, cell, cell.jobs.at(job_id));
+    }
+  }
+}
+
 void ForgetProgress(JobView& job) {
   job.phase = JobPhase::kQueued;
   job.progress.clear();
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -92,6 +92,9 @@
 /// Takes in a record, from whatever source. Older news than what is known is passed over.
 void ApplyRecord(State& state, Effects& effects, const StoreItem& item);
 
+/// Takes in that a job was cancelled, and cancels it and what was lent of it in all owned cells.
+void NoteCancelled(State& state, Effects& effects, const JobId& id);
+
 // ---- Lease, entries, cells
 // ---------------------------------------------------------------------------
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -327,6 +327,9 @@
 
 void TakeLoanEnd(State& state, Effects& effects, const JobId& parent, const JobId& guest,
                  JobPhase phase) {
+  // Lent tasks are cancelled with their job only, and word of that may come here later.
+  if (phase == JobPhase::kCancelled) NoteCancelled(state, effects, parent);
+
   for (auto& [cell_id, cell] : state.cells) {
     const auto found = cell.jobs.find(parent);
     if (found == cell.jobs.end()) continue;
--- a/tests/scheduler/cancel_reach_test.cc
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -214,6 +214,27 @@
   EXPECT_TRUE(world_.WorkersOf("a").empty());
 }
 
+TEST_F(CancelReachTwoCells, ACancelledLoanCancelsItsJob) {
+  Put(kHome, Lasting("hog", 4));
+  world_.Run(Millis(1'000));
+  Put(kHome, Lasting("a", 16));
+  StopWatching(home_);
+  world_.Run(Millis(4'000));
+  ASSERT_EQ(world_.WorkersOf("a").size(), 16U);
+
+  // Leaves room for what comes back.
+  world_.Cancel(bystander_, "hog");
+  world_.Run(Millis(1'000));
+  world_.Cut(home_, bystander_);
+  world_.Cancel(bystander_, "a");
+  world_.Run(Millis(50));
+  ASSERT_EQ(world_.answers["a"].back().outcome, CallerOutcome::kCancelled);
+  world_.Run(kGoneTime);
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+  EXPECT_EQ(StartsOf("a"), 16);
+}
+
 TEST_F(CancelReachTwoCells, ANewOwnerPassesACancelOnToBorrowers) {
   Put(kHome, Lasting("a", 20));
   world_.Run(Millis(2'000));
