Do not renew the lease of a worker on which all runs are to be stopped

Cause: each look renewed the worker's lease, also where all that runs there is to be stopped or is known as a stray. As long as looks come through and stops do not, such runs go on without a bound.

Test before: CancelReachOneCell.RunsWhoseStopsAreLostLapse: the run goes on 6 s after the cancel.

Now a look renews only if a run of a job that is neither cancelled nor out of attempts is bound to the worker, or an end is listed there that the store does not have yet: an end before a lapse would not count. What is to be stopped lapses at the latest with the lease that was granted before the owner learned of the cancel.

Ruled out: a lapse of what is wanted; a worker's lease is one for all its runs, so any wanted one keeps it, and a start brings its own. This is a bound, not a repair of late stops: beside a wanted run the lease goes on.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -157,6 +157,17 @@
   return worker.lasting_millicores > 0 && worker.filling_millicores > 0;
 }
 
+/// Says whether something at a worker is to outlive its present lease: a run that is wanted, or an
+/// end that would count for nothing.
+bool NeedsLease(const OwnedCell& cell, const WorkerState& worker) {
+  if (!worker.ends.empty()) return true;
+
+  return std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+    const JobState& job = cell.jobs.at(ref.job);
+    return !job.cancelled && !job.doomed;
+  });
+}
+
 void DriveLook(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   const bool needed =
       !worker.confirmed || !worker.tasks.empty() || !worker.ends.empty() || !worker.strays.empty();
@@ -175,7 +186,8 @@
   LookAtWorker order;
   // A worker that was silent is asked first and renewed then: a renewal that is not answered may
   // have been carried out, so that leases which it may have extended could never count as lapsed.
-  if (worker.failed_looks == 0) order.lease_until_ms = LeaseUntil(state, worker);
+  const bool renew = worker.failed_looks == 0 && NeedsLease(cell, worker);
+  if (renew) order.lease_until_ms = LeaseUntil(state, worker);
   order.forget_up_to = worker.forgotten;
 
   for (const auto& [number, end] : worker.ends) {
--- a/tests/scheduler/cancel_reach_test.cc
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -104,6 +104,18 @@
   EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
 }
 
+TEST_F(CancelReachOneCell, RunsWhoseStopsAreLostLapse) {
+  SubmitLasting();
+  world_.Run(Millis(2'000));
+  ASSERT_EQ(world_.WorkersOf("a").size(), 1U);
+
+  for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, true);
+  world_.Cancel("e0", "a");
+  world_.Run(Millis(6'000));
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
 // ---- Lent and moved -----------------------------------------------------------------------------
 
 /// For entries whose copy of the records is to be older than any of these times.
