Keep the fence of a worker that the registry dropped for a while

Seen: a worker that comes back to the registry takes no more orders until its cell changes hands.

Cause: an owner drops an idle worker that the registry does not name, and its fence with it. When the same life of the worker is named again, as after an outage of the store or of its link, the fence began anew. A worker that had seen a higher one of the same grant rejects all looks as fenced, so it is never confirmed; and an order of before, still under way, would not be void.

Test before: WorkerLife.AWorkerThatTheRegistryDroppedTakesOrdersOnceItIsBack: the second job of a lone worker has not begun 4 s after its acceptance (phase queued, not completed).

Now a worker that is added begins above all fences of workers that the cell has dropped.

Ruled out: raising the fence at each rejected look; an owner that has lost its cell unknowingly would do so for nothing, and two owners would not, as grants order their fences.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -361,6 +361,8 @@
   /// All records are known up to the grant, and the jobs were taken over.
   bool open = false;
   std::map<VmId, WorkerState> workers;
+  /// Highest fence of the workers that were dropped; one that comes back may have seen it.
+  int64_t dropped_fence = 0;
   std::map<JobId, JobState> jobs;
   /// The latest revision that recorded one of the jobs taken in.
   KvRevision newest_job = 0;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -611,6 +611,7 @@
 
   if (added) {
     found->second.info.id = id;
+    found->second.fence = cell.dropped_fence + 1;
     // A former owner may renew leases for as long after the store last confirmed its own.
     const Millis span = kStoreLease + kOutageHold + kWorkerLease;
     found->second.lapses_at = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
@@ -689,6 +690,7 @@
     worker.due_at = state.wake_at;
 
     if (!worker.listed && IsIdle(worker)) {
+      cell.dropped_fence = std::max(cell.dropped_fence, worker.fence);
       row = cell.workers.erase(row);
     } else {
       ++row;
--- a/tests/scheduler/worker_life_test.cc
+++ b/tests/scheduler/worker_life_test.cc
@@ -29,5 +29,24 @@
   EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+TEST(WorkerLife, AWorkerThatTheRegistryDroppedTakesOrdersOnceItIsBack) {
+  World world(WorldShape{.entries = 1, .racks = 1, .workers_per_rack = 1});
+  world.Run(Millis(3'500));
+  world.LoseAnswers("wr0-0-0", true);
+  world.Submit("e0", MakeJob("a", 1));
+  world.Run(Millis(3'000));
+  world.LoseAnswers("wr0-0-0", false);
+  world.Run(Millis(12'000));
+  ASSERT_EQ(world.Phase("a"), JobPhase::kCompleted);
+
+  world.WithdrawWorker("wr0-0-0");
+  world.Run(Millis(4'000));
+  world.Submit("e0", MakeJob("b", 1));
+  world.Run(Millis(4'000));
+
+  EXPECT_EQ(world.Phase("b"), JobPhase::kCompleted);
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
