Let a cancel wait for a submission of the job that is under way

Cause: a cancel of a job that the entry does not know reads its record. While the entry's own write of the job has no answer, that read finds nothing; the caller was told at once that there is no such job, and the write was then repeated, accepted, and the job run to its end.

Test before: CancelReachOneCell.ItWaitsForTheJobThatIsBeingAccepted: the answers are "no such job" and then "accepted", not "accepted" and "cancelled", and the task runs.

Now the cancel is tried again until the submission is settled, within the caller's patience as before. The same holds if the submission was settled between the read and its answer (that order has no test).

Ruled out: nothing is answered as cancelled without a record: the cancel is written under the revision of the job's record, and a known cancel or end comes from the store only. Left: the submission of the same job at another entry, which this one does not know of.

--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -291,6 +291,14 @@
       AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = count.Total()});
 }
 
+/// Says whether the write of a job that the store did not have may have taken effect since, or may
+/// do so yet.
+bool MayBeAccepted(const State& state, const JobId& id) {
+  const auto job = state.view.jobs.find(id);
+  const bool known = job != state.view.jobs.end() && job->second.revision != 0;
+  return known || state.submits.contains(id);
+}
+
 /// Logs a cancellation that the store has taken, and who is to carry it out.
 void LogCancelled(const State& state, Effects& effects, const JobId& id, KvRevision revision) {
   const auto job = state.view.jobs.find(id);
@@ -381,7 +389,7 @@
   cancel.request = 0;
 
   if (cancel.reading) {
-    if (reply.status == StoreStatus::kNotFound) {
+    if (reply.status == StoreStatus::kNotFound && !MayBeAccepted(state, id)) {
       AnswerAll(effects, cancel.calls, CallerOutcome::kNoSuchJob);
       state.cancels.erase(found);
       return;
--- a/tests/scheduler/cancel_reach_test.cc
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -104,6 +104,21 @@
   EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
 }
 
+TEST_F(CancelReachOneCell, ItWaitsForTheJobThatIsBeingAccepted) {
+  world_.Cut("e0", "store");
+  SubmitLasting();
+  world_.Run(Millis(50));
+  world_.Mend();
+  world_.Cancel("e0", "a");
+  world_.Run(Millis(5'000));
+
+  const std::vector<AnswerCaller>& answers = world_.answers["a"];
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(answers[0].outcome, CallerOutcome::kAccepted);
+  EXPECT_EQ(answers[1].outcome, CallerOutcome::kCancelled);
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
 TEST_F(CancelReachOneCell, RunsWhoseStopsAreLostLapse) {
   SubmitLasting();
   world_.Run(Millis(2'000));
