--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -247,6 +247,10 @@
   return JobObjective{record.accepted_unix_ms, record.objective};
 }
 
+ExpectedRecord NotCancelled(const JobRecord& record) {
+  return ExpectedRecord{CancelKey(record.parent.Empty() ? record.spec.job : record.parent), 0};
+}
+
 std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
   const JobId& id = job.record.spec.job;
   std::vector<TaskRef> tasks;
@@ -467,6 +471,7 @@
        {"bound", std::to_string(job.bound)},
        {"lent", std::to_string(job.lent)},
        {"known_ms", RecordsAgeText(state)}});
+  TellBorrowers(state, effects, job);
   StopJob(cell, job);
   Touch(cell, job);
   SettleJob(state, effects, cell, job.record.spec.job);
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -160,6 +160,17 @@
   return worker.lasting_millicores > 0 && worker.filling_millicores > 0;
 }
 
+/// Says whether something at a worker is to outlive its present lease: a run that is wanted, or an
+/// end that would count for nothing.
+bool NeedsLease(const OwnedCell& cell, const WorkerState& worker) {
+  if (!worker.ends.empty()) return true;
+
+  return std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+    const JobState& job = cell.jobs.at(ref.job);
+    return !job.cancelled && !job.doomed;
+  });
+}
+
 void DriveLook(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   const bool needed =
       !worker.confirmed || !worker.tasks.empty() || !worker.ends.empty() || !worker.strays.empty();
@@ -178,7 +189,8 @@
   LookAtWorker order;
   // A worker that was silent is asked first and renewed then: a renewal that is not answered may
   // have been carried out, so that leases which it may have extended could never count as lapsed.
-  if (worker.failed_looks == 0) order.lease_until_ms = LeaseUntil(state, worker);
+  const bool renew = worker.failed_looks == 0 && NeedsLease(cell, worker);
+  if (renew) order.lease_until_ms = LeaseUntil(state, worker);
   order.forget_up_to = worker.forgotten;
 
   for (const auto& [number, end] : worker.ends) {
@@ -530,10 +542,10 @@
 
   task->settled_at = ++state.order_count;
   JobState& job = cell.jobs.at(ref.job);
+  const bool unwanted = job.cancelled || job.doomed;
 
   if (status == OrderStatus::kOk) {
     NoteRun(state, effects, cell, job, worker);
-    const bool unwanted = job.cancelled || job.doomed;
     task->phase = TaskPhase::kRunning;
     if (unwanted) SetStopping(worker, *task);
     worker.answered_at = state.now;
@@ -558,9 +570,11 @@
       return;
     case OrderStatus::kFenced:
     case OrderStatus::kLate:
-      task->sent = false;
       worker.confirmed = false;
       worker.next_look = state.now;
+      if (unwanted) break;
+
+      task->sent = false;
       return;
     case OrderStatus::kUnreachable:
     case OrderStatus::kOtherLife:
@@ -579,7 +593,7 @@
       break;
   }
 
-  if (job.cancelled || job.doomed) {
+  if (unwanted) {
     UnbindTask(state, cell, job, ref);
   } else {
     RequeueTask(state, cell, job, ref, not_before);
@@ -642,6 +656,7 @@
 
   if (added) {
     found->second.info.id = id;
+    found->second.fence = cell.dropped_fence + 1;
     // A former owner may renew leases for as long after the store last confirmed its own.
     const Millis span = kStoreLease + kOutageHold + kWorkerLease;
     found->second.lapses_at = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
@@ -720,6 +735,7 @@
     worker.due_at = state.wake_at;
 
     if (!worker.listed && IsIdle(worker)) {
+      cell.dropped_fence = std::max(cell.dropped_fence, worker.fence);
       row = cell.workers.erase(row);
     } else {
       ++row;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -480,18 +480,6 @@
   TakeLoanEnd(state, effects, parent, id, *phase);
 }
 
-/// Returns the cells that some jobs are in.
-std::set<CellId> CellsThatRun(const State& state, const std::set<JobId>& jobs) {
-  std::set<CellId> cells;
-
-  for (const JobId& id : jobs) {
-    const auto job = state.view.jobs.find(id);
-    if (job != state.view.jobs.end()) cells.insert(job->second.head.cell);
-  }
-
-  return cells;
-}
-
 void ApplyCancel(State& state, Effects& effects, const JobId& id, const StoreItem& item) {
   if (item.removed) {
     NoteRemoval(state.view, item.key, 0, item.revision);
@@ -501,22 +489,8 @@
   JobView& job = state.view.jobs[id];
   if (job.cancelled) return;
 
-  job.cancelled = true;
-
-  for (auto& [cell_id, cell] : state.cells) {
-    std::vector<JobId> concerned;
-
-    for (const auto& [job_id, held] : cell.jobs) {
-      if (job_id == id || held.record.parent == id) concerned.push_back(job_id);
-    }
-
-    for (const JobId& job_id : concerned) {
-      JobState& held = cell.jobs.at(job_id);
-      const std::set<CellId> borrowers = CellsThatRun(state, BorrowedJobs(held));
-      CancelJob(state, effects, cell, held);
-      for (const CellId& borrower : borrowers) TellOwner(state, effects, borrower, item);
-    }
-  }
+  job.cancel_revision = item.revision;
+  NoteCancelled(state, effects, id);
 }
 
 /// Which function takes the records of a prefix.
@@ -547,6 +521,25 @@
 
 }  // namespace
 
+void NoteCancelled(State& state, Effects& effects, const JobId& id) {
+  const auto view = state.view.jobs.find(id);
+  if (view == state.view.jobs.end() || view->second.cancelled) return;
+
+  view->second.cancelled = true;
+
+  for (auto& [cell_id, cell] : state.cells) {
+    std::vector<JobId> concerned;
+
+    for (const auto& [job_id, held] : cell.jobs) {
+      if (job_id == id || held.record.parent == id) concerned.push_back(job_id);
+    }
+
+    for (const JobId& job_id : concerned) {
+      CancelJob(state, effects, cell, cell.jobs.at(job_id));
+    }
+  }
+}
+
 void ForgetProgress(JobView& job) {
   job.phase = JobPhase::kQueued;
   job.progress.clear();
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -102,6 +102,9 @@
 /// Takes in a record, from whatever source. Older news than what is known is passed over.
 void ApplyRecord(State& state, Effects& effects, const StoreItem& item);
 
+/// Takes in that a job was cancelled, and cancels it and what was lent of it in all owned cells.
+void NoteCancelled(State& state, Effects& effects, const JobId& id);
+
 // ---- Lease, entries, cells
 // ---------------------------------------------------------------------------
 
@@ -165,6 +168,10 @@
 /// Cancels a job.
 void CancelJob(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 
+/// Returns the expectation that the store knows of no cancelling of a job, or of the job that its
+/// tasks are lent from.
+ExpectedRecord NotCancelled(const JobRecord& record);
+
 /// Returns the phase of a job of an owned cell that may be shown: a terminal phase only once it is
 /// recorded, as a successor might not know it.
 JobPhase ShownPhase(const OwnedCell& cell, const JobId& id, const JobView& view);
@@ -246,6 +253,9 @@
 /// Returns the jobs that run tasks which a job has lent.
 std::set<JobId> BorrowedJobs(const JobState& job);
 
+/// Tells those who run lent tasks that their job was cancelled.
+void TellBorrowers(State& state, Effects& effects, const JobState& job);
+
 /// Asks those who run lent tasks how far they are, as word of their end may have been lost.
 void UpdateLoans(State& state, Effects& effects, JobState& job);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -85,7 +85,7 @@
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
                     ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision},
-                    ExpectedRecord{JobKey(job.loan->guest), 0}};
+                    ExpectedRecord{JobKey(job.loan->guest), 0}, NotCancelled(job.record)};
   write.puts = {RecordPut{ProgressKey(cell.cell, id), job.loan->progress_value, 0},
                 RecordPut{JobKey(job.loan->guest), job.loan->guest_value, 0}};
   job.loan->request =
@@ -171,6 +171,24 @@
   return jobs;
 }
 
+void TellBorrowers(State& state, Effects& effects, const JobState& job) {
+  const JobId& id = job.record.spec.job;
+  std::set<CellId> borrowers;
+
+  for (const JobId& guest : BorrowedJobs(job)) {
+    const auto view = state.view.jobs.find(guest);
+    if (view != state.view.jobs.end()) borrowers.insert(view->second.head.cell);
+  }
+
+  // The store may have the loan already.
+  if (job.loan) borrowers.insert(job.loan->to);
+  if (borrowers.empty()) return;
+
+  const StoreItem cancel{
+      .key = CancelKey(id), .revision = state.view.jobs.at(id).cancel_revision, .value = "{}"};
+  for (const CellId& borrower : borrowers) TellOwner(state, effects, borrower, cancel);
+}
+
 void ConsiderLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
   if (job.loan) {
     if (job.loan->request != 0) return;
@@ -238,6 +256,7 @@
       job.loan.reset();
       TakeBack(state, *cell, job, guest);
       SettleJob(state, effects, *cell, lent.job);
+      for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
       return;
     }
 
@@ -258,6 +277,7 @@
   NoteRecorded(state, effects, *cell, job, loan.version, revision);
   // Last, as this entry may own the borrowing cell too.
   ApplyRecord(state, effects, guest);
+  for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
 }
 
 void UpdateLoans(State& state, Effects& effects, JobState& job) {
@@ -307,6 +327,9 @@
 
 void TakeLoanEnd(State& state, Effects& effects, const JobId& parent, const JobId& guest,
                  JobPhase phase) {
+  // Lent tasks are cancelled with their job only, and word of that may come here later.
+  if (phase == JobPhase::kCancelled) NoteCancelled(state, effects, parent);
+
   for (auto& [cell_id, cell] : state.cells) {
     const auto found = cell.jobs.find(parent);
     if (found == cell.jobs.end()) continue;
--- /dev/null
+++ b/tests/scheduler/cancel_reach_test.cc
@@ -0,0 +1,285 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "world.h"
+
+/// Whether a cancel reaches what runs the tasks: lent and moved ones, starts that have left, cells
+/// that change hands.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Nothing of a cancelled job runs longer: the time for a start and the time for a stop. Figures of
+/// a deployment.
+constexpr Millis kGoneTime = Millis(4'900);
+
+std::string JobKeyOf(const std::string& job) { return std::string(kJobPrefix) + job; }
+
+class CancelReach : public testing::Test {
+ protected:
+  explicit CancelReach(WorldShape shape) : world_(shape) {}
+  void SetUp() override { world_.Run(Millis(3'500)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  [[nodiscard]] bool Logged(const std::string& sentence) const {
+    return std::ranges::any_of(world_.log, [&](const std::string& line) {
+      return line.find(sentence) != std::string::npos;
+    });
+  }
+
+  /// Lets time pass until a line is in the log.
+  void RunUntilLogged(const std::string& sentence) {
+    const Millis end = world_.now() + Millis(10'000);
+    while (!Logged(sentence) && world_.now() < end) world_.Run(Millis(5));
+    ASSERT_TRUE(Logged(sentence)) << sentence;
+  }
+
+  void Write(WriteRecords write) {
+    world_.store.Handle(write, world_.now(), [](const StoreReply&) {});
+  }
+
+  /// The store takes a cancel now, and tells it to nobody but those who watch.
+  void CancelInStore(const std::string& job) {
+    Write({.puts = {RecordPut{std::string(kCancelPrefix) + job, "{}", 0}}});
+  }
+
+  [[nodiscard]] int32_t StartsOf(const std::string& job) const {
+    int32_t count = 0;
+    for (const auto& [name, starts] : world_.starts) {
+      if (name.job.Text() == job) count += starts;
+    }
+    return count;
+  }
+
+  World world_;
+};
+
+// ---- One cell -----------------------------------------------------------------------------------
+
+class CancelReachOneCell : public CancelReach {
+ protected:
+  CancelReachOneCell() : CancelReach({.entries = 2, .racks = 1, .workers_per_rack = 1}) {
+    world_.planner = [](const TaskName&) {
+      return RunPlan{.lasts = true, .need = Resources{.millicores = 1'000}};
+    };
+  }
+
+  void SubmitLasting() {
+    JobSpec spec = MakeJob("a", 1);
+    spec.steps[0].lasting = true;
+    world_.Submit("e0", spec);
+  }
+
+  WorkerState& OnlyWorker() {
+    State& state = world_.state(world_.OwnerOf("a"));
+    return state.cells.begin()->second.workers.begin()->second;
+  }
+};
+
+TEST_F(CancelReachOneCell, AStartThatWasFencedOffIsNotSentAgain) {
+  SubmitLasting();
+  const auto starting = [&] {
+    if (!world_.store.Value(JobKeyOf("a"))) return false;
+    return std::holds_alternative<StartTask>(OnlyWorker().order) && OnlyWorker().order_request != 0;
+  };
+  for (int round = 0; round < 400 && !starting(); ++round) world_.Run(Millis(1));
+  ASSERT_TRUE(starting());
+
+  // A look under a higher fence overtakes the start.
+  const std::string owner = world_.OwnerOf("a");
+  const OwnedCell& cell = world_.state(owner).cells.begin()->second;
+  const std::string worker = OnlyWorker().info.id.Text();
+  OnlyWorker().fence += 1;
+  OnlyWorker().confirmed = false;
+  world_.worker(worker).Handle(cell.grant * (FencingToken{1} << 20U) + OnlyWorker().fence,
+                               LookAtWorker{}, world_.now(), [](const WorkerReply&) {});
+  CancelInStore("a");
+  world_.Push(owner, StoreItem{.key = std::string(kCancelPrefix) + "a",
+                               .revision = world_.store.revision(),
+                               .value = "{}"});
+  world_.Run(kGoneTime);
+
+  EXPECT_EQ(StartsOf("a"), 0);
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCancelled);
+}
+
+TEST_F(CancelReachOneCell, ItWaitsForTheJobThatIsBeingAccepted) {
+  world_.Cut("e0", "store");
+  SubmitLasting();
+  world_.Run(Millis(50));
+  world_.Mend();
+  world_.Cancel("e0", "a");
+  world_.Run(Millis(5'000));
+
+  const std::vector<AnswerCaller>& answers = world_.answers["a"];
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(answers[0].outcome, CallerOutcome::kAccepted);
+  EXPECT_EQ(answers[1].outcome, CallerOutcome::kCancelled);
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
+TEST_F(CancelReachOneCell, RunsWhoseStopsAreLostLapse) {
+  SubmitLasting();
+  world_.Run(Millis(2'000));
+  ASSERT_EQ(world_.WorkersOf("a").size(), 1U);
+
+  for (const std::string& worker : world_.Workers()) world_.LoseStops(worker, true);
+  world_.Cancel("e0", "a");
+  world_.Run(Millis(6'000));
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
+// ---- Lent and moved -----------------------------------------------------------------------------
+
+/// For entries whose copy of the records is to be older than any of these times.
+constexpr Millis kVeryLate = Millis(30'000);
+
+/// Two cells of sixteen cores each, and two entries that own neither.
+class CancelReachTwoCells : public CancelReach {
+ protected:
+  static constexpr const char* kHome = "dc0/0";
+  static constexpr const char* kAway = "dc1/0";
+
+  CancelReachTwoCells() : CancelReach({.entries = 4, .data_centres = 2, .racks = 1}) {
+    world_.planner = [](const TaskName& name) {
+      return RunPlan{.duration = Millis(200),
+                     .lasts = name.job.Text() != "short",
+                     .need = Resources{.millicores = name.job.Text() == "short" ? 0 : 1'000,
+                                       .memory_mib = 100}};
+    };
+  }
+
+  void SetUp() override {
+    CancelReach::SetUp();
+    home_ = OwnerOfCell(kHome);
+    away_ = OwnerOfCell(kAway);
+    for (const char* entry : {"e0", "e1", "e2", "e3"}) {
+      if (world_.state(entry).cells.empty()) bystander_ = entry;
+    }
+    ASSERT_FALSE(bystander_.empty());
+    ASSERT_NE(home_, away_);
+  }
+
+  [[nodiscard]] std::string OwnerOfCell(const std::string& cell) {
+    const auto& cells = world_.state("e0").view.cells;
+    const auto view = cells.find(CellId(cell));
+    return view == cells.end() ? std::string() : view->second.record.owner.Text();
+  }
+
+  /// From now on an entry learns of records only by what it writes and what peers tell it.
+  void StopWatching(const std::string& entry) { world_.SlowWatches(entry, kVeryLate); }
+
+  /// Hands a job to the owner of a cell.
+  void Put(const std::string& cell, const JobSpec& spec) {
+    JobRecord record{.queue = "queue", .service = "service", .cell = CellId(cell), .spec = spec};
+    record.most_attempts = 3;
+    const std::string key = JobKeyOf(spec.job.Text());
+    Write({.puts = {RecordPut{key, Encode(record), 0}}});
+    world_.Push(OwnerOfCell(cell), StoreItem{.key = key,
+                                             .revision = world_.store.revision(),
+                                             .value = *world_.store.Value(key)});
+  }
+
+  [[nodiscard]] static JobSpec Lasting(const std::string& id, int32_t tasks) {
+    JobSpec spec = MakeJob(id, tasks);
+    spec.steps[0].lasting = true;
+    return spec;
+  }
+
+  std::string home_;
+  std::string away_;
+  std::string bystander_;
+};
+
+TEST_F(CancelReachTwoCells, TasksOfACancelledJobAreNotLent) {
+  StopWatching(home_);
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  Put(kHome, Lasting("a", 20));
+  RunUntilLogged("lending tasks");
+  CancelInStore("a");
+  world_.Run(kGoneTime);
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
+TEST_F(CancelReachTwoCells, ACancelledJobIsNotMoved) {
+  JobSpec hog = Lasting("hog", 16);
+  hog.steps[0].need.memory_mib = 4'000;
+  Put(kHome, hog);
+  world_.Run(Millis(2'000));
+  StopWatching(home_);
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  JobSpec spec = MakeJob("short", 1);
+  spec.steps[0].filling = true;
+  spec.steps[0].need.memory_mib = 40'000;
+  Put(kHome, spec);
+  RunUntilLogged("moving job");
+  CancelInStore("short");
+  world_.Run(kGoneTime);
+
+  EXPECT_EQ(StartsOf("short"), 0);
+  EXPECT_EQ(world_.Phase("short"), JobPhase::kCancelled);
+}
+
+TEST_F(CancelReachTwoCells, ACancelReachesTheBorrowerWhileTheLoanIsUnderWay) {
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  Put(kHome, Lasting("a", 20));
+  RunUntilLogged("lending tasks");
+  world_.Run(Millis(5));
+  world_.Cut(home_, "store");
+  world_.Cancel(bystander_, "a");
+  world_.Run(Millis(50));
+  world_.Mend();
+  ASSERT_EQ(world_.answers["a"].back().outcome, CallerOutcome::kCancelled);
+  world_.Run(kGoneTime);
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
+TEST_F(CancelReachTwoCells, ACancelledLoanCancelsItsJob) {
+  Put(kHome, Lasting("hog", 4));
+  world_.Run(Millis(1'000));
+  Put(kHome, Lasting("a", 16));
+  StopWatching(home_);
+  world_.Run(Millis(4'000));
+  ASSERT_EQ(world_.WorkersOf("a").size(), 16U);
+
+  // Leaves room for what comes back.
+  world_.Cancel(bystander_, "hog");
+  world_.Run(Millis(1'000));
+  world_.Cut(home_, bystander_);
+  world_.Cancel(bystander_, "a");
+  world_.Run(Millis(50));
+  ASSERT_EQ(world_.answers["a"].back().outcome, CallerOutcome::kCancelled);
+  world_.Run(kGoneTime);
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+  EXPECT_EQ(StartsOf("a"), 16);
+}
+
+TEST_F(CancelReachTwoCells, ANewOwnerPassesACancelOnToBorrowers) {
+  Put(kHome, Lasting("a", 20));
+  world_.Run(Millis(2'000));
+  StopWatching(away_);
+  world_.Run(Millis(2'500));
+  ASSERT_EQ(world_.WorkersOf("a").size(), 20U);
+
+  world_.Kill(home_);
+  world_.Run(Millis(500));
+  world_.Cut(away_, bystander_);
+  world_.Cancel(bystander_, "a");
+  world_.Run(Millis(100));
+  ASSERT_EQ(world_.answers["a"].back().outcome, CallerOutcome::kCancelled);
+  world_.Mend();
+  world_.Run(Millis(8'000));
+
+  EXPECT_TRUE(world_.WorkersOf("a").empty());
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
