--- a/tests/scheduler/answers_audit_test.cc
+++ b/tests/scheduler/answers_audit_test.cc
@@ -6,10 +6,11 @@
 #include <random>
 #include <sstream>
 
+#include "order_audit.h"
 #include "world.h"
 
-/// Random days with faults: whatever an entry tells a caller is compared with what was promised and
-/// with what the workers did.
+/// Random days with faults: whatever an entry tells a caller, and whatever a worker is told to
+/// start, is compared with what was promised and with what the workers did.
 ///
 /// CURRANTPOST_AUDIT_SEEDS, as in 100-199, names the days to play; CURRANTPOST_AUDIT_LOG a file for
 /// the entries' log of the last one.
@@ -33,6 +34,9 @@
 /// Mean work of a job for one core, in milliseconds.
 constexpr int64_t kWorkOfAJob = 3'000;
 constexpr int32_t kAttempts = 3;
+constexpr Millis kSaveInterval = Millis(150);
+/// After the traffic callers ask each half second.
+constexpr int32_t kRoundsBetweenQuestions = 5;
 
 /// Chances of one day.
 class Dice {
@@ -54,7 +58,41 @@
   std::mt19937_64 random_;
 };
 
-WorldShape ShapeOf(Dice& dice) {
+/// Processor of the smallest machines of large deployments.
+constexpr int64_t kSmallMillicores = 69;
+
+/// What makes a day harder, decided by chances of its own so that the days without stay as they
+/// are.
+struct Hardship {
+  explicit Hardship(uint64_t seed) : dice(seed + kHardDays) {
+    many_cancels = dice.Chance(60);
+    small_entries = dice.Chance(50) ? static_cast<int32_t>(dice.Between(1, 2)) : 0;
+    slow_downs = dice.Chance(50);
+    checkpoints = dice.Chance(60);
+  }
+
+  /// Makes an entry short of processor time, of link, or of both.
+  Machine MakeMachine(int64_t longest_wait_ms) {
+    const int64_t kind = dice.Between(1, 3);
+    Machine machine{.longest_wait = dice.Span(500, longest_wait_ms)};
+    if (kind != 1) machine.link_bytes = dice.Between(10, 300);
+    if (kind == 2) return machine;
+
+    machine.per_event = dice.Span(2, 40);
+    machine.per_item = dice.Span(0, 10);
+    return machine;
+  }
+
+  static constexpr uint64_t kHardDays = 1'000'003;
+
+  Dice dice;
+  bool many_cancels = false;
+  int32_t small_entries = 0;
+  bool slow_downs = false;
+  bool checkpoints = false;
+};
+
+WorldShape ShapeOf(Dice& dice, const Hardship* hardship) {
   WorldShape shape{.entries = static_cast<int32_t>(dice.Between(3, 5)), .data_centres = 2};
   shape.capacity = Resources{.millicores = 4'000, .memory_mib = 64'000};
   shape.racks = 1;
@@ -68,6 +106,10 @@
     shape.capacity.millicores = 1'000;
   }
 
+  if (hardship != nullptr) {
+    shape.millicores.assign(static_cast<size_t>(hardship->small_entries), kSmallMillicores);
+  }
+
   return shape;
 }
 
@@ -91,6 +133,8 @@
   bool hopeless = false;
   std::optional<Millis> accepted_at;
   std::optional<Millis> cancel_at;
+  /// Cancelled so long after its acceptance.
+  std::optional<Millis> cancel_after;
   std::optional<Millis> cancel_sent_at;
   bool cancel_told = false;
   int32_t sends = 0;
@@ -104,7 +148,8 @@
 /// Makes jobs of all kinds.
 class OrderMaker {
  public:
-  OrderMaker(Dice& dice, const WorldShape& shape) : dice_(dice), shape_(shape) {}
+  OrderMaker(Dice& dice, const WorldShape& shape, Hardship* hardship)
+      : dice_(dice), shape_(shape), hardship_(hardship) {}
 
   Order Make(Millis now) {
     Order order{.duration = dice_.Span(100, 1'200), .next_send = now};
@@ -127,10 +172,24 @@
     }
 
     if (!order.Lasts() && dice_.Chance(8)) order.cancel_at = now + dice_.Span(0, 6'000);
+    order.spec.payload = "payload of " + order.Id();
+    if (hardship_ != nullptr) Harden(order);
     return order;
   }
 
  private:
+  void Harden(Order& order) {
+    Dice& dice = hardship_->dice;
+
+    if (hardship_->checkpoints && dice.Chance(50)) {
+      for (StepSpec& step : order.spec.steps) step.checkpointing = true;
+    }
+
+    if (!hardship_->many_cancels || !dice.Chance(35)) return;
+    order.cancel_at.reset();
+    order.cancel_after = dice.Chance(70) ? dice.Span(0, 1'500) : dice.Span(0, 10'000);
+  }
+
   void MakeLasting(Order& order, Millis now) {
     order.spec.steps[0].task_count = static_cast<int32_t>(dice_.Between(1, 6));
     order.spec.steps[0].lasting = true;
@@ -156,6 +215,7 @@
 
   Dice& dice_;
   WorldShape shape_;
+  Hardship* hardship_;
   int64_t made_ = 0;
 };
 
@@ -221,7 +281,10 @@
  private:
   void NoteAccepted(const Told& told) {
     Order& order = orders.at(told.subject);
-    if (!order.accepted_at) order.accepted_at = world_.now();
+    if (order.accepted_at) return;
+
+    order.accepted_at = world_.now();
+    if (order.cancel_after) order.cancel_at = world_.now() + *order.cancel_after;
   }
 
   [[nodiscard]] bool HasBegun(const std::string& id) const {
@@ -341,15 +404,17 @@
 /// Faults that begin at random and overlap.
 class Faults {
  public:
-  Faults(World& world, Dice& dice, std::vector<std::string> entries)
+  Faults(World& world, Dice& dice, Hardship* hardship, std::vector<std::string> entries)
       : world_(world),
         dice_(dice),
+        hardship_(hardship),
         entries_(std::move(entries)),
         pace_(dice.Between(700, 4'000)),
         next_at_(world.now() + dice.Span(500, 8'000)) {}
 
   void Round() {
     while (!ends_.empty() && ends_.begin()->first <= world_.now()) EndFirst();
+    if (hardship_ != nullptr && hardship_->slow_downs) ConsiderSlowDown();
     if (world_.now() < next_at_) return;
 
     next_at_ = world_.now() + dice_.Span(100, 2 * pace_);
@@ -384,6 +449,20 @@
     (this->*dice_.One(faults))();
   }
 
+  void ConsiderSlowDown() {
+    if (world_.now() < next_slow_down_at_) return;
+
+    Dice& dice = hardship_->dice;
+    next_slow_down_at_ = world_.now() + dice.Span(2'000, 15'000);
+    const std::string entry = dice.One(entries_);
+    Note("slow down " + entry);
+    world_.SlowDown(entry, hardship_->MakeMachine(6'000));
+    After(dice.Span(500, 8'000), [this, entry] {
+      Note("end slow down of " + entry);
+      world_.EndSlowDown(entry);
+    });
+  }
+
   void Note(const std::string& what) { world_.Note("fault:", what); }
 
   const std::string& AnEntry() { return dice_.One(entries_); }
@@ -534,6 +613,7 @@
     if (lease == 0) return;
 
     Note("revoke lease " + std::to_string(lease));
+    world_.Disrupt();
     world_.store.Revoke(lease, dice_.Chance(50), world_.now());
   }
 
@@ -553,6 +633,8 @@
 
   World& world_;
   Dice& dice_;
+  Hardship* hardship_;
+  Millis next_slow_down_at_ = Millis(6'000);
   std::vector<std::string> entries_;
   int64_t pace_;
   Millis next_at_;
@@ -658,15 +740,22 @@
 /// One day: traffic with faults, then quiet until all has ended.
 class Day {
  public:
-  explicit Day(uint64_t seed)
+  explicit Day(uint64_t seed, Hardship* hardship = nullptr)
       : dice_(seed),
-        shape_(ShapeOf(dice_)),
+        hardship_(hardship),
+        shape_(ShapeOf(dice_, hardship)),
         world_(shape_),
         ledger_(world_, seed),
+        order_audit_(world_,
+                     [this](const auto& check, const auto& text) { ledger_.Fail(check, text); }),
         callers_(world_, dice_, ledger_, shape_) {
     world_.store.page_size = static_cast<size_t>(dice_.Chance(50) ? dice_.Between(2, 20) : 10'000);
     world_.planner = [this](const TaskName& name) { return PlanOf(name); };
-    world_.on_answer = [this](const Told& told) { ledger_.Take(told); };
+    world_.on_answer = [this](const Told& told) {
+      ledger_.Take(told);
+      order_audit_.Take(told);
+    };
+    if (hardship_ != nullptr) EquipSmallEntries();
   }
 
   void Play() {
@@ -678,6 +767,7 @@
   }
 
   Ledger& ledger() { return ledger_; }
+  OrderAudit& order_audit() { return order_audit_; }
 
   void SaveLog(const std::string& path) const {
     std::ofstream file(path);
@@ -685,19 +775,35 @@
   }
 
  private:
+  void EquipSmallEntries() {
+    for (int32_t number = 0; number < hardship_->small_entries; ++number) {
+      const std::string entry = "e" + std::to_string(number);
+      const Machine machine = hardship_->MakeMachine(3'000);
+      world_.Equip(entry, machine);
+      world_.Note(entry, "has a small machine: " + std::to_string(machine.per_event.Count()) +
+                             " ms an event, " + std::to_string(machine.per_item.Count()) +
+                             " ms an item, " + std::to_string(machine.link_bytes) +
+                             " bytes/ms, waits " + std::to_string(machine.longest_wait.Count()));
+    }
+  }
+
   RunPlan PlanOf(const TaskName& name) {
-    const Order& order = ledger_.orders.at(name.job.Text());
+    const auto found = ledger_.orders.find(name.job.Text());
+    if (found == ledger_.orders.end()) return {};
+
+    const Order& order = found->second;
     const StepSpec& step = order.spec.steps[static_cast<size_t>(name.step)];
     RunPlan plan{.duration = order.duration, .lasts = step.lasting, .need = step.need};
     // It takes what others leave.
     if (step.filling) plan.need.millicores = 0;
+    if (step.checkpointing) plan.save_interval = kSaveInterval;
     if (order.hopeless || (!step.lasting && dice_.Chance(4))) plan.end = RunEnd::kFailed;
     return plan;
   }
 
   void PlayTraffic() {
-    OrderMaker maker(dice_, shape_);
-    Faults faults(world_, dice_, EntriesOf(shape_));
+    OrderMaker maker(dice_, shape_, hardship_);
+    Faults faults(world_, dice_, hardship_, EntriesOf(shape_));
     const Millis end = world_.now() + kTraffic;
 
     while (world_.now() < end) {
@@ -706,6 +812,7 @@
       callers_.CancelDue();
       callers_.AskAll();
       world_.Run(kRound);
+      order_audit_.Check();
     }
 
     faults.EndAll();
@@ -713,7 +820,11 @@
 
   void PlayEnd() {
     // What was under way is settled, one way or the other, before lasting jobs are cancelled.
-    world_.Run(kPatience + kRound);
+    for (Millis span; span <= kPatience; span = span + kRound) {
+      world_.Run(kRound);
+      order_audit_.Check();
+    }
+
     callers_.CancelLasting();
     Millis last_change = world_.now();
     size_t runs = 0;
@@ -723,7 +834,10 @@
       callers_.CancelDue();
       callers_.AskAll();
       AskForEnds();
-      world_.Run(Millis(500));
+      for (int32_t round = 0; round < kRoundsBetweenQuestions; ++round) {
+        world_.Run(kRound);
+        order_audit_.Check();
+      }
     }
 
     ReportUnended();
@@ -775,9 +889,11 @@
   }
 
   Dice dice_;
+  Hardship* hardship_;
   WorldShape shape_;
   World world_;
   Ledger ledger_;
+  OrderAudit order_audit_;
   Callers callers_;
 };
 
@@ -814,6 +930,21 @@
   RecordProperty("phases", static_cast<int>(day.ledger().phases));
 }
 
+class OrdersAudit : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(OrdersAudit, WorkersStartWhatWasAskedFor) {
+  Hardship hardship(GetParam());
+  Day day(GetParam(), &hardship);
+  day.Play();
+  if (const char* path = std::getenv("CURRANTPOST_AUDIT_LOG")) day.SaveLog(path);
+
+  EXPECT_TRUE(day.ledger().Report().empty()) << day.ledger().Report();
+  EXPECT_GT(day.order_audit().orders, 100) << "next to nothing was checked";
+  RecordProperty("orders", static_cast<int>(day.order_audit().orders));
+  RecordProperty("starts_after_cancel", static_cast<int>(day.order_audit().starts_after_cancel));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, OrdersAudit, testing::ValuesIn(SeedsToPlay()));
 INSTANTIATE_TEST_SUITE_P(Seeds, AnswersAudit, testing::ValuesIn(SeedsToPlay()));
 
 }  // namespace
--- /dev/null
+++ b/tests/scheduler/order_audit.cc
@@ -0,0 +1,133 @@
+#include "order_audit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Bounds of a deployment: a task starts so long after the acknowledgement of its job's cancelling
+/// at most; a run is stopped within so much more; a machine that was undisturbed for so long is in
+/// touch; a cancel that waited so long undisturbed counts as acknowledged.
+constexpr Millis kCancelTime = Millis(4'000);
+constexpr Millis kStopTime = Millis(900);
+constexpr Millis kContact = Millis(4'000);
+constexpr Millis kAckTimeout = Millis(6'000);
+/// Callers wait so long for an answer.
+constexpr Millis kPatience = Millis(3'000);
+
+std::string Text(const TaskName& name) {
+  return name.job.Text() + "." + std::to_string(name.step) + "." + std::to_string(name.index);
+}
+
+std::string Text(Millis span) { return std::to_string(span.Count()); }
+
+}  // namespace
+
+OrderAudit::OrderAudit(World& world, Fail fail) : world_(world), fail_(std::move(fail)) {
+  world_.on_start_order = [this](const StartSeen& start) { CheckContent(start); };
+  world_.on_start = [this](const StartSeen& start) { CheckTime(start); };
+}
+
+void OrderAudit::Take(const Told& told) {
+  const JobId job(told.subject);
+  if (told.answer.outcome == CallerOutcome::kAccepted) {
+    accepted_at_.try_emplace(job, world_.now());
+  }
+
+  if (!told.asked_to_cancel || world_.now() - told.asked_at > kPatience) return;
+
+  const auto accepted = accepted_at_.find(job);
+  const bool was_accepted = accepted != accepted_at_.end() && accepted->second <= told.asked_at;
+  const bool gone = told.answer.outcome == CallerOutcome::kNoSuchJob && was_accepted;
+  if (gone || told.answer.outcome == CallerOutcome::kCancelled) {
+    acknowledged_at_.try_emplace(job, world_.now());
+  }
+}
+
+std::string OrderAudit::Describe(const StartSeen& start) const {
+  const std::string age = start.records_age ? Text(*start.records_age) : "never listed";
+  return Text(start.order.task) + " run " + std::to_string(start.order.run) + " at " +
+         start.worker + ", sent by " + start.entry + " at " + Text(start.sent_at) +
+         ", its records " + age + " ms old";
+}
+
+void OrderAudit::CheckContent(const StartSeen& start) {
+  ++orders;
+  const StartTask& order = start.order;
+  const auto job = world_.submitted.find(order.task.job);
+  if (job == world_.submitted.end())
+    return fail_("start of a job that nobody sent", Describe(start));
+
+  if (order.payload != job->second.payload) {
+    fail_("start with another payload", Describe(start) + ": " + order.payload);
+  }
+
+  const auto saved = world_.checkpoints.find(order.task);
+  const bool own = saved != world_.checkpoints.end() && saved->second.contains(order.checkpoint);
+  if (!order.checkpoint.empty() && !own) {
+    fail_("start with a foreign checkpoint", Describe(start) + ": " + order.checkpoint);
+  }
+}
+
+void OrderAudit::CheckTime(const StartSeen& start) {
+  const TaskName& name = start.order.task;
+  begun_[{start.worker, name}] = Begun{start.entry, world_.now(), Describe(start), start.delayed};
+
+  const auto acknowledged = acknowledged_at_.find(name.job);
+  if (acknowledged == acknowledged_at_.end()) return;
+
+  ++starts_after_cancel;
+  if (start.delayed || world_.now() - acknowledged->second <= kCancelTime) return;
+
+  const bool in_touch =
+      world_.InTouch(start.entry, kContact) && !world_.WasStopped(start.entry, kContact);
+  if (!in_touch) return;
+
+  const std::string check = world_.WasAnsweredLate(start.entry, kContact)
+                                ? "start after a cancel, late store answers"
+                                : "start after a cancel";
+  fail_(check, Describe(start) + ", cancel acknowledged at " + Text(acknowledged->second));
+}
+
+void OrderAudit::CheckRun(const std::string& worker, const TaskName& name) {
+  const auto acknowledged = acknowledged_at_.find(name.job);
+  const auto begun = begun_.find({worker, name});
+  if (acknowledged == acknowledged_at_.end() || begun == begun_.end()) return;
+
+  const Begun& run = begun->second;
+  Millis since = acknowledged->second;
+  // A task that a worker started late has to be gone too, counted from its start.
+  if (run.delayed) since = std::max(since, run.began);
+  if (world_.now() - since < kCancelTime + kStopTime || world_.Calm() < kContact) return;
+  if (!reported_.emplace(worker, name, run.began).second) return;
+
+  // What has to be gone after a whole calm stretch, and what only at its start.
+  const std::string check = world_.Calm() >= kCancelTime + kStopTime
+                                ? "runs on after a cancel"
+                                : "runs on after a cancel, calm for less than 4.9 s";
+  fail_(check, run.text + ", begun at " + Text(run.began) + (run.delayed ? " (late)" : "") +
+                   ", cancel acknowledged at " + Text(acknowledged->second) + ", calm for " +
+                   Text(world_.Calm()));
+}
+
+void OrderAudit::CountUnanswered() {
+  for (const auto& [job, sent_at] : world_.cancel_sent_at) {
+    const auto accepted = accepted_at_.find(job);
+    if (acknowledged_at_.contains(job) || accepted == accepted_at_.end()) continue;
+
+    const Millis waits_since = std::max({sent_at, accepted->second, world_.now() - world_.Calm()});
+    if (world_.now() - waits_since >= kAckTimeout) acknowledged_at_.emplace(job, world_.now());
+  }
+}
+
+void OrderAudit::Check() {
+  CountUnanswered();
+
+  for (const std::string& worker : world_.Workers()) {
+    if (!world_.worker(worker).up) continue;
+    for (const TaskName& name : world_.worker(worker).Running()) CheckRun(worker, name);
+  }
+}
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/order_audit.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "world.h"
+
+namespace currantpost::scheduler {
+
+/// Compares what workers are told to start, and what they run, with what callers asked for.
+class OrderAudit {
+ public:
+  using Fail = std::function<void(const std::string& check, const std::string& text)>;
+
+  OrderAudit(World& world, Fail fail);
+
+  /// Takes in what a caller was told.
+  void Take(const Told& told);
+
+  /// Looks at what runs, and at cancels that wait for their answers.
+  void Check();
+
+  /// Orders seen, and starts of jobs whose cancelling was acknowledged before.
+  int64_t orders = 0;
+  int64_t starts_after_cancel = 0;
+
+ private:
+  struct Begun {
+    std::string entry;
+    Millis began;
+    std::string text;
+    bool delayed = false;
+  };
+
+  void CheckContent(const StartSeen& start);
+  void CheckTime(const StartSeen& start);
+  void CheckRun(const std::string& worker, const TaskName& name);
+  void CountUnanswered();
+  [[nodiscard]] std::string Describe(const StartSeen& start) const;
+
+  World& world_;
+  Fail fail_;
+  std::map<JobId, Millis> accepted_at_;
+  std::map<JobId, Millis> acknowledged_at_;
+  /// The last start of a task at a worker.
+  std::map<std::pair<std::string, TaskName>, Begun> begun_;
+  std::set<std::tuple<std::string, TaskName, Millis>> reported_;
+};
+
+}  // namespace currantpost::scheduler
--- a/tests/scheduler/sim_worker.cc
+++ b/tests/scheduler/sim_worker.cc
@@ -30,8 +30,17 @@
   return reply;
 }
 
+void SimWorker::Save(const TaskName& task, RunState& run, Millis now) {
+  run.saved_at = now;
+  run.checkpoint =
+      info_.id.Text() + "-" + std::to_string(info_.born) + "-" + std::to_string(++last_checkpoint_);
+  if (on_checkpoint) on_checkpoint(task, run.checkpoint);
+}
+
 void SimWorker::End(const TaskName& task, RunEnd end) {
   const auto run = running_.find(task);
+  const bool saves = end == RunEnd::kStopped && run->second.plan.save_interval > Millis(0);
+  if (saves) Save(task, run->second, run->second.saved_at);
   ended_.push_back(EndedTask{++last_number_, task, run->second.run, end, run->second.checkpoint});
   over_[task] = std::max(over_[task], run->second.run);
   running_.erase(run);
@@ -59,7 +68,7 @@
 
   if (present != running_.end()) End(start.task, RunEnd::kStopped);
   lease_until_ = std::max(lease_until_, until);
-  running_[start.task] = RunState{start.run, plan, now, start.checkpoint};
+  running_[start.task] = RunState{start.run, plan, now, start.checkpoint, now};
   ++starts;
   if (on_start) on_start(start.task, start.run);
   reply(answer);
@@ -118,7 +127,9 @@
   if (now >= lease_until_) lapsed_number_ = last_number_;
 
   for (const TaskName& name : names) {
-    const RunState& run = running_.at(name);
+    RunState& run = running_.at(name);
+    const Millis interval = run.plan.save_interval;
+    if (interval > Millis(0) && now - run.saved_at >= interval) Save(name, run, now);
 
     if (now >= lease_until_) {
       End(name, RunEnd::kLapsed);
--- a/tests/scheduler/sim_worker.h
+++ b/tests/scheduler/sim_worker.h
@@ -19,6 +19,8 @@
   bool lasts = false;
   int64_t recent = 0;
   Resources need;
+  /// A new checkpoint is saved so often, and at a stop; never if 0.
+  Millis save_interval;
 };
 
 /// A worker in simulated time: fences, leases, runs and the list of ends, as the platform has them.
@@ -49,6 +51,8 @@
   std::function<void(const TaskName&, Run)> on_start;
   std::function<void(const TaskName&, RunEnd)> on_end;
   std::function<void(const EndedTask&, bool)> on_forget;
+  /// Called for each checkpoint that a run saves.
+  std::function<void(const TaskName&, const std::string&)> on_checkpoint;
   int32_t starts = 0;
   std::map<TaskName, int32_t> pace;
 
@@ -58,6 +62,7 @@
     RunPlan plan;
     Millis began;
     std::string checkpoint;
+    Millis saved_at;
   };
 
   struct Waiting {
@@ -68,6 +73,7 @@
 
   [[nodiscard]] WorkerReply Lists(Millis now) const;
   void End(const TaskName& task, RunEnd end);
+  void Save(const TaskName& task, RunState& run, Millis now);
   void Start(const StartTask& start, Millis now, const Reply& reply);
 
   WorkerAnnouncement info_;
@@ -78,6 +84,7 @@
   std::map<TaskName, Run> over_;
   std::vector<EndedTask> ended_;
   int64_t last_number_ = 0;
+  int64_t last_checkpoint_ = 0;
   /// Last end that was listed when the lease lapsed.
   int64_t lapsed_number_ = 0;
   std::vector<Waiting> waiting_;
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -11,6 +11,9 @@
 constexpr Millis kHeartbeat = Millis(1'500);
 /// How often a process that has nothing to do is woken at most.
 constexpr Millis kLeastSleep = Millis(1);
+/// Size of an order on the wire, and of a record beside its key and value.
+constexpr int64_t kOrderBytes = 400;
+constexpr int64_t kRecordBytes = 100;
 
 Routing OneQueue() {
   Routing routing;
@@ -24,6 +27,14 @@
   return routing;
 }
 
+int64_t BytesOf(const std::vector<StoreItem>& items) {
+  int64_t bytes = 0;
+  for (const StoreItem& item : items) {
+    bytes += kRecordBytes + static_cast<int64_t>(item.key.size() + item.value.size());
+  }
+  return bytes;
+}
+
 std::string Text(const TaskName& name) {
   return name.job.Text() + "." + std::to_string(name.step) + "." + std::to_string(name.index);
 }
@@ -47,7 +58,8 @@
         return RunPlan{.need = Resources{.millicores = 1'000, .memory_mib = 100}};
       }),
       shape_(shape),
-      random_(shape.seed) {
+      random_(shape.seed),
+      cost_random_(shape.seed) {
   store.Configure(OneQueue(), now_);
 
   for (int32_t centre = 0; centre < shape.data_centres; ++centre) {
@@ -88,6 +100,7 @@
 
   worker->on_start = [this, id](const TaskName& name, scheduler::Run run) {
     ++starts[name];
+    if (on_start && carried_out_ != nullptr) on_start(*carried_out_);
     Note(id, "begins " + Text(name) + ", run " + std::to_string(run));
     if (done.contains(name)) Violate("started after done: " + Text(name));
 
@@ -104,6 +117,9 @@
     ++ends[name][end];
     Note(id, "ends " + Text(name) + " as " + std::string(kRunEndNames.Name(end)));
   };
+  worker->on_checkpoint = [this](const TaskName& name, const std::string& checkpoint) {
+    checkpoints[name].insert(checkpoint);
+  };
   worker->on_forget = [this, id](const EndedTask& end, bool lapsed) {
     Note(id, "forgets " + Text(end.task));
     // An end stands only if its worker's lease did not lapse before the store had it.
@@ -169,6 +185,10 @@
   if (number < shape_.millicores.size()) settings.millicores = shape_.millicores[number];
   entries_[entry] = MakeState(settings);
   disturbed_at_[entry] = now_;
+  processor_free_at_.erase(entry);
+  in_processor_.erase(entry);
+  waits_for_tick_.erase(entry);
+  Disrupt();
   Deliver(entry, life_of_[entry], Tick{});
 }
 
@@ -186,7 +206,44 @@
   for (const Action& action : held) action();
 }
 
-void World::Stop(const std::string& entry) { Deliver(entry, life_of_.at(entry), StopRequested{}); }
+void World::Stop(const std::string& entry) {
+  stopped_at_[entry] = now_;
+  Disrupt();
+  Deliver(entry, life_of_.at(entry), StopRequested{});
+}
+
+bool World::Lives(const std::string& entry, uint64_t life) const {
+  const auto found = life_of_.find(entry);
+  return found != life_of_.end() && found->second == life;
+}
+
+Machine World::MachineOf(const std::string& entry) const {
+  const auto slowed = slowed_.find(entry);
+  if (slowed != slowed_.end()) return slowed->second;
+
+  const auto machine = machines_.find(entry);
+  return machine == machines_.end() ? Machine() : machine->second;
+}
+
+Millis World::CostOf(const Machine& machine, const decltype(Event::body)& body) {
+  if (machine.per_event == Millis(0)) return Millis(0);
+
+  Millis cost(std::uniform_int_distribution<int64_t>(1, machine.per_event.Count())(cost_random_));
+  const auto* answer = std::get_if<StoreAnswered>(&body);
+  if (answer == nullptr) return cost;
+
+  return cost + machine.per_item * static_cast<int64_t>(answer->reply.items.size());
+}
+
+Millis World::LinkDelay(const std::string& entry, int64_t bytes) {
+  const Machine machine = MachineOf(entry);
+  Millis& free_at = link_free_at_[entry];
+  free_at = std::max(free_at, now_);
+  if (machine.link_bytes == 0) return free_at - now_;
+
+  free_at = std::min(free_at + Millis(bytes / machine.link_bytes), now_ + machine.longest_wait);
+  return free_at - now_;
+}
 
 void World::Deliver(const std::string& entry, uint64_t life, decltype(Event::body) body) {
   if (paused_.contains(entry)) {
@@ -194,20 +251,67 @@
     return;
   }
 
-  const auto found = entries_.find(entry);
-  if (found == entries_.end() || life_of_.at(entry) != life) return;
+  if (!Lives(entry, life)) return;
 
-  State& state = *found->second;
-  Effects effects;
-  Reduce(state, Event{now_, now_.Count(), std::move(body)}, effects);
+  const Machine machine = MachineOf(entry);
+  Millis& free_at = processor_free_at_[entry];
+  const Millis begins = std::max(free_at, now_);
+  const bool full = begins - now_ > machine.longest_wait;
+  const Millis cost = full ? Millis(0) : CostOf(machine, body);
+  const bool idle = in_processor_[entry]++ == 0;
+  free_at = begins + cost;
 
-  const Millis wake = std::max(state.wake_at, now_ + kLeastSleep);
-  Carry(entry, std::move(effects));
-  At(wake, [this, entry, life] {
-    const auto present = entries_.find(entry);
-    if (present == entries_.end() || life_of_.at(entry) != life) return;
-    if (paused_.contains(entry) || now_ >= present->second->wake_at) Deliver(entry, life, Tick{});
-  });
+  const auto effects = std::make_shared<Effects>();
+  const auto take_up = [this, entry, life, body = std::move(body), effects] {
+    TakeUp(entry, life, body, effects);
+  };
+  const auto finish = [this, entry, life, effects] { Finish(entry, life, effects); };
+  const bool at_once = idle && begins == now_;
+
+  if (at_once) take_up();
+  if (!at_once) At(begins, take_up);
+  if (at_once && cost == Millis(0)) return finish();
+
+  At(free_at, finish);
+}
+
+void World::TakeUp(const std::string& entry, uint64_t life, const decltype(Event::body)& body,
+                   const std::shared_ptr<Effects>& effects) {
+  if (paused_.contains(entry)) {
+    held_[entry].push_back(
+        [this, entry, life, body, effects] { TakeUp(entry, life, body, effects); });
+    return;
+  }
+
+  if (!Lives(entry, life)) return;
+
+  if (std::holds_alternative<Tick>(body)) waits_for_tick_.erase(entry);
+  Reduce(*entries_.at(entry), Event{now_, now_.Count(), body}, *effects);
+}
+
+void World::Finish(const std::string& entry, uint64_t life,
+                   const std::shared_ptr<Effects>& effects) {
+  if (paused_.contains(entry)) {
+    held_[entry].push_back([this, entry, life, effects] { Finish(entry, life, effects); });
+    return;
+  }
+
+  if (!Lives(entry, life)) return;
+
+  --in_processor_[entry];
+  const Millis wake = std::max(state(entry).wake_at, now_ + kLeastSleep);
+  Carry(entry, *effects);
+  At(wake, [this, entry, life] { PlanWake(entry, life); });
+}
+
+void World::PlanWake(const std::string& entry, uint64_t life) {
+  if (!Lives(entry, life)) return;
+
+  const bool due = paused_.contains(entry) || now_ >= state(entry).wake_at;
+  if (!due || waits_for_tick_.contains(entry)) return;
+
+  if (!paused_.contains(entry)) waits_for_tick_.insert(entry);
+  Deliver(entry, life, Tick{});
 }
 
 void World::Carry(const std::string& entry, Effects effects) {
@@ -219,7 +323,8 @@
     } else if (const auto* push = std::get_if<PushRecords>(&effect)) {
       const std::string peer = push->peer.host;
       if (IsCut(entry, peer) || !life_of_.contains(peer)) continue;
-      At(now_ + kHop, [this, peer, items = push->items] {
+      const Millis delay = LinkDelay(entry, BytesOf(push->items));
+      At(now_ + kHop + delay, [this, peer, items = push->items] {
         if (life_of_.contains(peer)) Deliver(peer, life_of_.at(peer), RecordsPushed{items});
       });
     } else if (const auto* ask = std::get_if<AskPeer>(&effect)) {
@@ -239,18 +344,44 @@
 void World::Answer(const std::string& entry, const AnswerCaller& answer) {
   const Call& call = calls_.at(answer.call);
   answers[call.subject].push_back(answer);
-  if (on_answer) on_answer(Told{entry, call.subject, call.asked_at, answer});
+  if (on_answer) on_answer(Told{entry, call.subject, call.cancels, call.asked_at, answer});
 }
 
 void World::NoteDisturbances() {
   if (loss > 0.0) disturbed_at_["store"] = now_;
+  if (IsDisrupted()) Disrupt();
 
   for (const auto& [entry, place] : place_of_) {
-    const bool disturbed = !IsUp(entry) || paused_.contains(entry) || IsCut(entry, "store");
+    const bool disturbed =
+        !IsUp(entry) || paused_.contains(entry) || IsCut(entry, "store") || slowed_.contains(entry);
     if (disturbed) disturbed_at_[entry] = now_;
+    if (late_answers_[entry] > 0) answered_late_at_[entry] = now_;
   }
 }
 
+bool World::IsDisrupted() const {
+  const auto harms = [](const auto& row) { return row.second > decltype(row.second)(0); };
+  const bool faults = loss > 0.0 || !paused_.empty() || !cuts_.empty() || !mute_.empty() ||
+                      !deaf_to_stops_.empty() || !slowed_.empty();
+  if (faults || std::ranges::any_of(late_, harms)) return true;
+  if (std::ranges::any_of(slow_lists_, harms) || std::ranges::any_of(slow_watches_, harms))
+    return true;
+
+  return std::ranges::any_of(late_answers_, [](const auto& row) { return row.second > 0; }) ||
+         entries_.size() < place_of_.size() ||
+         std::ranges::any_of(workers_, [](const auto& row) { return !row.second->up; });
+}
+
+bool World::WasStopped(const std::string& entry, Millis span) const {
+  const auto at = stopped_at_.find(entry);
+  return at != stopped_at_.end() && now_ - at->second < span;
+}
+
+bool World::WasAnsweredLate(const std::string& entry, Millis span) const {
+  const auto at = answered_late_at_.find(entry);
+  return at != answered_late_at_.end() && now_ - at->second < span;
+}
+
 bool World::InTouch(const std::string& entry, Millis span) const {
   return std::ranges::all_of(std::to_array<std::string>({entry, "store"}), [&](const auto& place) {
     const auto at = disturbed_at_.find(place);
@@ -276,19 +407,24 @@
   const uint64_t life = life_of_.at(entry);
   const auto answered = std::make_shared<bool>(false);
   const Millis delay = StoreDelay(entry, call.body);
-  const auto answer = [this, entry, life, delay, request = call.request,
+  const int32_t late = delay > Millis(0) ? 1 : 0;
+  late_answers_[entry] += late;
+  const auto answer = [this, entry, life, delay, late, request = call.request,
                        answered](StoreReply reply) {
-    At(now_ + kHop + delay, [this, entry, life, request, answered, reply] {
+    const Millis transfer = LinkDelay(entry, BytesOf(reply.items));
+    At(now_ + kHop + delay + transfer, [this, entry, life, late, request, answered, reply] {
       if (*answered) return;
       if (IsCut(entry, "store") && reply.status != StoreStatus::kUnavailable) return;
       *answered = true;
+      late_answers_[entry] -= late;
       Deliver(entry, life, StoreAnswered{request, reply});
     });
   };
 
-  At(now_ + call.timeout + delay, [this, entry, life, request = call.request, answered] {
+  At(now_ + call.timeout + delay, [this, entry, life, late, request = call.request, answered] {
     if (*answered) return;
     *answered = true;
+    late_answers_[entry] -= late;
     Deliver(entry, life, StoreAnswered{request, StoreReply{.status = StoreStatus::kUnknown}});
   });
 
@@ -328,18 +464,38 @@
   const Millis delay = is_start && late != late_.end() ? late->second : Millis(0);
   const bool lost = Loses() || delay > Millis(0);
   const int64_t born = workers_.contains(id) ? workers_.at(id)->info().born : 0;
+  const Millis transfer = LinkDelay(entry, kOrderBytes);
+  const std::optional<StartSeen> start = DescribeStart(entry, call, delay > Millis(0));
 
-  At(now_ + kHop + delay, [this, id, call, answer, lost, born] {
+  At(now_ + kHop + delay + transfer, [this, id, call, answer, lost, born, start] {
     const auto worker = workers_.find(id);
     if (worker == workers_.end() || !worker->second->up) return;
     // The connections of a former life are gone.
     if (worker->second->info().born != born) return;
 
+    if (start && on_start_order) on_start_order(*start);
+    carried_out_ = start ? &*start : nullptr;
     worker->second->Handle(call.token, call.order, now_,
                            lost ? SimWorker::Reply([](const WorkerReply&) {}) : answer);
+    carried_out_ = nullptr;
   });
 }
 
+std::optional<StartSeen> World::DescribeStart(const std::string& entry, const WorkerCall& call,
+                                              bool delayed) {
+  const auto* start = std::get_if<StartTask>(&call.order);
+  if (start == nullptr) return std::nullopt;
+
+  const std::optional<Millis> known_at = state(entry).feeds[Feed::kRecords].known_at;
+  StartSeen seen{.worker = call.worker.Text(),
+                 .entry = entry,
+                 .order = *start,
+                 .sent_at = now_,
+                 .delayed = delayed};
+  if (known_at) seen.records_age = now_ - *known_at;
+  return seen;
+}
+
 void World::CallPeer(const std::string& entry, const AskPeer& ask) {
   const uint64_t life = life_of_.at(entry);
   const std::string peer = ask.peer.host;
@@ -383,12 +539,14 @@
 
 void World::CrashWorker(const std::string& id) {
   SimWorker& worker = *workers_.at(id);
+  Disrupt();
   worker.Restart(worker.info().born);
   worker.up = false;
 }
 
 void World::RestartWorker(const std::string& id) {
   SimWorker& worker = *workers_.at(id);
+  Disrupt();
   worker.Restart(worker.info().born + 1);
   store.Announce(worker.info(), now_);
 }
@@ -400,18 +558,20 @@
   store.Announce(workers_.at(id)->info(), now_);
 }
 
-RequestId World::NewCall(const std::string& subject) {
-  calls_[++last_call_] = Call{subject, now_};
+RequestId World::NewCall(const std::string& subject, bool cancels) {
+  calls_[++last_call_] = Call{subject, now_, cancels};
   return last_call_;
 }
 
 void World::Submit(const std::string& entry, const JobSpec& spec) {
+  submitted[spec.job] = spec;
   const RequestId call = NewCall(spec.job.Text());
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobSubmitted{"queue", spec}});
 }
 
 void World::Cancel(const std::string& entry, const std::string& job) {
-  const RequestId call = NewCall(job);
+  cancel_sent_at.try_emplace(JobId(job), now_);
+  const RequestId call = NewCall(job, true);
   Deliver(entry, life_of_.at(entry), CallerAsked{call, Millis(3'000), JobCancelled{JobId(job)}});
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -35,10 +35,35 @@
   std::string entry;
   /// The job, or "pending".
   std::string subject;
+  bool asked_to_cancel = false;
   Millis asked_at;
   AnswerCaller answer;
 };
 
+/// An order to start a task, as a worker got it.
+struct StartSeen {
+  std::string worker;
+  std::string entry;
+  StartTask order;
+  Millis sent_at;
+  /// How old the sender's copy of the records was then; nothing if it was never listed whole.
+  std::optional<Millis> records_age;
+  /// The order was made to arrive late.
+  bool delayed = false;
+};
+
+/// Processor and link of an entry that has little of them. Events wait for the processor in the
+/// order of their arrival; what is sent and received waits for the link.
+struct Machine {
+  /// Processor time of an event at most, and of each item that the store answers with.
+  Millis per_event;
+  Millis per_item;
+  /// Bytes that the link carries in a millisecond, 0 for any number.
+  int64_t link_bytes = 0;
+  /// Nothing waits for the processor, or for the link, longer than that.
+  Millis longest_wait;
+};
+
 /// Several entries around real reducers, with workers and a store, in simulated time.
 ///
 /// The world watches what callers and workers see: it notes each start, each end that a worker is
@@ -73,6 +98,15 @@
   /// The same for its watches: what the entry knows of the store is so old.
   void SlowWatches(const std::string& entry, Millis span) { slow_watches_[entry] = span; }
 
+  /// Gives an entry a lasting machine: it is in touch all the while.
+  void Equip(const std::string& entry, const Machine& machine) { machines_[entry] = machine; }
+  /// Disturbs an entry: it has to do with a smaller machine for a while.
+  void SlowDown(const std::string& entry, const Machine& machine) { slowed_[entry] = machine; }
+  void EndSlowDown(const std::string& entry) { slowed_.erase(entry); }
+
+  /// Notes a disruption that the world does not see by itself.
+  void Disrupt() { disrupted_at_ = now_; }
+
   /// Adds a worker to a rack of a data centre.
   void AddWorkerTo(int32_t centre, int32_t rack, int32_t number);
   void CrashWorker(const std::string& worker);
@@ -102,6 +136,12 @@
   /// Says whether an entry was up, not paused and not cut from the store for so long, and the store
   /// lost no answers meanwhile.
   [[nodiscard]] bool InTouch(const std::string& entry, Millis span) const;
+  /// Says whether an entry was told to stop in the last span.
+  [[nodiscard]] bool WasStopped(const std::string& entry, Millis span) const;
+  /// Says whether the store's answers to an entry were made late in the last span.
+  [[nodiscard]] bool WasAnsweredLate(const std::string& entry, Millis span) const;
+  /// Returns for how long nothing was disrupted anywhere, workers that drain aside.
+  [[nodiscard]] Millis Calm() const { return now_ - disrupted_at_; }
   [[nodiscard]] std::vector<std::string> Workers() const;
   [[nodiscard]] SimWorker& worker(const std::string& id) { return *workers_.at(id); }
   [[nodiscard]] State& state(const std::string& entry) { return *entries_.at(entry); }
@@ -113,6 +153,14 @@
   std::map<std::string, std::vector<AnswerCaller>> answers;
   /// Called for each answer to a caller.
   std::function<void(const Told&)> on_answer;
+  /// Called for each order to start a task that reaches a worker, and for each that it begins.
+  std::function<void(const StartSeen&)> on_start_order;
+  std::function<void(const StartSeen&)> on_start;
+  /// Jobs that callers handed in, and those that they cancelled, with the time of the first call.
+  std::map<JobId, JobSpec> submitted;
+  std::map<JobId, Millis> cancel_sent_at;
+  /// Checkpoints that runs of a task saved.
+  std::map<TaskName, std::set<std::string>> checkpoints;
   /// What must never be, as it was seen.
   std::vector<std::string> violations;
   /// Runs begun by task.
@@ -130,16 +178,29 @@
   using Action = std::function<void()>;
 
   void At(Millis when, Action action);
+  /// An event arrives at an entry, and waits for its processor.
   void Deliver(const std::string& entry, uint64_t life, decltype(Event::body) body);
+  void TakeUp(const std::string& entry, uint64_t life, const decltype(Event::body)& body,
+              const std::shared_ptr<Effects>& effects);
+  void Finish(const std::string& entry, uint64_t life, const std::shared_ptr<Effects>& effects);
+  void PlanWake(const std::string& entry, uint64_t life);
+  [[nodiscard]] bool Lives(const std::string& entry, uint64_t life) const;
+  [[nodiscard]] Machine MachineOf(const std::string& entry) const;
+  [[nodiscard]] Millis CostOf(const Machine& machine, const decltype(Event::body)& body);
+  /// Returns how long bytes of an entry take that are put on its link now.
+  Millis LinkDelay(const std::string& entry, int64_t bytes);
+  [[nodiscard]] bool IsDisrupted() const;
   void Carry(const std::string& entry, Effects effects);
   void CallStore(const std::string& entry, const StoreCall& call);
   [[nodiscard]] Millis StoreDelay(const std::string& entry, const StoreBody& body) const;
   void CallWorker(const std::string& entry, const WorkerCall& call);
+  [[nodiscard]] std::optional<StartSeen> DescribeStart(const std::string& entry,
+                                                       const WorkerCall& call, bool delayed);
   void CallPeer(const std::string& entry, const AskPeer& ask);
   void Answer(const std::string& entry, const AnswerCaller& answer);
   void NoteDisturbances();
   void Violate(const std::string& what);
-  RequestId NewCall(const std::string& subject);
+  RequestId NewCall(const std::string& subject, bool cancels = false);
   void Announce(const std::string& worker);
   void AddWorker(const std::string& id, const std::string& data_centre, const std::string& rack,
                  const Resources& capacity);
@@ -174,17 +235,34 @@
   std::map<std::string, Millis> late_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
+  /// Calls to the store under way whose answers are late, and when the last such answer came.
+  std::map<std::string, int32_t> late_answers_;
+  std::map<std::string, Millis> answered_late_at_;
+  std::map<std::string, Millis> stopped_at_;
+  Millis disrupted_at_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, Machine> slowed_;
+  /// When the processor and the link of an entry will be free.
+  std::map<std::string, Millis> processor_free_at_;
+  std::map<std::string, Millis> link_free_at_;
+  /// Events that an entry's processor has not finished.
+  std::map<std::string, int32_t> in_processor_;
+  std::set<std::string> waits_for_tick_;
+  /// The start that a worker is carrying out.
+  const StartSeen* carried_out_ = nullptr;
   /// When an entry, or the store, was last disturbed.
   std::map<std::string, Millis> disturbed_at_;
   struct Call {
     std::string subject;
     Millis asked_at;
+    bool cancels = false;
   };
   std::map<RequestId, Call> calls_;
   /// Who takes a peer's answer, by the call that asked for it.
   std::map<RequestId, std::function<void(std::optional<JobPhase>)>> peer_calls_;
   RequestId last_call_ = 0;
   std::mt19937_64 random_;
+  std::mt19937_64 cost_random_;
 };
 
 /// Makes a job of one step of so many tasks, each of one core.
