--- a/tests/scheduler/order_audit.cc
+++ b/tests/scheduler/order_audit.cc
@@ -63,6 +63,7 @@
     fail_("start with another payload", Describe(start) + ": " + order.payload);
   }
 
+  if (!order.checkpoint.empty()) ++resumes;
   const auto saved = world_.checkpoints.find(order.task);
   const bool own = saved != world_.checkpoints.end() && saved->second.contains(order.checkpoint);
   if (!order.checkpoint.empty() && !own) {
--- a/tests/scheduler/order_audit.h
+++ b/tests/scheduler/order_audit.h
@@ -24,8 +24,10 @@
   /// Looks at what runs, and at cancels that wait for their answers.
   void Check();
 
-  /// Orders seen, and starts of jobs whose cancelling was acknowledged before.
+  /// Orders to start a task, those with a checkpoint, and starts of jobs whose cancelling was
+  /// acknowledged before.
   int64_t orders = 0;
+  int64_t resumes = 0;
   int64_t starts_after_cancel = 0;
 
  private:
--- /dev/null
+++ b/tests/scheduler/order_audit_test.cc
@@ -0,0 +1,148 @@
+#include "order_audit.h"
+
+#include <gtest/gtest.h>
+
+/// The audit of orders finds what must never be.
+
+namespace currantpost::scheduler {
+namespace {
+
+class OrderAuditTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    world_.on_answer = [this](const Told& told) { audit_.Take(told); };
+    world_.planner = [](const TaskName&) {
+      return RunPlan{
+          .lasts = true, .need = Resources{.millicores = 1'000}, .save_interval = Millis(100)};
+    };
+    world_.Run(Millis(3'500));
+    JobSpec spec = MakeJob("job", 1);
+    spec.steps[0].lasting = true;
+    spec.steps[0].checkpointing = true;
+    world_.Submit("e0", spec);
+    Run(Millis(6'000));
+    ASSERT_EQ(found_, std::vector<std::string>());
+    ASSERT_EQ(world_.WorkersOf("job").size(), 1U);
+  }
+
+  void Run(Millis span) {
+    for (Millis passed; passed < span; passed = passed + Millis(100)) {
+      world_.Run(Millis(100));
+      audit_.Check();
+    }
+  }
+
+  /// Lets the caller believe that the job was cancelled.
+  void TellCancelled() {
+    const AnswerCaller answer{.outcome = CallerOutcome::kCancelled};
+    audit_.Take(Told{"e0", "job", true, world_.now(), answer});
+  }
+
+  [[nodiscard]] StartSeen MakeStart() const {
+    StartSeen start{.worker = "wr0-0-0", .entry = "e0", .sent_at = world_.now()};
+    start.order.task = TaskName{JobId("job")};
+    start.order.payload = "payload";
+    return start;
+  }
+
+  World world_{WorldShape{.entries = 2, .racks = 1, .workers_per_rack = 2}};
+  std::vector<std::string> found_;
+  OrderAudit audit_{
+      world_, [this](const std::string& check, const std::string&) { found_.push_back(check); }};
+};
+
+TEST_F(OrderAuditTest, FindsAStartOfAJobThatNobodySent) {
+  StartSeen start = MakeStart();
+  start.order.task.job = JobId("other");
+  world_.on_start_order(start);
+  EXPECT_EQ(found_, std::vector<std::string>{"start of a job that nobody sent"});
+}
+
+TEST_F(OrderAuditTest, FindsAStartWithAnotherPayload) {
+  StartSeen start = MakeStart();
+  start.order.payload = "of another job";
+  world_.on_start_order(start);
+  EXPECT_EQ(found_, std::vector<std::string>{"start with another payload"});
+}
+
+TEST_F(OrderAuditTest, FindsAStartWithACheckpointOfAnotherTask) {
+  StartSeen start = MakeStart();
+  start.order.checkpoint = *world_.checkpoints.at(start.order.task).begin();
+  world_.on_start_order(start);
+  EXPECT_EQ(found_, std::vector<std::string>());
+
+  ++start.order.task.index;
+  world_.on_start_order(start);
+  EXPECT_EQ(found_, std::vector<std::string>{"start with a foreign checkpoint"});
+}
+
+TEST_F(OrderAuditTest, FindsAStartLongAfterTheCancel) {
+  TellCancelled();
+  Run(Millis(4'000));
+  world_.on_start(MakeStart());
+  EXPECT_EQ(found_, std::vector<std::string>());
+
+  Run(Millis(100));
+  StartSeen start = MakeStart();
+  start.delayed = true;
+  world_.on_start(start);
+  EXPECT_EQ(found_, std::vector<std::string>());
+
+  world_.on_start(MakeStart());
+  EXPECT_EQ(found_, std::vector<std::string>{"start after a cancel"});
+}
+
+TEST_F(OrderAuditTest, PassesOverAStartByAnEntryOutOfTouch) {
+  TellCancelled();
+  Run(Millis(4'000));
+  world_.Cut("e0", "store");
+  Run(Millis(100));
+  world_.on_start(MakeStart());
+  EXPECT_EQ(found_, std::vector<std::string>());
+}
+
+TEST_F(OrderAuditTest, FindsARunLongAfterTheCancel) {
+  TellCancelled();
+  Run(Millis(4'800));
+  EXPECT_EQ(found_, std::vector<std::string>());
+
+  Run(Millis(1'000));
+  EXPECT_EQ(found_, std::vector<std::string>{"runs on after a cancel"});
+}
+
+TEST_F(OrderAuditTest, FindsARunAfterACancelThatWaitsForItsAnswer) {
+  world_.cancel_sent_at[JobId("job")] = world_.now();
+  Run(Millis(10'700));
+  EXPECT_EQ(found_, std::vector<std::string>());
+
+  Run(Millis(1'000));
+  EXPECT_EQ(found_, std::vector<std::string>{"runs on after a cancel"});
+}
+
+TEST_F(OrderAuditTest, FindsNothingWhereTheCancelIsHeeded) {
+  world_.Cancel("e1", "job");
+  Run(Millis(12'000));
+  EXPECT_EQ(found_, std::vector<std::string>());
+}
+
+TEST(SmallMachine, EventsWaitForItsProcessorInTheirOrder) {
+  World world{WorldShape{.entries = 2, .racks = 1, .workers_per_rack = 2}};
+  world.Run(Millis(3'500));
+  std::vector<std::string> told;
+  world.on_answer = [&](const Told& answer) { told.push_back(answer.subject); };
+  world.Equip("e0", Machine{.per_event = Millis(400), .longest_wait = Millis(10'000)});
+  std::vector<std::string> asked;
+
+  for (int32_t number = 0; number < 20; ++number) {
+    asked.push_back("ghost" + std::to_string(number));
+    world.Ask("e0", asked.back());
+  }
+
+  world.Run(Millis(1'000));
+  EXPECT_LT(told.size(), asked.size());
+  world.Run(Millis(60'000));
+  EXPECT_EQ(told, asked);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -62,6 +62,7 @@
   int64_t link_bytes = 0;
   /// Nothing waits for the processor, or for the link, longer than that.
   Millis longest_wait;
+  Millis longest_transfer;
 };
 
 /// Several entries around real reducers, with workers and a store, in simulated time.
