--- a/tests/scheduler/answers_audit_test.cc
+++ b/tests/scheduler/answers_audit_test.cc
@@ -909,13 +909,20 @@
   Callers callers_;
 };
 
-/// Returns the days to play: some, and those that once failed.
+/// Days that are played: some, and those that once failed.
 ///
 /// 143: an owner took a worker's present life, known to its predecessor, for a new one and its runs
 /// for lapsed.
-std::vector<uint64_t> SeedsToPlay() {
+const std::vector<uint64_t> kAnswersSeeds = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 143};
+/// 169: an entry took the store's late answer to a job's first write for one to its second, and
+/// knew the job in another cell than the store; 192: an owner started a task by a copy of the
+/// records that was 9.9 s old.
+const std::vector<uint64_t> kOrdersSeeds = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 169, 192};
+
+/// Returns the days to play: the usual ones, or those that the environment names.
+std::vector<uint64_t> SeedsToPlay(std::vector<uint64_t> usual) {
   const char* named = std::getenv("CURRANTPOST_AUDIT_SEEDS");
-  if (named == nullptr) return {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 143};
+  if (named == nullptr) return usual;
 
   std::istringstream range(named);
   uint64_t first = 1;
@@ -958,8 +965,8 @@
   RecordProperty("starts_after_cancel", static_cast<int>(day.order_audit().starts_after_cancel));
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, OrdersAudit, testing::ValuesIn(SeedsToPlay()));
-INSTANTIATE_TEST_SUITE_P(Seeds, AnswersAudit, testing::ValuesIn(SeedsToPlay()));
+INSTANTIATE_TEST_SUITE_P(Seeds, OrdersAudit, testing::ValuesIn(SeedsToPlay(kOrdersSeeds)));
+INSTANTIATE_TEST_SUITE_P(Seeds, AnswersAudit, testing::ValuesIn(SeedsToPlay(kAnswersSeeds)));
 
 }  // namespace
 }  // namespace currantpost::scheduler
