--- a/tests/scheduler/answers_audit_test.cc
+++ b/tests/scheduler/answers_audit_test.cc
@@ -916,8 +916,10 @@
 const std::vector<uint64_t> kAnswersSeeds = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 143};
 /// 169: an entry took the store's late answer to a job's first write for one to its second, and
 /// knew the job in another cell than the store; 192: an owner started a task by a copy of the
-/// records that was 9.9 s old.
-const std::vector<uint64_t> kOrdersSeeds = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 169, 192};
+/// records that was 9.9 s old; 224: a look let a worker's new life forget an end by a number of the
+/// former life; 259: stops went to a worker one after another, each after the answer to the one
+/// before.
+const std::vector<uint64_t> kOrdersSeeds = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 169, 192, 224, 259};
 
 /// Returns the days to play: the usual ones, or those that the environment names.
 std::vector<uint64_t> SeedsToPlay(std::vector<uint64_t> usual) {
