Take the answer to an earlier call for a job for nothing but that

Callers saw: a cancel that was answered as done and that the store never had; and a job that was accepted and never ran.

Cause: the purpose of a call named the job, not the call. When a cancellation or submission had been given up and the caller asked again, a late answer to the former call was taken for one to the present call: the answer to a read for that to a write, or a write's revision for another record of the job.

Change: an answer counts only for the call that is under way.

--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -330,9 +330,10 @@
   }
 }
 
-void HandleSubmitWritten(State& state, Effects& effects, const JobId& id, const StoreReply& reply) {
+void HandleSubmitWritten(State& state, Effects& effects, const JobId& id, RequestId request,
+                         const StoreReply& reply) {
   const auto found = state.submits.find(id);
-  if (found == state.submits.end()) return;
+  if (found == state.submits.end() || found->second.request != request) return;
 
   PendingSubmit& submit = found->second;
   submit.request = 0;
@@ -385,9 +386,10 @@
   submit.retry_at = state.now + kStoreRetry;
 }
 
-void HandleCancelStepped(State& state, Effects& effects, const JobId& id, const StoreReply& reply) {
+void HandleCancelStepped(State& state, Effects& effects, const JobId& id, RequestId request,
+                         const StoreReply& reply) {
   const auto found = state.cancels.find(id);
-  if (found == state.cancels.end()) return;
+  if (found == state.cancels.end() || found->second.request != request) return;
 
   PendingCancel& cancel = found->second;
   cancel.request = 0;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -382,8 +382,14 @@
 // ---------------------------------------------------------------------------------
 
 void HandleCaller(State& state, Effects& effects, const CallerAsked& asked);
-void HandleSubmitWritten(State& state, Effects& effects, const JobId& job, const StoreReply& reply);
-void HandleCancelStepped(State& state, Effects& effects, const JobId& job, const StoreReply& reply);
+/// Take the answer to one call of a submission or cancellation; one to a call of an earlier one of
+/// the same job says nothing of this.
+/// @{
+void HandleSubmitWritten(State& state, Effects& effects, const JobId& job, RequestId request,
+                         const StoreReply& reply);
+void HandleCancelStepped(State& state, Effects& effects, const JobId& job, RequestId request,
+                         const StoreReply& reply);
+/// @}
 void HandleJobRead(State& state, Effects& effects, const JobRead& read, const StoreReply& reply);
 void HandlePhaseRead(State& state, Effects& effects, const PhaseRead& read,
                      const StoreReply& reply);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -16,6 +16,7 @@
 struct StoreAnswerHandler {
   State& state;
   Effects& effects;
+  RequestId request = 0;
   const StoreReply& reply;
 
   void operator()(const FeedCalled& purpose) const { HandleFeed(state, effects, purpose, reply); }
@@ -44,10 +45,10 @@
     HandleTasksLent(state, effects, purpose, reply);
   }
   void operator()(const SubmitWritten& purpose) const {
-    HandleSubmitWritten(state, effects, purpose.job, reply);
+    HandleSubmitWritten(state, effects, purpose.job, request, reply);
   }
   void operator()(const CancelStepped& purpose) const {
-    HandleCancelStepped(state, effects, purpose.job, reply);
+    HandleCancelStepped(state, effects, purpose.job, request, reply);
   }
   void operator()(const JobRead& purpose) const { HandleJobRead(state, effects, purpose, reply); }
   void operator()(const PhaseRead& purpose) const {
@@ -82,7 +83,7 @@
     NoteRevision(state, call.sent_at, answered.reply.revision);
   }
 
-  std::visit(StoreAnswerHandler{state, effects, answered.reply}, call.purpose);
+  std::visit(StoreAnswerHandler{state, effects, answered.request, answered.reply}, call.purpose);
   SweepAll(state);
 }
 
