Order the stops of a worker several at a time

Callers saw: tasks of a cancelled job run on where many of them are at one worker and its owner is behind.

Cause: a worker is sent one order at a time, and the next one leaves once the answer is taken up. An owner that takes answers up a second late needs that second for each stop.

Evidence: SmallEntry.AnOwnerThatIsASecondBehindStopsACancelledJobInTime, four of eight tasks ran on 4.9 s after the cancel, none now.

Change: up to eight stops are under way at a worker, beside its start or pace; they are bound to no order among each other.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -324,9 +324,11 @@
   Millis lapses_at;
   Millis answered_at;
   int32_t failed_looks = 0;
-  /// The start, stop or pace under way, 0 if there is none.
+  /// The start or pace under way, or the stop of a run that nobody wants; 0 if there is none.
   RequestId order_request = 0;
   WorkerOrder order;
+  /// The stops of tasks under way.
+  std::map<RequestId, StopTask> stops;
   /// No order before this, after a refusal.
   Millis next_order;
   /// Ends that are listed there, by number.
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -22,12 +22,13 @@
 constexpr Millis kLongestSilencePause = Millis(1'000);
 /// Pause after a refusal that says nothing of when to come back.
 constexpr Millis kRefusalPause = Millis(300);
+/// Stops under way at a worker at most; each takes a connection.
+constexpr size_t kMostStopsAtOnce = 8;
 /// A worker lists so many ends at most in one answer.
 constexpr size_t kEndsInAnswer = 500;
 /// A stop whose end is not listed so long after `Settings::stop_time` is ordered again.
 constexpr Millis kStopGrace = Millis(1'500);
-/// A stop that failed is ordered again after this pause. Longer than `kRefusalPause`, so that an
-/// order for another task of the worker comes between two tries.
+/// A stop that failed is ordered again after this pause.
 constexpr Millis kStopRetry = Millis(500);
 /// Failed runs in a row after which a worker is given a rest. One in twenty runs fails by itself,
 /// so two in a row by chance are one in four hundred.
@@ -112,6 +113,7 @@
   worker.clock_ms.reset();
   worker.order_request = 0;
   worker.next_order = state.now;
+  worker.stops.clear();
   worker.ends.clear();
   worker.forgotten = 0;
   worker.last_end = 0;
@@ -257,8 +259,7 @@
   }
 }
 
-/// Returns the stop that is to be ordered next. A worker is sent one order at a time, so stops go
-/// before starts and paces.
+/// Returns the stop that is to be ordered next.
 std::optional<WorkerOrder> NextStop(State& state, OwnedCell& cell, WorkerState& worker) {
   if (!worker.has_stops) return std::nullopt;
 
@@ -285,8 +286,6 @@
     return order;
   }
 
-  if (auto stop = NextStop(state, cell, worker)) return stop;
-
   // The next owner starts and paces.
   if (cell.releasing) return std::nullopt;
 
@@ -297,6 +296,33 @@
   return std::nullopt;
 }
 
+void SendOrder(State& state, Effects& effects, const OwnedCell& cell, const WorkerState& worker,
+               RequestId request, WorkerOrder order) {
+  ++state.order_count;
+  state.worker_calls[request] = WorkerPurpose{cell.cell, worker.info.id, false};
+  effects.emplace_back(WorkerCall{.request = request,
+                                  .worker = worker.info.id,
+                                  .address = worker.info.address,
+                                  .token = TokenOf(cell, worker),
+                                  .order = std::move(order),
+                                  .timeout = kOrderTimeout});
+}
+
+/// Orders stops, several at a time: an entry that takes up answers a second late would else need
+/// that second for each.
+void DriveStops(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
+  if (!worker.confirmed) return;
+
+  while (worker.stops.size() < kMostStopsAtOnce) {
+    const std::optional<WorkerOrder> stop = NextStop(state, cell, worker);
+    if (!stop) return;
+
+    const RequestId request = NextRequest(state);
+    worker.stops[request] = std::get<StopTask>(*stop);
+    SendOrder(state, effects, cell, worker, request, *stop);
+  }
+}
+
 void DriveOrder(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   if (worker.order_request != 0 || !worker.confirmed) return;
 
@@ -310,14 +336,7 @@
 
   worker.order_request = NextRequest(state);
   worker.order = *order;
-  ++state.order_count;
-  state.worker_calls[worker.order_request] = WorkerPurpose{cell.cell, worker.info.id, false};
-  effects.emplace_back(WorkerCall{.request = worker.order_request,
-                                  .worker = worker.info.id,
-                                  .address = worker.info.address,
-                                  .token = TokenOf(cell, worker),
-                                  .order = *std::move(order),
-                                  .timeout = kOrderTimeout});
+  SendOrder(state, effects, cell, worker, worker.order_request, *std::move(order));
 }
 
 /// Frees bindings whose starts have not left, at a worker that takes none any more.
@@ -602,8 +621,10 @@
   SettleJob(state, effects, cell, ref.job);
 }
 
-void TakeFailedStop(const State& state, Effects& effects, OwnedCell& cell,
+void TakeStopAnswer(const State& state, Effects& effects, OwnedCell& cell,
                     const WorkerState& worker, const StopTask& stop, OrderStatus status) {
+  if (status == OrderStatus::kOk) return;
+
   Log(effects, Severity::kInfo, "stop did not succeed",
       {{"job", stop.task.job.Text()},
        {"step", std::to_string(stop.task.step)},
@@ -637,16 +658,12 @@
     if (reply.status == OrderStatus::kOk) task->paced = pace->percent;
   }
 
-  const auto* stop = std::get_if<StopTask>(&order);
-  if (stop != nullptr && reply.status != OrderStatus::kOk) {
-    TakeFailedStop(state, effects, cell, worker, *stop, reply.status);
-  }
-
   if (reply.status != OrderStatus::kOk) worker.next_order = state.now + kRefusalPause;
 }
 
 bool IsIdle(const WorkerState& worker) {
-  return worker.tasks.empty() && worker.looks.empty() && worker.order_request == 0;
+  return worker.tasks.empty() && worker.looks.empty() && worker.order_request == 0 &&
+         worker.stops.empty();
 }
 
 }  // namespace
@@ -731,6 +748,7 @@
     if (worker.info.draining) FreeUnsent(state, cell, worker);
     ExpireTasks(state, effects, cell, worker);
     DriveLook(state, effects, cell, worker);
+    DriveStops(state, effects, cell, worker);
     DriveOrder(state, effects, cell, worker);
     worker.due_at = state.wake_at;
 
@@ -762,6 +780,13 @@
   WorkerState& worker = found->second;
   worker.attention = true;
 
+  if (const auto stop = worker.stops.find(answered.request); stop != worker.stops.end()) {
+    const StopTask order = stop->second;
+    worker.stops.erase(stop);
+    TakeStopAnswer(state, effects, cell->second, worker, order, answered.reply.status);
+    return;
+  }
+
   if (!call.look) {
     if (worker.order_request == answered.request) {
       TakeOrderAnswer(state, effects, cell->second, worker, answered.reply);
