Let an entry that takes answers in slowly pause between parts of a long one

Callers would see: an entry that loses its lease again and again, and jobs of cells without an owner.

Cause: catching up without a pause, reads of the cancelled jobs each 0.5 s and the shorter watch gave entries that are short of processor more to do, so that the renewal of the lease came late.

Change: the pause before the rest of a long answer is as long as the answer took, 350 ms at most; so is the pause between reads of the cancelled jobs, 0.5 s at least; entries without cells watch as before.

--- a/lib/scheduler/source/cancel_reads.cc
+++ b/lib/scheduler/source/cancel_reads.cc
@@ -8,7 +8,7 @@
 
 /// A copy of the records that is older is late: a watch of them and the pause before it take less.
 constexpr Millis kLateCopy = Millis(1'400);
-/// Pause between two reads of the cancelled jobs.
+/// Least pause between two reads of the cancelled jobs.
 constexpr Millis kReadPause = Millis(500);
 /// Added to the time that an order takes at most: rounding, and timers that fire late.
 constexpr Millis kStartMargin = Millis(200);
@@ -77,7 +77,8 @@
 
   reads.page_after.clear();
   reads.known_at = reads.began_at;
-  reads.next_at = state.now + kReadPause;
+  // An entry that takes answers in slowly has to get round to its other work.
+  reads.next_at = state.now + std::max(kReadPause, state.now - reads.began_at);
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -8,8 +8,8 @@
 /// How long a watch waits for a change. With `kStoreTimeout` it bounds how long a silent connection
 /// goes unnoticed: less than the 4 s in which all must be known again after a fault.
 constexpr Millis kWatchWait = Millis(2'000);
-/// The same for the records, so that the copy of a quiet store does not count as old. A long answer
-/// may take as long as that to any other watch.
+/// The same for an owner's watch of the records, so that its copy of a quiet store does not count
+/// as old. A long answer may take as long as that to any other watch.
 constexpr Millis kRecordsWait = Millis(500);
 /// Pause between two watches of the records. Owners are told of new jobs by the entry that accepts
 /// them, so the watch only catches up; each call has its price.
@@ -157,6 +157,13 @@
   }
 }
 
+/// Returns the pause before the rest of a long answer is asked for. An entry that takes answers in
+/// slowly has to get round to its other work, the renewal of its lease before all.
+Millis CatchUpPause(const State& state, Feed feed, const FeedState& copy) {
+  const Millis usual = PauseOf(state, feed);
+  return state.cells.empty() ? usual : std::min(usual, state.now - copy.sent_at);
+}
+
 /// Takes the answer to a watch in. It may be cut off, so that it does not show by itself that the
 /// copy is whole.
 void TakeChanges(State& state, Effects& effects, Feed feed, FeedState& copy,
@@ -167,7 +174,7 @@
   copy.revision = reply.revision;
   if (whole) copy.known_at = std::max(copy.known_at, std::optional(copy.sent_at));
   if (feed == Feed::kRecords) NoteKnownBy(state, copy);
-  copy.next_at = whole ? state.now + PauseOf(state, feed) : state.now;
+  copy.next_at = state.now + (whole ? PauseOf(state, feed) : CatchUpPause(state, feed, copy));
 }
 
 /// Returns the bound on a request of a feed that may wait so long at the store.
@@ -212,7 +219,8 @@
       continue;
     }
 
-    const Millis wait = feed == Feed::kRecords ? kRecordsWait : kWatchWait;
+    const bool brief = feed == Feed::kRecords && !state.cells.empty();
+    const Millis wait = brief ? kRecordsWait : kWatchWait;
     copy.request =
         CallStore(state, effects, FeedCalled{feed, false}, WatchFeed{feed, copy.revision, wait},
                   TimeoutOf(feed, copy, kWatchWait));
