Log who waits for a silent worker, until when and why

When a lasting task stayed away after its worker had gone, the log said that a look had failed and, at the end, that the worker's lease had lapsed. It did not say how long an owner would wait, which renewal that wait was counted from, that the registry had dropped the worker meanwhile, or what wait was thrown away as the cell was given up. A worker that the registry no longer names when its cell is taken has no address, so that not even a failed look was logged.

No decision changes: `ExtendLapse` keeps the later of two times as `std::max` did.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -304,6 +304,24 @@
   bool recorded = false;
 };
 
+/// Whose leases a worker's tasks may run by, at the latest. For the log.
+enum class LapseCause {
+  /// A former owner may go on renewing, as it was never shown that it can't.
+  kFormerOwnerMayRenew,
+  /// A former owner renewed just before the worker first answered.
+  kFormerOwnerRenewed,
+  kRenewedHere,
+  /// A lease by the clock of another life.
+  kOtherLife,
+};
+
+inline constexpr EnumNames kLapseCauseNames(std::to_array<EnumName<LapseCause>>({
+    {LapseCause::kFormerOwnerMayRenew, "a former owner may renew"},
+    {LapseCause::kFormerOwnerRenewed, "a former owner renewed"},
+    {LapseCause::kRenewedHere, "renewed here"},
+    {LapseCause::kOtherLife, "lease of another life"},
+}));
+
 /// A worker of an owned cell.
 struct WorkerState {
   WorkerAnnouncement info;
@@ -322,6 +340,10 @@
   Millis clock_at;
   /// By then all that this entry granted has surely lapsed.
   Millis lapses_at;
+  /// For the log: how that came about, since when that counts, and that the wait was noted.
+  LapseCause lapse_cause = LapseCause::kFormerOwnerMayRenew;
+  Millis lapse_noted_at;
+  bool wait_noted = false;
   Millis answered_at;
   int32_t failed_looks = 0;
   /// The start or pace under way, or the stop of a run that nobody wants; 0 if there is none.
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -67,13 +67,21 @@
   return ClockNow(state, worker) + (horizon - state.now).Count();
 }
 
+void ExtendLapse(const State& state, WorkerState& worker, Millis lapses, LapseCause cause) {
+  if (lapses <= worker.lapses_at) return;
+
+  worker.lapses_at = lapses;
+  worker.lapse_cause = cause;
+  worker.lapse_noted_at = state.now;
+}
+
 /// Notes that the worker was granted a lease, or may have been.
 void NoteLease(const State& state, WorkerState& worker, std::optional<int64_t> until) {
   if (!until) return;
 
   const Millis span(*until - ClockNow(state, worker));
   const Millis lapses = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
-  worker.lapses_at = std::max(worker.lapses_at, lapses);
+  ExtendLapse(state, worker, lapses, LapseCause::kRenewedHere);
 }
 
 /// Notes that the worker may hold the longest lease that it grants: a lease by the clock of another
@@ -81,7 +89,7 @@
 void NoteLongestLease(const State& state, WorkerState& worker) {
   const Millis span = state.settings.longest_worker_lease;
   const Millis lapses = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
-  worker.lapses_at = std::max(worker.lapses_at, lapses);
+  ExtendLapse(state, worker, lapses, LapseCause::kOtherLife);
 }
 
 bool IsAtWorker(TaskPhase phase) {
@@ -133,11 +141,36 @@
   }
 }
 
+/// Logs what is known of a worker's leases: how long they may last yet, and why.
+void LogLapse(const State& state, Effects& effects, const OwnedCell& cell,
+              const WorkerState& worker, std::string sentence) {
+  const Millis answered = worker.met ? state.now - worker.answered_at : Millis(-1);
+  Log(effects, Severity::kInfo, std::move(sentence),
+      {{"worker", worker.info.id.Text()},
+       {"cell", cell.cell.Text()},
+       {"tasks", std::to_string(worker.tasks.size())},
+       {"wait_ms", std::to_string((worker.lapses_at - state.now).Count())},
+       {"cause", std::string(kLapseCauseNames.Name(worker.lapse_cause))},
+       {"cause_ms", std::to_string((state.now - worker.lapse_noted_at).Count())},
+       {"answered_ms", std::to_string(answered.Count())},
+       {"owned_ms", std::to_string((state.now - cell.taken_at).Count())},
+       {"listed", worker.listed ? "yes" : "no"},
+       {"draining", worker.info.draining ? "yes" : "no"}});
+}
+
+/// Says whether a worker does not answer, or can't be asked as no address of it is known.
+bool IsSilent(const WorkerState& worker) {
+  return worker.failed_looks > 0 || worker.info.address.port == 0;
+}
+
 /// Requeues what surely lapsed at a worker that does not answer.
 void ExpireTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   if (worker.tasks.empty()) return;
 
   if (state.now < worker.lapses_at) {
+    if (IsSilent(worker) && !std::exchange(worker.wait_noted, true)) {
+      LogLapse(state, effects, cell, worker, "tasks wait for a silent worker's lease");
+    }
     WakeAt(state, worker.lapses_at);
     return;
   }
@@ -151,6 +184,7 @@
                          (task.phase == TaskPhase::kStarting && task.sent);
     if (!may_run) continue;
 
+    if (!lost) LogLapse(state, effects, cell, worker, "a silent worker's lease has lapsed");
     TakeLostRun(state, effects, cell, ref, "the worker's lease has lapsed");
     lost = true;
   }
@@ -491,6 +525,10 @@
     forgotten = 0;
   }
 
+  if (std::exchange(worker.wait_noted, false)) {
+    LogLapse(state, effects, cell, worker, "silent worker answers");
+  }
+
   worker.failed_looks = 0;
   worker.answered_at = state.now;
   worker.next_look = state.now;
@@ -507,6 +545,8 @@
     worker.met = true;
     worker.lapses_at =
         state.now + kWorkerLease + kWorkerLease * kClockDriftPercent / 100 + kLapseMargin;
+    worker.lapse_cause = LapseCause::kFormerOwnerRenewed;
+    worker.lapse_noted_at = state.now;
   }
 
   // Answers on two connections may overtake each other; the lists of the older one say nothing.
@@ -677,11 +717,20 @@
     // A former owner may renew leases for as long after the store last confirmed its own.
     const Millis span = kStoreLease + kOutageHold + kWorkerLease;
     found->second.lapses_at = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
+    found->second.lapse_noted_at = state.now;
   }
 
   return found->second;
 }
 
+void LogOpenWaits(const State& state, Effects& effects, const OwnedCell& cell) {
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.tasks.empty() || (worker.met && !IsSilent(worker))) continue;
+
+    LogLapse(state, effects, cell, worker, "giving a cell up while a worker is silent");
+  }
+}
+
 void ApplyRegistryItem(State& state, const StoreItem& item) {
   const VmId id(item.key);
 
@@ -700,7 +749,9 @@
     if (!cell.open) continue;
 
     for (auto& [worker_id, worker] : cell.workers) {
-      worker.listed = state.registry.contains(worker_id);
+      const bool listed = state.registry.contains(worker_id);
+      const bool dropped = std::exchange(worker.listed, listed) && !listed;
+      if (dropped) LogLapse(state, effects, cell, worker, "the registry dropped a worker");
     }
   }
 
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -474,6 +474,7 @@
 void LoseCell(State& state, Effects& effects, const CellId& id, std::string_view reason) {
   Log(effects, Severity::kInfo, "gave cell up",
       {{"cell", id.Text()}, {"reason", std::string(reason)}});
+  LogOpenWaits(state, effects, state.cells.at(id));
   state.cells.erase(id);
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -296,6 +296,9 @@
 void UpdateWorkers(State& state, Effects& effects, OwnedCell& cell);
 void HandleWorkerAnswered(State& state, Effects& effects, const WorkerAnswered& answer);
 
+/// Logs for which workers that hold tasks and don't answer this entry still waits.
+void LogOpenWaits(const State& state, Effects& effects, const OwnedCell& cell);
+
 /// Adds a worker that the registry or a binding names.
 WorkerState& AddWorker(const State& state, OwnedCell& cell, const VmId& id);
 
