LOST: a lasting task stays away while its cell changes hands (failing tests)

Callers see a lasting task that does not run for 15 s and more though there is room: its worker has gone, and then its cell changes hands.

The log lines show a wait of 15.76 s that begins at each new owner's first sight of the worker, whatever remained of its predecessor's.

Nor did lending keep tasks away: with the cell full they run in another one, also while that changes hands.

`World` gets workers that leave or are lost for good, entries that never come back, and registry entries that go after three heartbeats that did not reach the store.

--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -9,6 +9,8 @@
 constexpr Millis kHop = Millis(2);
 constexpr Millis kStep = Millis(5);
 constexpr Millis kHeartbeat = Millis(1'500);
+/// A worker's announcement goes after so many heartbeats of silence.
+constexpr int32_t kMostMissedHeartbeats = 3;
 /// How often a process that has nothing to do is woken at most.
 constexpr Millis kLeastSleep = Millis(1);
 /// Size of an order on the wire, and of a record beside its key and value.
@@ -132,7 +134,13 @@
 
 void World::Announce(const std::string& id) {
   SimWorker& worker = *workers_.at(id);
-  if (worker.up) store.Announce(worker.info(), now_);
+
+  if (IsCut(id, "store")) {
+    if (++missed_heartbeats_[id] == kMostMissedHeartbeats) store.Withdraw(VmId(id), now_);
+  } else if (worker.up) {
+    missed_heartbeats_[id] = 0;
+    store.Announce(worker.info(), now_);
+  }
 
   At(now_ + kHeartbeat, [this, id] {
     if (workers_.contains(id)) Announce(id);
@@ -199,6 +207,12 @@
   held_.erase(entry);
 }
 
+void World::KillForGood(const std::string& entry) {
+  Kill(entry);
+  Disrupt();
+  place_of_.erase(entry);
+}
+
 void World::Resume(const std::string& entry) {
   paused_.erase(entry);
   std::vector<Action> held = std::move(held_[entry]);
@@ -572,6 +586,19 @@
   store.Announce(workers_.at(id)->info(), now_);
 }
 
+void World::LeaveWorker(const std::string& id) {
+  Note(id, "leaves");
+  workers_.erase(id);
+  store.Withdraw(VmId(id), now_);
+}
+
+void World::LoseWorker(const std::string& id) {
+  Note(id, "is lost");
+  Disrupt();
+  workers_.erase(id);
+  At(now_ + kHeartbeat * kMostMissedHeartbeats, [this, id] { store.Withdraw(VmId(id), now_); });
+}
+
 RequestId World::NewCall(const std::string& subject, bool cancels) {
   calls_[++last_call_] = Call{subject, now_, cancels};
   return last_call_;
@@ -631,6 +658,12 @@
   return ids;
 }
 
+std::vector<std::string> World::Entries() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, state] : entries_) ids.push_back(id);
+  return ids;
+}
+
 std::vector<std::string> World::WorkersOf(const std::string& job) const {
   std::vector<std::string> ids;
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -118,6 +118,15 @@
   void RestartWorker(const std::string& worker);
   void WithdrawWorker(const std::string& worker);
   void DrainWorker(const std::string& worker);
+  /// A worker is gone for good: everything on it ends. One that leaves takes its announcement back,
+  /// that of one that is lost goes after some heartbeats.
+  /// @{
+  void LeaveWorker(const std::string& worker);
+  void LoseWorker(const std::string& worker);
+  /// @}
+
+  /// Ends an entry for good; it counts as a disturbance at that moment only.
+  void KillForGood(const std::string& entry);
 
   /// Adds a line to `log`.
   void Note(const std::string& who, const std::string& what);
@@ -149,6 +158,7 @@
   [[nodiscard]] Millis Calm() const { return now_ - disrupted_at_; }
   [[nodiscard]] std::vector<std::string> Workers() const;
   [[nodiscard]] SimWorker& worker(const std::string& id) { return *workers_.at(id); }
+  [[nodiscard]] std::vector<std::string> Entries() const;
   [[nodiscard]] State& state(const std::string& entry) { return *entries_.at(entry); }
   [[nodiscard]] std::vector<std::string> WorkersOf(const std::string& job) const;
   [[nodiscard]] Millis now() const { return now_; }
@@ -235,6 +245,8 @@
   std::map<std::string, uint64_t> life_of_;
   std::map<std::string, std::string> place_of_;
   std::map<std::string, std::unique_ptr<SimWorker>> workers_;
+  /// Heartbeats in a row that did not reach the store.
+  std::map<std::string, int32_t> missed_heartbeats_;
   std::set<std::string> paused_;
   std::map<std::string, std::vector<Action>> held_;
   std::set<std::pair<std::string, std::string>> cuts_;
