LOST: lasting tasks of one job are lent too slowly (failing test)

Callers see lasting tasks of one job that do not run for 9 s and more though another cell has room for all. A lost worker ran 16 of them, and their own cell is full. Lasting tasks are lent one by one, and the next loan of the job waits until a later placement finds no room again: 4.2 s away for the first, 13.1 s for the last, about 0.6 s for each. Ruled out: lending by itself, as six such tasks are away for 7.3 s at most.

The tests of workers that left now let them drain while nothing else has room, so that they go on testing what becomes of tasks that could not be moved off in time.

--- a/tests/scheduler/hand_over_test.cc
+++ b/tests/scheduler/hand_over_test.cc
@@ -144,11 +144,23 @@
 
   static int32_t Centre(const std::string& entry) { return entry == "e0" || entry == "e2" ? 0 : 1; }
 
-  void Leave() {
+  /// The worker drains while there is no room for its tasks elsewhere.
+  void Drain() {
+    FillHome();
+    Fill("full", "dc" + std::to_string(1 - Centre(owner_)) + "/0", kHogs + kTasks);
     world_.DrainWorker(worker_);
     watch_.Run(Millis(1'000));
-    // Also where its tasks could have been moved by now.
+    ASSERT_EQ(world_.WorkersOf("a"), (Names{worker_, worker_}));
+  }
+
+  void MakeRoom() {
+    for (const char* job : {"hog", "full"}) world_.Cancel(away_.front(), job);
+  }
+
+  void Leave() {
+    Drain();
     world_.LeaveWorker(worker_);
+    MakeRoom();
     watch_.Run(Millis(200));
   }
 
@@ -169,16 +181,19 @@
     world_.Start(entry);
   }
 
-  void FillHome() {
-    const std::string cell = "dc" + std::to_string(Centre(owner_)) + "/0";
+  void Fill(const std::string& id, const std::string& cell, int32_t tasks) {
     JobRecord record{.queue = "queue", .service = "service", .cell = CellId(cell)};
-    record.spec = MakeJob("hog", kHogs, kTaskMillicores);
+    record.spec = MakeJob(id, tasks, kTaskMillicores);
     record.spec.steps[0].lasting = true;
     world_.store.Handle(
-        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + "hog", Encode(record), 0}}},
+        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
         world_.now(), [](const StoreReply&) {});
     watch_.Run(Millis(2'000));
-    ASSERT_EQ(world_.WorkersOf("hog").size(), static_cast<size_t>(kHogs));
+    ASSERT_EQ(world_.WorkersOf(id).size(), static_cast<size_t>(tasks));
+  }
+
+  void FillHome() {
+    Fill("hog", "dc" + std::to_string(Centre(owner_)) + "/0", kHogs);
     ASSERT_EQ(world_.worker(worker_).Held().millicores, 8'000);
   }
 
@@ -248,9 +263,9 @@
 }
 
 TEST_F(HandOver, TasksOfAWorkerThatLeftStartElsewhereAfterACellCameHome) {
-  world_.DrainWorker(worker_);
-  watch_.Run(Millis(1'000));
+  Drain();
   CutHomeOff();
+  MakeRoom();
   watch_.Run(Millis(2'000));
   world_.LeaveWorker(worker_);
   watch_.Run(Millis(3'500));
@@ -359,6 +374,35 @@
   EXPECT_EQ(world.violations, Names());
 }
 
+/// A job's lasting tasks on workers of sixteen cores, which fill their cell, and an empty cell.
+TEST(HandOverLending, LastingTasksOfOneJobAreLentInTime) {
+  constexpr int32_t kMany = 32;
+  World world{WorldShape{.entries = 4,
+                         .data_centres = 2,
+                         .racks = 1,
+                         .capacity = Resources{.millicores = 16'000, .memory_mib = 64'000}}};
+  world.Run(Millis(6'000));
+  world.planner = [](const TaskName&) { return Lasting(); };
+  JobRecord record{.queue = "queue", .service = "service", .cell = CellId("dc0/0")};
+  record.spec = MakeJob("a", kMany, kTaskMillicores);
+  record.spec.steps[0].lasting = true;
+  world.store.Handle(
+      WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + "a", Encode(record), 0}}},
+      world.now(), [](const StoreReply&) {});
+  world.Run(Millis(2'000));
+  const Names workers = world.WorkersOf("a");
+  ASSERT_EQ(std::ranges::count(workers, "wr0-0-0"), 16);
+  ASSERT_EQ(std::ranges::count(workers, "wr0-0-1"), 16);
+
+  LostWatch watch(world, "a", kMany);
+  watch.Run(kSample);
+  world.LoseWorker("wr0-0-0");
+  watch.Run(Millis(30'000));
+  EXPECT_TRUE(watch.lost.empty()) << watch.Text();
+  EXPECT_EQ(world.WorkersOf("a").size(), static_cast<size_t>(kMany));
+  EXPECT_EQ(world.violations, Names());
+}
+
 /// A worker that one entry alone reaches, which is cut off from the store and the other entries and
 /// goes on renewing.
 class HandOverStillRenewed : public testing::Test {
