Give simulated workers clocks of their own

Simulated workers told the world's time as theirs, in every life, and granted any lease. The platform's clocks may be 2 % slow, begin anew with each life, and a lease longer than hold_max_ms is shortened to it. The defaults change nothing but that bound, which is above all leases that entries ask for.

--- a/tests/scheduler/sim_worker.cc
+++ b/tests/scheduler/sim_worker.cc
@@ -19,8 +19,17 @@
   return held;
 }
 
+Millis SimWorker::Clock(Millis now) const {
+  const Millis span = now - born_at_;
+  return span - span * clock_slow_percent / 100;
+}
+
+void SimWorker::Renew(Millis until, Millis now) {
+  lease_until_ = std::max(lease_until_, std::min(until, Clock(now) + longest_lease));
+}
+
 WorkerReply SimWorker::Lists(Millis now) const {
-  WorkerReply reply{.status = OrderStatus::kOk, .clock_ms = now.Count(), .born = info_.born};
+  WorkerReply reply{.status = OrderStatus::kOk, .clock_ms = Clock(now).Count(), .born = info_.born};
 
   for (const auto& [name, run] : running_) {
     reply.running.push_back(RunningTask{name, run.run, run.checkpoint, 100, run.plan.recent});
@@ -48,7 +57,8 @@
 }
 
 void SimWorker::Start(const StartTask& start, Millis now, const Reply& reply) {
-  WorkerReply answer{.status = OrderStatus::kOk, .clock_ms = now.Count(), .born = info_.born};
+  WorkerReply answer{
+      .status = OrderStatus::kOk, .clock_ms = Clock(now).Count(), .born = info_.born};
   const auto present = running_.find(start.task);
   if (present != running_.end() && present->second.run == start.run) return reply(answer);
 
@@ -58,7 +68,7 @@
 
   if (over != over_.end() && start.run <= over->second) {
     answer.status = OrderStatus::kOldRun;
-  } else if (until <= now) {
+  } else if (until <= Clock(now)) {
     answer.status = OrderStatus::kLate;
   } else if (!FitsWithin(Held() + plan.need, info_.capacity)) {
     answer.status = OrderStatus::kNoRoom;
@@ -67,7 +77,7 @@
   if (answer.status != OrderStatus::kOk) return reply(answer);
 
   if (present != running_.end()) End(start.task, RunEnd::kStopped);
-  lease_until_ = std::max(lease_until_, until);
+  Renew(until, now);
   running_[start.task] = RunState{start.run, plan, now, start.checkpoint, now};
   ++starts;
   if (on_start) on_start(start.task, start.run);
@@ -76,7 +86,8 @@
 
 void SimWorker::Handle(FencingToken token, const WorkerOrder& order, Millis now,
                        const Reply& reply) {
-  WorkerReply answer{.status = OrderStatus::kOk, .clock_ms = now.Count(), .born = info_.born};
+  WorkerReply answer{
+      .status = OrderStatus::kOk, .clock_ms = Clock(now).Count(), .born = info_.born};
 
   if (token < fence_) {
     answer.status = OrderStatus::kFenced;
@@ -106,7 +117,7 @@
   }
 
   const auto& look = std::get<LookAtWorker>(order);
-  if (look.lease_until_ms) lease_until_ = std::max(lease_until_, Millis(*look.lease_until_ms));
+  if (look.lease_until_ms) Renew(Millis(*look.lease_until_ms), now);
 
   for (const EndedTask& end : ended_) {
     if (end.number > look.forget_up_to || !on_forget) continue;
@@ -121,17 +132,19 @@
 }
 
 void SimWorker::Advance(Millis now) {
+  advanced_at_ = now;
   if (!up) return;
 
   const std::vector<TaskName> names = Running();
-  if (now >= lease_until_) lapsed_number_ = last_number_;
+  const bool lapsed = Clock(now) >= lease_until_;
+  if (lapsed) lapsed_number_ = last_number_;
 
   for (const TaskName& name : names) {
     RunState& run = running_.at(name);
     const Millis interval = run.plan.save_interval;
     if (interval > Millis(0) && now - run.saved_at >= interval) Save(name, run, now);
 
-    if (now >= lease_until_) {
+    if (lapsed) {
       End(name, RunEnd::kLapsed);
     } else if (!run.plan.lasts && now - run.began >= run.plan.duration) {
       End(name, run.plan.end);
@@ -152,6 +165,7 @@
 
 void SimWorker::Restart(int64_t born) {
   info_.born = born;
+  if (clock_begins_anew) born_at_ = advanced_at_;
   up = true;
   fence_ = 0;
   lease_until_ = Millis(0);
--- a/tests/scheduler/sim_worker.h
+++ b/tests/scheduler/sim_worker.h
@@ -46,6 +46,11 @@
   [[nodiscard]] Resources Held() const;
 
   bool up = true;
+  /// How much slower than time its clock is, and whether each life's clock begins at 0.
+  int64_t clock_slow_percent = 0;
+  bool clock_begins_anew = false;
+  /// Longer leases are shortened to this.
+  Millis longest_lease = Millis(10'000);
   /// Called for each run that begins or ends, and for each end that the worker is told to forget,
   /// with whether the worker's lease lapsed after that end.
   std::function<void(const TaskName&, Run)> on_start;
@@ -71,6 +76,8 @@
     Reply reply;
   };
 
+  [[nodiscard]] Millis Clock(Millis now) const;
+  void Renew(Millis until, Millis now);
   [[nodiscard]] WorkerReply Lists(Millis now) const;
   void End(const TaskName& task, RunEnd end);
   void Save(const TaskName& task, RunState& run, Millis now);
@@ -79,6 +86,8 @@
   WorkerAnnouncement info_;
   Planner planner_;
   FencingToken fence_ = 0;
+  Millis advanced_at_;
+  Millis born_at_;
   Millis lease_until_;
   std::map<TaskName, RunState> running_;
   std::map<TaskName, Run> over_;
