Test an entry that takes its own cell again

Callers saw LOST after hand-overs. An entry whose lease at the store ends forgets its cells and all that it knew of their workers, also where nobody else takes them: it waits for itself. A task whose worker had been silent for 4 s starts elsewhere 16.0 s after the entry lost its lease, though that entry alone had granted leases there.

--- a/tests/scheduler/inherited_state_test.cc
+++ b/tests/scheduler/inherited_state_test.cc
@@ -294,5 +294,17 @@
   EXPECT_LE(Await(Millis(20'000), [&] { return SecondStepBegan(); }), 1'000);
 }
 
+TEST_F(InheritedState, AnEntryThatTakesItsOwnCellAgainKnowsSinceWhenAWorkerIsSilent) {
+  Build(WorldShape{.entries = 1, .racks = 1});
+  world_->Submit("e0", Lasting("a", 1));
+  AwaitStart();
+  world_->Run(Millis(500));
+  world_->CrashWorker(worker_);
+  world_->Run(Millis(4'000));
+  world_->store.Revoke(world_->store.LeaseOf("shared/entries/e0"), false, world_->now());
+
+  EXPECT_LE(Await(Millis(30'000), [&] { return !world_->WorkersOf("a").empty(); }), 4'000);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
