Test a run of a worker's former life after a hand-over

An owner that a look has shown a run knows that it is over once the registry names a later life of the worker, and starts the task elsewhere at once. Its successor can't tell that run from one whose start met the new life, as the records say bound of both, and waits 15.8 s where the new life is out of reach.

--- a/tests/scheduler/inherited_state_test.cc
+++ b/tests/scheduler/inherited_state_test.cc
@@ -104,6 +104,16 @@
     AwaitStart();
   }
 
+  /// Lets the worker of a task begin a new life that no entry reaches.
+  void BeginALifeOutOfReach() {
+    Build(WorldShape{.racks = 1});
+    world_->Submit("e0", Lasting("a", 1));
+    AwaitStart();
+    world_->Run(Millis(1'500));
+    world_->RestartWorker(worker_);
+    CutOff(worker_);
+  }
+
   /// Lets a short task take all processors of the only worker for 3 s, so that filling work there
   /// is slowed to nothing.
   void SlowToNothing() {
@@ -242,6 +252,20 @@
   EXPECT_EQ(world_->WorkersOf("a").size(), 1U);
 }
 
+TEST_F(InheritedState, ARunOfAFormerLifeIsNotWaitedFor) {
+  BeginALifeOutOfReach();
+
+  EXPECT_LE(Await(Millis(30'000), [&] { return !world_->WorkersOf("a").empty(); }), 2'500);
+}
+
+TEST_F(InheritedState, ARunOfAFormerLifeThatAFormerOwnerSawIsNotWaitedFor) {
+  BeginALifeOutOfReach();
+  world_->Kill(owner_);
+  AwaitSuccessor();
+
+  EXPECT_LE(Await(Millis(30'000), [&] { return !world_->WorkersOf("a").empty(); }), 2'500);
+}
+
 TEST_F(InheritedState, WorkThatIsSlowedToNothingIsGivenItsPaceBack) {
   SlowToNothing();
   world_->Run(Millis(8'000));
