Test ends of a worker's new life that its owner has not heard of

TWICE: a worker forgets the end of a run that nobody has recorded, and the task is started again. Its owner knows of the worker's former life only; a start reaches the new life and is answered, the answer to the look after it is lost, and the next look names the last end of the former life, so that the new life forgets its own up to that number.

--- a/tests/scheduler/worker_life_test.cc
+++ b/tests/scheduler/worker_life_test.cc
@@ -48,5 +48,27 @@
   EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+TEST(WorkerLife, AnEndOfTheNewLifeIsNotForgottenByTheNumberOfOneOfTheFormer) {
+  World world(WorldShape{.entries = 1, .racks = 1, .workers_per_rack = 1});
+  world.Run(Millis(3'500));
+  world.Submit("e0", MakeJob("a", 2));
+  world.Run(Millis(3'000));
+  ASSERT_EQ(world.Phase("a"), JobPhase::kCompleted);
+  world.SlowWatches("e0", Millis(2'000));
+  world.Run(Millis(3'000));
+
+  world.RestartWorker("wr0-0-0");
+  world.Submit("e0", MakeJob("b", 1));
+  for (int32_t round = 0; round < 100 && world.starts.size() < 3; ++round) world.Run(Millis(5));
+  world.LoseAnswers("wr0-0-0", true);
+  world.Run(Millis(1'000));
+  world.LoseAnswers("wr0-0-0", false);
+  world.Run(Millis(6'000));
+
+  EXPECT_EQ(world.Phase("b"), JobPhase::kCompleted);
+  EXPECT_EQ((world.starts[TaskName{JobId("b"), 0, 0, 0}]), 1);
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
