LostEnd: lent tasks run again where a former owner meant to lend them

The owner, cut off, takes the next owner's loan of the same name for its own and notes its own choice of a borrower under the store's revision: run 1 done at 11300 ms, run 1 again elsewhere at 19185 ms.

--- a/tests/scheduler/lost_end_test.cc
+++ b/tests/scheduler/lost_end_test.cc
@@ -270,6 +270,8 @@
   ASSERT_TRUE(lends_next());
   world_.Mend();
   while (!world_.done.contains(TaskName{JobId("a")})) world_.Run(Millis(100));
+  world_.SlowWatches(owner, Millis(0));
+  world_.Run(Millis(5'000));
 
   // The first owner has the least to do, so the cell that it meant falls to it.
   const std::set<std::string> busy = {OwnerOfCell("dc0/0"), OwnerOfCell("dc2/0")};
