--- a/tests/scheduler/lost_end_test.cc
+++ b/tests/scheduler/lost_end_test.cc
@@ -193,6 +193,41 @@
   EXPECT_EQ(Starts("a"), 1);
 }
 
+// The new owner of two cells read what was recorded of a job in the one, and forgot it as it took
+// the other, where by its older copy the job still was.
+TEST_F(LostEnd, TakingAnotherCellForgetsNothingThatIsRecorded) {
+  durations_["a"] = Millis(1'500);
+  const std::string home = OwnerOfCell(kHome);
+  const std::string away = OwnerOfCell(kAway);
+  const std::string successor = OtherThan(home);
+  world_.Kill(OtherThan(away));
+  world_.Kill(OtherThan(OwnerOfCell("dc2/0")));
+  world_.SlowWatches(successor, Millis(1'800));
+
+  JobSpec spec = MakeJob("a", 1);
+  spec.steps[0].need.millicores = 20'000;
+  Put(kHome, spec);
+  world_.Run(Millis(6'000));
+  ASSERT_TRUE(world_.state(successor).view.jobs.contains(JobId("a")));
+
+  for (const char* id : {"wr1-0-0", "wr1-0-1"}) {
+    world_.worker(id).info().capacity.millicores = 40'000;
+  }
+  for (int round = 0; round < 1'000 && Starts("a") == 0; ++round) world_.Run(Millis(5));
+  ASSERT_EQ(Starts("a"), 1);
+  world_.Stop(away);
+  world_.Run(Millis(100));
+  world_.Stop(home);
+  world_.Run(Millis(200));
+  ASSERT_EQ(OwnerOfCell(kAway), successor);
+  ASSERT_EQ(OwnerOfCell(kHome), successor);
+  world_.Kill(home);
+  world_.Kill(away);
+  world_.Run(Millis(12'000));
+
+  EXPECT_EQ(Starts("a"), 1);
+}
+
 // A worker that the registry dropped for a moment listed its ends anew; the owner, which had taken
 // them in, passed for having recorded them.
 TEST_F(LostEnd, AWorkerThatComesBackKeepsItsEndsUntilTheyAreRecorded) {
