--- a/tests/scheduler/lost_end_test.cc
+++ b/tests/scheduler/lost_end_test.cc
@@ -391,7 +391,11 @@
 class HandoverDay {
  public:
   explicit HandoverDay(uint64_t seed)
-      : dice_(seed), shape_(ShapeOf(dice_)), world_(shape_), audit_(world_) {
+      : dice_(seed),
+        crashes_(seed > kDaysWithoutCrashes),
+        shape_(ShapeOf(dice_)),
+        world_(shape_),
+        audit_(world_) {
     for (int32_t number = 0; number < shape_.entries; ++number) {
       entries_.push_back("e" + std::to_string(number));
     }
@@ -587,20 +591,52 @@
           [this, worker] { world_.worker(worker).info().draining = false; });
   }
 
+  void Crash() {
+    const std::string worker = dice_.One(world_.Workers());
+    Note("crash " + worker);
+    world_.CrashWorker(worker);
+    After(dice_.Span(20, 3'000), [this, worker] {
+      if (!world_.worker(worker).up) world_.RestartWorker(worker);
+    });
+  }
+
+  void Restart() {
+    const std::string worker = dice_.One(world_.Workers());
+    Note("restart " + worker);
+    world_.RestartWorker(worker);
+  }
+
+  void Mute() {
+    const std::string worker = dice_.One(world_.Workers());
+    Note("mute " + worker);
+    world_.LoseAnswers(worker, true);
+    After(dice_.Span(20, 3'000), [this, worker] { world_.LoseAnswers(worker, false); });
+  }
+
   void Begin() {
     next_fault_ = world_.now() + dice_.Span(50, 2 * pace_);
     using Fault = void (HandoverDay::*)();
-    const std::vector<Fault> faults = {
+    std::vector<Fault> faults = {
         &HandoverDay::StopInTurn,  &HandoverDay::StopInTurn,   &HandoverDay::KillOne,
         &HandoverDay::KillOne,     &HandoverDay::LoseAnAnswer, &HandoverDay::LoseAnAnswer,
         &HandoverDay::CutStore,    &HandoverDay::CutStore,     &HandoverDay::CutCentre,
         &HandoverDay::CutCentre,   &HandoverDay::PauseOne,     &HandoverDay::LoseSome,
         &HandoverDay::SlowWatches, &HandoverDay::SlowLists,    &HandoverDay::DropHistory,
         &HandoverDay::Withdraw,    &HandoverDay::Drain};
+    const std::vector<Fault> of_workers = {&HandoverDay::Crash, &HandoverDay::Restart,
+                                           &HandoverDay::Mute};
+    for (int32_t round = 0; crashes_ && round < 3; ++round) {
+      faults.insert(faults.end(), of_workers.begin(), of_workers.end());
+    }
+
     (this->*dice_.One(faults))();
   }
 
+  /// On the days after these workers crash, too.
+  static constexpr uint64_t kDaysWithoutCrashes = 100'000;
+
   Dice dice_;
+  bool crashes_;
   WorldShape shape_;
   World world_;
   TwiceAudit audit_;
@@ -617,8 +653,10 @@
 ///
 /// 99, 197: older news of a job's moves outdid what its new owner had read; 1036: so did taking
 /// another cell; 178, 448, 5419: a worker that the registry dropped for a moment; 11408: a loan of
-/// the next owner was taken for one's own.
-const std::vector<uint64_t> kDays = {1, 2, 3, 99, 178, 197, 448, 1036, 5419, 11408};
+/// the next owner was taken for one's own; 100025, 100077: a worker's new life forgot an end by a
+/// number of the former.
+const std::vector<uint64_t> kDays = {1,   2,    3,    99,    178,     197,
+                                     448, 1036, 5419, 11408, 100'025, 100'077};
 
 std::vector<uint64_t> SeedsToPlay() {
   const char* named = std::getenv("CURRANTPOST_LOST_END_SEEDS");
