--- a/tests/scheduler/lost_end_test.cc
+++ b/tests/scheduler/lost_end_test.cc
@@ -168,8 +168,7 @@
   TwiceAudit audit_{world_};
 };
 
-// The new owner read what was recorded before older news of the job's way through another cell came
-// to it, forgot it again, and let the worker forget the end of a run that it did not await.
+// News of the job's moves that was older than what the new owner had read made it forget that.
 TEST_F(LostEnd, OlderNewsOfAMoveDoesNotOutdoWhatIsRecorded) {
   durations_["a"] = Millis(1'200);
   const std::string owner = OwnerOfCell(kHome);
@@ -193,8 +192,7 @@
   EXPECT_EQ(Starts("a"), 1);
 }
 
-// The new owner of two cells read what was recorded of a job in the one, and forgot it as it took
-// the other, where by its older copy the job still was.
+// Its older copy still had the job in the second cell that it took.
 TEST_F(LostEnd, TakingAnotherCellForgetsNothingThatIsRecorded) {
   durations_["a"] = Millis(1'500);
   const std::string home = OwnerOfCell(kHome);
@@ -228,8 +226,7 @@
   EXPECT_EQ(Starts("a"), 1);
 }
 
-// A worker that the registry dropped for a moment listed its ends anew; the owner, which had taken
-// them in, passed for having recorded them.
+// It listed its ends anew, and they passed for recorded as the owner had taken them in before.
 TEST_F(LostEnd, AWorkerThatComesBackKeepsItsEndsUntilTheyAreRecorded) {
   const std::string owner = OwnerOfCell(kHome);
   Put(kHome, MakeJob("a", 1));
@@ -258,8 +255,7 @@
   EXPECT_EQ(Starts("a"), 1);
 }
 
-// A look named the last end of the worker's former life, and the new one forgot an end that nobody
-// had heard of.
+// A look named the last end of the former life, and the new one forgot an unheard one.
 TEST_F(LostEnd, AWorkersNewLifeForgetsNothingByTheNumbersOfTheFormer) {
   const std::string owner = OwnerOfCell(kHome);
   const std::vector<std::string> workers = {"wr0-0-0", "wr0-0-1"};
@@ -289,8 +285,7 @@
   EXPECT_EQ(Starts("a"), 1);
 }
 
-// Two owners of a cell named their loans alike. The first, cut off, took the second's loan for its
-// own, and its own choice of a borrower for what the store held: the lent tasks ran there again.
+// Both loans had one name; the first owner's choice of a borrower passed for what was stored.
 TEST_F(LostEnd, ALoanOfTheNextOwnerIsNotTakenForOnesOwn) {
   durations_ = {{"hog-0", Millis(30'000)}, {"hog-1", Millis(6'000)}, {"hog-2", Millis(1'000)}};
   durations_["a"] = Millis(2'000);
