--- a/tests/scheduler/hand_over_test.cc
+++ b/tests/scheduler/hand_over_test.cc
@@ -503,6 +503,7 @@
 // The store goes on renewing the former owner's own lease, so that this one has no reason to doubt.
 TEST_F(HandOverStillRenewed, TasksStartNowhereElseWhileAFormerOwnerHearsOfNothing) {
   CutWorkerFromOthers();
+  for (const std::string& entry : others_) world_.Cut(entry, owner_);
   world_.SlowWatches(owner_, Millis(6'000));
   world_.store.Revoke(world_.store.LeaseOf(std::string(kEntryPrefix) + owner_), true, world_.now());
   EXPECT_GE(RunsOnWhile(Millis(25'000)), Millis(6'000));
--- a/tests/scheduler/lost_end_test.cc
+++ b/tests/scheduler/lost_end_test.cc
@@ -302,6 +302,11 @@
                                .revision = world_.store.revision(),
                                .value = *world_.store.Value(JobKeyOf("a"))});
   world_.Cut(owner, "store");
+  // Nor does it hear of its successor from the others.
+  for (int number = 0; number < 6; ++number) {
+    const std::string other = "e" + std::to_string(number);
+    if (other != owner) world_.Cut(owner, other);
+  }
   const auto cell = [&]() -> const OwnedCell* {
     const auto found = world_.state(owner).cells.find(CellId("dc0/0"));
     return found == world_.state(owner).cells.end() ? nullptr : &found->second;
