Keep ends that are not recorded at their worker

Callers saw TWICE: a task ran again after it was done.

Cause: an end belonged to the memory of the owner that had read it. A worker that the registry dropped for a moment was forgotten together with its unrecorded ends, a job that was taken over again lost those of its tasks while the worker's watermark had passed them, and the first look at a worker's new life named the last end of the former one.

Change: whether an end was taken is told by the list of kept ends, not by a watermark; unrecorded ends of a job that is forgotten are taken anew; a worker with such ends is kept; a worker that did not answer its last look, or was not looked at for 2 s, is told to forget nothing.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -356,7 +356,6 @@
   /// Ends that are listed there, by number.
   std::map<int64_t, KeptEnd> ends;
   int64_t forgotten = 0;
-  int64_t last_end = 0;
   std::set<TaskRef> tasks;
   /// Some of them may be in the phase of stopping.
   bool has_stops = false;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -318,6 +318,12 @@
     });
   }
 
+  // The worker lists ends that are not recorded until somebody takes them.
+  for (auto& row : cell.workers) {
+    std::erase_if(row.second.ends,
+                  [&](const auto& end) { return end.second.job == id && !end.second.recorded; });
+  }
+
   std::erase_if(cell.waiting, [&](const WaitingKey& key) { return std::get<3>(key).job == id; });
   std::erase_if(cell.guests, [&](const auto& row) { return row.second.job == id; });
   cell.dirty.erase(id);
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -14,6 +14,9 @@
 constexpr Millis kLookWait = Millis(1'000);
 /// The same where filling tasks disturb lasting ones: the figures of a look cover half a second.
 constexpr Millis kWatchfulWait = Millis(500);
+/// A worker whose last look was answered longer ago may have begun a new life: longer than a look
+/// and a pause.
+constexpr Millis kLifeKnown = Millis(2'000);
 /// Longest pause before the next look while ends wait to be recorded; without the pause the worker
 /// would list the same ends at once again.
 constexpr Millis kRecordPause = Millis(400);
@@ -124,7 +127,6 @@
   worker.stops.clear();
   worker.ends.clear();
   worker.forgotten = 0;
-  worker.last_end = 0;
   worker.strays.clear();
 
   const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
@@ -207,6 +209,22 @@
   });
 }
 
+/// Returns the number up to which the worker may forget ends.
+int64_t EndsToForget(const State& state, const WorkerState& worker) {
+  // It may have begun a new life, which numbers its ends anew.
+  const bool unseen = worker.failed_looks > 0 || state.now - worker.clock_at > kLifeKnown;
+  if (unseen) return 0;
+
+  int64_t up_to = worker.forgotten;
+
+  for (const auto& [number, end] : worker.ends) {
+    if (!end.recorded) break;
+    up_to = number;
+  }
+
+  return up_to;
+}
+
 void DriveLook(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   const bool needed =
       !worker.confirmed || !worker.tasks.empty() || !worker.ends.empty() || !worker.strays.empty();
@@ -227,13 +245,7 @@
   // have been carried out, so that leases which it may have extended could never count as lapsed.
   const bool renew = worker.failed_looks == 0 && NeedsLease(cell, worker);
   if (renew) order.lease_until_ms = LeaseUntil(state, worker);
-  order.forget_up_to = worker.forgotten;
-
-  for (const auto& [number, end] : worker.ends) {
-    if (!end.recorded) break;
-    order.forget_up_to = number;
-  }
-
+  order.forget_up_to = EndsToForget(state, worker);
   if (worker.confirmed) order.wait = HasMixedLoad(worker) ? kWatchfulWait : kLookWait;
   NoteLease(state, worker, order.lease_until_ms);
 
@@ -453,9 +465,8 @@
 
 void TakeEndedRow(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                   const EndedTask& row) {
-  if (row.number <= worker.last_end) return;
+  if (row.number <= worker.forgotten || worker.ends.contains(row.number)) return;
 
-  worker.last_end = row.number;
   const TaskRef ref = RefOf(cell, row.task);
   TaskState* task = FindTask(cell, ref);
   KeptEnd kept{.job = ref.job, .recorded = true};
@@ -701,8 +712,11 @@
   if (reply.status != OrderStatus::kOk) worker.next_order = state.now + kRefusalPause;
 }
 
+/// Says whether nothing is lost if what is known of a worker is forgotten.
 bool IsIdle(const WorkerState& worker) {
-  return worker.tasks.empty() && worker.looks.empty() && worker.order_request == 0 &&
+  const bool recorded =
+      std::ranges::all_of(worker.ends, [](const auto& row) { return row.second.recorded; });
+  return recorded && worker.tasks.empty() && worker.looks.empty() && worker.order_request == 0 &&
          worker.stops.empty();
 }
 
