Let older news of a job not undo what was recorded since

Callers saw TWICE: run 2 of a task that was done, right after its cell had changed hands.

Cause: a new owner reads the progress of a cell's jobs at once and the job records as its watch brings them. Older news of a job's way through another cell, and the taking of a second cell, threw the newer progress away. The owner then took a finished task for one that had not begun, and let the worker forget its end.

Change: revisions decide which of two records is newer; progress is dropped for a later move only.

--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -167,7 +167,8 @@
 
 /// Returns what was done of a job: here, or else in the cells that it was in before.
 Result<ProgressRecord> PresentProgress(const JobView& view, const Result<JobRecord>& record) {
-  if (view.progress_revision != 0) return DecodeProgress(view.progress);
+  const bool here = view.progress_cell == view.head.cell;
+  if (here && view.progress_revision != 0) return DecodeProgress(view.progress);
 
   return record ? record->carried : ProgressRecord{};
 }
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -464,7 +464,7 @@
   state.orphans.erase(id);
 
   for (auto& [job_id, job] : state.view.jobs) {
-    if (job.head.cell == id) ForgetProgress(job);
+    if (job.progress_cell == id) ForgetProgress(job);
   }
 
   Log(effects, Severity::kInfo, "took cell",
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -434,9 +434,9 @@
   Result<JobHead> head = DecodeJobHead(item.value);
   if (!head) return LogUnreadable(effects, item, head.error());
 
-  // A move takes the job's progress away, also one that leads back to the cell.
-  const bool moved = !head->ended && job.progress_revision < item.revision;
-  if (moved || job.progress_cell != head->cell) ForgetProgress(job);
+  // A move takes the job's progress away, also one that leads back to the cell. What was recorded
+  // since stands, although news of the job's way there comes later.
+  if (!head->ended && job.progress_revision < item.revision) ForgetProgress(job);
   job.head = *std::move(head);
   job.value = item.value;
   job.revision = item.revision;
@@ -469,8 +469,8 @@
   }
 
   JobView& job = state.view.jobs[id];
-  if (job.progress_cell != cell) ForgetProgress(job);
-  if (item.revision <= job.progress_revision) return;
+  // What was recorded before the job was moved is void.
+  if (item.revision <= job.progress_revision || item.revision < job.revision) return;
 
   job.progress_cell = cell;
   job.phase = *phase;
