Take no loan of the next owner for one's own

Callers saw TWICE: run 1 of a task, done, and run 1 again in another cell.

Cause: two owners of a cell in a row name a loan alike, as both read the same revisions. The first, cut off, tried its loan again, met the second's, took it for its own and passed its own choice of a borrower on under the store's revision.

Change: a conflict that shows another grant ends the ownership. A cell is given up only once no loan is under way.

--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -333,8 +333,9 @@
     const WorkerState& worker = row.second;
     return worker.order_request != 0 && !std::holds_alternative<StopTask>(worker.order);
   });
-  const bool moving =
-      std::ranges::any_of(cell.jobs, [](const auto& row) { return row.second.move.has_value(); });
+  const bool moving = std::ranges::any_of(cell.jobs, [](const auto& row) {
+    return row.second.move.has_value() || row.second.loan.has_value();
+  });
   if (busy || moving || !cell.dirty.empty()) return;
 
   WriteRecords write;
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -244,6 +244,12 @@
   KvRevision revision = reply.revision;
 
   if (reply.status == StoreStatus::kConflict) {
+    // Whatever the next owner wrote may look like this one's.
+    const auto grant = std::ranges::find(reply.items, CellKey(lent.from), &StoreItem::key);
+    const bool granted =
+        grant != reply.items.end() && !grant->removed && grant->revision == lent.grant;
+    if (!granted) return LoseCell(state, effects, lent.from, "the store names another grant");
+
     // An earlier try whose answer was lost shows by the lender's own record, which nobody else
     // writes; the borrower may have moved or ended the guest meanwhile.
     const auto made =
