Learn the end of lent tasks from the record of the loan

A job waited 3 s for a step whose former step had ended, with each owner anew: only the owner of the borrowing cell took the end in, others asked it after 3 s. The record of the loan, which all entries watch, says how it ended.

--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -185,9 +185,10 @@
         if (task.phase != TaskPhase::kLent) continue;
 
         const auto guest = state.view.jobs.find(task.lent_to);
-        if (guest == state.view.jobs.end() || !IsTerminal(guest->second.phase)) continue;
+        if (guest == state.view.jobs.end()) continue;
 
-        ended[task.lent_to] = guest->second.phase;
+        const JobPhase phase = guest->second.head.ended.value_or(guest->second.phase);
+        if (IsTerminal(phase)) ended[task.lent_to] = phase;
       }
     }
   }
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -441,6 +441,11 @@
   job.value = item.value;
   job.revision = item.revision;
   PlaceInCell(state, effects, id, job);
+
+  const JobHead& known = job.head;
+  if (known.ended && !known.parent.Empty()) {
+    TakeLoanEnd(state, effects, known.parent, id, *known.ended);
+  }
 }
 
 /// Takes in what the owner of a cell recorded of a job. `name` is the cell and the job.
