--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -155,6 +155,17 @@
   Touch(cell, job);
 }
 
+/// Lets the next lasting task of a job that waits be lent without a further wait.
+void LendOn(const State& state, OwnedCell& cell, const JobId& id) {
+  const auto job = cell.jobs.find(id);
+  if (job == cell.jobs.end()) return;
+
+  const std::vector<TaskRef> waiting = WaitingTasksOf(cell, job->second);
+  if (waiting.empty() || !SpecOf(job->second, waiting.front()).lasting) return;
+
+  job->second.waits_since = state.now - kLendAfter;
+}
+
 }  // namespace
 
 std::set<JobId> BorrowedJobs(const JobState& job) {
@@ -284,6 +295,10 @@
   // Last, as this entry may own the borrowing cell too.
   ApplyRecord(state, effects, guest);
   for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
+
+  if (OwnedCell* still_owned = FindCell(state, lent.from, lent.grant)) {
+    LendOn(state, *still_owned, lent.job);
+  }
 }
 
 void UpdateLoans(State& state, Effects& effects, JobState& job) {
