Take back starts that have not left for a worker that is silent or gone

An owner that gave its cell up handed such bindings on as starts that may have reached the worker, and its successor waited 15.8 s for a lease that nobody had granted. They are taken back once two looks have failed, once the registry does not name the worker, and before a cell is given up.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -385,6 +385,11 @@
   SendOrder(state, effects, cell, worker, worker.order_request, *std::move(order));
 }
 
+/// Says whether starts that have not left for a worker are better sent elsewhere.
+bool TakesNoStarts(const WorkerState& worker) {
+  return worker.info.draining || !worker.listed || worker.failed_looks >= kLooksBeforeSilent;
+}
+
 /// Frees bindings whose starts have not left, at a worker that takes none any more.
 void FreeUnsent(State& state, OwnedCell& cell, WorkerState& worker) {
   const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
@@ -810,7 +815,7 @@
 
     worker.attention = false;
     state.wake_at = state.now + kLongestRest;
-    if (worker.info.draining) FreeUnsent(state, cell, worker);
+    if (cell.releasing || TakesNoStarts(worker)) FreeUnsent(state, cell, worker);
     ExpireTasks(state, effects, cell, worker);
     DriveLook(state, effects, cell, worker);
     DriveStops(state, effects, cell, worker);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -37,6 +37,8 @@
 inline constexpr Millis kStoreTimeout = Millis(1'500);
 /// Wait before a failed call to the store is repeated.
 inline constexpr Millis kStoreRetry = Millis(200);
+/// Looks in a row without an answer after which a worker counts as silent.
+inline constexpr int32_t kLooksBeforeSilent = 2;
 /// Bound on an order to a worker; answered in a few milliseconds unless it is lost.
 inline constexpr Millis kOrderTimeout = Millis(800);
 
