Reckon with a worker's slow clock since it was read

TWICE: idle workers are not looked at, so a start went by a clock read long ago. By a clock 2 % slow and read 60 s before, its lease ran 1.2 s longer than counted, and the task started elsewhere 1.1 s before it lapsed (two tests of InheritedState).

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -55,8 +55,10 @@
   worker.next_look = state.now;
 }
 
+/// Returns the least that the worker's clock, which may be slow, shows now.
 int64_t ClockNow(const State& state, const WorkerState& worker) {
-  return *worker.clock_ms + (state.now - worker.clock_at).Count();
+  const int64_t passed = (state.now - worker.clock_at).Count();
+  return *worker.clock_ms + passed - passed * kClockDriftPercent / 100;
 }
 
 /// Returns the worker's clock up to which this entry may let its tasks run, or nothing.
