Order the pace of filling tasks anew after a takeover

A new owner took each filling task for one at full pace, so that one slowed to nothing stayed so until the wish changed (InheritedState.WorkThatAFormerOwner...).

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -174,6 +174,9 @@
     {TaskPhase::kLent, "lent"},
 }));
 
+/// What a former owner told a task is not known.
+inline constexpr int32_t kUnknownPace = -1;
+
 struct TaskState {
   TaskPhase phase = TaskPhase::kBlocked;
   /// Of a job that was lent some tasks, this is none of them; it counts as done.
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -130,6 +130,7 @@
       task.sent = true;
       task.settled_at = state.order_count;
       task.worker_born = progress.worker_born;
+      if (SpecOf(job, ref).filling) task.paced = kUnknownPace;
       Attach(cell, job, ref, task, worker);
       return;
     }
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -424,7 +424,8 @@
   task.shown_at = state.now;
   if (!spec.filling || spec.need.millicores <= 0) return;
 
-  const Millis paced(span.Count() * (100 - task.paced) / 100);
+  const int32_t pace = task.paced == kUnknownPace ? 100 : task.paced;
+  const Millis paced(span.Count() * (100 - pace) / 100);
   const Millis used(span.Count() * task.recent / spec.need.millicores);
   job.filling_time = job.filling_time + span;
   job.paced_time = job.paced_time + paced;
