Move lasting tasks off a worker that drains

LOST: a lasting task stayed on a draining worker until that went; by then its owner could be another, cut off or just begun.

Change: a draining worker's lasting tasks are stopped one for each place that is free in their cell, beside what waits and what is being stopped already, or one at a time for room in another cell.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -435,6 +435,8 @@
   Millis taken_at;
   bool releasing = false;
   RequestId release_request = 0;
+  /// No look for lasting tasks on draining workers before this.
+  Millis next_evacuation;
 };
 
 /// Workers of racks that are in no cell yet.
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -307,6 +307,12 @@
 // ---- Placement and load
 // ------------------------------------------------------------------------------
 
+/// Returns the worker that suits a task best, or null if none has room.
+WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const TaskRef& ref);
+
+/// Stops lasting tasks on workers that drain, as far as there is room for them elsewhere.
+void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell);
+
 /// Gives waiting tasks to workers with room.
 void PlaceTasks(State& state, Effects& effects, OwnedCell& cell);
 
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -136,22 +136,6 @@
   return score;
 }
 
-WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const JobState& job,
-                          const TaskRef& ref, const TaskState& task, const std::string& service) {
-  WorkerState* best = nullptr;
-  int64_t best_score = 0;
-
-  for (auto& [id, worker] : cell.workers) {
-    const std::optional<int64_t> score = Score(state, cell, job, ref, task, worker, service);
-    if (!score || (best != nullptr && *score <= best_score)) continue;
-
-    best = &worker;
-    best_score = *score;
-  }
-
-  return best;
-}
-
 /// Returns the service whose workers run a job now: the queue's, or the one of its acceptance if
 /// the queue is gone.
 const std::string& ServiceOf(const State& state, const JobRecord& record) {
@@ -181,6 +165,24 @@
 
 }  // namespace
 
+WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const TaskRef& ref) {
+  const JobState& job = cell.jobs.at(ref.job);
+  const TaskState& task = *FindTask(cell, ref);
+  const std::string& service = ServiceOf(state, job.record);
+  WorkerState* best = nullptr;
+  int64_t best_score = 0;
+
+  for (auto& [id, worker] : cell.workers) {
+    const std::optional<int64_t> score = Score(state, cell, job, ref, task, worker, service);
+    if (!score || (best != nullptr && *score <= best_score)) continue;
+
+    best = &worker;
+    best_score = *score;
+  }
+
+  return best;
+}
+
 void PlaceTasks(State& state, Effects& /*effects*/, OwnedCell& cell) {
   if (cell.releasing || cell.waiting.empty() || !cell.placement_due) return;
 
@@ -209,7 +211,7 @@
     const auto step = std::make_tuple(ref.job, ref.occurrence, ref.step);
     if (unfit.contains(step)) continue;
 
-    WorkerState* worker = ChooseWorker(state, cell, job, ref, task, ServiceOf(state, job.record));
+    WorkerState* worker = ChooseWorker(state, cell, ref);
 
     if (worker == nullptr) {
       unfit.insert(step);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -171,6 +171,7 @@
 
     UpdateJobs(state, effects, cell);
     UpdateWorkers(state, effects, cell);
+    EvacuateDraining(state, effects, cell);
     PlaceTasks(state, effects, cell);
     UpdateWrites(state, effects, cell);
   }
