Hand on what is known of the leases of a cell's workers

Cause: tasks of a worker that does not answer start elsewhere once no lease there can run any more. Each owner that had not reached the worker counted 15.76 s for that from the moment at which it took the cell. Where a cell changes hands again and again (a cut data centre, cells that go home, stops in turn), the wait began anew each time, although the first owner knew that little of it was left, and a former owner that has stopped or begun a new life renews nothing.

Change: an owner records in the store that it may renew leases in a cell before it renews any, names the workers whose leases it does not renew, with the longest time that these may run, and leaves to the next owner how long any may run. A former owner that has not given the cell up is asked; one that has begun a new life on its machine is waited for no longer than a lease. One type, LeaseBounds, says until when leases may run, and AddWorker makes it for each worker that an owner meets.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -36,8 +36,15 @@
 inline constexpr std::string_view kLearnedKey = "shared/learned";
 /// Followed by the cell and the job.
 inline constexpr std::string_view kProgressPrefix = "progress/";
-/// Of what entries tell the keeper of what was learned. Passed between peers, never stored.
+/// Followed by the cell.
+inline constexpr std::string_view kHandOverPrefix = "hand-over/";
+/// Passed between peers, never stored: what entries tell the keeper of what was learned, the
+/// question to a former owner what it left in a cell, and its answer.
+/// @{
 inline constexpr std::string_view kEvidencePrefix = "evidence/";
+inline constexpr std::string_view kHandOverQuestionPrefix = "hand-over-question/";
+inline constexpr std::string_view kHandOverAnswerPrefix = "hand-over-answer/";
+/// @}
 /// @}
 
 /// A live entry. Attached to its lease.
@@ -60,6 +67,32 @@
   std::string life;
 };
 
+/// What the next owner of a cell has to know of the leases of its workers. Written by the owner
+/// before it renews any, and when it gives the cell up; stays when the owner's lease at the store
+/// ends.
+struct HandOverRecord {
+  /// The owner that may renew leases by a grant, and where peers reach it. Empty once nobody may.
+  EntryId owner;
+  std::string life;
+  Address peer_address;
+  KvRevision grant = 0;
+  /// Workers whose leases the owner does not renew, with the longest time that these may still run
+  /// when this is written. Of a cell that was given up, all workers with a lease.
+  std::map<VmId, Millis> leases;
+
+  bool operator==(const HandOverRecord&) const = default;
+};
+
+/// Asks a former owner of a cell what leases it left there.
+struct HandOverQuestion {
+  /// The grant that is asked about, and the life of the entry that had it.
+  KvRevision grant = 0;
+  std::string life;
+  /// The present grant, and where the answer is to go.
+  KvRevision present_grant = 0;
+  Address answer_to;
+};
+
 /// Room of the workers of one service in one cell, in thousandths of a core.
 struct ServiceLoad {
   int64_t capacity = 0;
@@ -183,6 +216,8 @@
 std::string Encode(const EntryRecord& record);
 std::string Encode(const LayoutRecord& record);
 std::string Encode(const CellRecord& record);
+std::string Encode(const HandOverRecord& record);
+std::string Encode(const HandOverQuestion& question);
 std::string Encode(const LoadRecord& record);
 std::string Encode(const EvidenceRecord& record);
 std::string Encode(const LearnedRecord& record);
@@ -196,6 +231,8 @@
 Result<EntryRecord> DecodeEntry(std::string_view value);
 Result<LayoutRecord> DecodeLayout(std::string_view value);
 Result<CellRecord> DecodeCell(std::string_view value);
+Result<HandOverRecord> DecodeHandOver(std::string_view value);
+Result<HandOverQuestion> DecodeHandOverQuestion(std::string_view value);
 Result<LoadRecord> DecodeLoad(std::string_view value);
 Result<EvidenceRecord> DecodeEvidence(std::string_view value);
 Result<LearnedRecord> DecodeLearned(std::string_view value);
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -2,6 +2,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -10,6 +11,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "currantpost/base/ids.h"
@@ -307,23 +309,16 @@
   bool recorded = false;
 };
 
-/// Whose leases a worker's tasks may run by, at the latest. For the log.
-enum class LapseCause {
-  /// A former owner may go on renewing, as it was never shown that it can't.
-  kFormerOwnerMayRenew,
-  /// A former owner renewed just before the worker first answered.
-  kFormerOwnerRenewed,
-  kRenewedHere,
-  /// A lease by the clock of another life.
-  kOtherLife,
-};
+/// Until when leases at a worker may run, by whoever granted them. Of a worker that does not
+/// answer, this is when its runs have surely ended.
+struct LeaseBounds {
+  /// By this owner. Set as an order leaves that may renew the lease.
+  Millis own;
+  /// By former owners of the cell. Means nothing once the worker was met under the present grant.
+  Millis inherited;
 
-inline constexpr EnumNames kLapseCauseNames(std::to_array<EnumName<LapseCause>>({
-    {LapseCause::kFormerOwnerMayRenew, "a former owner may renew"},
-    {LapseCause::kFormerOwnerRenewed, "a former owner renewed"},
-    {LapseCause::kRenewedHere, "renewed here"},
-    {LapseCause::kOtherLife, "lease of another life"},
-}));
+  [[nodiscard]] Millis Lapse() const { return std::max(own, inherited); }
+};
 
 /// A worker of an owned cell.
 struct WorkerState {
@@ -341,11 +336,8 @@
   /// Its clock, and when that was read.
   std::optional<int64_t> clock_ms;
   Millis clock_at;
-  /// By then all that this entry granted has surely lapsed.
-  Millis lapses_at;
-  /// For the log: how that came about, since when that counts, and that the wait was noted.
-  LapseCause lapse_cause = LapseCause::kFormerOwnerMayRenew;
-  Millis lapse_noted_at;
+  LeaseBounds lease;
+  /// For the log: the wait for the end of its leases was noted.
   bool wait_noted = false;
   Millis answered_at;
   int32_t failed_looks = 0;
@@ -395,6 +387,36 @@
   std::optional<LoadRecord> load;
 };
 
+/// What passes between the owners of a cell about the leases of its workers.
+struct HandOverState {
+  /// The reading of what former owners left.
+  bool known = false;
+  RequestId read_request = 0;
+  Millis read_at;
+  /// The former owner that may still renew leases, by its record; none if its `owner` is empty.
+  HandOverRecord former;
+  Millis next_question;
+  /// When the leases of workers have lapsed that former owners named, and those of all others.
+  std::map<VmId, Millis> lapses;
+  Millis others_lapse;
+  /// This owner's record is in the store. Before that it renews nothing.
+  bool written = false;
+  /// Its present revision, or that of a former owner's.
+  KvRevision revision = 0;
+  RequestId write_request = 0;
+  Millis write_at;
+  /// Workers that the record names, and those that a write without an answer may name.
+  std::set<VmId> named;
+  std::set<VmId> maybe_named;
+  /// Of the write under way.
+  std::set<VmId> sent;
+};
+
+/// The leases that an owner left in a cell when it lost it.
+struct FormerCell {
+  std::map<VmId, Millis> lapses;
+};
+
 /// Orders waiting tasks: priority, lasting first, when their job should be done, name.
 using WaitingKey = std::tuple<int32_t, int32_t, int64_t, TaskRef>;
 
@@ -408,8 +430,10 @@
   RequestId progress_request = 0;
   std::string progress_after;
   Millis progress_at;
+  HandOverState hand_over;
   /// All records are known up to the grant, and the jobs were taken over.
   bool open = false;
+  Millis opened_at;
   std::map<VmId, WorkerState> workers;
   /// Highest fence of the workers that were dropped; one that comes back may have seen it.
   int64_t dropped_fence = 0;
@@ -435,6 +459,8 @@
   Millis taken_at;
   bool releasing = false;
   RequestId release_request = 0;
+  /// A release was sent and not answered: nobody may count on this owner any more.
+  bool maybe_released = false;
   /// No look for lasting tasks on draining workers before this.
   Millis next_evacuation;
 };
@@ -522,6 +548,14 @@
   CellId cell;
   KvRevision grant = 0;
 };
+struct HandOverRead {
+  CellId cell;
+  KvRevision grant = 0;
+};
+struct HandOverWritten {
+  CellId cell;
+  KvRevision grant = 0;
+};
 struct JobMoved {
   CellId from;
   KvRevision grant = 0;
@@ -555,8 +589,8 @@
 using StorePurpose =
     std::variant<FeedCalled, LeaseGranted, LeaseKept, FormerLeaseEnded, EntryRegistered,
                  LayoutWritten, CellClaimed, CellReleased, ProgressListed, ProgressWritten,
-                 JobMoved, TasksLent, SubmitWritten, CancelStepped, JobRead, PhaseRead,
-                 EndedRemoved, LearnedWritten, CancelsRead>;
+                 HandOverRead, HandOverWritten, JobMoved, TasksLent, SubmitWritten, CancelStepped,
+                 JobRead, PhaseRead, EndedRemoved, LearnedWritten, CancelsRead>;
 /// @}
 
 /// A call to the store under way.
@@ -616,6 +650,8 @@
   LeaseState lease;
   std::map<CellId, OwnedCell> cells;
   std::map<CellId, OrphanedCell> orphans;
+  /// Cells that this entry had in this life, by grant, while leases that it left there may run.
+  std::map<std::pair<CellId, KvRevision>, FormerCell> former_cells;
   /// How much stress each image of filling work adds to each image of lasting tasks, learned from
   /// changes here and by the other entries.
   InterferenceModel interference = InterferenceModel(InterferenceSettings());
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -103,7 +103,7 @@
 }
 
 /// Takes over what former owners recorded of a task.
-void AdoptTask(State& state, OwnedCell& cell, JobState& job, const TaskProgress& progress) {
+void AdoptTask(const State& state, OwnedCell& cell, JobState& job, const TaskProgress& progress) {
   const TaskRef ref = RefOf(job.record.spec.job, progress);
   TaskState& task = *FindTask(cell, ref);
   task.run = progress.run;
@@ -125,7 +125,7 @@
       job.doomed = true;
       return;
     case TaskMark::kBound: {
-      WorkerState& worker = AddWorker(state, cell, progress.worker);
+      WorkerState& worker = AddWorker(cell, progress.worker);
       task.phase = TaskPhase::kStarting;
       task.sent = true;
       task.settled_at = state.order_count;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -14,6 +14,8 @@
 constexpr Millis kLookWait = Millis(1'000);
 /// The same where filling tasks disturb lasting ones: the figures of a look cover half a second.
 constexpr Millis kWatchfulWait = Millis(500);
+/// The same while this owner may not renew the lease yet: the renewal follows with the next look.
+constexpr Millis kUnrenewedWait = Millis(100);
 /// A worker whose last look was answered longer ago may have begun a new life: longer than a look
 /// and a pause.
 constexpr Millis kLifeKnown = Millis(2'000);
@@ -62,8 +64,9 @@
 }
 
 /// Returns the worker's clock up to which this entry may let its tasks run, or nothing.
-std::optional<int64_t> LeaseUntil(const State& state, const WorkerState& worker) {
-  if (!worker.clock_ms) return std::nullopt;
+std::optional<int64_t> LeaseUntil(const State& state, const OwnedCell& cell,
+                                  const WorkerState& worker) {
+  if (!worker.clock_ms || !MayRenew(cell, worker)) return std::nullopt;
 
   const Millis longest = std::min(kWorkerLease, state.settings.longest_worker_lease);
   const Millis horizon = std::min(state.now + longest, state.lease.valid_until + kOutageHold);
@@ -72,29 +75,19 @@
   return ClockNow(state, worker) + (horizon - state.now).Count();
 }
 
-void ExtendLapse(const State& state, WorkerState& worker, Millis lapses, LapseCause cause) {
-  if (lapses <= worker.lapses_at) return;
-
-  worker.lapses_at = lapses;
-  worker.lapse_cause = cause;
-  worker.lapse_noted_at = state.now;
-}
-
 /// Notes that the worker was granted a lease, or may have been.
 void NoteLease(const State& state, WorkerState& worker, std::optional<int64_t> until) {
   if (!until) return;
 
   const Millis span(*until - ClockNow(state, worker));
-  const Millis lapses = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
-  ExtendLapse(state, worker, lapses, LapseCause::kRenewedHere);
+  worker.lease.own = std::max(worker.lease.own, state.now + LongestRun(span));
 }
 
 /// Notes that the worker may hold the longest lease that it grants: a lease by the clock of another
 /// life is shortened to that.
 void NoteLongestLease(const State& state, WorkerState& worker) {
-  const Millis span = state.settings.longest_worker_lease;
-  const Millis lapses = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
-  ExtendLapse(state, worker, lapses, LapseCause::kOtherLife);
+  const Millis lapse = state.now + LongestRun(state.settings.longest_worker_lease);
+  worker.lease.own = std::max(worker.lease.own, lapse);
 }
 
 bool IsAtWorker(TaskPhase phase) {
@@ -153,9 +146,8 @@
       {{"worker", worker.info.id.Text()},
        {"cell", cell.cell.Text()},
        {"tasks", std::to_string(worker.tasks.size())},
-       {"wait_ms", std::to_string((worker.lapses_at - state.now).Count())},
-       {"cause", std::string(kLapseCauseNames.Name(worker.lapse_cause))},
-       {"cause_ms", std::to_string((state.now - worker.lapse_noted_at).Count())},
+       {"own_ms", std::to_string((worker.lease.own - state.now).Count())},
+       {"inherited_ms", std::to_string((worker.lease.inherited - state.now).Count())},
        {"answered_ms", std::to_string(answered.Count())},
        {"owned_ms", std::to_string((state.now - cell.taken_at).Count())},
        {"listed", worker.listed ? "yes" : "no"},
@@ -171,11 +163,11 @@
 void ExpireTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   if (worker.tasks.empty()) return;
 
-  if (state.now < worker.lapses_at) {
+  if (state.now < worker.lease.Lapse()) {
     if (IsSilent(worker) && !std::exchange(worker.wait_noted, true)) {
       LogLapse(state, effects, cell, worker, "tasks wait for a silent worker's lease");
     }
-    WakeAt(state, worker.lapses_at);
+    WakeAt(state, worker.lease.Lapse());
     return;
   }
 
@@ -245,10 +237,12 @@
   LookAtWorker order;
   // A worker that was silent is asked first and renewed then: a renewal that is not answered may
   // have been carried out, so that leases which it may have extended could never count as lapsed.
-  const bool renew = worker.failed_looks == 0 && NeedsLease(cell, worker);
-  if (renew) order.lease_until_ms = LeaseUntil(state, worker);
+  const bool needs_lease = NeedsLease(cell, worker);
+  const bool renew = worker.failed_looks == 0 && needs_lease;
+  if (renew) order.lease_until_ms = LeaseUntil(state, cell, worker);
   order.forget_up_to = EndsToForget(state, worker);
   if (worker.confirmed) order.wait = HasMixedLoad(worker) ? kWatchfulWait : kLookWait;
+  if (needs_lease && !MayRenew(cell, worker)) order.wait = std::min(order.wait, kUnrenewedWait);
   NoteLease(state, worker, order.lease_until_ms);
 
   LookUnderWay look;
@@ -282,7 +276,7 @@
       if (task.sent || worker.info.draining || !HoldsLease(state)) return std::nullopt;
       if (!KnowsCancels(state)) return std::nullopt;
 
-      const std::optional<int64_t> until = LeaseUntil(state, worker);
+      const std::optional<int64_t> until = LeaseUntil(state, cell, worker);
       if (!until) return std::nullopt;
 
       NoteLease(state, worker, until);
@@ -562,10 +556,13 @@
   if (worker.confirmed && !worker.met) {
     // No former owner can renew any more; the leases that they granted end in their time.
     worker.met = true;
-    worker.lapses_at =
-        state.now + kWorkerLease + kWorkerLease * kClockDriftPercent / 100 + kLapseMargin;
-    worker.lapse_cause = LapseCause::kFormerOwnerRenewed;
-    worker.lapse_noted_at = state.now;
+    worker.lease.inherited = Millis(0);
+    worker.lease.own = std::max(worker.lease.own, state.now + LongestRun(kWorkerLease));
+
+    const bool other_life = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+      return FindTask(cell, ref)->worker_born < worker.info.born;
+    });
+    if (other_life) NoteLongestLease(state, worker);
   }
 
   // Answers on two connections may overtake each other; the lists of the older one say nothing.
@@ -730,16 +727,13 @@
 
 }  // namespace
 
-WorkerState& AddWorker(const State& state, OwnedCell& cell, const VmId& id) {
+WorkerState& AddWorker(OwnedCell& cell, const VmId& id) {
   const auto [found, added] = cell.workers.try_emplace(id);
 
   if (added) {
     found->second.info.id = id;
     found->second.fence = cell.dropped_fence + 1;
-    // A former owner may renew leases for as long after the store last confirmed its own.
-    const Millis span = kStoreLease + kOutageHold + kWorkerLease;
-    found->second.lapses_at = state.now + span + span * kClockDriftPercent / 100 + kLapseMargin;
-    found->second.lapse_noted_at = state.now;
+    found->second.lease.inherited = InheritedLapse(cell, id);
   }
 
   return found->second;
@@ -784,7 +778,7 @@
     const auto cell = state.cells.find(cell_id->second);
     if (cell == state.cells.end() || !cell->second.open) continue;
 
-    WorkerState& worker = AddWorker(state, cell->second, worker_id);
+    WorkerState& worker = AddWorker(cell->second, worker_id);
     const int64_t known_life = worker.info.born;
     if (info.born < known_life) continue;
 
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -327,6 +327,7 @@
 /// Gives a cell up once nothing is under way there.
 void Release(State& state, Effects& effects, OwnedCell& cell) {
   if (cell.release_request != 0 || cell.write.request != 0) return;
+  if (cell.hand_over.write_request != 0) return;
 
   // A stop is of use or void whenever it arrives, and may never be answered.
   const bool busy = std::ranges::any_of(cell.workers, [](const auto& row) {
@@ -341,6 +342,10 @@
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
   write.removals = {CellKey(cell.cell), LoadKey(cell.cell)};
+  // An owner that has renewed nothing leaves the record as it found it.
+  if (cell.hand_over.written) {
+    write.puts.push_back(RecordPut{HandOverKey(cell.cell), Encode(LeftBehind(state, cell)), 0});
+  }
   // Without the entry's own record nobody waits for it to claim the cell again.
   if (state.stopping) write.removals.push_back(EntryKey(state.settings.entry));
   cell.release_request =
@@ -441,7 +446,10 @@
   orphan.claim = 0;
   orphan.retry_at = state.now + kClaimRetry;
 
-  if (OwnedCell* cell = FindCell(state, id, released.grant)) cell->release_request = 0;
+  if (OwnedCell* cell = FindCell(state, id, released.grant)) {
+    cell->release_request = 0;
+    if (reply.status == StoreStatus::kUnknown) cell->maybe_released = true;
+  }
 
   if (reply.status == StoreStatus::kOk) {
     TellSuccessor(state, effects, id, reply.revision);
@@ -476,6 +484,7 @@
   Log(effects, Severity::kInfo, "gave cell up",
       {{"cell", id.Text()}, {"reason", std::string(reason)}});
   LogOpenWaits(state, effects, state.cells.at(id));
+  KeepFormerCell(state, state.cells.at(id));
   state.cells.erase(id);
 }
 
@@ -522,11 +531,14 @@
 void OpenCells(State& state, Effects& effects) {
   for (auto& [id, cell] : state.cells) {
     ReadProgress(state, effects, cell);
-    if (cell.open || !cell.progress_known || !state.feeds[Feed::kWorkers].synced) continue;
+    ReadHandOver(state, effects, cell);
+    if (cell.open || !cell.progress_known || !cell.hand_over.known) continue;
+    if (!state.feeds[Feed::kWorkers].synced) continue;
     if (!state.feeds[Feed::kRecords].synced) continue;
     if (state.feeds[Feed::kRecords].revision < cell.grant) continue;
 
     cell.open = true;
+    cell.opened_at = state.now;
     ApplyRegistry(state, effects);
 
     for (const auto& [job_id, job] : state.view.jobs) {
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -515,7 +515,10 @@
 
 constexpr RecordKind<JobId> kJobKinds[] = {{kJobPrefix, ApplyJob}, {kCancelPrefix, ApplyCancel}};
 constexpr RecordKind<std::string> kProgressKinds[] = {{kProgressPrefix, ApplyProgress}};
-constexpr RecordKind<CellId> kCellKinds[] = {{kCellPrefix, ApplyCell}, {kLoadPrefix, ApplyLoad}};
+constexpr RecordKind<CellId> kCellKinds[] = {{kCellPrefix, ApplyCell},
+                                             {kLoadPrefix, ApplyLoad},
+                                             {kHandOverQuestionPrefix, ApplyHandOverQuestion},
+                                             {kHandOverAnswerPrefix, ApplyHandOverAnswer}};
 constexpr RecordKind<EntryId> kEntryKinds[] = {{kEntryPrefix, ApplyEntry},
                                                {kEvidencePrefix, ApplyEvidence}};
 
--- /dev/null
+++ b/lib/scheduler/source/hand_over.cc
@@ -0,0 +1,354 @@
+#include "internal.h"
+
+/// What passes between the owners of a cell about the leases of its workers.
+///
+/// A task of a worker that does not answer may start elsewhere once no lease there can run any
+/// more, whoever granted it. Each owner therefore records that it may renew leases before it renews
+/// any, names the workers whose leases it does not renew, and leaves to the next owner how long the
+/// others may run. These are spans, as entries share no clock. A former owner that did not give the
+/// cell up by a write is asked; one that begins a new life has nothing left to renew.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Returns when all leases of a former owner have lapsed that may still act, counted from the end
+/// of its grant. Keys may be taken away unseen right after the store confirmed its lease; from then
+/// on it renews no lease beyond the end of its hold, and a start that meets a worker's new life
+/// holds the longest lease that workers grant.
+Millis LapseOfUnknown(const State& state) {
+  return LongestRun(kStoreLease + std::max(kOutageHold, state.settings.longest_worker_lease));
+}
+
+/// Looks in a row without an answer after which the record says that a worker's lease is not
+/// renewed.
+constexpr int32_t kLooksBeforeSilent = 2;
+/// The first record of an owner waits at most so long for the answers of workers, which need not be
+/// named then.
+constexpr Millis kFirstLooks = Millis(300);
+/// Least time between two records of a cell.
+constexpr Millis kRecordInterval = Millis(200);
+/// Pause between questions to a former owner, which may be cut off.
+constexpr Millis kQuestionInterval = Millis(500);
+
+/// Says whether a worker's tasks wait for the end of its leases, as this owner does not renew them.
+bool IsUnrenewed(const WorkerState& worker) {
+  if (worker.tasks.empty()) return false;
+  return !worker.met || worker.failed_looks >= kLooksBeforeSilent;
+}
+
+Millis RestOf(const State& state, const WorkerState& worker) {
+  return std::max(worker.lease.Lapse() - state.now, Millis(0));
+}
+
+HandOverRecord OwnHandOver(const State& state, const OwnedCell& cell) {
+  HandOverRecord record{.owner = state.settings.entry,
+                        .life = state.settings.life,
+                        .peer_address = state.settings.peer_address,
+                        .grant = cell.grant,
+                        .leases = {}};
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (IsUnrenewed(worker)) record.leases[id] = RestOf(state, worker);
+  }
+
+  return record;
+}
+
+std::set<VmId> NamesOf(const HandOverRecord& record) {
+  std::set<VmId> names;
+  for (const auto& [id, rest] : record.leases) names.insert(id);
+
+  return names;
+}
+
+/// Takes over what a record says of leases, counted from a time at which it was written already.
+void Inherit(HandOverState& state, const HandOverRecord& record, Millis from) {
+  state.lapses.clear();
+  for (const auto& [id, rest] : record.leases) state.lapses[id] = from + rest;
+}
+
+/// Lets workers that were not met yet wait no longer than what is known now.
+void ShortenWaits(const State& state, Effects& effects, OwnedCell& cell, std::string_view proof) {
+  for (auto& [id, worker] : cell.workers) {
+    if (worker.met) continue;
+
+    const Millis lapse = std::min(worker.lease.inherited, InheritedLapse(cell, id));
+    if (lapse == worker.lease.inherited) continue;
+
+    worker.lease.inherited = lapse;
+    worker.attention = true;
+    if (worker.tasks.empty()) continue;
+
+    Log(effects, Severity::kInfo, "leases of an unreached worker end sooner",
+        {{"worker", id.Text()},
+         {"rest_ms", std::to_string(RestOf(state, worker).Count())},
+         {"tasks", std::to_string(worker.tasks.size())},
+         {"proof", std::string(proof)}});
+  }
+}
+
+/// A former owner that has begun a new life on its machine can renew nothing any more.
+void ConsiderNewLife(const State& state, Effects& effects, OwnedCell& cell) {
+  HandOverState& hand_over = cell.hand_over;
+  const HandOverRecord& former = hand_over.former;
+  const auto entry = state.view.entries.find(former.owner);
+  if (entry == state.view.entries.end() || entry->second.revision < former.grant) return;
+
+  const EntryRecord& record = entry->second.record;
+  if (record.life == former.life || record.peer_address != former.peer_address) return;
+
+  hand_over.others_lapse = std::min(hand_over.others_lapse, state.now + LongestRun(kWorkerLease));
+  hand_over.former.owner = EntryId();
+  ShortenWaits(state, effects, cell, "the former owner has a new life");
+}
+
+void TakeAnswer(const State& state, Effects& effects, OwnedCell& cell, const HandOverRecord& left) {
+  Inherit(cell.hand_over, left, state.now);
+  cell.hand_over.others_lapse = state.now;
+  cell.hand_over.former.owner = EntryId();
+  ShortenWaits(state, effects, cell, "the former owner has stopped");
+}
+
+/// Returns the leases that this entry left in a cell by a grant; none where all have lapsed.
+HandOverRecord LeftOf(const State& state, const CellId& cell, KvRevision grant) {
+  HandOverRecord record{.grant = grant};
+  const auto former = state.former_cells.find(std::make_pair(cell, grant));
+  if (former == state.former_cells.end()) return record;
+
+  for (const auto& [id, lapse] : former->second.lapses) {
+    if (lapse > state.now) record.leases[id] = lapse - state.now;
+  }
+
+  return record;
+}
+
+void AskFormerOwner(State& state, Effects& effects, OwnedCell& cell) {
+  HandOverState& hand_over = cell.hand_over;
+  const HandOverRecord& former = hand_over.former;
+
+  if (former.owner == state.settings.entry && former.life == state.settings.life) {
+    return TakeAnswer(state, effects, cell, LeftOf(state, cell.cell, former.grant));
+  }
+
+  const bool waits = std::ranges::any_of(cell.workers, [&](const auto& row) {
+    const WorkerState& worker = row.second;
+    return !worker.met && !worker.tasks.empty() && worker.lease.inherited > state.now;
+  });
+  if (!waits) return;
+
+  if (state.now < hand_over.next_question) {
+    WakeAt(state, hand_over.next_question);
+    return;
+  }
+
+  hand_over.next_question = state.now + kQuestionInterval;
+  const HandOverQuestion question{.grant = former.grant,
+                                  .life = former.life,
+                                  .present_grant = cell.grant,
+                                  .answer_to = state.settings.peer_address};
+  effects.emplace_back(
+      PushRecords{former.peer_address,
+                  {StoreItem{.key = std::string(kHandOverQuestionPrefix) + cell.cell.Text(),
+                             .value = Encode(question)}}});
+}
+
+/// Says whether the workers that hold tasks were asked once, so that the first record names those
+/// that do not answer only.
+bool KnowsWhoAnswers(State& state, const OwnedCell& cell) {
+  const Millis latest = cell.opened_at + kFirstLooks;
+  const bool all = std::ranges::all_of(cell.workers, [](const auto& row) {
+    const WorkerState& worker = row.second;
+    return worker.tasks.empty() || worker.met || worker.failed_looks > 0;
+  });
+  if (all || state.now >= latest) return true;
+
+  WakeAt(state, latest);
+  return false;
+}
+
+void WriteHandOver(State& state, Effects& effects, OwnedCell& cell) {
+  HandOverState& hand_over = cell.hand_over;
+  if (hand_over.write_request != 0 || cell.release_request != 0 || cell.maybe_released) return;
+  if (!hand_over.written && !KnowsWhoAnswers(state, cell)) return;
+
+  HandOverRecord record = OwnHandOver(state, cell);
+  std::set<VmId> names = NamesOf(record);
+  if (hand_over.written && names == hand_over.named && hand_over.maybe_named.empty()) return;
+
+  if (state.now < hand_over.write_at) {
+    WakeAt(state, hand_over.write_at);
+    return;
+  }
+
+  hand_over.write_at = state.now + kRecordInterval;
+  hand_over.maybe_named.insert(names.begin(), names.end());
+  hand_over.sent = std::move(names);
+
+  WriteRecords write;
+  write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
+                    ExpectedRecord{HandOverKey(cell.cell), hand_over.revision}};
+  write.puts.push_back(RecordPut{HandOverKey(cell.cell), Encode(record), 0});
+  hand_over.write_request =
+      CallStore(state, effects, HandOverWritten{cell.cell, cell.grant}, std::move(write));
+}
+
+}  // namespace
+
+void ReadHandOver(State& state, Effects& effects, OwnedCell& cell) {
+  HandOverState& hand_over = cell.hand_over;
+  if (hand_over.known || hand_over.read_request != 0) return;
+
+  if (state.now < hand_over.read_at) {
+    WakeAt(state, hand_over.read_at);
+    return;
+  }
+
+  hand_over.read_request = CallStore(state, effects, HandOverRead{cell.cell, cell.grant},
+                                     ReadRecord{HandOverKey(cell.cell)});
+}
+
+void HandleHandOverRead(State& state, Effects& effects, const HandOverRead& read,
+                        const StoreReply& reply) {
+  OwnedCell* cell = FindCell(state, read.cell, read.grant);
+  if (cell == nullptr) return;
+
+  HandOverState& hand_over = cell->hand_over;
+  hand_over.read_request = 0;
+
+  if (reply.status != StoreStatus::kOk && reply.status != StoreStatus::kNotFound) {
+    hand_over.read_at = state.now + kStoreRetry;
+    return;
+  }
+
+  hand_over.known = true;
+  hand_over.others_lapse = cell->taken_at + LapseOfUnknown(state);
+  if (reply.items.empty()) return;
+
+  const StoreItem& item = reply.items.front();
+  hand_over.revision = item.revision;
+  Result<HandOverRecord> record = DecodeHandOver(item.value);
+  if (!record) return LogUnreadable(effects, item, record.error());
+
+  // Whoever wrote it did so before this grant.
+  Inherit(hand_over, *record, cell->taken_at);
+  if (record->owner.Empty()) hand_over.others_lapse = cell->taken_at;
+
+  Log(effects, Severity::kInfo, "read what the former owner left",
+      {{"cell", read.cell.Text()},
+       {"former_owner", record->owner.Empty() ? "gave the cell up" : record->owner.Text()},
+       {"former_grant", std::to_string(record->grant)},
+       {"leases", std::to_string(record->leases.size())}});
+  hand_over.former = *std::move(record);
+}
+
+Millis InheritedLapse(const OwnedCell& cell, const VmId& worker) {
+  const auto named = cell.hand_over.lapses.find(worker);
+  return named == cell.hand_over.lapses.end() ? cell.hand_over.others_lapse : named->second;
+}
+
+void UpdateHandOver(State& state, Effects& effects, OwnedCell& cell) {
+  if (!cell.hand_over.former.owner.Empty()) ConsiderNewLife(state, effects, cell);
+  if (!cell.hand_over.former.owner.Empty()) AskFormerOwner(state, effects, cell);
+
+  WriteHandOver(state, effects, cell);
+}
+
+void HandleHandOverWritten(State& state, Effects& effects, const HandOverWritten& written,
+                           const StoreReply& reply) {
+  OwnedCell* cell = FindCell(state, written.cell, written.grant);
+  if (cell == nullptr) return;
+
+  HandOverState& hand_over = cell->hand_over;
+  hand_over.write_request = 0;
+
+  switch (reply.status) {
+    case StoreStatus::kOk:
+      hand_over.written = true;
+      hand_over.revision = reply.revision;
+      hand_over.named = std::move(hand_over.sent);
+      hand_over.maybe_named.clear();
+      return;
+    case StoreStatus::kConflict:
+      break;
+    default:
+      hand_over.write_at = state.now + kStoreRetry;
+      return;
+  }
+
+  for (const StoreItem& item : reply.items) {
+    if (item.key == CellKey(written.cell) && (item.removed || item.revision != written.grant)) {
+      LoseCell(state, effects, written.cell, "the store names another grant");
+      return;
+    }
+
+    // Only this owner writes it now: an earlier write whose answer was lost.
+    if (item.key == HandOverKey(written.cell)) hand_over.revision = item.revision;
+  }
+}
+
+bool MayRenew(const OwnedCell& cell, const WorkerState& worker) {
+  const HandOverState& hand_over = cell.hand_over;
+  if (!hand_over.written || !worker.met) return false;
+  if (cell.release_request != 0 || cell.maybe_released) return false;
+
+  const VmId& id = worker.info.id;
+  return !hand_over.named.contains(id) && !hand_over.maybe_named.contains(id);
+}
+
+HandOverRecord LeftBehind(const State& state, const OwnedCell& cell) {
+  HandOverRecord record{.grant = cell.grant};
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.lease.Lapse() > state.now) record.leases[id] = RestOf(state, worker);
+  }
+
+  return record;
+}
+
+void KeepFormerCell(State& state, const OwnedCell& cell) {
+  std::erase_if(state.former_cells, [&](const auto& row) {
+    return std::ranges::all_of(row.second.lapses,
+                               [&](const auto& lease) { return lease.second <= state.now; });
+  });
+
+  // Before that it has added no worker and written no record.
+  if (!cell.open) return;
+
+  FormerCell& former = state.former_cells[{cell.cell, cell.grant}];
+  for (const auto& [id, worker] : cell.workers) former.lapses[id] = worker.lease.Lapse();
+}
+
+void ApplyHandOverQuestion(State& state, Effects& effects, const CellId& cell,
+                           const StoreItem& item) {
+  const Result<HandOverQuestion> question = DecodeHandOverQuestion(item.value);
+  if (!question) return LogUnreadable(effects, item, question.error());
+  if (question->life != state.settings.life) return;
+
+  const auto own = state.cells.find(cell);
+
+  if (own != state.cells.end() && own->second.grant == question->grant) {
+    if (question->present_grant <= question->grant) return;
+
+    LoseCell(state, effects, cell, "its next owner asks what was left");
+  }
+
+  effects.emplace_back(
+      PushRecords{question->answer_to,
+                  {StoreItem{.key = std::string(kHandOverAnswerPrefix) + cell.Text(),
+                             .value = Encode(LeftOf(state, cell, question->grant))}}});
+}
+
+void ApplyHandOverAnswer(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
+  const auto cell = state.cells.find(id);
+  if (cell == state.cells.end()) return;
+
+  const Result<HandOverRecord> left = DecodeHandOver(item.value);
+  if (!left) return LogUnreadable(effects, item, left.error());
+
+  const HandOverRecord& former = cell->second.hand_over.former;
+  if (former.owner.Empty() || former.grant != left->grant) return;
+
+  TakeAnswer(state, effects, cell->second, *left);
+}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -33,6 +33,11 @@
 inline constexpr int64_t kClockDriftPercent = 2;
 /// Added to every span after which a lease counts as lapsed: rounding and one round trip.
 inline constexpr Millis kLapseMargin = Millis(150);
+/// Returns how long a lease of a span by a worker's clock may run by this entry's.
+inline Millis LongestRun(Millis span) {
+  return span + span * kClockDriftPercent / 100 + kLapseMargin;
+}
+
 /// Bound on a call to the store. Answers take 4 ms, and about 250 ms when the store is slow.
 inline constexpr Millis kStoreTimeout = Millis(1'500);
 /// Wait before a failed call to the store is repeated.
@@ -70,6 +75,7 @@
 std::string JobKey(const JobId& job);
 std::string ProgressKey(const CellId& cell, const JobId& job);
 std::string CancelKey(const JobId& job);
+std::string HandOverKey(const CellId& cell);
 
 // ---- Feeds and view
 // --------------------------------------------------------------------------------
@@ -155,6 +161,37 @@
 /// Passes a record on to the owner of a cell, who would learn of it later or never.
 void TellOwner(State& state, Effects& effects, const CellId& cell, StoreItem item);
 
+// ---- What passes between owners of a cell
+// --------------------------------------------------------
+
+/// Reads what former owners left of the leases of a cell's workers. Has to be known before any
+/// worker is added.
+void ReadHandOver(State& state, Effects& effects, OwnedCell& cell);
+void HandleHandOverRead(State& state, Effects& effects, const HandOverRead& read,
+                        const StoreReply& reply);
+
+/// Returns when leases that former owners granted to a worker have surely lapsed.
+Millis InheritedLapse(const OwnedCell& cell, const VmId& worker);
+
+/// Looks for proof that a former owner renews no more, and records which leases this owner renews.
+void UpdateHandOver(State& state, Effects& effects, OwnedCell& cell);
+void HandleHandOverWritten(State& state, Effects& effects, const HandOverWritten& written,
+                           const StoreReply& reply);
+
+/// Says whether this owner may renew the lease of a worker, or start anything there: a successor
+/// that reads the record has to wait for it.
+bool MayRenew(const OwnedCell& cell, const WorkerState& worker);
+
+/// Returns what the owner leaves to the next one as it gives the cell up.
+HandOverRecord LeftBehind(const State& state, const OwnedCell& cell);
+
+/// Remembers the leases of a cell that is lost, to answer its next owner.
+void KeepFormerCell(State& state, const OwnedCell& cell);
+
+void ApplyHandOverQuestion(State& state, Effects& effects, const CellId& cell,
+                           const StoreItem& item);
+void ApplyHandOverAnswer(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
+
 // ---- Jobs of owned cells
 // -------------------------------------------------------------------------------
 
@@ -302,7 +339,7 @@
 void LogOpenWaits(const State& state, Effects& effects, const OwnedCell& cell);
 
 /// Adds a worker that the registry or a binding names.
-WorkerState& AddWorker(const State& state, OwnedCell& cell, const VmId& id);
+WorkerState& AddWorker(OwnedCell& cell, const VmId& id);
 
 // ---- Placement and load
 // ------------------------------------------------------------------------------
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -240,6 +240,53 @@
   });
 }
 
+std::string Encode(const HandOverRecord& record) {
+  Json leases = Json::object();
+  for (const auto& [worker, rest] : record.leases) leases[worker.Text()] = rest.Count();
+
+  Json json{{"grant", record.grant}, {"leases", std::move(leases)}};
+  if (record.owner.Empty()) return Dump(json);
+
+  json["owner"] = record.owner.Text();
+  json["life"] = record.life;
+  json["peer"] = AddressJson(record.peer_address);
+  return Dump(json);
+}
+
+Result<HandOverRecord> DecodeHandOver(std::string_view value) {
+  return Decode<HandOverRecord>(value, "hand-over record", [](const Json& json) {
+    HandOverRecord record;
+    record.grant = json.at("grant").get<KvRevision>();
+
+    for (const auto& [worker, rest] : json.at("leases").items()) {
+      record.leases[VmId(worker)] = Millis(rest.get<int64_t>());
+    }
+
+    if (!json.contains("owner")) return record;
+
+    record.owner = EntryId(json.at("owner").get<std::string>());
+    record.life = json.at("life").get<std::string>();
+    record.peer_address = AddressOf(json.at("peer"));
+    return record;
+  });
+}
+
+std::string Encode(const HandOverQuestion& question) {
+  return Dump(Json{{"grant", question.grant},
+                   {"life", question.life},
+                   {"present", question.present_grant},
+                   {"peer", AddressJson(question.answer_to)}});
+}
+
+Result<HandOverQuestion> DecodeHandOverQuestion(std::string_view value) {
+  return Decode<HandOverQuestion>(value, "question to a former owner", [](const Json& json) {
+    return HandOverQuestion{.grant = json.at("grant").get<KvRevision>(),
+                            .life = json.at("life").get<std::string>(),
+                            .present_grant = json.at("present").get<KvRevision>(),
+                            .answer_to = AddressOf(json.at("peer"))};
+  });
+}
+
 std::string Encode(const LoadRecord& record) {
   Json json = Json::object();
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -40,6 +40,12 @@
   void operator()(const ProgressWritten& purpose) const {
     HandleProgressWritten(state, effects, purpose, reply);
   }
+  void operator()(const HandOverRead& purpose) const {
+    HandleHandOverRead(state, effects, purpose, reply);
+  }
+  void operator()(const HandOverWritten& purpose) const {
+    HandleHandOverWritten(state, effects, purpose, reply);
+  }
   void operator()(const JobMoved& purpose) const { HandleJobMoved(state, effects, purpose, reply); }
   void operator()(const TasksLent& purpose) const {
     HandleTasksLent(state, effects, purpose, reply);
@@ -169,6 +175,7 @@
   for (auto& [id, cell] : state.cells) {
     if (!cell.open) continue;
 
+    UpdateHandOver(state, effects, cell);
     UpdateJobs(state, effects, cell);
     UpdateWorkers(state, effects, cell);
     EvacuateDraining(state, effects, cell);
@@ -199,6 +206,7 @@
 std::string ProgressKey(const CellId& cell, const JobId& job) {
   return std::string(kProgressPrefix) + cell.Text() + "/" + job.Text();
 }
+std::string HandOverKey(const CellId& cell) { return std::string(kHandOverPrefix) + cell.Text(); }
 std::string CancelKey(const JobId& job) { return std::string(kCancelPrefix) + job.Text(); }
 
 }  // namespace currantpost::scheduler
