--- a/tests/scheduler/hand_over_audit_test.cc
+++ b/tests/scheduler/hand_over_audit_test.cc
@@ -314,6 +314,8 @@
   void CutCentre() {
     const std::string place = APlace();
     const Millis span = dice_.Span(1'500, 9'000);
+    if (!cut_.insert(place).second) return;
+    plan_.After(span, [this, place] { cut_.erase(place); });
     Note("cut " + place + " for " + std::to_string(span.Count()));
 
     std::vector<std::string> inside = Entries(place);
@@ -357,6 +359,7 @@
   World& world_;
   Dice& dice_;
   Plan& plan_;
+  std::set<std::string> cut_;
 };
 
 /// Callers who hand in jobs that last at the start, and short ones all day, more than there is room
