--- a/tests/scheduler/hand_over_audit_test.cc
+++ b/tests/scheduler/hand_over_audit_test.cc
@@ -370,6 +370,7 @@
       : world_(world), dice_(dice), shape_(shape) {
     const int64_t workers = int64_t{shape.data_centres} * shape.racks * shape.workers_per_rack;
     cores_ = workers * shape.capacity.millicores / 1'000;
+    busy_ = dice.Chance(40);
   }
 
   void HandInLasting() {
@@ -392,7 +393,8 @@
   void HandInShort() {
     if (world_.now() >= tide_ends_at_) {
       tide_ends_at_ = world_.now() + dice_.Span(2'000, 7'000);
-      const int64_t percent = dice_.Chance(80) ? dice_.Between(5, 20) : dice_.Between(60, 130);
+      const int64_t percent =
+          dice_.Chance(busy_ ? 50 : 80) ? dice_.Between(5, 20) : dice_.Between(60, 130);
       if (percent >= 60) tide_ends_at_ = world_.now() + dice_.Span(1'000, 3'000);
       // A job is about two seconds of a core.
       pause_ = std::max<int64_t>(2'000 * 100 / (cores_ * percent), 5);
@@ -474,6 +476,8 @@
   Dice& dice_;
   WorldShape shape_;
   int64_t cores_ = 0;
+  /// Cells are full for much of the day.
+  bool busy_ = false;
   int64_t made_ = 0;
   int64_t pause_ = 500;
   Millis tide_ends_at_;
