--- a/tests/scheduler/hand_over_audit_test.cc
+++ b/tests/scheduler/hand_over_audit_test.cc
@@ -48,7 +48,8 @@
   template <typename T>
   std::vector<T> Some(std::vector<T> items, int64_t count) {
     for (size_t last = items.size(); last > 1; --last) {
-      std::swap(items[last - 1], items[static_cast<size_t>(Between(0, int64_t(last) - 1))]);
+      std::swap(items[last - 1],
+                items[static_cast<size_t>(Between(0, static_cast<int64_t>(last) - 1))]);
     }
     items.resize(std::min(items.size(), static_cast<size_t>(count)));
     return items;
@@ -257,7 +258,7 @@
   void StopInTurn() {
     const bool all = dice_.Chance(50);
     const std::vector<std::string> entries = Entries(all ? "" : APlace());
-    const std::vector<std::string> turn = dice_.Some(entries, int64_t(entries.size()));
+    const std::vector<std::string> turn = dice_.Some(entries, static_cast<int64_t>(entries.size()));
     const Millis gap = dice_.Span(400, 2'500);
     Millis at;
 
@@ -282,7 +283,7 @@
     for (int64_t round = 0; round < rounds; ++round) {
       plan_.After(at, [this] {
         const std::vector<std::string> entries = Entries();
-        const int64_t most = std::max<int64_t>(int64_t(entries.size()) / 2, 1);
+        const int64_t most = std::max<int64_t>(static_cast<int64_t>(entries.size()) / 2, 1);
         for (const std::string& entry : dice_.Some(entries, dice_.Between(1, most))) {
           Kill(entry, dice_.Span(100, 3'500));
         }
@@ -397,7 +398,7 @@
           dice_.Chance(busy_ ? 50 : 80) ? dice_.Between(5, 20) : dice_.Between(60, 130);
       if (percent >= 60) tide_ends_at_ = world_.now() + dice_.Span(1'000, 3'000);
       // A job is about two seconds of a core.
-      pause_ = std::max<int64_t>(2'000 * 100 / (cores_ * percent), 5);
+      pause_ = std::max<int64_t>(200'000 / (cores_ * percent), 5);
     }
 
     while (next_at_ <= world_.now()) {
