--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -38,6 +38,17 @@
   EXPECT_EQ(world_.WorkersOf("a").size(), 2U);
 }
 
+// Starts that had not left for a worker when it was gone for good waited for it without end.
+TEST_F(Trouble, StartsThatDidNotLeaveForAWorkerThatIsGoneGoElsewhere) {
+  world_.DropSilentWorkers();
+  world_.Submit("e0", MakeJob("a", 24));
+  while (world_.starts.empty()) world_.Run(Millis(5));
+  world_.CrashWorker("wr0-0-0");
+  world_.Run(Millis(40'000));
+
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+}
+
 TEST_F(Trouble, TasksOfAWorkerBornAnewStartAtOnce) {
   StartLasting("a", 2);
   const std::string lost = world_.WorkersOf("a").front();
