--- a/tests/scheduler/hand_over_test.cc
+++ b/tests/scheduler/hand_over_test.cc
@@ -125,6 +125,7 @@
   static constexpr int32_t kHogs = 30;
 
   void SetUp() override {
+    world_.DropSilentWorkers();
     world_.Run(Millis(6'000));
     SubmitLasting(world_, "a", kTasks);
     worker_ = world_.WorkersOf("a").front();
@@ -410,6 +411,7 @@
   static constexpr int32_t kTasks = 2;
 
   void SetUp() override {
+    world_.DropSilentWorkers();
     world_.Run(Millis(6'000));
     SubmitLasting(world_, "a", kTasks);
     worker_ = world_.WorkersOf("a").front();
