--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -405,6 +405,10 @@
   KvRevision revision = 0;
   RequestId write_request = 0;
   Millis write_at;
+  /// When the record is written anew though it names the same workers, and the ends of their leases
+  /// by the last write.
+  Millis refresh_at;
+  std::map<VmId, Millis> told;
   /// Workers that the record names, and those that a write without an answer may name.
   std::set<VmId> named;
   std::set<VmId> maybe_named;
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -25,8 +25,13 @@
 /// The first record of an owner waits at most so long for the answers of workers, which need not be
 /// named then.
 constexpr Millis kFirstLooks = Millis(300);
-/// Least time between two records of a cell.
+/// Least time between two records of a cell, and between two that differ by the time that has gone
+/// by only.
 constexpr Millis kRecordInterval = Millis(200);
+constexpr Millis kRefreshInterval = Millis(1'000);
+/// Bound on the write of a record, after which it is repeated: leases are not renewed meanwhile.
+/// Longer than the store takes when it is slow.
+constexpr Millis kRecordTimeout = Millis(500);
 /// Pause between questions to a former owner, which may be cut off.
 constexpr Millis kQuestionInterval = Millis(500);
 
@@ -152,6 +157,14 @@
                              .value = Encode(question)}}});
 }
 
+/// Notes that this owner's record is in the store, and that no other write of it can take effect.
+void NoteWritten(HandOverState& hand_over, KvRevision revision, std::set<VmId> names) {
+  hand_over.written = true;
+  hand_over.revision = revision;
+  hand_over.named = std::move(names);
+  hand_over.maybe_named.clear();
+}
+
 /// Says whether the workers that hold tasks were asked once, so that the first record names those
 /// that do not answer only.
 bool KnowsWhoAnswers(State& state, const OwnedCell& cell) {
@@ -166,6 +179,21 @@
   return false;
 }
 
+/// Says whether the record does not tell what it should: of other workers, of shorter waits than
+/// there are, or of waits that have gone by in part.
+bool IsOutdated(const State& state, const OwnedCell& cell, const std::set<VmId>& names) {
+  const HandOverState& hand_over = cell.hand_over;
+  if (!hand_over.written || names != hand_over.named || !hand_over.maybe_named.empty()) return true;
+  if (names.empty()) return false;
+
+  if (state.now >= hand_over.refresh_at) return true;
+
+  return std::ranges::any_of(names, [&](const VmId& id) {
+    const auto told = hand_over.told.find(id);
+    return told == hand_over.told.end() || cell.workers.at(id).lease.Lapse() > told->second;
+  });
+}
+
 void WriteHandOver(State& state, Effects& effects, OwnedCell& cell) {
   HandOverState& hand_over = cell.hand_over;
   if (hand_over.write_request != 0 || cell.release_request != 0 || cell.maybe_released) return;
@@ -173,7 +201,11 @@
 
   HandOverRecord record = OwnHandOver(state, cell);
   std::set<VmId> names = NamesOf(record);
-  if (hand_over.written && names == hand_over.named && hand_over.maybe_named.empty()) return;
+
+  if (!IsOutdated(state, cell, names)) {
+    if (!names.empty()) WakeAt(state, hand_over.refresh_at);
+    return;
+  }
 
   if (state.now < hand_over.write_at) {
     WakeAt(state, hand_over.write_at);
@@ -181,15 +213,18 @@
   }
 
   hand_over.write_at = state.now + kRecordInterval;
+  hand_over.refresh_at = state.now + kRefreshInterval;
+  hand_over.told.clear();
+  for (const VmId& id : names) hand_over.told[id] = cell.workers.at(id).lease.Lapse();
   hand_over.maybe_named.insert(names.begin(), names.end());
-  hand_over.sent = std::move(names);
 
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
                     ExpectedRecord{HandOverKey(cell.cell), hand_over.revision}};
   write.puts.push_back(RecordPut{HandOverKey(cell.cell), Encode(record), 0});
-  hand_over.write_request =
-      CallStore(state, effects, HandOverWritten{cell.cell, cell.grant}, std::move(write));
+  hand_over.sent = std::move(names);
+  hand_over.write_request = CallStore(state, effects, HandOverWritten{cell.cell, cell.grant},
+                                      std::move(write), kRecordTimeout);
 }
 
 }  // namespace
@@ -263,13 +298,12 @@
 
   switch (reply.status) {
     case StoreStatus::kOk:
-      hand_over.written = true;
-      hand_over.revision = reply.revision;
-      hand_over.named = std::move(hand_over.sent);
-      hand_over.maybe_named.clear();
-      return;
+      return NoteWritten(hand_over, reply.revision, std::move(hand_over.sent));
     case StoreStatus::kConflict:
       break;
+    case StoreStatus::kUnknown:
+      hand_over.write_at = state.now;
+      return;
     default:
       hand_over.write_at = state.now + kStoreRetry;
       return;
@@ -281,8 +315,14 @@
       return;
     }
 
-    // Only this owner writes it now: an earlier write whose answer was lost.
-    if (item.key == HandOverKey(written.cell)) hand_over.revision = item.revision;
+    if (item.key != HandOverKey(written.cell)) continue;
+
+    const Result<HandOverRecord> record = DecodeHandOver(item.value);
+    const bool own = record && record->grant == written.grant;
+    hand_over.revision = item.revision;
+    hand_over.write_at = state.now;
+    // An earlier write whose answer was lost.
+    if (own) NoteWritten(hand_over, item.revision, NamesOf(*record));
   }
 }
 
--- a/tests/scheduler/run_audit.cc
+++ b/tests/scheduler/run_audit.cc
@@ -181,7 +181,7 @@
       if (!task.lent_to.Text().empty()) text << ", lent to " << task.lent_to.Text();
       const auto worker = cell.workers.find(task.worker);
       if (worker != cell.workers.end()) {
-        text << ", lapses at " << worker->second.lapses_at.Count();
+        text << ", lapses at " << worker->second.lease.Lapse().Count();
       }
     }
   }
