Start and renew only where a look has just shown a worker's life

A start that met a new life which nobody had seen was counted for 5 s and ran for 10 s, as its lease went by the former life's clock: TWICE, by the same owner (older than this work) and after each form of hand-over. A start or renewal now needs a look answered in the last 2 s; the look goes beside the write of the binding, so it costs a call and no time. - A worker whose last task was taken back while it was silent was looked at no more and got no task for good: it is looked at until it answers. - Lasting tasks were stopped on a draining worker while nothing could be started (5.4 s away): they stay until the owner may start.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -57,6 +57,12 @@
   worker.next_look = state.now;
 }
 
+/// Says whether a look was answered so lately that the worker can hardly have begun a new life
+/// since.
+bool KnowsLife(const State& state, const WorkerState& worker) {
+  return worker.clock_ms && state.now - worker.clock_at <= kLifeKnown;
+}
+
 /// Returns the least that the worker's clock, which may be slow, shows now.
 int64_t ClockNow(const State& state, const WorkerState& worker) {
   const int64_t passed = (state.now - worker.clock_at).Count();
@@ -206,8 +212,7 @@
 /// Returns the number up to which the worker may forget ends.
 int64_t EndsToForget(const State& state, const WorkerState& worker) {
   // It may have begun a new life, which numbers its ends anew.
-  const bool unseen = worker.failed_looks > 0 || state.now - worker.clock_at > kLifeKnown;
-  if (unseen) return 0;
+  if (worker.failed_looks > 0 || !KnowsLife(state, worker)) return 0;
 
   int64_t up_to = worker.forgotten;
 
@@ -220,8 +225,9 @@
 }
 
 void DriveLook(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
-  const bool needed =
-      !worker.confirmed || !worker.tasks.empty() || !worker.ends.empty() || !worker.strays.empty();
+  const bool silent = worker.listed && worker.failed_looks > 0;
+  const bool needed = silent || !worker.confirmed || !worker.tasks.empty() ||
+                      !worker.ends.empty() || !worker.strays.empty();
   if (!needed || worker.info.address.port == 0) return;
 
   const FencingToken token = TokenOf(cell, worker);
@@ -238,10 +244,14 @@
   // A worker that was silent is asked first and renewed then: a renewal that is not answered may
   // have been carried out, so that leases which it may have extended could never count as lapsed.
   const bool needs_lease = NeedsLease(cell, worker);
-  const bool renew = worker.failed_looks == 0 && needs_lease;
+  const bool life_known = KnowsLife(state, worker);
+  const bool renew = worker.failed_looks == 0 && needs_lease && life_known;
   if (renew) order.lease_until_ms = LeaseUntil(state, cell, worker);
   order.forget_up_to = EndsToForget(state, worker);
-  if (worker.confirmed) order.wait = HasMixedLoad(worker) ? kWatchfulWait : kLookWait;
+  if (worker.confirmed && life_known) {
+    order.wait = HasMixedLoad(worker) ? kWatchfulWait : kLookWait;
+  }
+
   if (needs_lease && !MayRenew(cell, worker)) order.wait = std::min(order.wait, kUnrenewedWait);
   NoteLease(state, worker, order.lease_until_ms);
 
@@ -275,6 +285,8 @@
     case TaskPhase::kStarting: {
       if (task.sent || worker.info.draining || !HoldsLease(state)) return std::nullopt;
       if (!KnowsCancels(state)) return std::nullopt;
+      // A new life would hold a lease by the former one's clock for the longest time.
+      if (!KnowsLife(state, worker)) return std::nullopt;
 
       const std::optional<int64_t> until = LeaseUntil(state, cell, worker);
       if (!until) return std::nullopt;
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -67,7 +67,9 @@
 }  // namespace
 
 void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell) {
-  if (cell.releasing || !HoldsLease(state)) return;
+  // What is stopped has to be started again.
+  const bool starts = HoldsLease(state) && KnowsCancels(state) && cell.hand_over.written;
+  if (cell.releasing || !starts) return;
 
   const bool drains = std::ranges::any_of(cell.workers, [](const auto& row) {
     return row.second.info.draining && row.second.lasting_millicores > 0;
