--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -19,9 +19,6 @@
   return LongestRun(kStoreLease + std::max(kOutageHold, state.settings.longest_worker_lease));
 }
 
-/// Looks in a row without an answer after which the record says that a worker's lease is not
-/// renewed.
-constexpr int32_t kLooksBeforeSilent = 2;
 /// The first record of an owner waits at most so long for the answers of workers, which need not be
 /// named then.
 constexpr Millis kFirstLooks = Millis(300);
