Make the record of a cell's leases only where it is written

Each event made the whole record of each cell, with its texts, to see which workers it would name; now only their names are gathered, and the record is made for a write.

--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -42,16 +42,24 @@
   return std::max(worker.lease.Lapse() - state.now, Millis(0));
 }
 
-HandOverRecord OwnHandOver(const State& state, const OwnedCell& cell) {
+/// Returns the workers that the owner's record is to name.
+std::set<VmId> UnrenewedWorkers(const OwnedCell& cell) {
+  std::set<VmId> names;
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (IsUnrenewed(worker)) names.insert(id);
+  }
+
+  return names;
+}
+
+HandOverRecord OwnHandOver(const State& state, const OwnedCell& cell, const std::set<VmId>& names) {
   HandOverRecord record{.owner = state.settings.entry,
                         .life = state.settings.life,
                         .peer_address = state.settings.peer_address,
                         .grant = cell.grant,
                         .leases = {}};
-
-  for (const auto& [id, worker] : cell.workers) {
-    if (IsUnrenewed(worker)) record.leases[id] = RestOf(state, worker);
-  }
+  for (const VmId& id : names) record.leases[id] = RestOf(state, cell.workers.at(id));
 
   return record;
 }
@@ -196,8 +204,7 @@
   if (hand_over.write_request != 0 || cell.release_request != 0 || cell.maybe_released) return;
   if (!hand_over.written && !KnowsWhoAnswers(state, cell)) return;
 
-  HandOverRecord record = OwnHandOver(state, cell);
-  std::set<VmId> names = NamesOf(record);
+  std::set<VmId> names = UnrenewedWorkers(cell);
 
   if (!IsOutdated(state, cell, names)) {
     if (!names.empty()) WakeAt(state, hand_over.refresh_at);
@@ -218,7 +225,8 @@
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
                     ExpectedRecord{HandOverKey(cell.cell), hand_over.revision}};
-  write.puts.push_back(RecordPut{HandOverKey(cell.cell), Encode(record), 0});
+  write.puts.push_back(
+      RecordPut{HandOverKey(cell.cell), Encode(OwnHandOver(state, cell, names)), 0});
   hand_over.sent = std::move(names);
   hand_over.write_request = CallStore(state, effects, HandOverWritten{cell.cell, cell.grant},
                                       std::move(write), kRecordTimeout);
