Hand on where a task failed and whether its run was seen

Callers saw: after a change of a cell's owner a job failed, as its task was tried a third time on the worker where it had failed twice; a long-running task stayed away for 12.9 s though its worker had restarted and its run was over.

Cause: both facts were known to the former owner only. The worker to avoid was not in the progress record, and a successor could not tell a run that a poll had listed from a start that may have reached the worker's next incarnation.

Change: the progress record of a task names the last worker on which it failed, and for long-running tasks whether a poll has listed the run, with the incarnation in which it was listed. One more write for each start of a long-running task, in the cell's usual batch. A listed run of a former incarnation starts again when the job is restored.

--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -102,13 +102,27 @@
   }
 }
 
-/// Restores the state of a task from the progress that former owners recorded.
-void RestoreTask(const State& state, OwnedCell& cell, JobState& job, const TaskProgress& progress) {
+void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
+                std::string_view reason) {
+  Log(effects, Severity::kInfo, "run was lost",
+      {{"job", ref.job.Text()},
+       {"step", std::to_string(ref.step)},
+       {"task", std::to_string(ref.index)},
+       {"run", std::to_string(run)},
+       {"worker", worker.Text()},
+       {"reason", std::string(reason)}});
+}
+
+/// Restores the state of a task from the progress that former owners recorded. A run that was
+/// listed in a former incarnation of its worker has ended, and the task starts again.
+void RestoreTask(const State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                 const TaskProgress& progress) {
   const TaskRef ref = RefOf(job.record.spec.job, progress);
   TaskState& task = *FindTask(cell, ref);
   task.run = progress.run;
   task.failures = progress.failures;
   task.checkpoint = progress.checkpoint;
+  task.avoided_worker = progress.avoided_worker;
 
   StepState& step =
       job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
@@ -126,7 +140,14 @@
       return;
     case TaskStatus::kBound: {
       WorkerState& worker = FindOrAddWorker(cell, progress.worker);
+
+      if (progress.listed && progress.worker_incarnation < worker.info.incarnation) {
+        LogLostRun(effects, ref, task.run, progress.worker, "its worker has restarted since");
+        return;
+      }
+
       task.phase = TaskPhase::kStarting;
+      task.listed = progress.listed;
       task.start_sent = true;
       task.start_sequence = state.worker_event_sequence;
       task.worker_incarnation = progress.worker_incarnation;
@@ -429,7 +450,7 @@
   if (!job.record.parent.Empty()) RestoreBorrowedTasks(cell, job);
 
   for (const TaskProgress& task : progress->tasks) {
-    if (IsKnownTask(job, RefOf(id, task))) RestoreTask(state, cell, job, task);
+    if (IsKnownTask(job, RefOf(id, task))) RestoreTask(state, effects, cell, job, task);
   }
 
   const auto parent = state.view.jobs.find(job.record.parent);
@@ -503,6 +524,7 @@
   task.target_speed_percent = 100;
   task.last_measurement = 0;
   task.began = state.now;
+  task.listed = false;
   AttachToWorker(cell, job, ref, task, worker);
   MarkDirty(cell, job);
   task.bound_version = job.version;
@@ -579,13 +601,7 @@
                    std::string_view reason) {
   JobState& job = cell.jobs.at(ref.job);
   const TaskState& task = *FindTask(cell, ref);
-  Log(effects, Severity::kInfo, "run was lost",
-      {{"job", ref.job.Text()},
-       {"step", std::to_string(ref.step)},
-       {"task", std::to_string(ref.index)},
-       {"run", std::to_string(task.run)},
-       {"worker", task.worker.Text()},
-       {"reason", std::string(reason)}});
+  LogLostRun(effects, ref, task.run, task.worker, reason);
   RequeueTask(state, cell, job, ref, state.now);
   FinalizeJobIfDone(state, effects, cell, ref.job);
 }
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -113,7 +113,7 @@
 bool MayHaveReachedNewIncarnation(const TaskState& task) {
   const bool started =
       task.phase == TaskPhase::kStarting ? task.start_sent : IsOnWorker(task.phase);
-  return started && task.last_seen_running_at <= task.began;
+  return started && !task.listed;
 }
 
 /// Handles a restart of a worker: no run of the former incarnation is left. Runs whose start may
@@ -472,6 +472,17 @@
         std::to_string((state.now - job.first_bound_at.value_or(job.taken_over_at)).Count())}});
 }
 
+/// Notes that a poll has listed the current run of a task. For long-running tasks this is recorded,
+/// so that a successor does not wait for the lease of a run that ended with its worker's
+/// incarnation.
+void RecordListedRun(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task,
+                     const WorkerState& worker) {
+  task.worker_incarnation = worker.info.incarnation;
+  if (std::exchange(task.listed, true) || !SpecOf(job, ref).is_long_running) return;
+
+  MarkDirty(cell, job);
+}
+
 void HandleRunningTask(const State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                        const RunningTask& row) {
   const TaskRef ref = RefOf(cell, row.task);
@@ -487,6 +498,7 @@
   task->last_measurement = row.last_measurement;
   JobState& job = cell.jobs.at(ref.job);
   RecordRunStart(state, effects, cell, job, worker);
+  RecordListedRun(cell, job, ref, *task, worker);
   AccumulateLostTime(state, job, SpecOf(job, ref), *task);
   const bool must_stop = job.cancelled || job.attempts_exhausted;
 
