Start tasks only on workers whose registry entry was read recently

Seen in simulated time: an owner whose copy of the registry was 5 s old started eight tasks on a worker that had announced 2.5 s before that it drains.

Cause: a start needed recent knowledge of cancels, and none of the registry. Its age was not even known where the store cut long replies to watches: such a reply never counted as complete.

Change: a start needs a registry entry that was read within the deployment's drain time less the timeout of an order. The copy's age advances by revisions too. If the copy is too old, the entry of the one worker is read by its key; a reader of whole pages would be the slower the more it is behind. The registry is watched so often that a healthy owner never reads so. An incarnation that drains does so to its end, whatever older change arrives later.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -38,8 +38,10 @@
   Millis next_at;
   /// When the last request was sent.
   Millis sent_at;
-  /// The latest store revision known when the last request was sent.
+  /// The latest store revision known when the last request was sent, and when the call that
+  /// reported it was sent.
   KvRevision least_revision = 0;
+  Millis least_revision_at;
   /// Consecutive requests that timed out.
   int32_t timeouts = 0;
   /// The copy holds everything that the store held at this time. Empty until the feed was first
@@ -343,6 +345,11 @@
   WorkerAnnouncement info;
   /// The registry contains it.
   bool listed = false;
+  /// The read of its registry entry in flight, 0 if there is none, and when it was sent.
+  RequestId registration_request = 0;
+  Millis registration_sent_at;
+  /// When the last such read that was answered was sent.
+  std::optional<Millis> registration_known_at;
   /// Low part of the fencing token. Increased to invalidate orders with an unknown outcome.
   int64_t fence = 1;
   /// It answered a poll that carried the current fence.
@@ -625,6 +632,11 @@
   JobId job;
   CellId cell;
 };
+struct WorkerRead {
+  CellId cell;
+  KvRevision grant = 0;
+  VmId worker;
+};
 struct EndedJobsRemoved {};
 struct LearnedWritten {};
 struct CancelsRead {};
@@ -632,7 +644,7 @@
     std::variant<FeedCalled, LeaseGranted, LeaseRenewed, PreviousLeaseEnded, EntryRegistered,
                  LayoutWritten, CellClaimed, CellReleased, ProgressListed, ProgressWritten,
                  HandOverRead, HandOverWritten, JobMoved, TasksLent, SubmitWritten, CancelAnswered,
-                 JobRead, PhaseRead, EndedJobsRemoved, LearnedWritten, CancelsRead>;
+                 JobRead, PhaseRead, WorkerRead, EndedJobsRemoved, LearnedWritten, CancelsRead>;
 /// @}
 
 /// A call to the store that is in flight.
@@ -706,6 +718,8 @@
   /// Revisions later than the copy of the records, in order of time.
   std::deque<RevisionMark> revision_marks;
   KvRevision latest_revision = 0;
+  /// When the call that reported it was sent.
+  Millis latest_revision_at;
   absl::flat_hash_map<RequestId, WorkerCallInFlight> worker_calls;
   std::map<JobId, PendingSubmit> submits;
   std::map<JobId, PendingCancel> cancels;
--- a/lib/scheduler/include/currantpost/scheduler/store.h
+++ b/lib/scheduler/include/currantpost/scheduler/store.h
@@ -53,6 +53,11 @@
   std::string key;
 };
 
+/// Reads one worker's entry in the registry.
+struct ReadWorker {
+  VmId worker;
+};
+
 /// Reads a page of the records under a key prefix.
 struct ListRecords {
   std::string prefix;
@@ -106,8 +111,8 @@
   LeaseId lease = 0;
 };
 
-using StoreBody = std::variant<ReadRecord, ListRecords, ListFeed, WatchFeed, WriteRecords,
-                               GrantLease, RenewLease, RevokeLease>;
+using StoreBody = std::variant<ReadRecord, ReadWorker, ListRecords, ListFeed, WatchFeed,
+                               WriteRecords, GrantLease, RenewLease, RevokeLease>;
 
 /// Outcome of a call to the store.
 enum class StoreStatus {
--- a/lib/scheduler/source/cancel_reads.cc
+++ b/lib/scheduler/source/cancel_reads.cc
@@ -11,11 +11,6 @@
 constexpr Millis kLateCopyAge = Millis(1'400);
 /// Minimum pause between two reads of the cancelled jobs.
 constexpr Millis kReadPause = Millis(500);
-/// Added to the timeout of an order, for rounding and timers that fire late.
-constexpr Millis kStartMargin = Millis(200);
-/// Tasks may start if the cancelled jobs are known as of at most this long ago, even if the
-/// configured cancel time is shorter. With a smaller limit no task would ever start.
-constexpr Millis kMinUsableAge = Millis(500);
 
 /// Returns the time up to which all cancellations are known, if any.
 std::optional<Millis> CancelsKnownAt(const State& state) {
@@ -38,8 +33,7 @@
   const std::optional<Millis> known_at = CancelsKnownAt(state);
   if (!known_at) return false;
 
-  const Millis longest = state.settings.cancel_time - kOrderTimeout - kStartMargin;
-  return state.now - *known_at <= std::max(longest, kMinUsableAge);
+  return state.now - *known_at <= LongestUsableAge(state.settings.cancel_time);
 }
 
 void UpdateCancelReads(State& state, Effects& effects) {
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -301,7 +301,7 @@
   switch (task.phase) {
     case TaskPhase::kStarting: {
       if (task.start_sent || worker.info.draining || !HoldsLease(state)) return std::nullopt;
-      if (!CancelsAreCurrent(state)) return std::nullopt;
+      if (!CancelsAreCurrent(state) || !IsRegistrationCurrent(state, worker)) return std::nullopt;
       // A restarted worker cuts a lease end computed for its former clock only to the longest lease
       // that it grants.
       if (!IsIncarnationFresh(state, worker)) return std::nullopt;
@@ -411,6 +411,31 @@
   SendOrder(state, effects, cell, worker, worker.order_request, *std::move(order));
 }
 
+/// Reads the registry entry of a worker to which starts are to be sent, if the copy of the registry
+/// is too old for that.
+void ReadRegistration(State& state, Effects& effects, const OwnedCell& cell, WorkerState& worker) {
+  if (worker.registration_request != 0 || cell.releasing) return;
+  if (!worker.confirmed || !HoldsLease(state)) return;
+  if (IsRegistrationCurrent(state, worker)) return;
+
+  const bool awaits_start = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+    const JobState& job = cell.jobs.at(ref.job);
+    const TaskState& task = job.occurrences[static_cast<size_t>(ref.occurrence)]
+                                .steps[static_cast<size_t>(ref.step)]
+                                .tasks[static_cast<size_t>(ref.index)];
+    return task.phase == TaskPhase::kStarting && !task.start_sent;
+  });
+  if (!awaits_start) return;
+
+  const Millis retry_at = worker.registration_sent_at + kStoreRetryDelay;
+  if (state.now < retry_at) return WakeAt(state, retry_at);
+
+  worker.registration_sent_at = state.now;
+  worker.registration_request =
+      CallStore(state, effects, WorkerRead{cell.cell, cell.grant, worker.info.id},
+                ReadWorker{worker.info.id});
+}
+
 /// Returns whether starts that were not sent to the worker yet should be sent to another worker.
 bool IsClosedToStarts(const WorkerState& worker) {
   return worker.info.draining || !worker.listed ||
@@ -804,7 +829,32 @@
     return;
   }
 
-  state.registry[id] = *item.worker;
+  WorkerAnnouncement& known = state.registry[id];
+  // An incarnation that drains does so to its end. An older change may arrive after a read.
+  const bool drains = known.draining && known.incarnation == item.worker->incarnation;
+  known = *item.worker;
+  known.draining = known.draining || drains;
+}
+
+void HandleWorkerRead(State& state, Effects& effects, const WorkerRead& read,
+                      const StoreReply& reply) {
+  OwnedCell* cell = FindCell(state, read.cell, read.grant);
+  if (cell == nullptr) return;
+
+  const auto found = cell->workers.find(read.worker);
+  if (found == cell->workers.end()) return;
+
+  WorkerState& worker = found->second;
+  worker.registration_request = 0;
+  const bool is_gone = reply.status == StoreStatus::kNotFound;
+  if (reply.status != StoreStatus::kOk && !is_gone) return;
+
+  worker.registration_known_at = worker.registration_sent_at;
+  if (is_gone) {
+    ApplyRegistryItem(state, StoreItem{.key = read.worker.Text(), .removed = true});
+  }
+  for (const StoreItem& item : reply.items) ApplyRegistryItem(state, item);
+  ApplyRegistry(state, effects);
 }
 
 void ApplyRegistry(State& state, Effects& effects) {
@@ -870,6 +920,7 @@
     SendDuePoll(state, effects, cell, worker);
     SendDueStops(state, effects, cell, worker);
     SendDueOrder(state, effects, cell, worker);
+    ReadRegistration(state, effects, cell, worker);
     worker.due_at = state.wake_at;
 
     if (!worker.listed && IsIdle(worker)) {
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -16,13 +16,13 @@
 /// Pause between two watches of the records. The entry that accepts a job sends it to the owner
 /// directly, so the watch only catches up, and the pause limits the number of calls.
 constexpr Millis kRecordsPause = Millis(350);
-/// The same for the registry, in which every worker writes every 1.5 s.
-constexpr Millis kRegistryPause = Millis(700);
-/// Age above which an owner's copy of the records counts as stale and is logged.
-constexpr Millis kStaleRecordsAge = Millis(2'500);
-/// Maximum number of remembered removals. Far more than happen while a late reply is in flight.
-constexpr size_t kMaxRememberedRemovals = 4'000;
-
+/// Longest pause for the registry, in which every worker writes every 1.5 s.
+constexpr Millis kMaxRegistryPause = Millis(700);
+/// Shortest wait of a watch of the registry.
+constexpr Millis kMinRegistryWait = Millis(100);
+/// Time kept between the age of the registry that its watches allow and the age up to which tasks
+/// may start: a reply of a slow store.
+constexpr Millis kRegistryMargin = Millis(300);
 /// A watch reply with this many changes or bytes may be truncated, so more changes may follow. Half
 /// of the store's page limits.
 constexpr size_t kLongReplyItems = 250;
@@ -30,9 +30,6 @@
 /// How often the timeout of a request for records is doubled at most. An entry that is behind gets
 /// long replies, and would never catch up if each one timed out half read.
 constexpr int32_t kMaxTimeoutDoublings = 2;
-/// Minimum interval between two stored revision marks, and their maximum number.
-constexpr Millis kMarkInterval = Millis(100);
-constexpr size_t kMaxMarks = 300;
 
 bool AwaitsRecords(const State& state) {
   return std::ranges::any_of(state.cells, [](const auto& row) { return !row.second.open; });
@@ -43,12 +40,19 @@
   return !state.cells.empty() || IsCoordinator(state);
 }
 
+/// Returns the time for one watch of the registry and the pause after it, so that the registry is
+/// always recent enough to start tasks.
+Millis RegistryCycle(const State& state) {
+  return std::max(LongestUsableAge(state.settings.drain_time), kMinUsableAge + kRegistryMargin) -
+         kRegistryMargin;
+}
+
 Millis PauseOf(const State& state, Feed feed) {
   switch (feed) {
     case Feed::kRecords:
       return AwaitsRecords(state) ? Millis(0) : kRecordsPause;
     case Feed::kWorkers:
-      return kRegistryPause;
+      return std::min(kMaxRegistryPause, RegistryCycle(state) - kMinRegistryWait);
     case Feed::kConfiguration:
       return Millis(0);
   }
@@ -56,6 +60,20 @@
   return Millis(0);
 }
 
+/// Returns how long a watch of a feed may wait for a change.
+Millis WaitOf(const State& state, Feed feed) {
+  switch (feed) {
+    case Feed::kRecords:
+      return state.cells.empty() ? kWatchWait : kOwnerRecordsWait;
+    case Feed::kWorkers:
+      return std::min(kWatchWait, RegistryCycle(state) - PauseOf(state, feed));
+    case Feed::kConfiguration:
+      return kWatchWait;
+  }
+
+  return kWatchWait;
+}
+
 void ApplyItem(State& state, Effects& effects, Feed feed, const StoreItem& item) {
   switch (feed) {
     case Feed::kRecords:
@@ -151,16 +169,6 @@
   return reply.items.size() >= kLongReplyItems || bytes >= kLongReplyBytes;
 }
 
-/// Advances the time up to which the copy of the records is known to be complete. Once the copy
-/// contains the revision that the store reported in reply to a call, it contains everything that
-/// the store had when that call was sent.
-void AdvanceKnownAt(State& state, FeedState& copy) {
-  while (!state.revision_marks.empty() && state.revision_marks.front().revision <= copy.revision) {
-    copy.known_at = std::max(copy.known_at, std::optional(state.revision_marks.front().sent_at));
-    state.revision_marks.pop_front();
-  }
-}
-
 /// Returns the pause before the rest of a long reply is requested. An entry that processes replies
 /// slowly needs time for its other work, above all to renew its lease.
 Millis CatchUpPause(const State& state, Feed feed, const FeedState& copy) {
@@ -174,9 +182,11 @@
                   const StoreReply& reply) {
   for (const StoreItem& item : reply.items) ApplyItem(state, effects, feed, item);
 
-  const bool whole = !IsLongReply(reply) && reply.revision >= copy.least_revision;
+  const bool is_recent = reply.revision >= copy.least_revision;
+  const bool whole = !IsLongReply(reply) && is_recent;
   copy.revision = reply.revision;
   if (whole) copy.known_at = std::max(copy.known_at, std::optional(copy.sent_at));
+  if (is_recent) copy.known_at = std::max(copy.known_at, std::optional(copy.least_revision_at));
   if (feed == Feed::kRecords) AdvanceKnownAt(state, copy);
   copy.next_at = state.now + (whole ? PauseOf(state, feed) : CatchUpPause(state, feed, copy));
 }
@@ -216,6 +226,7 @@
 
     copy.sent_at = state.now;
     copy.least_revision = state.latest_revision;
+    copy.least_revision_at = state.latest_revision_at;
 
     if (!copy.synced) {
       copy.request = CallStore(state, effects, FeedCalled{feed, true},
@@ -223,48 +234,12 @@
       continue;
     }
 
-    const bool is_owner = feed == Feed::kRecords && !state.cells.empty();
-    const Millis wait = is_owner ? kOwnerRecordsWait : kWatchWait;
-    copy.request =
-        CallStore(state, effects, FeedCalled{feed, false}, WatchFeed{feed, copy.revision, wait},
-                  TimeoutOf(feed, copy, kWatchWait));
+    copy.request = CallStore(state, effects, FeedCalled{feed, false},
+                             WatchFeed{feed, copy.revision, WaitOf(state, feed)},
+                             TimeoutOf(feed, copy, kWatchWait));
   }
 }
 
-void RecordStoreRevision(State& state, Millis sent_at, KvRevision revision) {
-  state.latest_revision = std::max(state.latest_revision, revision);
-
-  const bool late = !state.revision_marks.empty() &&
-                    sent_at < state.revision_marks.back().sent_at + kMarkInterval;
-  if (revision == 0 || late || state.revision_marks.size() >= kMaxMarks) return;
-
-  state.revision_marks.push_back(RevisionMark{sent_at, revision});
-}
-
-std::string RecordsAgeText(const State& state) {
-  const auto records = state.feeds.find(Feed::kRecords);
-  if (records == state.feeds.end() || !records->second.known_at) return "never";
-
-  return std::to_string((state.now - *records->second.known_at).Count());
-}
-
-void LogRecordsStaleness(State& state, Effects& effects) {
-  const FeedState& records = state.feeds[Feed::kRecords];
-  const bool owns_open_cell =
-      std::ranges::any_of(state.cells, [](const auto& row) { return row.second.open; });
-  const bool old =
-      owns_open_cell && records.known_at && state.now - *records.known_at > kStaleRecordsAge;
-  if (old == state.stale_records_logged) return;
-
-  state.stale_records_logged = old;
-  Log(effects, old ? Severity::kWarning : Severity::kInfo,
-      old ? "copy of the records is stale" : "copy of the records is up to date again",
-      {{"known_ms", RecordsAgeText(state)},
-       {"listing", records.synced ? "no" : "yes"},
-       {"revision", std::to_string(records.revision)},
-       {"cells", std::to_string(state.cells.size())}});
-}
-
 void RestartWatches(State& state) {
   for (auto& [feed, copy] : state.feeds) {
     if (!copy.synced || copy.request == 0) continue;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -88,6 +88,24 @@
 void HandleFeedReply(State& state, Effects& effects, const FeedCalled& purpose,
                      const StoreReply& reply);
 
+/// Advances the time up to which the copy of the records is known to be complete. Once the copy
+/// contains the revision that the store reported in reply to a call, it contains everything that
+/// the store had when that call was sent.
+void AdvanceKnownAt(State& state, FeedState& copy);
+
+/// A copy of this age or younger may be used for a start even if the configured limit is shorter.
+/// With a smaller limit no task would ever start.
+inline constexpr Millis kMinUsableAge = Millis(500);
+
+/// Returns the maximum age of a copy on which a start may rely, if the start must reach its worker
+/// within `limit` of any change that the copy does not contain.
+Millis LongestUsableAge(Millis limit);
+
+/// Returns whether what this entry knows of a worker's registry entry is recent enough to start
+/// tasks there: a worker that drains gets no start later than `Settings::drain_time` after it has
+/// announced that.
+bool IsRegistrationCurrent(const State& state, const WorkerState& worker);
+
 /// Returns the age of this entry's copy of the records as a text for the log.
 std::string RecordsAgeText(const State& state);
 
@@ -333,6 +351,8 @@
 /// Adds, updates and unlists the workers of owned cells according to the registry.
 void ApplyRegistry(State& state, Effects& effects);
 void ApplyRegistryItem(State& state, const StoreItem& item);
+void HandleWorkerRead(State& state, Effects& effects, const WorkerRead& read,
+                      const StoreReply& reply);
 void UpdateWorkers(State& state, Effects& effects, OwnedCell& cell);
 void HandleWorkerAnswered(State& state, Effects& effects, const WorkerAnswered& answer);
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -62,6 +62,9 @@
   void operator()(const PhaseRead& purpose) const {
     HandlePhaseRead(state, effects, purpose, reply);
   }
+  void operator()(const WorkerRead& purpose) const {
+    HandleWorkerRead(state, effects, purpose, reply);
+  }
   void operator()(const EndedJobsRemoved&) const {}
   void operator()(const LearnedWritten&) const { HandleLearnedWritten(state, effects, reply); }
   void operator()(const CancelsRead&) const { HandleCancelsRead(state, effects, reply); }
--- a/tests/scheduler/sim_store.cc
+++ b/tests/scheduler/sim_store.cc
@@ -126,6 +126,13 @@
     return reply(answer);
   }
 
+  if (const auto* read = std::get_if<ReadWorker>(&body)) {
+    const auto found = items_[Feed::kWorkers].find(read->worker.Text());
+    if (found == items_[Feed::kWorkers].end()) answer.status = StoreStatus::kNotFound;
+    if (answer.status == StoreStatus::kOk) answer.items.push_back(found->second);
+    return reply(answer);
+  }
+
   if (const auto* list = std::get_if<ListFeed>(&body)) {
     for (const auto& [key, item] : items_[list->feed]) {
       if (key > list->after_key && IsShared(list->feed, item)) AddToPage(answer, item);
