Accept a job only under the configuration that the store has

Seen in simulated time: an entry whose watches took seconds accepted a job for a queue that had been removed 2.5 s before.

Cause: acceptance went by the entry's copy of the configuration, however old.

Change: the write that accepts a job expects the revision of the configuration by which it was decided. On a conflict the store returns the current one; it is applied, and the job is decided again or refused as having no queue. No further call is made, and a write that is carried out late can't accept by a former configuration either.

Not covered: a refusal by an old copy of a queue that was added meanwhile.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -696,6 +696,8 @@
   CancelReads cancel_reads;
   View view;
   std::shared_ptr<const Routing> routing;
+  /// Revision of the latest configuration record that was read, whether or not it was usable.
+  KvRevision configuration_revision = 0;
   QueueTable queues;
   std::map<VmId, WorkerAnnouncement> registry;
   LeaseState lease;
--- a/lib/scheduler/include/currantpost/scheduler/store.h
+++ b/lib/scheduler/include/currantpost/scheduler/store.h
@@ -95,6 +95,9 @@
 /// Writes and removes records in one transaction if all preconditions hold (compare-and-swap).
 struct WriteRecords {
   std::vector<ExpectedRecord> expected;
+  /// Expected revision of the operators' configuration, if the write depends on it. On a conflict
+  /// the reply contains the current configuration.
+  std::optional<KvRevision> expected_configuration;
   std::vector<RecordPut> puts;
   std::vector<std::string> removals;
 };
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -78,11 +78,22 @@
   WriteRecords write;
   const std::string key = JobKey(submit.record.spec.job);
   write.expected.push_back(ExpectedRecord{key, 0});
+  // The queue must not have been removed meanwhile, whatever this entry's copy says.
+  write.expected_configuration = state.configuration_revision;
   write.puts.push_back(RecordPut{key, submit.value, 0});
   submit.request =
       CallStore(state, effects, SubmitWritten{submit.record.spec.job}, std::move(write));
 }
 
+/// Sets the parts of a job record that the configuration of its queue determines.
+void ApplyQueue(const Queue& queue, JobRecord& record) {
+  record.queue = queue.name;
+  record.service = queue.service;
+  record.priority = queue.priority;
+  record.max_attempts = queue.max_attempts;
+  record.objective = ObjectiveOf(queue, record.spec);
+}
+
 void HandleSubmit(State& state, Effects& effects, const CallerRequested& asked,
                   const JobSubmitted& submitted) {
   const JobId& id = submitted.spec.job;
@@ -121,14 +132,9 @@
 
   PendingSubmit& submit = state.submits[id];
   submit.calls.push_back(asked.call);
-  submit.record = JobRecord{.queue = queue->name,
-                            .service = queue->service,
-                            .priority = queue->priority,
-                            .max_attempts = queue->max_attempts,
-                            .cell = *cell,
-                            .accepted_unix_ms = state.unix_ms,
-                            .objective = ObjectiveOf(*queue, submitted.spec),
-                            .spec = submitted.spec};
+  submit.record =
+      JobRecord{.cell = *cell, .accepted_unix_ms = state.unix_ms, .spec = submitted.spec};
+  ApplyQueue(*queue, submit.record);
   submit.value = Encode(submit.record);
   submit.retry_deadline = state.now + std::min(kSettleTimeout, asked.caller_timeout);
   SendSubmit(state, effects, submit);
@@ -299,6 +305,37 @@
       AnswerCaller{.call = call, .outcome = CallerOutcome::kPending, .pending = count.Total()});
 }
 
+bool ContainsRecord(const StoreReply& reply, const std::string& key) {
+  return std::ranges::any_of(
+      reply.items, [&](const StoreItem& item) { return item.key == key && !item.removed; });
+}
+
+/// Submits a job again after the store has rejected the write because the configuration changed.
+/// No earlier write of the job can take effect any more, as each expects a former configuration.
+void RetryWithNewConfiguration(State& state, Effects& effects, const JobId& id,
+                               const StoreReply& reply) {
+  for (const StoreItem& item : reply.items) {
+    if (item.key != JobKey(id)) ApplyConfiguration(state, effects, item);
+  }
+
+  const auto found = state.submits.find(id);
+  PendingSubmit& submit = found->second;
+  const Queue* queue = state.queues.Find(submit.record.queue);
+
+  if (queue == nullptr) {
+    Log(effects, Severity::kInfo, "the queue of a submitted job was removed",
+        {{"job", id.Text()}, {"queue", submit.record.queue}});
+    AnswerAll(effects, submit.calls, CallerOutcome::kNoSuchQueue);
+    state.submits.erase(found);
+    return;
+  }
+
+  submit.maybe_applied = false;
+  ApplyQueue(*queue, submit.record);
+  submit.value = Encode(submit.record);
+  SendSubmit(state, effects, submit);
+}
+
 /// Returns whether a job that the store did not have may exist after all: it is known by now, or
 /// its write is still in flight.
 bool MayBeAccepted(const State& state, const JobId& id) {
@@ -360,6 +397,11 @@
       return;
     }
     case StoreStatus::kConflict: {
+      if (!ContainsRecord(reply, JobKey(id))) {
+        RetryWithNewConfiguration(state, effects, id, reply);
+        return;
+      }
+
       // The job exists already, by an earlier write of this entry or by another entry.
       AnswerAll(effects, submit.calls, CallerOutcome::kAccepted);
       state.submits.erase(found);
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -82,18 +82,9 @@
     case Feed::kWorkers:
       ApplyRegistryItem(state, item);
       return;
-    case Feed::kConfiguration: {
-      if (!item.routing) return;
-      if (state.routing && item.routing->version <= state.routing->version) return;
-
-      state.routing = item.routing;
-      state.queues = QueueTable(*item.routing);
-      Log(effects, Severity::kInfo, "applied configuration",
-          {{"version", std::to_string(item.routing->version)},
-           {"queues", std::to_string(item.routing->queues.size())}});
-      effects.emplace_back(ApplyRouting{item.routing});
+    case Feed::kConfiguration:
+      ApplyConfiguration(state, effects, item);
       return;
-    }
   }
 }
 
@@ -206,6 +197,19 @@
 
 }  // namespace
 
+void ApplyConfiguration(State& state, Effects& effects, const StoreItem& item) {
+  state.configuration_revision = std::max(state.configuration_revision, item.revision);
+  if (!item.routing) return;
+  if (state.routing && item.routing->version <= state.routing->version) return;
+
+  state.routing = item.routing;
+  state.queues = QueueTable(*item.routing);
+  Log(effects, Severity::kInfo, "applied configuration",
+      {{"version", std::to_string(item.routing->version)},
+       {"queues", std::to_string(item.routing->queues.size())}});
+  effects.emplace_back(ApplyRouting{item.routing});
+}
+
 void UpdateFeeds(State& state, Effects& effects) {
   for (const auto& row : kFeedNames.Rows()) {
     const Feed feed = row.value;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -83,6 +83,9 @@
 /// Logs a record that cannot be decoded.
 void LogUnreadable(Effects& effects, const StoreItem& item, const Error& error);
 
+/// Applies the operators' configuration if it is newer than the one in force.
+void ApplyConfiguration(State& state, Effects& effects, const StoreItem& item);
+
 /// Lists and watches the feeds that this entry needs.
 void UpdateFeeds(State& state, Effects& effects);
 void HandleFeedReply(State& state, Effects& effects, const FeedCalled& purpose,
--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -143,6 +143,25 @@
                           R"("remove":["currantpost/c"]})");
 }
 
+TEST(Store, EncodesTheConfigurationThatATransactionDependsOn) {
+  scheduler::WriteRecords write;
+  write.expected_configuration = 7;
+
+  EXPECT_EQ(EncodeStoreCall(write).body,
+            R"({"expected_rev":[{"key":"op/config","revision":7}],"puts":[],"remove":[]})");
+}
+
+TEST(Store, ReadsAWorkersEntryInTheRegistry) {
+  const scheduler::StoreBody read = scheduler::ReadWorker{VmId("i-1")};
+  EXPECT_EQ(EncodeStoreCall(read).target, "/kv-key?key=servers/i-1");
+
+  const scheduler::StoreReply reply =
+      DecodeStoreReply(read, Answered(200, Item("servers/i-1", kWorker, 5)));
+  ASSERT_EQ(reply.items.size(), 1U);
+  EXPECT_EQ(reply.items[0].key, "i-1");
+  EXPECT_TRUE(reply.items[0].worker);
+}
+
 TEST(Store, EscapesKeysInQueries) {
   EXPECT_EQ(EncodeStoreCall(scheduler::ReadRecord{"jobs/a b"}).target,
             "/kv-key?key=currantpost/jobs/a%20b");
@@ -173,6 +192,15 @@
   EXPECT_TRUE(reply.items[1].removed);
 }
 
+TEST(Store, AConflictWithAnUnreadableConfigurationTellsItsRevision) {
+  const auto reply = DecodeStoreReply(
+      scheduler::WriteRecords{}, Answered(412, R"({"items":[)" + Item("op/config", "x", 9) + "]}"));
+
+  ASSERT_EQ(reply.items.size(), 1U);
+  EXPECT_EQ(reply.items[0].revision, 9);
+  EXPECT_FALSE(reply.items[0].routing);
+}
+
 TEST(Store, DecodesAWatchOfTheRegistry) {
   const scheduler::WatchFeed watch{scheduler::Feed::kWorkers, 4, Millis(10)};
   const auto reply = DecodeStoreReply(
--- a/tests/scheduler/sim_store.cc
+++ b/tests/scheduler/sim_store.cc
@@ -42,6 +42,12 @@
   return found == records->second.end() ? StoreItem{.key = key, .removed = true} : found->second;
 }
 
+StoreItem SimStore::CurrentConfiguration() const {
+  const auto items = items_.find(Feed::kConfiguration);
+  return items == items_.end() || items->second.empty() ? StoreItem{.removed = true}
+                                                        : items->second.begin()->second;
+}
+
 void SimStore::Write(const WriteRecords& write, Millis now, const Reply& reply) {
   ++writes_;
   StoreReply answer{.status = StoreStatus::kOk};
@@ -51,10 +57,16 @@
     if (current.revision != expected.revision) answer.status = StoreStatus::kConflict;
   }
 
+  const StoreItem configuration = CurrentConfiguration();
+  if (write.expected_configuration && configuration.revision != *write.expected_configuration) {
+    answer.status = StoreStatus::kConflict;
+  }
+
   if (answer.status == StoreStatus::kConflict) {
     for (const ExpectedRecord& expected : write.expected) {
       answer.items.push_back(CurrentItem(expected.key));
     }
+    if (write.expected_configuration) answer.items.push_back(configuration);
     return reply(answer);
   }
 
--- a/tests/scheduler/sim_store.h
+++ b/tests/scheduler/sim_store.h
@@ -68,6 +68,7 @@
   bool AnswerWatch(const PendingWatch& waiting, bool timed_out) const;
   void WakeWatches();
   [[nodiscard]] StoreItem CurrentItem(const std::string& key) const;
+  [[nodiscard]] StoreItem CurrentConfiguration() const;
 
   std::map<Feed, std::map<std::string, StoreItem>> items_;
   std::vector<std::pair<Feed, StoreItem>> history_;
