Acknowledge ended runs once, as a worker may have restarted since

Cause: each poll repeated the number up to which the worker may discard its ends. A new incarnation that the owner had not met yet applied the number of the former one to its own ends: an end as done was lost, and the task ran again (TWICE).

Change: a poll names a number only for ends that the worker still lists, and not while another poll with it is in flight. A worker that restarts in the round trip of that one poll is still open.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -224,19 +224,23 @@
   });
 }
 
-/// Returns the number up to which the worker may discard its ended runs.
+/// Returns the number up to which the worker may discard the ended runs that it lists, 0 for none.
+/// A number that was sent before is not repeated unless the worker still lists the ends: a new
+/// incarnation that this entry has not seen yet would apply it to its own ends.
 int64_t EndsToForget(const State& state, const WorkerState& worker) {
   // The worker may have restarted, and each incarnation numbers its ended runs from the start.
   if (worker.failed_polls > 0 || !IsIncarnationFresh(state, worker)) return 0;
 
-  int64_t up_to = worker.forgotten;
+  int64_t up_to = 0;
 
   for (const auto& [number, end] : worker.ends) {
     if (!end.recorded) break;
     up_to = number;
   }
 
-  return up_to;
+  const bool sent = std::ranges::any_of(
+      worker.polls, [&](const PollInFlight& poll) { return poll.forget_up_to >= up_to; });
+  return sent ? 0 : up_to;
 }
 
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
