Ask for capacity in another cell before tasks are lent or moved there

Causes, by the code and the logs: (1) tasks were lent by load reports that are half a second old, so they arrived in full cells and were moved on, each time after twice the wait of the last (up to 6.4 s); (2) capacity that was reported free counted as taken by whatever waited there, also by tasks that do not fit; (3) demand that an entry had sent to a cell was subtracted until the next report, which a cell with little change never makes; (4) each task that was placed restarted the wait of the others of its job; (5) a job with unrecorded changes was not lent at all.

Change: an owner asks another for capacity by a message over the connections of peers. That owner holds capacity on workers for 0.8 s and replies what it holds and what it has left; only then the loan or the move is written, and the tasks are bound to those workers when they arrive. A cell that declines is not asked again for 0.4 s; owners that do not reply are asked ever more rarely, and the load reports decide as before. Best-effort tasks go by reports as before. (2) to (5) are mended. A message to one owner no longer makes an entry review all its cells and workers.

Open: a borrowed job of which some tasks run can't pass the others on; they wait for room in the borrower's cell.

--- /dev/null
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "currantpost/base/error.h"
+#include "currantpost/base/ids.h"
+#include "currantpost/scheduler/job_spec.h"
+#include "currantpost/scheduler/records.h"
+
+/// Messages between the owners of two cells about capacity for tasks that are to be lent or moved.
+/// They are pushed to the peer and never stored.
+
+namespace currantpost::scheduler {
+
+/// Key prefixes of the messages, followed by the cell that has the capacity.
+/// @{
+inline constexpr std::string_view kReservationRequestPrefix = "reservation-request/";
+inline constexpr std::string_view kReservationReplyPrefix = "reservation-reply/";
+/// @}
+
+/// Identifies one step in one occurrence of a job, as the workers know it.
+struct StepName {
+  JobId job;
+  int32_t occurrence = 0;
+  int32_t step = 0;
+
+  auto operator<=>(const StepName&) const = default;
+};
+
+/// Asks the owner of a cell to hold capacity for tasks of a step for a short time.
+struct ReservationRequest {
+  StepName name;
+  /// The requirements of a task. `task_count` is the number of tasks.
+  StepSpec step;
+  std::string service;
+  /// The cell and the job in which the tasks wait. The job differs from that of `name` if the tasks
+  /// are borrowed.
+  CellId from;
+  JobId job;
+  Address reply_to;
+};
+
+/// Says for how many tasks capacity is held.
+struct ReservationReply {
+  CellId from;
+  JobId job;
+  std::string service;
+  int32_t tasks = 0;
+  /// Free capacity that is left in the cell, and the largest task that fits, in thousandths of a
+  /// core.
+  int64_t free = 0;
+  int64_t largest_free = 0;
+};
+
+std::string Encode(const ReservationRequest& request);
+std::string Encode(const ReservationReply& reply);
+
+/// Each fails with `kMalformed` if the value is not a message of that type.
+/// @{
+Result<ReservationRequest> DecodeReservationRequest(std::string_view value);
+Result<ReservationReply> DecodeReservationReply(std::string_view value);
+/// @}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -19,6 +19,7 @@
 #include "currantpost/policy/interference_model.h"
 #include "currantpost/scheduler/events.h"
 #include "currantpost/scheduler/records.h"
+#include "currantpost/scheduler/reservation.h"
 #include "currantpost/scheduler/routing.h"
 #include "currantpost/scheduler/settings.h"
 #include "currantpost/scheduler/store.h"
@@ -288,6 +289,16 @@
     Millis retry_at;
   };
   std::optional<PendingLoan> loan;
+  /// A request for capacity in another cell whose reply has not arrived.
+  struct PendingReservation {
+    CellId to;
+    Millis expires_at;
+  };
+  std::optional<PendingReservation> reservation;
+  /// Consecutive such requests without a reply.
+  int32_t unanswered_reservations = 0;
+  /// Cells that had no capacity for its tasks, and until when they are not asked again.
+  std::map<CellId, Millis> declined_until;
   /// Number of tasks lent to other cells.
   int32_t lent = 0;
   /// When to poll the borrowers next.
@@ -397,6 +408,8 @@
   /// Estimated use of its long-running tasks, derived from their tail latencies, in thousandths of
   /// a core.
   int64_t long_running_use = 0;
+  /// Number of tasks of other cells for which capacity is reserved.
+  int32_t reservations = 0;
   /// No task is placed on it before this time, because the tasks that it starts fail.
   Millis quarantined_until;
   int32_t failures_in_row = 0;
@@ -459,6 +472,30 @@
   std::map<VmId, Millis> expiries;
 };
 
+/// Capacity of a cell held for tasks of one step that another cell is about to pass on.
+struct Reservation {
+  StepSpec step;
+  /// A worker for each task.
+  std::vector<VmId> workers;
+  Millis expires_at;
+};
+
+/// Demand sent to a cell since its last load report, in thousandths of a core.
+struct SentDemand {
+  int64_t reserved = 0;
+  int64_t best_effort = 0;
+  /// When demand was last added.
+  Millis sent_at;
+};
+
+/// An owner that did not reply to requests for capacity in time.
+struct UnresponsiveOwner {
+  /// It is not asked again before.
+  Millis until;
+  /// Consecutive requests without a reply.
+  int32_t requests = 0;
+};
+
 /// Sort key of waiting tasks: priority, long-running tasks first, target time of the job, task.
 using WaitingKey = std::tuple<int32_t, int32_t, int64_t, TaskRef>;
 
@@ -489,6 +526,9 @@
   /// Tasks borrowed from other cells, by the names under which the workers know them.
   std::map<TaskName, TaskRef> borrowed_tasks;
   std::set<WaitingKey> waiting;
+  std::map<StepName, Reservation> reservations;
+  /// Earliest time of the next request to a cell that reports no capacity.
+  Millis next_probe;
   /// Some worker may need a poll or an order.
   bool worker_update_due = true;
   /// Earliest time of the next update of all jobs.
@@ -726,9 +766,9 @@
   std::map<JobId, PendingSubmit> submits;
   std::map<JobId, PendingCancel> cancels;
   absl::flat_hash_map<RequestId, PendingPeerQuery> peer_queries;
-  /// Demand of jobs and tasks sent to cells since their last load report, in thousandths of a core.
-  std::map<CellId, int64_t> sent_demand;
-  std::map<CellId, int64_t> sent_best_effort_demand;
+  std::map<CellId, SentDemand> sent_demand;
+  /// Cells whose owners did not reply to the last request for capacity in time.
+  std::map<CellId, UnresponsiveOwner> unresponsive_owners;
 
   /// When the store last answered any call.
   std::optional<Millis> store_answered_at;
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -31,6 +31,10 @@
 /// Exponent of the spare capacity in a cell's weight, so that nearly full cells are rarely chosen.
 constexpr double kSpareExponent = 2.0;
 
+/// Time after which demand sent to a cell is no longer subtracted from its free capacity. A cell
+/// whose load has hardly changed makes no new report.
+constexpr Millis kMaxUnreportedTime = Millis(1'500);
+
 uint64_t Hash(std::string_view text, const CellId& cell) {
   return XXH64(text.data(), text.size(), XXH64(cell.Text().data(), cell.Text().size(), 0));
 }
@@ -42,9 +46,12 @@
   return (static_cast<double>(Hash(text, cell) >> kDropped) + 0.5) / kSteps;
 }
 
-int64_t SentSinceReport(const std::map<CellId, int64_t>& sent, const CellId& cell) {
-  const auto found = sent.find(cell);
-  return found == sent.end() ? 0 : found->second;
+/// Returns the demand sent to a cell that its load report may not contain yet.
+SentDemand UnreportedDemand(const State& state, const CellId& cell) {
+  const auto sent = state.sent_demand.find(cell);
+  const bool is_recent =
+      sent != state.sent_demand.end() && state.now - sent->second.sent_at < kMaxUnreportedTime;
+  return is_recent ? sent->second : SentDemand{};
 }
 
 /// Returns the share of a cell's capacity that best-effort work of an image can use without adding
@@ -145,6 +152,21 @@
   return best;
 }
 
+/// Returns whether the owner of a cell may be asked for capacity for tasks of a job.
+bool MayAsk(const State& state, const JobState& job, const CellId& cell) {
+  const auto unresponsive = state.unresponsive_owners.find(cell);
+  if (unresponsive != state.unresponsive_owners.end() && state.now < unresponsive->second.until)
+    return false;
+
+  const auto declined = job.declined_until.find(cell);
+  return declined == job.declined_until.end() || state.now >= declined->second;
+}
+
+/// Returns a key for a random draw that differs between the attempts for a job.
+std::string DrawKey(const State& state, const JobState& job) {
+  return job.record.spec.job.Text() + "@" + std::to_string(state.now.Count());
+}
+
 std::optional<CellId> CellWithMostRoom(const std::vector<Candidate>& candidates) {
   const auto most = std::ranges::max_element(candidates, {}, &Candidate::spare);
   if (most == candidates.end()) return std::nullopt;
@@ -183,18 +205,21 @@
   CellRoom room;
   room.capacity = report.capacity;
   room.largest = report.largest_free;
-  room.free = report.free - SentSinceReport(state.sent_demand, cell);
+  const SentDemand sent = UnreportedDemand(state, cell);
+  room.free = report.free - sent.reserved;
   room.free_after_waiting = room.free - report.waiting;
   const auto usable =
       static_cast<double>(report.free_best_effort) * UsableBestEffortShare(state, report, image);
-  room.best_effort = static_cast<int64_t>(usable) - report.waiting_best_effort -
-                     SentSinceReport(state.sent_best_effort_demand, cell);
+  room.best_effort = static_cast<int64_t>(usable) - report.waiting_best_effort - sent.best_effort;
   return room;
 }
 
 void AddSentDemand(State& state, const CellId& cell, const Demand& demand) {
-  state.sent_demand[cell] += demand.reserved;
-  state.sent_best_effort_demand[cell] += demand.best_effort;
+  SentDemand& sent = state.sent_demand[cell];
+  sent = UnreportedDemand(state, cell);
+  sent.reserved += demand.reserved;
+  sent.best_effort += demand.best_effort;
+  sent.sent_at = state.now;
 }
 
 std::optional<CellId> ChooseCell(const State& state, const std::string& service,
@@ -226,4 +251,57 @@
                                 : SpreadByRoom(candidates, draw);
 }
 
+std::optional<CellId> ChooseCellForTasks(const State& state, const CellId& except,
+                                         const JobState& job, const StepSpec& spec, int64_t tasks) {
+  Demand demand;
+  AddDemand(demand, spec, 1);
+  std::vector<Candidate> candidates = Candidates(state, job.record.service, demand);
+  std::erase_if(candidates, [&](const Candidate& each) {
+    return each.cell == except || !MayAsk(state, job, each.cell);
+  });
+  if (spec.is_long_running) return PackByImage(candidates, spec.image);
+
+  // The number of tasks that fit beside those that wait there, and the number if those do not fit.
+  std::pair<int64_t, int64_t> most;
+  std::vector<Candidate> best;
+  const int64_t need = std::max<int64_t>(spec.need.millicores, 1);
+
+  for (Candidate& candidate : candidates) {
+    const CellRoom room = *RoomOf(state, candidate.cell, job.record.service, spec.image);
+    if (room.largest < spec.need.millicores) continue;
+
+    const std::pair<int64_t, int64_t> fit(
+        std::clamp<int64_t>(room.free_after_waiting / need, 0, tasks),
+        std::clamp<int64_t>(room.free / need, 0, tasks));
+    if (fit.second == 0 || fit < most) continue;
+    if (fit > most) best.clear();
+
+    most = fit;
+    candidate.fits = true;
+    best.push_back(std::move(candidate));
+  }
+
+  return SpreadByRoom(best, JobId(DrawKey(state, job)));
+}
+
+std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
+                                         const JobState& job) {
+  const std::string draw = DrawKey(state, job);
+  std::optional<CellId> best;
+  uint64_t best_rank = 0;
+
+  for (const auto& [id, load] : state.view.loads) {
+    if (id == except || !load.record.services.contains(job.record.service)) continue;
+    if (!MayAsk(state, job, id)) continue;
+
+    const uint64_t rank = Hash(draw, id);
+    if (best && rank <= best_rank) continue;
+
+    best = id;
+    best_rank = rank;
+  }
+
+  return best;
+}
+
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reservations.h"
 
 /// Jobs of owned cells: the state of their tasks, from acceptance to the end of the job.
 
@@ -463,6 +463,7 @@
 
   StartOccurrences(state, cell, job);
   HandleEndedLoans(state, effects, job);
+  ClaimReservations(state, cell, job);
   FinalizeJobIfDone(state, effects, cell, id);
 }
 
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -800,7 +800,7 @@
   const bool recorded =
       std::ranges::all_of(worker.ends, [](const auto& row) { return row.second.recorded; });
   return recorded && worker.tasks.empty() && worker.polls.empty() && worker.order_request == 0 &&
-         worker.stops.empty();
+         worker.stops.empty() && worker.reservations == 0;
 }
 
 }  // namespace
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -429,6 +429,15 @@
 std::optional<CellId> ChooseOtherCell(const State& state, const CellId& except,
                                       const JobRecord& record, const Demand& demand);
 
+/// Chooses another cell to ask for capacity for a number of waiting tasks of a step, one that
+/// reports room for as many of them as possible. Returns nothing if no cell reports room for one.
+std::optional<CellId> ChooseCellForTasks(const State& state, const CellId& except,
+                                         const JobState& job, const StepSpec& spec, int64_t tasks);
+
+/// Chooses another cell at random that has workers of the job's service, whatever it reports.
+std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
+                                         const JobState& job);
+
 /// Evaluates the tail latencies and processor uses from a poll, and sets the speed limits of
 /// best-effort tasks on the worker.
 void UpdateSpeeds(State& state, OwnedCell& cell, WorkerState& worker);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reservations.h"
 
 /// Lending of tasks that find no capacity in their job's cell to another cell. Needed when cells
 /// fill up unevenly while long-running tasks hold most of the capacity, and for jobs that need more
@@ -25,32 +25,7 @@
 constexpr Millis kLoanPollInterval = Millis(3'000);
 constexpr Millis kLoanPollTimeout = Millis(500);
 
-/// The waiting tasks of one step.
-struct Batch {
-  std::vector<TaskRef> tasks;
-  const StepSpec* spec = nullptr;
-};
-
-/// Returns the waiting tasks of the first step that has tasks ready to start.
-Batch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job) {
-  Batch batch;
-
-  for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
-    if (FindTask(cell, ref)->not_before > state.now) continue;
-
-    if (batch.tasks.empty()) batch.spec = &SpecOf(job, ref);
-    const TaskRef& first = batch.tasks.empty() ? ref : batch.tasks.front();
-    if (ref.step != first.step || ref.occurrence != first.occurrence) break;
-
-    batch.tasks.push_back(ref);
-    // Long-running tasks are lent one by one, so that each can be moved separately.
-    if (batch.spec->is_long_running) break;
-  }
-
-  return batch;
-}
-
-/// Returns how many tasks of a step a cell has capacity for.
+/// Returns how many tasks of a step a cell reports capacity for.
 int64_t TasksThatFit(const State& state, const CellId& id, const std::string& service,
                      const StepSpec& spec) {
   const std::optional<CellRoom> room = RoomOf(state, id, service, spec.image);
@@ -160,19 +135,61 @@
   MarkDirty(cell, job);
 }
 
-/// Allows the next waiting long-running task of a job to be lent without another delay.
+/// Allows the next waiting tasks of a job to be lent without another delay. Best-effort tasks are
+/// not urgent.
 void LendNextWithoutDelay(const State& state, OwnedCell& cell, const JobId& id) {
   const auto job = cell.jobs.find(id);
   if (job == cell.jobs.end()) return;
 
   const std::vector<TaskRef> waiting = WaitingTasksOf(cell, job->second);
-  if (waiting.empty() || !SpecOf(job->second, waiting.front()).is_long_running) return;
+  if (waiting.empty() || SpecOf(job->second, waiting.front()).best_effort) return;
 
   job->second.waits_since = state.now - kLendDelay;
 }
 
+/// Lends tasks to the cell that reports most capacity for them.
+void LendByReports(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                   WaitingBatch batch) {
+  const auto borrower = ChooseBorrower(state, cell, job, *batch.spec);
+  if (!borrower) return;
+
+  const auto& [to, fit] = *borrower;
+  if (static_cast<int64_t>(batch.tasks.size()) > fit) {
+    batch.tasks.resize(static_cast<size_t>(fit));
+  }
+
+  Demand demand;
+  AddDemand(demand, *batch.spec, static_cast<int64_t>(batch.tasks.size()));
+  AddSentDemand(state, to, demand);
+  LendTasks(state, effects, cell, job, batch.tasks, to);
+}
+
 }  // namespace
 
+WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job) {
+  WaitingBatch batch;
+
+  for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
+    if (FindTask(cell, ref)->not_before > state.now) continue;
+
+    if (batch.tasks.empty()) batch.spec = &SpecOf(job, ref);
+    const TaskRef& first = batch.tasks.empty() ? ref : batch.tasks.front();
+    if (ref.step != first.step || ref.occurrence != first.occurrence) break;
+
+    batch.tasks.push_back(ref);
+    // Long-running tasks are lent one by one, so that each can be moved separately.
+    if (batch.spec->is_long_running) break;
+  }
+
+  return batch;
+}
+
+void LendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+               const std::vector<TaskRef>& tasks, const CellId& to) {
+  PrepareLoan(state, effects, cell, job, tasks, to);
+  WriteLoan(state, effects, cell, job);
+}
+
 std::set<JobId> BorrowedJobs(const JobState& job) {
   std::set<JobId> jobs;
 
@@ -214,39 +231,40 @@
     return;
   }
 
-  if (!job.waits_since || job.move || job.cancelled || job.attempts_exhausted || cell.releasing)
-    return;
-  // Borrowed tasks are not lent again. Their borrowed job is moved as a whole instead.
-  if (!job.record.parent.Empty()) return;
-  if (job.recorded_version != job.version || cell.write.versions.contains(job.record.spec.job))
+  if (job.cancelled || job.attempts_exhausted || cell.releasing) {
+    job.reservation.reset();
     return;
+  }
+
+  if (AwaitsReservation(state, effects, job)) return;
+  if (!job.waits_since || job.move || cell.write.versions.contains(job.record.spec.job)) return;
 
   if (state.now < *job.waits_since + kLendDelay) {
     WakeAt(state, *job.waits_since + kLendDelay);
     return;
   }
 
-  Batch batch = WaitingTasks(state, cell, job);
+  WaitingBatch batch = WaitingTasks(state, cell, job);
   if (batch.tasks.empty() || batch.spec->gang) return;
 
-  if (batch.spec->best_effort && state.now < *job.waits_since + kLendBestEffortDelay) {
-    WakeAt(state, *job.waits_since + kLendBestEffortDelay);
-    return;
+  const bool is_borrowed = !job.record.parent.Empty();
+
+  if (!batch.spec->best_effort && !HasUnresponsivePeers(job)) {
+    // Borrowed tasks are not lent again. Their borrowed job is moved as a whole instead.
+    if (is_borrowed && job.bound > 0) return;
+    if (RequestCapacity(state, effects, cell, job, batch)) return;
+    // While peers do not reply, the load reports alone decide.
+    if (job.unanswered_reservations == 0) return;
   }
 
-  const auto borrower = ChooseBorrower(state, cell, job, *batch.spec);
-  if (!borrower) return;
+  if (is_borrowed) return;
 
-  const auto& [to, fit] = *borrower;
-  if (static_cast<int64_t>(batch.tasks.size()) > fit) {
-    batch.tasks.resize(static_cast<size_t>(fit));
+  if (batch.spec->best_effort && state.now < *job.waits_since + kLendBestEffortDelay) {
+    WakeAt(state, *job.waits_since + kLendBestEffortDelay);
+    return;
   }
 
-  Demand demand;
-  AddDemand(demand, *batch.spec, static_cast<int64_t>(batch.tasks.size()));
-  AddSentDemand(state, to, demand);
-  PrepareLoan(state, effects, cell, job, batch.tasks, to);
-  WriteLoan(state, effects, cell, job);
+  LendByReports(state, effects, cell, job, std::move(batch));
 }
 
 void HandleTasksLent(State& state, Effects& effects, const TasksLent& lent,
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reservations.h"
 
 /// Moves of jobs without bound tasks to cells with capacity, and removal of ended jobs from the
 /// store.
@@ -64,8 +64,8 @@
     return;
   }
 
-  if (!job.waits_since || job.loan || job.bound > 0 || job.cancelled || job.attempts_exhausted ||
-      cell.releasing)
+  if (!job.waits_since || job.loan || job.reservation || job.bound > 0 || job.cancelled ||
+      job.attempts_exhausted || cell.releasing)
     return;
   if (cell.dirty.contains(job.record.spec.job) || job.recorded_version != job.version) return;
 
@@ -78,17 +78,25 @@
     return;
   }
 
+  // Other tasks are passed on to a cell that has reserved capacity for them.
+  const Demand demand = WaitingDemand(cell, job);
+  if (demand.reserved > 0 && job.unanswered_reservations == 0) return;
+
   const std::optional<CellId> to = ChooseMoveTarget(state, cell, job);
   if (!to) return;
 
+  AddSentDemand(state, *to, demand);
+  MoveJob(state, effects, cell, job, *to);
+}
+
+void MoveJob(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to) {
   JobRecord moved = job.record;
-  moved.cell = *to;
+  moved.cell = to;
   ++moved.moves;
   moved.carried_progress = ProgressOf(job);
-  job.move = JobState::PendingMove{.to = *to, .value = Encode(moved)};
-  AddSentDemand(state, *to, WaitingDemand(cell, job));
+  job.move = JobState::PendingMove{.to = to, .value = Encode(moved)};
   Log(effects, Severity::kInfo, "moving job to a cell with free capacity",
-      {{"job", job.record.spec.job.Text()}, {"from", cell.cell.Text()}, {"to", to->Text()}});
+      {{"job", job.record.spec.job.Text()}, {"from", cell.cell.Text()}, {"to", to.Text()}});
   WriteMove(state, effects, cell, job);
 }
 
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reservations.h"
 
 /// Chooses the worker for each waiting task, and reports the load of a cell. Designed for a load in
 /// which long-running tasks hold most of the capacity, short jobs need room at once, and
@@ -72,9 +72,9 @@
   return label.empty() || std::ranges::find(worker.info.labels, label) != worker.info.labels.end();
 }
 
-/// Counts the tasks of the same step on a worker, including those lent to this cell in separate
-/// borrowed jobs.
-int32_t CountSameStepTasks(const OwnedCell& cell, const WorkerState& worker, const TaskName& name) {
+/// Counts the tasks of a step on a worker, including those lent to this cell in separate borrowed
+/// jobs and those for which capacity is reserved.
+int32_t CountTasksOfStep(const OwnedCell& cell, const WorkerState& worker, const StepName& name) {
   int32_t count = 0;
 
   for (const TaskRef& ref : worker.tasks) {
@@ -82,7 +82,12 @@
     if (NameOf(cell.jobs.at(ref.job), ref).job == name.job) ++count;
   }
 
-  return count;
+  if (worker.reservations == 0) return count;
+
+  const auto held = cell.reservations.find(name);
+  if (held == cell.reservations.end()) return count;
+
+  return count + static_cast<int32_t>(std::ranges::count(held->second.workers, worker.info.id));
 }
 
 /// Returns how well a worker suits a long-running task, by the images of the long-running tasks
@@ -103,14 +108,13 @@
 }
 
 /// Returns the score of a worker for a task, or nothing if the task may not be placed there.
-std::optional<int64_t> ScoreWorker(const State& state, OwnedCell& cell, const JobState& job,
-                                   const TaskRef& ref, const TaskState& task, WorkerState& worker,
-                                   const std::string& service) {
-  const StepSpec& spec = SpecOf(job, ref);
-  if (!AcceptsTasks(state, worker) || worker.info.service != service) return std::nullopt;
+std::optional<int64_t> ScoreWorker(const State& state, OwnedCell& cell,
+                                   const PlacementRequest& request, WorkerState& worker) {
+  const StepSpec& spec = request.spec;
+  if (!AcceptsTasks(state, worker) || worker.info.service != request.service) return std::nullopt;
   if (!HasRoom(worker, spec) || !HasLabel(worker, spec.worker_label)) return std::nullopt;
 
-  const int32_t same = CountSameStepTasks(cell, worker, NameOf(job, ref));
+  const int32_t same = CountTasksOfStep(cell, worker, request.name);
   if (spec.max_per_worker > 0 && same >= spec.max_per_worker) return std::nullopt;
 
   int64_t score = 0;
@@ -118,7 +122,7 @@
   if (spec.best_effort) {
     const double headroom =
         StressHeadroomWith(state, cell, worker, spec.image, spec.need.millicores);
-    const bool may_wait = state.now - task.not_before < kMaxHeadroomWait;
+    const bool may_wait = state.now - request.ready_at < kMaxHeadroomWait;
     if (headroom < 0.0 && may_wait) return std::nullopt;
 
     score = FreeBestEffort(worker) +
@@ -135,7 +139,7 @@
     score = FreeMillicores(worker);
   }
 
-  if (worker.info.id == task.avoided_worker) score += kFailedWorkerScore;
+  if (worker.info.id == request.avoided_worker) score += kFailedWorkerScore;
   if (!spec.preferred_rack.empty() && worker.info.rack.Text() == spec.preferred_rack) {
     score += kPreferredRackScore;
   }
@@ -143,13 +147,6 @@
   return score;
 }
 
-/// Returns the service whose workers run a job now: that of its queue, or the one recorded when the
-/// job was accepted if the queue no longer exists.
-const std::string& ServiceOf(const State& state, const JobRecord& record) {
-  const Queue* queue = state.queues.Find(record.queue);
-  return queue == nullptr ? record.service : queue->service;
-}
-
 /// Returns the waiting tasks in order of placement: by priority, rank and urgency, then by when
 /// their jobs should be done.
 std::vector<TaskRef> TasksByUrgency(const State& state, const OwnedCell& cell) {
@@ -172,15 +169,22 @@
 
 }  // namespace
 
-WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const TaskRef& ref) {
-  const JobState& job = cell.jobs.at(ref.job);
-  const TaskState& task = *FindTask(cell, ref);
-  const std::string& service = ServiceOf(state, job.record);
+const std::string& ServiceOf(const State& state, const JobRecord& record) {
+  const Queue* queue = state.queues.Find(record.queue);
+  return queue == nullptr ? record.service : queue->service;
+}
+
+StepName StepNameOf(const JobState& job, const TaskRef& ref) {
+  const TaskName name = NameOf(job, ref);
+  return StepName{name.job, name.occurrence, name.step};
+}
+
+WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const PlacementRequest& request) {
   WorkerState* best = nullptr;
   int64_t best_score = 0;
 
   for (auto& [id, worker] : cell.workers) {
-    const std::optional<int64_t> score = ScoreWorker(state, cell, job, ref, task, worker, service);
+    const std::optional<int64_t> score = ScoreWorker(state, cell, request, worker);
     if (!score || (best != nullptr && *score <= best_score)) continue;
 
     best = &worker;
@@ -190,6 +194,22 @@
   return best;
 }
 
+WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const TaskRef& ref) {
+  const JobState& job = cell.jobs.at(ref.job);
+  const TaskState& task = *FindTask(cell, ref);
+  return ChooseWorker(state, cell,
+                      PlacementRequest{.name = StepNameOf(job, ref),
+                                       .spec = SpecOf(job, ref),
+                                       .service = ServiceOf(state, job.record),
+                                       .avoided_worker = task.avoided_worker,
+                                       .ready_at = task.not_before});
+}
+
+bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
+                  WorkerState& worker) {
+  return ScoreWorker(state, cell, request, worker).has_value();
+}
+
 void PlaceTasks(State& state, Effects& /*effects*/, OwnedCell& cell) {
   if (cell.releasing || cell.waiting.empty() || !cell.placement_due) return;
 
@@ -201,6 +221,7 @@
   cell.placement_due = false;
   cell.next_placement = state.now + kPlacementInterval;
   std::set<std::tuple<JobId, int32_t, int32_t>> unplaceable;
+  std::set<JobId> bound;
 
   for (const TaskRef& ref : TasksByUrgency(state, cell)) {
     JobState& job = cell.jobs.at(ref.job);
@@ -227,7 +248,13 @@
     }
 
     BindTask(state, cell, job, ref, *worker);
-    job.waits_since.reset();
+    bound.insert(ref.job);
+  }
+
+  for (const JobId& id : bound) {
+    const auto waiting = unplaceable.lower_bound(std::make_tuple(id, 0, 0));
+    const bool waits = waiting != unplaceable.end() && std::get<0>(*waiting) == id;
+    if (!waits) cell.jobs.at(id).waits_since.reset();
   }
 }
 
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -23,6 +23,10 @@
 /// percent.
 constexpr int64_t kLoadChangePercent = 3;
 
+/// A load is also reported again if the largest task that fits has changed by more than this many
+/// thousandths of a core.
+constexpr int64_t kLargestFreeChange = 500;
+
 TaskStatus MarkOf(TaskPhase phase) {
   switch (phase) {
     case TaskPhase::kBinding:
@@ -61,6 +65,7 @@
 
     const ServiceLoad& old = known->second;
     if (load.capacity != old.capacity) return true;
+    if (std::abs(load.largest_free - old.largest_free) > kLargestFreeChange) return true;
     if (HasChanged(load.free, old.free, load.capacity)) return true;
     if (HasChanged(load.free_best_effort, old.free_best_effort, load.capacity)) return true;
     if (HasChanged(load.waiting, old.waiting, load.capacity)) return true;
@@ -214,7 +219,8 @@
 
   for (const JobId& id : cell.dirty) {
     JobState& job = cell.jobs.at(id);
-    if (job.move || job.loan) continue;
+    // A loan that is about to be written contains the progress.
+    if (job.move || job.loan || job.reservation) continue;
 
     entries += IsTerminal(job.phase) ? kEntriesPerEndedJob : kEntriesPerJob;
     if (entries > kMaxTransactionEntries) break;
--- /dev/null
+++ b/lib/scheduler/source/reservation.cc
@@ -0,0 +1,67 @@
+#include "currantpost/scheduler/reservation.h"
+
+#include "record_json.h"
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Maximum number of tasks in one request. Far more than fit into a cell.
+constexpr int32_t kMaxTasks = 10'000;
+
+}  // namespace
+
+std::string Encode(const ReservationRequest& request) {
+  return Dump(Json{{"job", request.name.job.Text()},
+                   {"occurrence", request.name.occurrence},
+                   {"step", request.name.step},
+                   {"spec", StepJson(request.step)},
+                   {"service", request.service},
+                   {"from", request.from.Text()},
+                   {"waiting", request.job.Text()},
+                   {"peer", AddressJson(request.reply_to)}});
+}
+
+Result<ReservationRequest> DecodeReservationRequest(std::string_view value) {
+  Result<ReservationRequest> request =
+      Decode<ReservationRequest>(value, "reservation request", [](const Json& json) {
+        return ReservationRequest{.name = StepName{.job = JobId(json.at("job").get<std::string>()),
+                                                   .occurrence = json.at("occurrence").get<int>(),
+                                                   .step = json.at("step").get<int>()},
+                                  .step = StepOf(json.at("spec")),
+                                  .service = json.at("service").get<std::string>(),
+                                  .from = CellId(json.at("from").get<std::string>()),
+                                  .job = JobId(json.at("waiting").get<std::string>()),
+                                  .reply_to = AddressOf(json.at("peer"))};
+      });
+  if (!request) return request;
+
+  const StepSpec& step = request->step;
+  const bool is_valid = step.task_count > 0 && step.task_count <= kMaxTasks &&
+                        step.need.millicores >= 0 && step.need.memory_mib >= 0 &&
+                        step.need.accelerators >= 0;
+  if (!is_valid) return Fail(ErrorCode::kMalformed, "reservation request: out of range");
+
+  return request;
+}
+
+std::string Encode(const ReservationReply& reply) {
+  return Dump(Json{{"from", reply.from.Text()},
+                   {"waiting", reply.job.Text()},
+                   {"service", reply.service},
+                   {"tasks", reply.tasks},
+                   {"free", reply.free},
+                   {"largest", reply.largest_free}});
+}
+
+Result<ReservationReply> DecodeReservationReply(std::string_view value) {
+  return Decode<ReservationReply>(value, "reservation reply", [](const Json& json) {
+    return ReservationReply{.from = CellId(json.at("from").get<std::string>()),
+                            .job = JobId(json.at("waiting").get<std::string>()),
+                            .service = json.at("service").get<std::string>(),
+                            .tasks = json.at("tasks").get<int32_t>(),
+                            .free = json.at("free").get<int64_t>(),
+                            .largest_free = json.at("largest").get<int64_t>()};
+  });
+}
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/lib/scheduler/source/reservations.cc
@@ -0,0 +1,272 @@
+#include "reservations.h"
+
+/// Reservation of capacity in another cell for tasks that find none in their own. Load reports are
+/// half a second old, and many owners choose by the same reports, so tasks that were passed on by
+/// reports alone often arrived in a full cell and were passed on again. An owner that asks first
+/// gets a reply within milliseconds, and the capacity is held until the tasks arrive.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// How long capacity is held for tasks to arrive: a write by a slow store and its delivery.
+constexpr Millis kReservationTime = Millis(800);
+/// How long a reply is awaited. Peers reply within milliseconds, and those that are short of
+/// processor time in tens of milliseconds.
+constexpr Millis kReplyTimeout = Millis(150);
+/// How long the owner of a cell is not asked again after it did not reply. The pause doubles with
+/// each further request without a reply, as late replies take processor time that is short.
+constexpr Millis kUnresponsiveOwnerPause = Millis(1'000);
+constexpr int32_t kMaxPauseDoublings = 3;
+/// Consecutive requests of a job without a reply after which no more are sent.
+constexpr int32_t kMaxUnansweredRequests = 2;
+/// How long a cell that had no capacity for a job's tasks is not asked again for them.
+constexpr Millis kDeclinedPause = Millis(400);
+/// Interval between requests of a cell to cells that report no capacity. A report is up to half a
+/// second old, so one of them may have some by now.
+constexpr Millis kProbeInterval = Millis(100);
+
+PlacementRequest PlacementOf(const ReservationRequest& request, Millis now) {
+  return PlacementRequest{.name = request.name,
+                          .spec = request.step,
+                          .service = request.service,
+                          .avoided_worker = VmId(),
+                          .ready_at = now};
+}
+
+void ReleaseWorkers(OwnedCell& cell, const Reservation& held) {
+  cell.placement_due = true;
+
+  for (const VmId& id : held.workers) {
+    WorkerState& worker = cell.workers.at(id);
+    AdjustReservedResources(worker, held.step, -1);
+    --worker.reservations;
+  }
+}
+
+/// Reserves capacity for as many of the requested tasks as fit, and returns their number. A former
+/// reservation for the same step is replaced.
+int32_t ReserveCapacity(const State& state, OwnedCell& cell, const ReservationRequest& request) {
+  const auto former = cell.reservations.find(request.name);
+
+  if (former != cell.reservations.end()) {
+    ReleaseWorkers(cell, former->second);
+    cell.reservations.erase(former);
+  }
+
+  // Without its hand-over record and its lease this owner could not start the tasks.
+  if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return 0;
+
+  Reservation held{.step = request.step, .expires_at = state.now + kReservationTime};
+
+  for (int32_t task = 0; task < request.step.task_count; ++task) {
+    WorkerState* worker = ChooseWorker(state, cell, PlacementOf(request, state.now));
+    if (worker == nullptr) break;
+
+    AdjustReservedResources(*worker, held.step, 1);
+    ++worker->reservations;
+    held.workers.push_back(worker->info.id);
+  }
+
+  const auto tasks = static_cast<int32_t>(held.workers.size());
+  if (tasks > 0) cell.reservations[request.name] = std::move(held);
+  return tasks;
+}
+
+ReservationReply MakeReply(const State& state, OwnedCell* cell, const ReservationRequest& request) {
+  ReservationReply reply{.from = request.from, .job = request.job, .service = request.service};
+  if (cell == nullptr) return reply;
+
+  reply.tasks = ReserveCapacity(state, *cell, request);
+  const LoadRecord load = CountLoad(state, *cell);
+  const auto service = load.services.find(request.service);
+  if (service == load.services.end()) return reply;
+
+  reply.free = service->second.free;
+  reply.largest_free = service->second.largest_free;
+  return reply;
+}
+
+/// Replaces the free capacity that a cell last reported by what its owner has just replied.
+void UpdateReportedRoom(State& state, const CellId& id, const ReservationReply& reply) {
+  const auto load = state.view.loads.find(id);
+  if (load == state.view.loads.end()) return;
+
+  const auto service = load->second.record.services.find(reply.service);
+  if (service == load->second.record.services.end()) return;
+
+  service->second.free = reply.free;
+  service->second.largest_free = reply.largest_free;
+  service->second.waiting = 0;
+  state.sent_demand.erase(id);
+}
+
+/// Passes waiting tasks on to a cell that holds capacity for a number of them: the job is moved if
+/// these are all the tasks that it has, otherwise they are lent.
+void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
+            size_t tasks) {
+  WaitingBatch batch = WaitingTasks(state, cell, job);
+  if (batch.tasks.empty() || batch.spec->best_effort) return;
+
+  const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
+                        batch.tasks.size() == WaitingTasksOf(cell, job).size();
+  if (is_whole) return MoveJob(state, effects, cell, job, to);
+  // Borrowed tasks are not lent again.
+  if (!job.record.parent.Empty()) return;
+
+  if (batch.tasks.size() > tasks) batch.tasks.resize(tasks);
+  LendTasks(state, effects, cell, job, batch.tasks, to);
+}
+
+void HandleReply(State& state, Effects& effects, const CellId& to, const ReservationReply& reply) {
+  UpdateReportedRoom(state, to, reply);
+  OwnedCell* cell = FindOpenCell(state, reply.from);
+  if (cell == nullptr) return;
+
+  const auto found = cell->jobs.find(reply.job);
+  if (found == cell->jobs.end()) return;
+
+  JobState& job = found->second;
+  if (!job.reservation || job.reservation->to != to) return;
+
+  state.unresponsive_owners.erase(to);
+  job.reservation.reset();
+  job.unanswered_reservations = 0;
+  if (reply.tasks <= 0) job.declined_until[to] = state.now + kDeclinedPause;
+  const bool stopped = job.cancelled || job.attempts_exhausted || job.move || job.loan;
+  if (stopped || cell->releasing || reply.tasks <= 0) return;
+
+  PassOn(state, effects, *cell, job, to, static_cast<size_t>(reply.tasks));
+}
+
+/// Returns a cell that reports no capacity, to ask it all the same, at most one per interval.
+std::optional<CellId> ChooseProbe(State& state, OwnedCell& cell, const JobState& job) {
+  if (state.now < cell.next_probe) {
+    WakeAt(state, cell.next_probe);
+    return std::nullopt;
+  }
+
+  cell.next_probe = state.now + kProbeInterval;
+  return ChooseAnyOtherCell(state, cell.cell, job);
+}
+
+}  // namespace
+
+bool HasUnresponsivePeers(const JobState& job) {
+  return job.unanswered_reservations >= kMaxUnansweredRequests;
+}
+
+bool AwaitsReservation(State& state, Effects& effects, JobState& job) {
+  if (!job.reservation) return false;
+
+  if (state.now < job.reservation->expires_at) {
+    WakeAt(state, job.reservation->expires_at);
+    return true;
+  }
+
+  const CellId to = job.reservation->to;
+  job.reservation.reset();
+  ++job.unanswered_reservations;
+  UnresponsiveOwner& owner = state.unresponsive_owners[to];
+  owner.until = state.now + kUnresponsiveOwnerPause *
+                                (int64_t{1} << std::min(owner.requests, kMaxPauseDoublings));
+  ++owner.requests;
+  Log(effects, Severity::kInfo, "no reply to a request for capacity in another cell",
+      {{"job", job.record.spec.job.Text()}, {"to", to.Text()}});
+  return false;
+}
+
+bool RequestCapacity(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                     const WaitingBatch& batch) {
+  const auto tasks = static_cast<int64_t>(batch.tasks.size());
+  std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, *batch.spec, tasks);
+  if (!to) to = ChooseProbe(state, cell, job);
+  if (!to) return false;
+
+  ReservationRequest request{.name = StepNameOf(job, batch.tasks.front()),
+                             .step = *batch.spec,
+                             .service = ServiceOf(state, job.record),
+                             .from = cell.cell,
+                             .job = job.record.spec.job,
+                             .reply_to = state.settings.peer_address};
+  request.step.task_count = static_cast<int32_t>(tasks);
+  job.reservation = JobState::PendingReservation{*to, state.now + kReplyTimeout};
+
+  if (state.cells.contains(*to)) {
+    const ReservationReply reply = MakeReply(state, FindOpenCell(state, *to), request);
+    HandleReply(state, effects, *to, reply);
+    return true;
+  }
+
+  PushToOwner(state, effects, *to,
+              StoreItem{.key = std::string(kReservationRequestPrefix) + to->Text(),
+                        .value = Encode(request)});
+  return true;
+}
+
+void ApplyReservationReply(State& state, Effects& effects, const CellId& to,
+                           const StoreItem& item) {
+  const Result<ReservationReply> reply = DecodeReservationReply(item.value);
+  if (!reply) return LogUnreadable(effects, item, reply.error());
+
+  HandleReply(state, effects, to, *reply);
+
+  // Asks the next cell at once if this one had no capacity.
+  OwnedCell* cell = FindOpenCell(state, reply->from);
+  if (cell == nullptr) return;
+
+  const auto job = cell->jobs.find(reply->job);
+  if (job != cell->jobs.end()) TryLendTasks(state, effects, *cell, job->second);
+}
+
+void ApplyReservationRequest(State& state, Effects& effects, const CellId& id,
+                             const StoreItem& item) {
+  const Result<ReservationRequest> request = DecodeReservationRequest(item.value);
+  if (!request) return LogUnreadable(effects, item, request.error());
+
+  const ReservationReply reply = MakeReply(state, FindOpenCell(state, id), *request);
+  effects.emplace_back(
+      PushRecords{request->reply_to,
+                  {StoreItem{.key = std::string(kReservationReplyPrefix) + id.Text(),
+                             .value = Encode(reply)}}});
+}
+
+void ClaimReservations(State& state, OwnedCell& cell, JobState& job) {
+  const JobId root = job.record.parent.Empty() ? job.record.spec.job : job.record.parent;
+  auto row = cell.reservations.lower_bound(StepName{.job = root});
+
+  while (row != cell.reservations.end() && row->first.job == root) {
+    const StepName name = row->first;
+    const Reservation held = std::move(row->second);
+    row = cell.reservations.erase(row);
+    ReleaseWorkers(cell, held);
+    auto reserved = held.workers.begin();
+
+    for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
+      if (reserved == held.workers.end()) break;
+      if (StepNameOf(job, ref) != name || FindTask(cell, ref)->not_before > state.now) continue;
+
+      WorkerState& worker = cell.workers.at(*reserved++);
+      const PlacementRequest request{.name = name,
+                                     .spec = SpecOf(job, ref),
+                                     .service = ServiceOf(state, job.record),
+                                     .avoided_worker = VmId(),
+                                     .ready_at = state.now};
+      if (FitsOnWorker(state, cell, request, worker)) BindTask(state, cell, job, ref, worker);
+    }
+  }
+}
+
+void ExpireReservations(State& state, OwnedCell& cell) {
+  for (auto row = cell.reservations.begin(); row != cell.reservations.end();) {
+    if (state.now < row->second.expires_at) {
+      WakeAt(state, row->second.expires_at);
+      ++row;
+      continue;
+    }
+
+    ReleaseWorkers(cell, row->second);
+    row = cell.reservations.erase(row);
+  }
+}
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/lib/scheduler/source/reservations.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "internal.h"
+
+/// Reservations of capacity in another cell, and the placement that both sides use.
+
+namespace currantpost::scheduler {
+
+/// A task for which a worker is to be chosen.
+struct PlacementRequest {
+  StepName name;
+  const StepSpec& spec;
+  std::string_view service;
+  /// The last worker on which it failed, if any.
+  VmId avoided_worker;
+  /// When the task became ready to start.
+  Millis ready_at;
+};
+
+/// Returns the best worker for a task, or null if none has capacity.
+WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const PlacementRequest& request);
+
+/// Returns whether a task may be placed on a worker.
+bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
+                  WorkerState& worker);
+
+/// Returns the service whose workers run a job now: that of its queue, or the one recorded when the
+/// job was accepted if the queue no longer exists.
+const std::string& ServiceOf(const State& state, const JobRecord& record);
+
+/// Returns the step of a task as the workers know it.
+StepName StepNameOf(const JobState& job, const TaskRef& ref);
+
+// In the cell whose tasks wait
+
+/// The waiting tasks of one step of a job.
+struct WaitingBatch {
+  std::vector<TaskRef> tasks;
+  const StepSpec* spec = nullptr;
+};
+
+/// Returns the waiting tasks of the first step that has tasks ready to start. Long-running tasks
+/// are returned one at a time.
+WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job);
+
+/// Lends waiting tasks to another cell.
+void LendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+               const std::vector<TaskRef>& tasks, const CellId& to);
+
+/// Moves a job without bound tasks to another cell.
+void MoveJob(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to);
+
+/// Asks the owner of another cell to reserve capacity for waiting tasks. The tasks are passed on as
+/// far as the reply allows. Returns false if there is no cell to ask now.
+bool RequestCapacity(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                     const WaitingBatch& batch);
+
+/// Returns whether a reservation request of the job awaits its reply. Ends the wait if the reply is
+/// overdue.
+bool AwaitsReservation(State& state, Effects& effects, JobState& job);
+
+/// Returns whether so many requests of the job had no reply that no more are sent.
+bool HasUnresponsivePeers(const JobState& job);
+
+void ApplyReservationReply(State& state, Effects& effects, const CellId& to, const StoreItem& item);
+
+// In the cell that has the capacity
+
+void ApplyReservationRequest(State& state, Effects& effects, const CellId& id,
+                             const StoreItem& item);
+
+/// Binds the waiting tasks of a job that has just arrived to the workers reserved for them.
+void ClaimReservations(State& state, OwnedCell& cell, JobState& job);
+
+/// Releases the reservations whose tasks did not arrive in time.
+void ExpireReservations(State& state, OwnedCell& cell);
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -1,6 +1,6 @@
 #include "currantpost/scheduler/scheduler.h"
 
-#include "internal.h"
+#include "reservations.h"
 
 /// The reducer: dispatches each event to its handler, then updates every part of the scheduler.
 
@@ -76,6 +76,11 @@
   for (auto& [id, cell] : state.cells) cell.worker_update_due = true;
 }
 
+/// Returns whether an item that a peer pushed is a copy of a record rather than a message.
+bool IsRecord(const StoreItem& item) {
+  return item.key.starts_with(kSharedPrefix) || item.key.starts_with(kProgressPrefix);
+}
+
 void HandleStoreAnswered(State& state, Effects& effects, const StoreAnswered& answered) {
   const auto found = state.store_calls.find(answered.request);
   if (found == state.store_calls.end()) return;
@@ -112,7 +117,7 @@
   }
   void operator()(const RecordsPushed& event) const {
     for (const StoreItem& item : event.items) ApplyRecord(state, effects, item);
-    MarkAllForSweep(state);
+    if (std::ranges::any_of(event.items, IsRecord)) MarkAllForSweep(state);
   }
   void operator()(const PeerQueried& event) const { HandlePeerQuery(state, effects, event); }
   void operator()(const PeerAnswered& event) const { HandlePeerAnswered(state, effects, event); }
@@ -183,6 +188,7 @@
     if (!cell.open) continue;
 
     UpdateHandOver(state, effects, cell);
+    ExpireReservations(state, cell);
     UpdateJobs(state, effects, cell);
     UpdateWorkers(state, effects, cell);
     EvacuateDraining(state, effects, cell);
--- /dev/null
+++ b/tests/scheduler/reservation_test.cc
@@ -0,0 +1,106 @@
+#include "currantpost/scheduler/reservation.h"
+
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+/// Tests the capacity that an owner reserves for tasks of another cell.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Longest time for which capacity may be held for tasks that do not arrive.
+constexpr Millis kMaxReservationTime = Millis(1'000);
+
+/// One cell of two workers with eight cores each, and an entry outside it that asks for capacity.
+class Reservations : public testing::Test {
+ protected:
+  void SetUp() override { world_.Run(Millis(3'500)); }
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  void Request(int32_t tasks, int64_t millicores = 1'000) {
+    ReservationRequest request{.name = StepName{.job = JobId("a")},
+                               .service = "service",
+                               .from = CellId("elsewhere/0"),
+                               .job = JobId("a"),
+                               .reply_to = Address{"nowhere", 1}};
+    request.step.task_count = tasks;
+    request.step.need = Resources{.millicores = millicores, .memory_mib = 100};
+    Push(kReservationRequestPrefix, Encode(request));
+  }
+
+  void Push(std::string_view prefix, const std::string& value) {
+    world_.Push("e0", StoreItem{.key = std::string(prefix) + "dc0/0", .value = value});
+    world_.Run(Millis(20));
+  }
+
+  OwnedCell& cell() { return world_.state("e0").cells.at(CellId("dc0/0")); }
+
+  int64_t ReservedMillicores() {
+    int64_t reserved = 0;
+    for (const auto& [id, worker] : cell().workers) reserved += worker.reserved.millicores;
+    return reserved;
+  }
+
+  World world_{WorldShape{.entries = 1, .racks = 1}};
+};
+
+TEST_F(Reservations, HoldsCapacityForAsManyTasksAsFit) {
+  Request(20);
+
+  EXPECT_EQ(ReservedMillicores(), 16'000);
+}
+
+TEST_F(Reservations, ReleasesTheCapacityIfTheTasksDoNotArrive) {
+  Request(8);
+  world_.Run(kMaxReservationTime);
+
+  EXPECT_EQ(ReservedMillicores(), 0);
+  EXPECT_TRUE(cell().reservations.empty());
+}
+
+TEST_F(Reservations, ASecondRequestForTheSameStepReplacesTheFirst) {
+  Request(8);
+  Request(3);
+
+  EXPECT_EQ(ReservedMillicores(), 3'000);
+}
+
+TEST_F(Reservations, TasksThatArriveTakeTheWorkersReservedForThem) {
+  Request(16);
+  world_.Submit("e0", MakeJob("other", 4));
+  world_.Run(Millis(100));
+  EXPECT_TRUE(world_.WorkersOf("other").empty());
+
+  JobRecord record{.queue = "queue", .service = "service", .cell = CellId("dc0/0")};
+  record.spec = MakeJob("a", 16);
+  world_.store.Handle(
+      WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + "a", Encode(record), 0}}},
+      world_.now(), [](const StoreReply&) {});
+  world_.Run(Millis(500));
+  EXPECT_EQ(world_.WorkersOf("a").size(), 16U);
+}
+
+TEST_F(Reservations, IgnoresMalformedMessages) {
+  for (const char* text :
+       {"", "[]", "{}", "null", R"({"job":7})", R"({"spec":{"n":-1}})", R"({"from":"dc0/0"})",
+        R"({"from":"dc0/0","waiting":"a","service":"s","tasks":"many","free":0,"largest":0})"}) {
+    Push(kReservationRequestPrefix, text);
+    Push(kReservationReplyPrefix, text);
+  }
+
+  EXPECT_EQ(ReservedMillicores(), 0);
+  world_.Submit("e0", MakeJob("a", 2));
+  world_.Run(Millis(1'500));
+  EXPECT_EQ(world_.Phase("a"), JobPhase::kCompleted);
+}
+
+TEST_F(Reservations, RejectsRequestsOutOfRange) {
+  for (const int32_t tasks : {0, -1, 1'000'000}) Request(tasks);
+  Request(1, -1);
+
+  EXPECT_EQ(ReservedMillicores(), 0);
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
