--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -34,7 +34,7 @@
        << "zones.kyushu-a=kyushu\nzones.kyushu-b=kyushu\nzones.kyushu-c=kyushu\n"
        << "listen.front=" << host << entry.front_port << "\nlisten.ready=" << host
        << entry.ready_port << "\nport_range=" << entry.peer_port << "," << entry.peer_port
-       << "\nseeds=\nbootstrap=true\nlimits.cpu_share=1.0\nlimits.cores=1\n"
+       << "\nseeds=\nbootstrap=true\nlimits.cpu_share=" << entry.cpu_share << "\nlimits.cores=1\n"
        << "limits.memory_mb=260\nlimits.max_fds=4100\ndiscovery=platform\nentry=vip\n"
        << "heartbeat_ms=1500\ncontracts=base,drain,config,cost,recover,sched,platform\n"
        << "bounds.contact_ms=3000\nbounds.ack_timeout_ms=4000\nbounds.catch_up_s=4\n"
@@ -166,13 +166,15 @@
             log);
 }
 
-EntryProcess World::MakeEntry(const std::string& name, const std::string& zone, int store_port) {
+EntryProcess World::MakeEntry(const std::string& name, const std::string& zone, int store_port,
+                              const std::string& cpu_share) {
   EntryProcess entry{.name = name,
                      .zone = zone,
                      .front_port = FreePort(),
                      .ready_port = FreePort(),
                      .peer_port = FreePort(),
-                     .store_port = store_port == 0 ? store_port_ : store_port};
+                     .store_port = store_port == 0 ? store_port_ : store_port,
+                     .cpu_share = cpu_share};
   entry.settings_path = folder_ + "/" + name + ".conf";
   entry.log_path = folder_ + "/" + name + ".log";
   std::ofstream(entry.settings_path) << SettingsText(entry);
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -37,6 +37,7 @@
   int ready_port = 0;
   int peer_port = 0;
   int store_port = 0;
+  std::string cpu_share;
   pid_t pid = 0;
   std::string settings_path;
   std::string log_path;
@@ -94,7 +95,8 @@
   void StartStore();
   void StartWorker(WorkerProcess& worker);
   /// Chooses the ports of an entry and writes its settings file. `store_port` 0 is the store's own.
-  EntryProcess MakeEntry(const std::string& name, const std::string& zone, int store_port = 0);
+  EntryProcess MakeEntry(const std::string& name, const std::string& zone, int store_port = 0,
+                         const std::string& cpu_share = "1.0");
   void StartEntry(EntryProcess& entry);
 
   /// Writes a key as the operator, and calls `done` with the status.
