--- a/review/standins/world.cc
+++ b/review/world.cc
@@ -23,7 +23,7 @@
 constexpr Millis kCallTimeout = Millis(3'000);
 constexpr const char* kHost = "jobs.example";
 constexpr const char* kEntryProgram = "target/main/currantpost-entry/currantpost-entry";
-constexpr const char* kStandinProgram = "review/bin/standin";
+constexpr const char* kStandinProgram = "target/review/standin";
 
 /// The settings of a small deployment, as the platform writes them.
 std::string SettingsText(const EntryProcess& entry) {
