Search other cells for the service that runs the queue now

Cause: placement takes the service of the queue in force, the choice of another cell the one that was recorded when the job was accepted. The job's own cell has no worker for it any more, and the cells that have some are never asked. Change: ServiceOf alone answers, by the last configuration that had the queue; a moved or lent record carries the answer; a bound task whose start has not left is placed again when its queue moves.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -201,6 +201,7 @@
 /// An accepted job, or a job made of tasks that one cell has lent to another.
 struct JobRecord {
   std::string queue;
+  /// The service of the queue at the acceptance, or when the record was last moved or lent.
   std::string service;
   int32_t priority = 0;
   int32_t max_attempts = 1;
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -739,6 +739,9 @@
   /// Revision of the latest configuration record that was read, whether or not it was usable.
   KvRevision configuration_revision = 0;
   QueueTable queues;
+  /// The service to which the latest configuration with a queue of that name sent it. Kept after
+  /// the queue is dropped.
+  std::map<std::string, std::string> service_of_queue;
   std::map<VmId, WorkerAnnouncement> registry;
   LeaseState lease;
   std::map<CellId, OwnedCell> cells;
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -241,7 +241,7 @@
 
 std::optional<CellId> ChooseOtherCell(const State& state, const CellId& except,
                                       const JobRecord& record, const Demand& demand) {
-  std::vector<Candidate> candidates = Candidates(state, record.service, demand);
+  std::vector<Candidate> candidates = Candidates(state, ServiceOf(state, record), demand);
   std::erase_if(candidates, [&](const Candidate& each) { return each.cell == except; });
 
   // Each move of a job uses a new random draw.
@@ -253,9 +253,10 @@
 
 std::optional<CellId> ChooseCellForTasks(const State& state, const CellId& except,
                                          const JobState& job, const StepSpec& spec, int64_t tasks) {
+  const std::string& service = ServiceOf(state, job.record);
   Demand demand;
   AddDemand(demand, spec, 1);
-  std::vector<Candidate> candidates = Candidates(state, job.record.service, demand);
+  std::vector<Candidate> candidates = Candidates(state, service, demand);
   std::erase_if(candidates, [&](const Candidate& each) {
     return each.cell == except || !MayAsk(state, job, each.cell);
   });
@@ -267,7 +268,7 @@
   const int64_t need = std::max<int64_t>(spec.need.millicores, 1);
 
   for (Candidate& candidate : candidates) {
-    const CellRoom room = *RoomOf(state, candidate.cell, job.record.service, spec.image);
+    const CellRoom room = *RoomOf(state, candidate.cell, service, spec.image);
     if (room.largest < spec.need.millicores) continue;
 
     const std::pair<int64_t, int64_t> fit(
@@ -286,12 +287,13 @@
 
 std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
                                          const JobState& job) {
+  const std::string& service = ServiceOf(state, job.record);
   const std::string draw = DrawKey(state, job);
   std::optional<CellId> best;
   uint64_t best_rank = 0;
 
   for (const auto& [id, load] : state.view.loads) {
-    if (id == except || !load.record.services.contains(job.record.service)) continue;
+    if (id == except || !load.record.services.contains(service)) continue;
     if (!MayAsk(state, job, id)) continue;
 
     const uint64_t rank = Hash(draw, id);
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -296,6 +296,12 @@
   return task.phase == TaskPhase::kStopping && state.now >= task.next_stop;
 }
 
+/// Returns whether a job's queue belongs to the worker's service. A worker that has not been
+/// announced yet has no known service.
+bool RunsJobsOf(const State& state, const WorkerState& worker, const JobRecord& record) {
+  return worker.info.service.empty() || worker.info.service == ServiceOf(state, record);
+}
+
 /// Returns the order that is due for a task, if there is one.
 std::optional<WorkerOrder> NextTaskOrder(State& state, OwnedCell& cell, WorkerState& worker,
                                          const TaskRef& ref) {
@@ -305,6 +311,7 @@
   switch (task.phase) {
     case TaskPhase::kStarting: {
       if (task.start_sent || worker.info.draining || !HoldsLease(state)) return std::nullopt;
+      if (!RunsJobsOf(state, worker, job.record)) return std::nullopt;
       if (!CancelsAreCurrent(state) || !IsRegistrationCurrent(state, worker)) return std::nullopt;
       // A restarted worker cuts a lease end computed for its former clock only to the longest lease
       // that it grants.
@@ -446,15 +453,20 @@
          worker.failed_polls >= kFailedPollsUntilUnresponsive;
 }
 
-/// Requeues the worker's tasks whose starts were not sent yet. Called when the worker accepts no
-/// more starts or the cell is being released.
+/// Requeues the worker's tasks whose starts were not sent yet and may not be sent any more: all of
+/// them if the worker accepts no starts or the cell is being released, otherwise those whose queue
+/// now belongs to another service.
 void RequeueUnsentStarts(State& state, OwnedCell& cell, WorkerState& worker) {
-  const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
+  const bool all = cell.releasing || IsClosedToStarts(worker);
+  std::vector<TaskRef> refs;
 
-  for (const TaskRef& ref : refs) {
+  for (const TaskRef& ref : worker.tasks) {
     const TaskState& task = *FindTask(cell, ref);
     if (task.phase != TaskPhase::kStarting || task.start_sent) continue;
+    if (all || !RunsJobsOf(state, worker, cell.jobs.at(ref.job).record)) refs.push_back(ref);
+  }
 
+  for (const TaskRef& ref : refs) {
     RequeueTask(state, cell, cell.jobs.at(ref.job), ref, state.now);
   }
 }
@@ -919,7 +931,7 @@
 
     worker.needs_update = false;
     state.wake_at = state.now + kMaxCheckInterval;
-    if (cell.releasing || IsClosedToStarts(worker)) RequeueUnsentStarts(state, cell, worker);
+    RequeueUnsentStarts(state, cell, worker);
     RequeueExpiredTasks(state, effects, cell, worker);
     SendDuePoll(state, effects, cell, worker);
     SendDueStops(state, effects, cell, worker);
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -204,6 +204,9 @@
 
   state.routing = item.routing;
   state.queues = QueueTable(*item.routing);
+  for (const Queue& queue : item.routing->queues) {
+    state.service_of_queue[queue.name] = queue.service;
+  }
   Log(effects, Severity::kInfo, "applied configuration",
       {{"version", std::to_string(item.routing->version)},
        {"queues", std::to_string(item.routing->queues.size())}});
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -367,6 +367,10 @@
 
 // Placement and load
 
+/// Returns the service whose workers run a job now: the last one to which a configuration sent its
+/// queue, or the recorded one if this entry has seen no configuration with the queue.
+const std::string& ServiceOf(const State& state, const JobRecord& record);
+
 /// Returns the best worker for a task, or null if none has capacity.
 WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const TaskRef& ref);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -47,12 +47,13 @@
     return to ? std::optional(std::make_pair(*to, int64_t{1})) : std::nullopt;
   }
 
+  const std::string& service = ServiceOf(state, job.record);
   std::optional<std::pair<CellId, int64_t>> best;
 
   for (const auto& [id, load] : state.view.loads) {
     if (id == cell.cell) continue;
 
-    const int64_t fit = TasksThatFit(state, id, job.record.service, spec);
+    const int64_t fit = TasksThatFit(state, id, service, spec);
     if (fit > 0 && (!best || fit > best->second)) best = std::make_pair(id, fit);
   }
 
@@ -78,6 +79,7 @@
   JobRecord borrowed_job = job.record;
   borrowed_job.parent = job.record.spec.job;
   borrowed_job.cell = to;
+  borrowed_job.service = ServiceOf(state, job.record);
   borrowed_job.carried_progress = ProgressRecord{};
   // Each loan writes the lender's progress and each move writes the job's record, so no two loans
   // of a job see the same maximum revision. This makes the ID unique.
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -92,6 +92,7 @@
 void MoveJob(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to) {
   JobRecord moved = job.record;
   moved.cell = to;
+  moved.service = ServiceOf(state, job.record);
   ++moved.moves;
   moved.carried_progress = ProgressOf(job);
   job.move = JobState::PendingMove{.to = to, .value = Encode(moved)};
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -170,8 +170,8 @@
 }  // namespace
 
 const std::string& ServiceOf(const State& state, const JobRecord& record) {
-  const Queue* queue = state.queues.Find(record.queue);
-  return queue == nullptr ? record.service : queue->service;
+  const auto service = state.service_of_queue.find(record.queue);
+  return service == state.service_of_queue.end() ? record.service : service->second;
 }
 
 StepName StepNameOf(const JobState& job, const TaskRef& ref) {
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -24,10 +24,6 @@
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
                   WorkerState& worker);
 
-/// Returns the service whose workers run a job now: that of its queue, or the one recorded when the
-/// job was accepted if the queue no longer exists.
-const std::string& ServiceOf(const State& state, const JobRecord& record);
-
 /// Returns the step of a task as the workers know it.
 StepName StepNameOf(const JobState& job, const TaskRef& ref);
 
