Ask the owner of a cell before best-effort tasks are passed on to it

Cause: best-effort tasks went where the load reports showed most free capacity, and reports tell neither labels nor limits per worker. Borrowed jobs were moved by the same reports. Beside it, the tasks of one reservation did not count for each other, so more were lent than the limit per worker lets the borrower place, best-effort or not. Change: best-effort tasks ask for a reservation like all others; a refusal counts for all tasks with the same requirements; a reservation counts its tasks as it is made.

--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -53,6 +53,8 @@
   /// core.
   int64_t free = 0;
   int64_t largest_free = 0;
+  /// The same for best-effort tasks.
+  int64_t free_best_effort = 0;
 };
 
 std::string Encode(const ReservationRequest& request);
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -496,6 +496,26 @@
   int32_t requests = 0;
 };
 
+/// Requirements of best-effort tasks. A cell accepts or declines tasks with equal ones alike.
+struct BestEffortNeeds {
+  std::string service;
+  std::string worker_label;
+  std::string image;
+  int64_t millicores = 0;
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
+
+  auto operator<=>(const BestEffortNeeds&) const = default;
+};
+
+/// A cell that had no capacity for some best-effort tasks.
+struct DeclinedNeeds {
+  /// It is not asked again before.
+  Millis until;
+  /// Consecutive refusals.
+  int32_t times = 0;
+};
+
 /// Sort key of waiting tasks: priority, long-running tasks first, target time of the job, task.
 using WaitingKey = std::tuple<int32_t, int32_t, int64_t, TaskRef>;
 
@@ -529,6 +549,8 @@
   std::map<StepName, Reservation> reservations;
   /// Earliest time of the next request to a cell that reports no capacity.
   Millis next_probe;
+  /// Earliest time of the next request for best-effort tasks.
+  Millis next_best_effort_request;
   /// Some worker may need a poll or an order.
   bool worker_update_due = true;
   /// Earliest time of the next update of all jobs.
@@ -772,6 +794,8 @@
   std::map<CellId, SentDemand> sent_demand;
   /// Cells whose owners did not reply to the last request for capacity in time.
   std::map<CellId, UnresponsiveOwner> unresponsive_owners;
+  /// Cells that had no capacity for best-effort tasks, by the requirements of these.
+  std::map<std::pair<CellId, BestEffortNeeds>, DeclinedNeeds> declined_needs;
 
   /// When the store last answered any call.
   std::optional<Millis> store_answered_at;
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -152,16 +152,34 @@
   return best;
 }
 
-/// Returns whether the owner of a cell may be asked for capacity for tasks of a job.
-bool MayAsk(const State& state, const JobState& job, const CellId& cell) {
+/// Returns whether the owner of a cell may be asked for capacity for tasks of a step.
+bool MayAsk(const State& state, const JobState& job, const StepSpec& spec, const CellId& cell) {
   const auto unresponsive = state.unresponsive_owners.find(cell);
   if (unresponsive != state.unresponsive_owners.end() && state.now < unresponsive->second.until)
     return false;
 
+  if (spec.best_effort) {
+    const auto needs =
+        state.declined_needs.find(std::make_pair(cell, NeedsOf(state, job.record, spec)));
+    if (needs != state.declined_needs.end() && state.now < needs->second.until) return false;
+  }
+
   const auto declined = job.declined_until.find(cell);
   return declined == job.declined_until.end() || state.now >= declined->second;
 }
 
+/// Returns for how many tasks of a step a cell reports room beside the tasks that wait there, and
+/// for how many if those do not fit.
+std::pair<int64_t, int64_t> ReportedFit(const CellRoom& room, const StepSpec& spec, int64_t tasks) {
+  const auto fit = [&](int64_t free) {
+    return std::clamp<int64_t>(free / std::max<int64_t>(spec.need.millicores, 1), 0, tasks);
+  };
+  if (spec.best_effort) return {fit(room.best_effort), fit(room.best_effort)};
+  if (room.largest < spec.need.millicores) return {0, 0};
+
+  return {fit(room.free_after_waiting), fit(room.free)};
+}
+
 /// Returns a key for a random draw that differs between the attempts for a job.
 std::string DrawKey(const State& state, const JobState& job) {
   return job.record.spec.job.Text() + "@" + std::to_string(state.now.Count());
@@ -222,6 +240,15 @@
   sent.sent_at = state.now;
 }
 
+BestEffortNeeds NeedsOf(const State& state, const JobRecord& record, const StepSpec& spec) {
+  return BestEffortNeeds{.service = ServiceOf(state, record),
+                         .worker_label = spec.worker_label,
+                         .image = spec.image,
+                         .millicores = spec.need.millicores,
+                         .memory_mib = spec.need.memory_mib,
+                         .accelerators = spec.need.accelerators};
+}
+
 std::optional<CellId> ChooseCell(const State& state, const std::string& service,
                                  const JobSpec& spec) {
   const Demand demand = InitialDemand(spec);
@@ -258,22 +285,16 @@
   AddDemand(demand, spec, 1);
   std::vector<Candidate> candidates = Candidates(state, service, demand);
   std::erase_if(candidates, [&](const Candidate& each) {
-    return each.cell == except || !MayAsk(state, job, each.cell);
+    return each.cell == except || !MayAsk(state, job, spec, each.cell);
   });
   if (spec.is_long_running) return PackByImage(candidates, spec.image);
 
-  // The number of tasks that fit beside those that wait there, and the number if those do not fit.
   std::pair<int64_t, int64_t> most;
   std::vector<Candidate> best;
-  const int64_t need = std::max<int64_t>(spec.need.millicores, 1);
 
   for (Candidate& candidate : candidates) {
     const CellRoom room = *RoomOf(state, candidate.cell, service, spec.image);
-    if (room.largest < spec.need.millicores) continue;
-
-    const std::pair<int64_t, int64_t> fit(
-        std::clamp<int64_t>(room.free_after_waiting / need, 0, tasks),
-        std::clamp<int64_t>(room.free / need, 0, tasks));
+    const std::pair<int64_t, int64_t> fit = ReportedFit(room, spec, tasks);
     if (fit.second == 0 || fit < most) continue;
     if (fit > most) best.clear();
 
@@ -286,7 +307,7 @@
 }
 
 std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
-                                         const JobState& job) {
+                                         const JobState& job, const StepSpec& spec) {
   const std::string& service = ServiceOf(state, job.record);
   const std::string draw = DrawKey(state, job);
   std::optional<CellId> best;
@@ -294,7 +315,7 @@
 
   for (const auto& [id, load] : state.view.loads) {
     if (id == except || !load.record.services.contains(service)) continue;
-    if (!MayAsk(state, job, id)) continue;
+    if (!MayAsk(state, job, spec, id)) continue;
 
     const uint64_t rank = Hash(draw, id);
     if (best && rank <= best_rank) continue;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -440,7 +440,10 @@
 
 /// Chooses another cell at random that has workers of the job's service, whatever it reports.
 std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
-                                         const JobState& job);
+                                         const JobState& job, const StepSpec& spec);
+
+/// Returns the requirements of the best-effort tasks of a step.
+BestEffortNeeds NeedsOf(const State& state, const JobRecord& record, const StepSpec& spec);
 
 /// Evaluates the tail latencies and processor uses from a poll, and sets the speed limits of
 /// best-effort tasks on the worker.
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -249,9 +249,14 @@
   WaitingBatch batch = WaitingTasks(state, cell, job);
   if (batch.tasks.empty() || batch.spec->gang) return;
 
+  if (batch.spec->best_effort && state.now < *job.waits_since + kLendBestEffortDelay) {
+    WakeAt(state, *job.waits_since + kLendBestEffortDelay);
+    return;
+  }
+
   const bool is_borrowed = !job.record.parent.Empty();
 
-  if (!batch.spec->best_effort && !HasUnresponsivePeers(job)) {
+  if (!HasUnresponsivePeers(job)) {
     // Borrowed tasks are not lent again. Their borrowed job is moved as a whole instead.
     if (is_borrowed && job.bound > 0) return;
     if (RequestCapacity(state, effects, cell, job, batch)) return;
@@ -261,11 +266,6 @@
 
   if (is_borrowed) return;
 
-  if (batch.spec->best_effort && state.now < *job.waits_since + kLendBestEffortDelay) {
-    WakeAt(state, *job.waits_since + kLendBestEffortDelay);
-    return;
-  }
-
   LendByReports(state, effects, cell, job, std::move(batch));
 }
 
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -78,14 +78,13 @@
     return;
   }
 
-  // Other tasks are passed on to a cell that has reserved capacity for them.
-  const Demand demand = WaitingDemand(cell, job);
-  if (demand.reserved > 0 && job.unanswered_reservations == 0) return;
+  // While peers reply, tasks are passed on to a cell that has reserved capacity for them.
+  if (job.unanswered_reservations == 0) return;
 
   const std::optional<CellId> to = ChooseMoveTarget(state, cell, job);
   if (!to) return;
 
-  AddSentDemand(state, *to, demand);
+  AddSentDemand(state, *to, WaitingDemand(cell, job));
   MoveJob(state, effects, cell, job, *to);
 }
 
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -50,7 +50,8 @@
                    {"service", reply.service},
                    {"tasks", reply.tasks},
                    {"free", reply.free},
-                   {"largest", reply.largest_free}});
+                   {"largest", reply.largest_free},
+                   {"filling", reply.free_best_effort}});
 }
 
 Result<ReservationReply> DecodeReservationReply(std::string_view value) {
@@ -60,7 +61,8 @@
                             .service = json.at("service").get<std::string>(),
                             .tasks = json.at("tasks").get<int32_t>(),
                             .free = json.at("free").get<int64_t>(),
-                            .largest_free = json.at("largest").get<int64_t>()};
+                            .largest_free = json.at("largest").get<int64_t>(),
+                            .free_best_effort = json.value("filling", int64_t{0})};
   });
 }
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -24,6 +24,14 @@
 /// Interval between requests of a cell to cells that report no capacity. A report is up to half a
 /// second old, so one of them may have some by now.
 constexpr Millis kProbeInterval = Millis(100);
+/// Interval between requests of a cell for best-effort tasks, which are not urgent.
+constexpr Millis kBestEffortRequestInterval = Millis(50);
+/// How long a cell that had no capacity for best-effort tasks is not asked again for tasks with the
+/// same requirements, doubled with each further refusal: it may have no worker with their label.
+constexpr Millis kDeclinedNeedsPause = Millis(400);
+constexpr int32_t kMaxDeclinedDoublings = 2;
+/// How long after the pause a refusal still counts as the one before the next.
+constexpr Millis kDeclinedNeedsMemory = Millis(5'000);
 
 PlacementRequest PlacementOf(const ReservationRequest& request, Millis now) {
   return PlacementRequest{.name = request.name,
@@ -56,7 +64,10 @@
   // Without its hand-over record and its lease this owner could not start the tasks.
   if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return 0;
 
-  Reservation held{.step = request.step, .expires_at = state.now + kReservationTime};
+  // Entered at once, so that the tasks count for each other where their number per worker is
+  // limited.
+  Reservation& held = cell.reservations[request.name];
+  held = Reservation{.step = request.step, .expires_at = state.now + kReservationTime};
 
   for (int32_t task = 0; task < request.step.task_count; ++task) {
     WorkerState* worker = ChooseWorker(state, cell, PlacementOf(request, state.now));
@@ -68,7 +79,7 @@
   }
 
   const auto tasks = static_cast<int32_t>(held.workers.size());
-  if (tasks > 0) cell.reservations[request.name] = std::move(held);
+  if (tasks == 0) cell.reservations.erase(request.name);
   return tasks;
 }
 
@@ -83,6 +94,7 @@
 
   reply.free = service->second.free;
   reply.largest_free = service->second.largest_free;
+  reply.free_best_effort = service->second.free_best_effort;
   return reply;
 }
 
@@ -96,6 +108,7 @@
 
   service->second.free = reply.free;
   service->second.largest_free = reply.largest_free;
+  service->second.free_best_effort = reply.free_best_effort;
   service->second.waiting = 0;
   state.sent_demand.erase(id);
 }
@@ -105,7 +118,7 @@
 void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
             size_t tasks) {
   WaitingBatch batch = WaitingTasks(state, cell, job);
-  if (batch.tasks.empty() || batch.spec->best_effort) return;
+  if (batch.tasks.empty()) return;
 
   const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
                         batch.tasks.size() == WaitingTasksOf(cell, job).size();
@@ -117,6 +130,29 @@
   LendTasks(state, effects, cell, job, batch.tasks, to);
 }
 
+/// Notes whether a cell had capacity for waiting tasks.
+void RecordReply(State& state, JobState& job, const CellId& to, const StepSpec* spec,
+                 int32_t tasks) {
+  if (tasks <= 0) job.declined_until[to] = state.now + kDeclinedPause;
+  // Whether a task finds a worker below the limit per worker depends on the other tasks of its job.
+  if (spec == nullptr || !spec->best_effort || spec->max_per_worker > 0) return;
+
+  const auto key = std::make_pair(to, NeedsOf(state, job.record, *spec));
+
+  if (tasks > 0) {
+    state.declined_needs.erase(key);
+    return;
+  }
+
+  std::erase_if(state.declined_needs, [&](const auto& row) {
+    return state.now - row.second.until > kDeclinedNeedsMemory;
+  });
+  DeclinedNeeds& declined = state.declined_needs[key];
+  declined.until = state.now + kDeclinedNeedsPause *
+                                   (int64_t{1} << std::min(declined.times, kMaxDeclinedDoublings));
+  ++declined.times;
+}
+
 void HandleReply(State& state, Effects& effects, const CellId& to, const ReservationReply& reply) {
   UpdateReportedRoom(state, to, reply);
   OwnedCell* cell = FindOpenCell(state, reply.from);
@@ -131,7 +167,7 @@
   state.unresponsive_owners.erase(to);
   job.reservation.reset();
   job.unanswered_reservations = 0;
-  if (reply.tasks <= 0) job.declined_until[to] = state.now + kDeclinedPause;
+  RecordReply(state, job, to, WaitingTasks(state, *cell, job).spec, reply.tasks);
   const bool stopped = job.cancelled || job.attempts_exhausted || job.move || job.loan;
   if (stopped || cell->releasing || reply.tasks <= 0) return;
 
@@ -139,14 +175,15 @@
 }
 
 /// Returns a cell that reports no capacity, to ask it all the same, at most one per interval.
-std::optional<CellId> ChooseProbe(State& state, OwnedCell& cell, const JobState& job) {
+std::optional<CellId> ChooseProbe(State& state, OwnedCell& cell, const JobState& job,
+                                  const StepSpec& spec) {
   if (state.now < cell.next_probe) {
     WakeAt(state, cell.next_probe);
     return std::nullopt;
   }
 
   cell.next_probe = state.now + kProbeInterval;
-  return ChooseAnyOtherCell(state, cell.cell, job);
+  return ChooseAnyOtherCell(state, cell.cell, job, spec);
 }
 
 }  // namespace
@@ -177,11 +214,20 @@
 
 bool RequestCapacity(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                      const WaitingBatch& batch) {
+  if (batch.spec->best_effort && state.now < cell.next_best_effort_request) {
+    WakeAt(state, cell.next_best_effort_request);
+    return true;
+  }
+
   const auto tasks = static_cast<int64_t>(batch.tasks.size());
   std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, *batch.spec, tasks);
-  if (!to) to = ChooseProbe(state, cell, job);
+  if (!to) to = ChooseProbe(state, cell, job, *batch.spec);
   if (!to) return false;
 
+  if (batch.spec->best_effort) {
+    cell.next_best_effort_request = state.now + kBestEffortRequestInterval;
+  }
+
   ReservationRequest request{.name = StepNameOf(job, batch.tasks.front()),
                              .step = *batch.spec,
                              .service = ServiceOf(state, job.record),
