Bound a placement round, and the cost of a decision within it

Cause: a round bound all waiting tasks, each decision went through all tasks of each worker, and the round runs on the thread that renews the lease. Evidence: three tests of LargeJob failed on the landed decisions: 4,000 tasks bound by one event (500 allowed), 3,721 by the successor, 1,334 tasks at a worker still to be started (100 allowed). Change: at most 200 bindings a round; tasks of a step counted beside the worker; jobs ordered in place of tasks; a worker with 64 tasks still to be started gets no more of a large step; the end of a task walks its job only when it ends a step; at most 500 tasks a loan; progress of a job of many tasks is written less often.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -264,6 +264,8 @@
   bool attempts_exhausted = false;
   /// Increased with each change that has to be recorded.
   uint64_t version = 0;
+  /// Earliest time of the next write of its progress.
+  Millis next_record;
   /// The last version that is in the store.
   uint64_t recorded_version = 0;
   KvRevision progress_revision = 0;
@@ -390,6 +392,11 @@
   std::map<int64_t, RetainedEnd> ends;
   int64_t forgotten = 0;
   std::set<TaskRef> tasks;
+  /// Number of its tasks by step, without those for which capacity is reserved.
+  std::map<StepName, int32_t> tasks_by_step;
+  /// Upper bound on the number of its tasks whose start was not sent at the last count, and those
+  /// bound since.
+  int32_t unstarted = 0;
   /// Some of the tasks may be in the phase `kStopping`.
   bool has_stopping_tasks = false;
   /// Something changed that may require a poll or an order. Otherwise the worker is skipped until
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -52,16 +52,24 @@
                     WorkerState& worker) {
   task.worker = worker.info.id;
   worker.tasks.insert(ref);
+  ++worker.tasks_by_step[StepNameOf(job, ref)];
   AdjustReservedResources(worker, SpecOf(job, ref), 1);
   ++job.bound;
   cell.placement_due = true;
 }
 
+/// Updates the counts of a worker from which a task was removed.
+void SubtractFromWorker(const JobState& job, const TaskRef& ref, WorkerState& worker) {
+  AdjustReservedResources(worker, SpecOf(job, ref), -1);
+  const auto count = worker.tasks_by_step.find(StepNameOf(job, ref));
+  if (--count->second == 0) worker.tasks_by_step.erase(count);
+}
+
 /// Reverses `AttachToWorker`: the task is on no worker afterwards.
 void DetachFromWorker(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task) {
   const auto worker = cell.workers.find(task.worker);
   if (worker != cell.workers.end() && worker->second.tasks.erase(ref) > 0) {
-    AdjustReservedResources(worker->second, SpecOf(job, ref), -1);
+    SubtractFromWorker(job, ref, worker->second);
   }
 
   task.phase = TaskPhase::kBlocked;
@@ -339,7 +347,7 @@
     std::erase_if(worker.tasks, [&](const TaskRef& ref) {
       if (ref.job != id) return false;
 
-      AdjustReservedResources(worker, SpecOf(job, ref), -1);
+      SubtractFromWorker(job, ref, worker);
       return true;
     });
   }
@@ -527,6 +535,7 @@
   task.began = state.now;
   task.listed = false;
   AttachToWorker(cell, job, ref, task, worker);
+  ++worker.unstarted;
   MarkDirty(cell, job);
   task.bound_version = job.version;
 }
@@ -564,10 +573,10 @@
     UnbindTask(state, cell, job, ref);
     task.phase = TaskPhase::kDone;
     task.checkpoint.clear();
-    ++job.occurrences[static_cast<size_t>(ref.occurrence)]
-          .steps[static_cast<size_t>(ref.step)]
-          .done;
-    UnblockTasks(state, cell, job);
+    StepState& step =
+        job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
+    ++step.done;
+    if (static_cast<size_t>(step.done) == step.tasks.size()) UnblockTasks(state, cell, job);
     FinalizeJobIfDone(state, effects, cell, ref.job);
     return;
   }
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -84,6 +84,7 @@
 
   cell.next_evacuation = state.now + kEvacuationInterval;
   WakeAt(state, cell.next_evacuation);
+  CountUnstartedTasks(cell);
   Reservations room(state, cell);
   bool has_unplaced = false;
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -377,6 +377,10 @@
 /// Stops long-running tasks on draining workers, as far as other workers have capacity for them.
 void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell);
 
+/// Counts the tasks of each worker whose start was not sent yet. A worker with many of them gets no
+/// more tasks of large steps.
+void CountUnstartedTasks(OwnedCell& cell);
+
 /// Binds waiting tasks to workers with capacity.
 void PlaceTasks(State& state, Effects& effects, OwnedCell& cell);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -20,6 +20,9 @@
 /// because load reports are up to half a second old.
 constexpr int64_t kLendRoomPercent = 130;
 
+/// Maximum number of tasks that are passed on together.
+constexpr size_t kMaxTasksPerLoan = 500;
+
 /// Interval between polls of borrowers. They report the end of lent tasks on their own; polling
 /// covers lost messages.
 constexpr Millis kLoanPollInterval = Millis(3'000);
@@ -180,7 +183,7 @@
 
     batch.tasks.push_back(ref);
     // Long-running tasks are lent one by one, so that each can be moved separately.
-    if (batch.spec->is_long_running) break;
+    if (batch.spec->is_long_running || batch.tasks.size() == kMaxTasksPerLoan) break;
   }
 
   return batch;
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "reservations.h"
 
 /// Chooses the worker for each waiting task, and reports the load of a cell. Designed for a load in
@@ -13,6 +15,14 @@
 constexpr int64_t kLongRunningUsePercent = 40;
 /// Minimum time between two placement rounds in a cell: half of the delay of progress writes.
 constexpr Millis kPlacementInterval = Millis(30);
+/// Maximum number of tasks that one round binds. The rest waits for the next round, so that a large
+/// job does not delay the renewal of the entry's lease.
+constexpr int32_t kMaxBindingsPerRound = 200;
+/// Number of tasks of a worker whose start was not sent yet above which the worker gets no more
+/// tasks of a step that has many there. Orders leave one by one, and each event of a worker looks
+/// at all its tasks.
+constexpr int32_t kMaxUnstartedTasks = 64;
+constexpr int32_t kManyTasksOfStep = 32;
 /// Scores of a long-running task for a worker whose long-running tasks are all of the same image,
 /// and for a worker without any. Both outweigh any difference in free capacity.
 constexpr int64_t kSameImageScore = 1'000'000;
@@ -75,13 +85,8 @@
 /// Counts the tasks of a step on a worker, including those lent to this cell in separate borrowed
 /// jobs and those for which capacity is reserved.
 int32_t CountTasksOfStep(const OwnedCell& cell, const WorkerState& worker, const StepName& name) {
-  int32_t count = 0;
-
-  for (const TaskRef& ref : worker.tasks) {
-    if (ref.occurrence != name.occurrence || ref.step != name.step) continue;
-    if (NameOf(cell.jobs.at(ref.job), ref).job == name.job) ++count;
-  }
-
+  const auto bound = worker.tasks_by_step.find(name);
+  const int32_t count = bound == worker.tasks_by_step.end() ? 0 : bound->second;
   if (worker.reservations == 0) return count;
 
   const auto held = cell.reservations.find(name);
@@ -90,6 +95,12 @@
   return count + static_cast<int32_t>(std::ranges::count(held->second.workers, worker.info.id));
 }
 
+/// Returns whether a worker gets no more tasks of a step of which it has `same`, because too many
+/// of its tasks still have to be started.
+bool HasManyUnstarted(const WorkerState& worker, int32_t same) {
+  return worker.unstarted + worker.reservations >= kMaxUnstartedTasks && same >= kManyTasksOfStep;
+}
+
 /// Returns how well a worker suits a long-running task, by the images of the long-running tasks
 /// there. Each best-effort image disturbs only some images of long-running tasks. Grouping
 /// long-running tasks by image therefore leaves workers where a best-effort image disturbs none of
@@ -115,6 +126,7 @@
   if (!HasRoom(worker, spec) || !HasLabel(worker, spec.worker_label)) return std::nullopt;
 
   const int32_t same = CountTasksOfStep(cell, worker, request.name);
+  if (HasManyUnstarted(worker, same)) return std::nullopt;
   if (spec.max_per_worker > 0 && same >= spec.max_per_worker) return std::nullopt;
 
   int64_t score = 0;
@@ -147,24 +159,91 @@
   return score;
 }
 
-/// Returns the waiting tasks in order of placement: by priority, rank and urgency, then by when
-/// their jobs should be done.
-std::vector<TaskRef> TasksByUrgency(const State& state, const OwnedCell& cell) {
+/// Returns a key after those of all waiting tasks of the same job and rank.
+WaitingKey EndOfJob(const WaitingKey& key) {
+  constexpr int32_t kLast = std::numeric_limits<int32_t>::max();
+  WaitingKey end = key;
+  TaskRef& ref = std::get<3>(end);
+  ref.occurrence = kLast;
+  ref.step = kLast;
+  ref.index = kLast;
+  return end;
+}
+
+/// Returns a key after those of all waiting tasks of the same step.
+WaitingKey EndOfStep(const WaitingKey& key) {
+  WaitingKey end = key;
+  std::get<3>(end).index = std::numeric_limits<int32_t>::max();
+  return end;
+}
+
+/// Returns the key of the first waiting task of each job and rank in order of placement: by
+/// priority, rank and urgency, then by when the jobs should be done.
+std::vector<WaitingKey> JobsByUrgency(const State& state, const OwnedCell& cell) {
   using Rank = std::tuple<int32_t, int32_t, Urgency>;
-  std::vector<std::pair<Rank, const TaskRef*>> ranked;
-  ranked.reserve(cell.waiting.size());
+  std::vector<std::pair<Rank, WaitingKey>> ranked;
 
-  for (const WaitingKey& key : cell.waiting) {
+  for (auto key = cell.waiting.begin(); key != cell.waiting.end();
+       key = cell.waiting.upper_bound(EndOfJob(*key))) {
+    const JobState& job = cell.jobs.at(std::get<3>(*key).job);
+    const Urgency urgency = UrgencyOf(JobObjectiveOf(job.record), state.unix_ms);
+    ranked.emplace_back(Rank{std::get<0>(*key), std::get<1>(*key), urgency}, *key);
+  }
+
+  std::ranges::stable_sort(ranked, {}, &std::pair<Rank, WaitingKey>::first);
+  std::vector<WaitingKey> first_keys;
+  first_keys.reserve(ranked.size());
+  for (auto& [rank, key] : ranked) first_keys.push_back(std::move(key));
+  return first_keys;
+}
+
+/// Outcome of a placement round for one job and rank.
+struct JobPlacement {
+  int32_t bound = 0;
+  /// Some task found no worker.
+  bool has_unplaced = false;
+};
+
+/// Binds the waiting tasks of a job and rank to workers, at most `limit`. `key` is that of the
+/// first of them.
+JobPlacement PlaceJob(State& state, OwnedCell& cell, WaitingKey key, int32_t limit) {
+  JobPlacement placement;
+  JobState& job = cell.jobs.at(std::get<3>(key).job);
+  const WaitingKey end = EndOfJob(key);
+
+  for (auto next = cell.waiting.lower_bound(key); next != cell.waiting.end() && *next < end;
+       next = cell.waiting.upper_bound(key)) {
+    key = *next;
     const TaskRef& ref = std::get<3>(key);
-    const Urgency urgency = UrgencyOf(JobObjectiveOf(cell.jobs.at(ref.job).record), state.unix_ms);
-    ranked.emplace_back(Rank{std::get<0>(key), std::get<1>(key), urgency}, &ref);
+    const Millis ready_at = FindTask(cell, ref)->not_before;
+
+    if (state.now < ready_at) {
+      cell.placement_due = true;
+      cell.next_placement = std::max(state.now, std::min(cell.next_placement, ready_at));
+      WakeAt(state, ready_at);
+      continue;
+    }
+
+    if (placement.bound == limit) {
+      cell.placement_due = true;
+      WakeAt(state, cell.next_placement);
+      break;
+    }
+
+    WorkerState* worker = ChooseWorker(state, cell, ref);
+
+    if (worker == nullptr) {
+      placement.has_unplaced = true;
+      // All tasks of a step have the same requirements.
+      key = EndOfStep(key);
+      continue;
+    }
+
+    BindTask(state, cell, job, ref, *worker);
+    ++placement.bound;
   }
 
-  std::ranges::stable_sort(ranked, {}, &std::pair<Rank, const TaskRef*>::first);
-  std::vector<TaskRef> refs;
-  refs.reserve(ranked.size());
-  for (const auto& [rank, ref] : ranked) refs.push_back(*ref);
-  return refs;
+  return placement;
 }
 
 }  // namespace
@@ -220,41 +299,41 @@
 
   cell.placement_due = false;
   cell.next_placement = state.now + kPlacementInterval;
-  std::set<std::tuple<JobId, int32_t, int32_t>> unplaceable;
+  CountUnstartedTasks(cell);
+  int32_t left = kMaxBindingsPerRound;
   std::set<JobId> bound;
+  std::set<JobId> unplaced;
 
-  for (const TaskRef& ref : TasksByUrgency(state, cell)) {
-    JobState& job = cell.jobs.at(ref.job);
-    const TaskState& task = *FindTask(cell, ref);
+  for (const WaitingKey& key : JobsByUrgency(state, cell)) {
+    const JobId& id = std::get<3>(key).job;
+    JobState& job = cell.jobs.at(id);
     if (job.move || job.loan) continue;
 
-    if (state.now < task.not_before) {
-      cell.placement_due = true;
-      cell.next_placement = std::max(state.now, std::min(cell.next_placement, task.not_before));
-      WakeAt(state, task.not_before);
-      continue;
-    }
-
-    // All tasks of a step have the same requirements.
-    const auto step = std::make_tuple(ref.job, ref.occurrence, ref.step);
-    if (unplaceable.contains(step)) continue;
+    const JobPlacement placement = PlaceJob(state, cell, key, left);
+    left -= placement.bound;
+    if (placement.bound > 0) bound.insert(id);
+    if (!placement.has_unplaced) continue;
 
-    WorkerState* worker = ChooseWorker(state, cell, ref);
-
-    if (worker == nullptr) {
-      unplaceable.insert(step);
-      if (!job.waits_since) job.waits_since = state.now;
-      continue;
-    }
-
-    BindTask(state, cell, job, ref, *worker);
-    bound.insert(ref.job);
+    unplaced.insert(id);
+    if (!job.waits_since) job.waits_since = state.now;
   }
 
   for (const JobId& id : bound) {
-    const auto waiting = unplaceable.lower_bound(std::make_tuple(id, 0, 0));
-    const bool waits = waiting != unplaceable.end() && std::get<0>(*waiting) == id;
-    if (!waits) cell.jobs.at(id).waits_since.reset();
+    if (!unplaced.contains(id)) cell.jobs.at(id).waits_since.reset();
+  }
+}
+
+void CountUnstartedTasks(OwnedCell& cell) {
+  for (auto& [id, worker] : cell.workers) {
+    worker.unstarted = static_cast<int32_t>(worker.tasks.size());
+    if (worker.unstarted < kManyTasksOfStep) continue;
+
+    const auto unstarted = std::ranges::count_if(worker.tasks, [&cell](const TaskRef& ref) {
+      const TaskState& task = *FindTask(cell, ref);
+      return task.phase == TaskPhase::kBinding ||
+             (task.phase == TaskPhase::kStarting && !task.start_sent);
+    });
+    worker.unstarted = static_cast<int32_t>(unstarted);
   }
 }
 
@@ -295,12 +374,20 @@
 
   record.waiting = CountCellPendingJobs(state, cell, state.feeds.at(Feed::kRecords).revision);
 
+  const JobState* job = nullptr;
+  ServiceLoad* load = nullptr;
+
+  // The tasks of one job are adjacent within each rank.
   for (const WaitingKey& key : cell.waiting) {
     const TaskRef& ref = std::get<3>(key);
-    const JobState& job = cell.jobs.at(ref.job);
-    const StepSpec& spec = SpecOf(job, ref);
-    ServiceLoad& load = record.services[ServiceOf(state, job.record)];
-    (spec.best_effort ? load.waiting_best_effort : load.waiting) += spec.need.millicores;
+
+    if (job == nullptr || job->record.spec.job != ref.job) {
+      job = &cell.jobs.at(ref.job);
+      load = &record.services[ServiceOf(state, job->record)];
+    }
+
+    const StepSpec& spec = SpecOf(*job, ref);
+    (spec.best_effort ? load->waiting_best_effort : load->waiting) += spec.need.millicores;
   }
 
   return record;
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -9,6 +9,9 @@
 /// Minimum interval between two writes of one cell, so that changes are batched, as each call has a
 /// cost. A start, and the end of each step, wait for half of the interval on average.
 constexpr Millis kWriteInterval = Millis(60);
+/// Additional time between two writes of the progress of one job for each of its tasks, as each
+/// write contains all tasks that were started.
+constexpr int64_t kTasksPerMilli = 25;
 /// Maximum number of conditions and changes in one transaction of the store.
 constexpr size_t kMaxTransactionEntries = 32;
 /// Of these, those for the cell: the condition on the grant, and the load report.
@@ -76,14 +79,18 @@
 }
 
 /// Adds a job's progress to a write.
-void AddProgress(OwnedCell& cell, const JobId& id, JobState& job, WriteRecords& write) {
+void AddProgress(const State& state, OwnedCell& cell, const JobId& id, JobState& job,
+                 WriteRecords& write) {
   // The record of an ended job is reduced to what replies need, so that a starting entry has
   // little to read.
   if (IsTerminal(job.phase)) {
     write.puts.push_back(RecordPut{JobKey(id), EncodeEnded(job.record, job.phase), 0});
   }
 
-  std::string value = Encode(ProgressOf(job));
+  const ProgressRecord progress = ProgressOf(job);
+  job.next_record =
+      state.now + Millis(static_cast<int64_t>(progress.tasks.size()) / kTasksPerMilli);
+  std::string value = Encode(progress);
   job.unconfirmed_values[value] = job.version;
   write.expected.push_back(ExpectedRecord{ProgressKey(cell.cell, id), job.progress_revision});
   write.puts.push_back(RecordPut{ProgressKey(cell.cell, id), std::move(value), 0});
@@ -222,10 +229,15 @@
     // A loan that is about to be written contains the progress.
     if (job.move || job.loan || job.reservation) continue;
 
+    if (state.now < job.next_record) {
+      WakeAt(state, job.next_record);
+      continue;
+    }
+
     entries += IsTerminal(job.phase) ? kEntriesPerEndedJob : kEntriesPerJob;
     if (entries > kMaxTransactionEntries) break;
 
-    AddProgress(cell, id, job, write);
+    AddProgress(state, cell, id, job, write);
   }
 
   if (cell.write.load) {
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -68,6 +68,7 @@
   // limited.
   Reservation& held = cell.reservations[request.name];
   held = Reservation{.step = request.step, .expires_at = state.now + kReservationTime};
+  CountUnstartedTasks(cell);
 
   for (int32_t task = 0; task < request.step.task_count; ++task) {
     WorkerState* worker = ChooseWorker(state, cell, PlacementOf(request, state.now));
