Renew leases for long without the store only with the word of witnesses

Cause: a successor can't tell an owner that is gone from one that is cut off, and waits for the longest lease that the latter may grant: 8 s beyond its own lease, and 10 s for a start that is carried out late at a restarted worker. Change: an owner renews beyond 2.3 s only while all its witnesses have confirmed within a second that they miss the store too. A successor that has a denial of one of them, and has ended the former owner's lease at the store, waits 5.05 s for runs that a poll has listed. Ruled out: inferring it from unbroken leases in the store, as renewals may take effect while their answers are lost. Outage: two tests of the time away, which is the wait above, and six that no task runs twice or ends too early (owner alone with its worker, keys removed unseen, a witness back first, a pause, an outage for all, a data centre cut off).

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -13,6 +13,7 @@
 #include "currantpost/model/vm.h"
 #include "currantpost/policy/interference_model.h"
 #include "currantpost/scheduler/job_spec.h"
+#include "currantpost/scheduler/store.h"
 #include "currantpost/scheduler/worker.h"
 
 /// Records that the scheduler keeps in the store. docs/design/platform.md lists the writer of each.
@@ -48,6 +49,14 @@
 /// @}
 /// @}
 
+/// One start of an entry's process.
+struct EntryInstance {
+  EntryId entry;
+  std::string incarnation;
+
+  auto operator<=>(const EntryInstance&) const = default;
+};
+
 /// A live entry. Attached to the entry's lease at the store.
 struct EntryRecord {
   std::string incarnation;
@@ -82,6 +91,14 @@
   /// Workers whose leases the owner does not renew, with the longest time that each lease may still
   /// run at the time of the write. Once the cell is released, all workers with a lease.
   std::map<VmId, Millis> leases;
+  /// The same for runs that a poll has listed, where it is less: no order that arrives late can
+  /// have started them in another incarnation of the worker.
+  std::map<VmId, Millis> listed_leases;
+  /// The owner's lease at the store, 0 if it is not known.
+  LeaseId lease = 0;
+  /// Entries that all have to confirm an outage of the store before the owner renews leases for
+  /// long without it, with their addresses for peers. Absent if it needs none.
+  std::optional<std::map<EntryInstance, Address>> witnesses;
 
   bool operator==(const HandOverRecord&) const = default;
 };
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -18,6 +18,7 @@
 #include "currantpost/base/time.h"
 #include "currantpost/policy/interference_model.h"
 #include "currantpost/scheduler/events.h"
+#include "currantpost/scheduler/outage.h"
 #include "currantpost/scheduler/records.h"
 #include "currantpost/scheduler/reservation.h"
 #include "currantpost/scheduler/routing.h"
@@ -341,6 +342,17 @@
   bool recorded = false;
 };
 
+/// When the leases of former owners have expired at a worker.
+struct InheritedBounds {
+  /// For any run.
+  Millis any;
+  /// For a run that a poll has listed: no order that arrives late can have started it in another
+  /// incarnation of the worker, with a longer lease. Not after `any`.
+  Millis listed;
+
+  bool operator==(const InheritedBounds&) const = default;
+};
+
 /// Latest expiry of the leases at a worker, by the owner that granted them. The runs of an
 /// unresponsive worker have ended by then.
 struct LeaseBounds {
@@ -348,9 +360,10 @@
   Millis own;
   /// Of leases granted by former owners of the cell. Not used once the worker has answered under
   /// the current grant.
-  Millis inherited;
+  InheritedBounds inherited;
 
-  [[nodiscard]] Millis Expiry() const { return std::max(own, inherited); }
+  [[nodiscard]] Millis Expiry() const { return std::max(own, inherited.any); }
+  [[nodiscard]] Millis ListedExpiry() const { return std::max(own, inherited.listed); }
 };
 
 /// A worker of an owned cell.
@@ -451,9 +464,18 @@
   HandOverRecord former;
   Millis next_question;
   /// When the leases of former owners have expired at the workers that their record names.
-  std::map<VmId, Millis> expiries;
+  std::map<VmId, InheritedBounds> expiries;
   /// When the leases of former owners have expired at all other workers.
-  Millis default_expiry;
+  InheritedBounds default_expiry;
+  /// A witness has proved that the former owner renews leases for a short time only after the end
+  /// of its own lease at the store.
+  bool denied = false;
+  Millis next_denial_question;
+  /// When the store had ended that lease at the latest. Empty if that is not known.
+  std::optional<Millis> former_lease_ended_at;
+  /// The call that ends it, 0 if none is in flight, and the earliest time of the next one.
+  RequestId lease_end_request = 0;
+  Millis lease_end_at;
   /// This owner's record is in the store. It renews no lease before that.
   bool written = false;
   /// Current revision of the record, which may be a former owner's.
@@ -472,11 +494,18 @@
   std::set<VmId> maybe_recorded_workers;
   /// Workers named by the write in flight.
   std::set<VmId> pending_workers;
+  /// Witnesses that the record names, that it may name after a write of unknown outcome, and those
+  /// named by the write in flight.
+  /// @{
+  std::map<EntryInstance, Address> recorded_witnesses;
+  std::map<EntryInstance, Address> maybe_recorded_witnesses;
+  std::map<EntryInstance, Address> pending_witnesses;
+  /// @}
 };
 
 /// Expiries of the leases that this entry had granted in a cell when it stopped owning it.
 struct FormerCell {
-  std::map<VmId, Millis> expiries;
+  std::map<VmId, InheritedBounds> expiries;
 };
 
 /// Capacity of a cell held for tasks of one step that another cell is about to pass on.
@@ -674,6 +703,10 @@
   CellId cell;
   KvRevision grant = 0;
 };
+struct FormerLeaseEnded {
+  CellId cell;
+  KvRevision grant = 0;
+};
 struct JobMoved {
   CellId from;
   KvRevision grant = 0;
@@ -712,8 +745,9 @@
 using StorePurpose =
     std::variant<FeedCalled, LeaseGranted, LeaseRenewed, PreviousLeaseEnded, EntryRegistered,
                  LayoutWritten, CellClaimed, CellReleased, ProgressListed, ProgressWritten,
-                 HandOverRead, HandOverWritten, JobMoved, TasksLent, SubmitWritten, CancelAnswered,
-                 JobRead, PhaseRead, WorkerRead, EndedJobsRemoved, LearnedWritten, CancelsRead>;
+                 HandOverRead, HandOverWritten, FormerLeaseEnded, JobMoved, TasksLent,
+                 SubmitWritten, CancelAnswered, JobRead, PhaseRead, WorkerRead, EndedJobsRemoved,
+                 LearnedWritten, CancelsRead>;
 /// @}
 
 /// A call to the store that is in flight.
@@ -801,6 +835,7 @@
   std::map<CellId, SentDemand> sent_demand;
   /// Cells whose owners did not reply to the last request for capacity in time.
   std::map<CellId, UnresponsiveOwner> unresponsive_owners;
+  OutageState outage;
   /// Cells that had no capacity for best-effort tasks, by the requirements of these.
   std::map<std::pair<CellId, BestEffortNeeds>, DeclinedNeeds> declined_needs;
 
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -224,9 +224,14 @@
                                              {kReservationRequestPrefix, ApplyReservationRequest},
                                              {kReservationReplyPrefix, ApplyReservationReply},
                                              {kHandOverQuestionPrefix, ApplyHandOverQuestion},
-                                             {kHandOverAnswerPrefix, ApplyHandOverAnswer}};
-constexpr RecordKind<EntryId> kEntryKinds[] = {{kEntryPrefix, ApplyEntry},
-                                               {kEvidencePrefix, ApplyEvidence}};
+                                             {kHandOverAnswerPrefix, ApplyHandOverAnswer},
+                                             {kDenialQuestionPrefix, ApplyDenialQuestion},
+                                             {kDenialPrefix, ApplyDenialAnswer}};
+constexpr RecordKind<EntryId> kEntryKinds[] = {
+    {kEntryPrefix, ApplyEntry},
+    {kEvidencePrefix, ApplyEvidence},
+    {kOutageQuestionPrefix, ApplyOutageQuestion},
+    {kOutageConfirmationPrefix, ApplyOutageConfirmation}};
 
 template <typename Name, size_t kCount>
 bool ApplyByPrefix(const RecordKind<Name> (&kinds)[kCount], State& state, Effects& effects,
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -81,8 +81,9 @@
   if (!worker.clock_ms || !MayRenewLease(cell, worker)) return std::nullopt;
 
   const Millis longest = std::min(kWorkerLeaseTtl, state.settings.max_worker_lease);
-  const Millis horizon =
-      std::min(state.now + longest, state.lease.valid_until + kStoreOutageRenewalPeriod);
+  const Millis beyond_own_lease =
+      IsOutageConfirmed(state, cell) ? kStoreOutageRenewalPeriod : kUnconfirmedRenewalPeriod;
+  const Millis horizon = std::min(state.now + longest, state.lease.valid_until + beyond_own_lease);
   if (horizon <= state.now) return std::nullopt;
 
   return MinWorkerClock(state, worker) + (horizon - state.now).Count();
@@ -163,7 +164,8 @@
        {"cell", cell.cell.Text()},
        {"tasks", std::to_string(worker.tasks.size())},
        {"own_ms", std::to_string((worker.lease.own - state.now).Count())},
-       {"inherited_ms", std::to_string((worker.lease.inherited - state.now).Count())},
+       {"inherited_ms", std::to_string((worker.lease.inherited.any - state.now).Count())},
+       {"inherited_listed_ms", std::to_string((worker.lease.inherited.listed - state.now).Count())},
        {"answered_ms", std::to_string(answered.Count())},
        {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
        {"listed", worker.listed ? "yes" : "no"},
@@ -179,14 +181,19 @@
 void RequeueExpiredTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   if (worker.tasks.empty()) return;
 
-  if (state.now < worker.lease.Expiry()) {
+  const bool all_expired = state.now >= worker.lease.Expiry();
+  const bool listed_expired = state.now >= worker.lease.ListedExpiry();
+
+  if (!listed_expired) WakeAt(state, worker.lease.ListedExpiry());
+
+  if (!all_expired) {
     if (HasFailedPollsOrNoAddress(worker) && !std::exchange(worker.wait_logged, true)) {
       LogLeaseState(
           state, effects, cell, worker,
           "worker does not answer or has no known address; its tasks wait until its lease expires");
     }
     WakeAt(state, worker.lease.Expiry());
-    return;
+    if (!listed_expired) return;
   }
 
   const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
@@ -196,7 +203,7 @@
     const TaskState& task = *FindTask(cell, ref);
     const bool may_run = task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kStopping ||
                          (task.phase == TaskPhase::kStarting && task.start_sent);
-    if (!may_run) continue;
+    if (!may_run || !(all_expired || task.listed)) continue;
 
     if (!lost) {
       LogLeaseState(state, effects, cell, worker,
@@ -643,7 +650,7 @@
     // The worker now rejects renewals by former owners; the leases that they granted expire within
     // the time to live.
     worker.contacted = true;
-    worker.lease.inherited = Millis(0);
+    worker.lease.inherited = InheritedBounds{};
     worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(kWorkerLeaseTtl));
 
     const bool other_incarnation = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -14,15 +14,21 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// Returns the time after the end of a former owner's grant by which all its leases have expired,
-/// even if the owner is still running. The store can delete the owner's keys right after confirming
-/// its lease, without the owner noticing. The owner then treats its lease as valid for up to
-/// `kStoreLeaseTtl`, and grants worker leases that end at most `kStoreOutageRenewalPeriod` after
-/// that. A start that reaches a restarted worker can still get the longest lease that workers
-/// grant.
-Millis LongestFormerLease(const State& state) {
-  return MaxLeaseDuration(kStoreLeaseTtl +
-                          std::max(kStoreOutageRenewalPeriod, state.settings.max_worker_lease));
+/// Returns the times by which all leases of a former owner have expired that is not known to have
+/// stopped. The store can delete the owner's keys right after confirming its lease, without the
+/// owner noticing. The owner then treats its lease as valid for up to `kStoreLeaseTtl`, and grants
+/// worker leases that end at most `kStoreOutageRenewalPeriod` after that. A start that reaches a
+/// restarted worker can still get the longest lease that workers grant.
+InheritedBounds LongestFormerLeases(const State& state, Millis granted_at) {
+  const Millis longest = std::max(kStoreOutageRenewalPeriod, state.settings.max_worker_lease);
+  return InheritedBounds{
+      .any = granted_at + MaxLeaseDuration(kStoreLeaseTtl + longest),
+      .listed = granted_at + MaxLeaseDuration(kStoreLeaseTtl + kStoreOutageRenewalPeriod)};
+}
+
+InheritedBounds Earlier(const InheritedBounds& left, const InheritedBounds& right) {
+  return InheritedBounds{.any = std::min(left.any, right.any),
+                         .listed = std::min(left.listed, right.listed)};
 }
 
 /// Longest time that an owner's first record waits for replies of workers. A worker that replies
@@ -49,6 +55,18 @@
   return std::max(worker.lease.Expiry() - state.now, Millis(0));
 }
 
+/// Adds a worker's remaining leases to a record.
+void AddLease(HandOverRecord& record, const VmId& id, const InheritedBounds& expiry, Millis now) {
+  record.leases[id] = std::max(expiry.any - now, Millis(0));
+  if (expiry.listed < expiry.any) {
+    record.listed_leases[id] = std::max(expiry.listed - now, Millis(0));
+  }
+}
+
+InheritedBounds ExpiriesOf(const WorkerState& worker) {
+  return InheritedBounds{.any = worker.lease.Expiry(), .listed = worker.lease.ListedExpiry()};
+}
+
 /// Returns the workers that the owner's record must name.
 std::set<VmId> WorkersAwaitingLeaseExpiry(const OwnedCell& cell) {
   std::set<VmId> names;
@@ -66,8 +84,11 @@
                         .incarnation = state.settings.incarnation,
                         .peer_address = state.settings.peer_address,
                         .grant = cell.grant,
-                        .leases = {}};
-  for (const VmId& id : names) record.leases[id] = RemainingLease(state, cell.workers.at(id));
+                        .lease = state.lease.lease,
+                        .witnesses = cell.hand_over.pending_witnesses};
+  for (const VmId& id : names) {
+    AddLease(record, id, ExpiriesOf(cell.workers.at(id)), state.now);
+  }
 
   return record;
 }
@@ -83,28 +104,12 @@
 /// written.
 void InheritLeases(HandOverState& state, const HandOverRecord& record, Millis from) {
   state.expiries.clear();
-  for (const auto& [id, remaining] : record.leases) state.expiries[id] = from + remaining;
-}
-
-/// Shortens the waits for workers that have not answered under the current grant to what is known
-/// about their leases now.
-void ShortenWaits(const State& state, Effects& effects, OwnedCell& cell, std::string_view reason) {
-  for (auto& [id, worker] : cell.workers) {
-    if (worker.contacted) continue;
-
-    const Millis expiry = std::min(worker.lease.inherited, InheritedExpiry(cell, id));
-    if (expiry == worker.lease.inherited) continue;
-
-    worker.lease.inherited = expiry;
-    worker.needs_update = true;
-    if (worker.tasks.empty()) continue;
-
-    Log(effects, Severity::kInfo,
-        "leases of a worker that has not answered expire earlier than assumed",
-        {{"worker", id.Text()},
-         {"rest_ms", std::to_string(RemainingLease(state, worker).Count())},
-         {"tasks", std::to_string(worker.tasks.size())},
-         {"proof", std::string(reason)}});
+  for (const auto& [id, remaining] : record.leases) {
+    const auto listed = record.listed_leases.find(id);
+    const Millis listed_remaining =
+        listed == record.listed_leases.end() ? remaining : std::min(remaining, listed->second);
+    state.expiries[id] =
+        InheritedBounds{.any = from + remaining, .listed = from + listed_remaining};
   }
 }
 
@@ -120,8 +125,8 @@
   if (record.incarnation == former.incarnation || record.peer_address != former.peer_address)
     return;
 
-  hand_over.default_expiry =
-      std::min(hand_over.default_expiry, state.now + MaxLeaseDuration(kWorkerLeaseTtl));
+  const Millis ended_at = state.now + MaxLeaseDuration(kWorkerLeaseTtl);
+  hand_over.default_expiry = Earlier(hand_over.default_expiry, {ended_at, ended_at});
   hand_over.former.owner = EntryId();
   ShortenWaits(state, effects, cell, "the former owner has restarted");
 }
@@ -129,7 +134,7 @@
 void ApplyFormerLeases(const State& state, Effects& effects, OwnedCell& cell,
                        const HandOverRecord& leases) {
   InheritLeases(cell.hand_over, leases, state.now);
-  cell.hand_over.default_expiry = state.now;
+  cell.hand_over.default_expiry = InheritedBounds{.any = state.now, .listed = state.now};
   cell.hand_over.former.owner = EntryId();
   ShortenWaits(state, effects, cell, "the former owner reported its remaining leases");
 }
@@ -141,7 +146,7 @@
   if (former == state.former_cells.end()) return record;
 
   for (const auto& [id, expiry] : former->second.expiries) {
-    if (expiry > state.now) record.leases[id] = expiry - state.now;
+    if (expiry.any > state.now) AddLease(record, id, expiry, state.now);
   }
 
   return record;
@@ -155,11 +160,7 @@
     return ApplyFormerLeases(state, effects, cell, FormerLeases(state, cell.cell, former.grant));
   }
 
-  const bool waits = std::ranges::any_of(cell.workers, [&](const auto& row) {
-    const WorkerState& worker = row.second;
-    return !worker.contacted && !worker.tasks.empty() && worker.lease.inherited > state.now;
-  });
-  if (!waits) return;
+  if (!AwaitsFormerLeases(state, cell)) return;
 
   if (state.now < hand_over.next_question) {
     WakeAt(state, hand_over.next_question);
@@ -179,11 +180,14 @@
 
 /// Marks this owner's record as stored. No earlier write of the record
 /// can take effect any more, since each expects a revision that this one replaced.
-void MarkWritten(HandOverState& hand_over, KvRevision revision, std::set<VmId> names) {
+void MarkWritten(HandOverState& hand_over, KvRevision revision, std::set<VmId> names,
+                 std::map<EntryInstance, Address> witnesses) {
   hand_over.written = true;
   hand_over.revision = revision;
   hand_over.recorded_workers = std::move(names);
   hand_over.maybe_recorded_workers.clear();
+  hand_over.recorded_witnesses = std::move(witnesses);
+  hand_over.maybe_recorded_witnesses.clear();
 }
 
 /// Returns whether each worker with tasks has answered a poll or failed to, so that the first
@@ -201,10 +205,12 @@
 }
 
 /// Returns whether the record has to be written: because it was never written, because an earlier
-/// write has an unknown outcome, because it names other workers, because a lease runs longer than
-/// recorded, or because the recorded times have partly elapsed.
-bool IsOutdated(const State& state, const OwnedCell& cell, const std::set<VmId>& names) {
+/// write has an unknown outcome, because it names other workers or witnesses, because a lease runs
+/// longer than recorded, or because the recorded times have partly elapsed.
+bool IsOutdated(const State& state, const OwnedCell& cell, const std::set<VmId>& names,
+                const std::map<EntryInstance, Address>& witnesses) {
   const HandOverState& hand_over = cell.hand_over;
+  if (witnesses != hand_over.recorded_witnesses) return true;
   if (!hand_over.written || names != hand_over.recorded_workers ||
       !hand_over.maybe_recorded_workers.empty())
     return true;
@@ -225,8 +231,9 @@
   if (!hand_over.written && !FirstPollsAreDone(state, cell)) return;
 
   std::set<VmId> names = WorkersAwaitingLeaseExpiry(cell);
+  std::map<EntryInstance, Address> witnesses = state.outage.witnesses;
 
-  if (!IsOutdated(state, cell, names)) {
+  if (!IsOutdated(state, cell, names, witnesses)) {
     if (!names.empty()) WakeAt(state, hand_over.refresh_at);
     return;
   }
@@ -241,6 +248,8 @@
   hand_over.recorded_expiries.clear();
   for (const VmId& id : names) hand_over.recorded_expiries[id] = cell.workers.at(id).lease.Expiry();
   hand_over.maybe_recorded_workers.insert(names.begin(), names.end());
+  hand_over.maybe_recorded_witnesses.insert(witnesses.begin(), witnesses.end());
+  hand_over.pending_witnesses = std::move(witnesses);
 
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
@@ -281,7 +290,7 @@
   }
 
   hand_over.known = true;
-  hand_over.default_expiry = cell->taken_over_at + LongestFormerLease(state);
+  hand_over.default_expiry = LongestFormerLeases(state, cell->taken_over_at);
   if (reply.items.empty()) return;
 
   const StoreItem& item = reply.items.front();
@@ -291,7 +300,10 @@
 
   // The former owner wrote the record before this grant.
   InheritLeases(hand_over, *record, cell->taken_over_at);
-  if (record->owner.Empty()) hand_over.default_expiry = cell->taken_over_at;
+  if (record->owner.Empty()) {
+    hand_over.default_expiry =
+        InheritedBounds{.any = cell->taken_over_at, .listed = cell->taken_over_at};
+  }
 
   Log(effects, Severity::kInfo, "read the former owner's handover record",
       {{"cell", read.cell.Text()},
@@ -301,7 +313,35 @@
   hand_over.former = *std::move(record);
 }
 
-Millis InheritedExpiry(const OwnedCell& cell, const VmId& worker) {
+bool AwaitsFormerLeases(const State& state, const OwnedCell& cell) {
+  return std::ranges::any_of(cell.workers, [&](const auto& row) {
+    const WorkerState& worker = row.second;
+    return !worker.contacted && !worker.tasks.empty() && worker.lease.inherited.any > state.now;
+  });
+}
+
+void ShortenWaits(const State& state, Effects& effects, OwnedCell& cell, std::string_view reason) {
+  for (auto& [id, worker] : cell.workers) {
+    if (worker.contacted) continue;
+
+    const InheritedBounds expiry = Earlier(worker.lease.inherited, InheritedExpiry(cell, id));
+    if (expiry == worker.lease.inherited) continue;
+
+    worker.lease.inherited = expiry;
+    worker.needs_update = true;
+    if (worker.tasks.empty()) continue;
+
+    Log(effects, Severity::kInfo,
+        "leases of a worker that has not answered expire earlier than assumed",
+        {{"worker", id.Text()},
+         {"rest_ms", std::to_string(RemainingLease(state, worker).Count())},
+         {"listed_rest_ms", std::to_string((worker.lease.ListedExpiry() - state.now).Count())},
+         {"tasks", std::to_string(worker.tasks.size())},
+         {"proof", std::string(reason)}});
+  }
+}
+
+InheritedBounds InheritedExpiry(const OwnedCell& cell, const VmId& worker) {
   const auto named = cell.hand_over.expiries.find(worker);
   return named == cell.hand_over.expiries.end() ? cell.hand_over.default_expiry : named->second;
 }
@@ -309,6 +349,7 @@
 void UpdateHandOver(State& state, Effects& effects, OwnedCell& cell) {
   if (!cell.hand_over.former.owner.Empty()) CheckForNewIncarnation(state, effects, cell);
   if (!cell.hand_over.former.owner.Empty()) AskFormerOwner(state, effects, cell);
+  if (!cell.hand_over.former.owner.Empty()) AskForDenial(state, effects, cell);
 
   WriteHandOver(state, effects, cell);
 }
@@ -323,7 +364,8 @@
 
   switch (reply.status) {
     case StoreStatus::kOk:
-      return MarkWritten(hand_over, reply.revision, std::move(hand_over.pending_workers));
+      return MarkWritten(hand_over, reply.revision, std::move(hand_over.pending_workers),
+                         std::move(hand_over.pending_witnesses));
     case StoreStatus::kConflict:
       break;
     case StoreStatus::kUnknown:
@@ -347,7 +389,10 @@
     hand_over.revision = item.revision;
     hand_over.write_at = state.now;
     // The record comes from an earlier write whose reply was lost.
-    if (own) MarkWritten(hand_over, item.revision, NamedWorkers(*record));
+    if (own) {
+      MarkWritten(hand_over, item.revision, NamedWorkers(*record),
+                  record->witnesses.value_or(std::map<EntryInstance, Address>()));
+    }
   }
 }
 
@@ -364,7 +409,7 @@
   HandOverRecord record{.grant = cell.grant};
 
   for (const auto& [id, worker] : cell.workers) {
-    if (worker.lease.Expiry() > state.now) record.leases[id] = RemainingLease(state, worker);
+    if (worker.lease.Expiry() > state.now) AddLease(record, id, ExpiriesOf(worker), state.now);
   }
 
   return record;
@@ -373,14 +418,14 @@
 void RememberFormerLeases(State& state, const OwnedCell& cell) {
   std::erase_if(state.former_cells, [&](const auto& row) {
     return std::ranges::all_of(row.second.expiries,
-                               [&](const auto& lease) { return lease.second <= state.now; });
+                               [&](const auto& lease) { return lease.second.any <= state.now; });
   });
 
   // Before the cell is open, it has no workers and this owner has written no record.
   if (!cell.open) return;
 
   FormerCell& former = state.former_cells[{cell.cell, cell.grant}];
-  for (const auto& [id, worker] : cell.workers) former.expiries[id] = worker.lease.Expiry();
+  for (const auto& [id, worker] : cell.workers) former.expiries[id] = ExpiriesOf(worker);
 }
 
 void ApplyHandOverQuestion(State& state, Effects& effects, const CellId& cell,
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -25,10 +25,13 @@
 /// and a poll), so that tasks keep running during it. Otherwise short, because the tasks of a
 /// worker that is cut off cannot start elsewhere before its lease expires.
 inline constexpr Millis kWorkerLeaseTtl = Millis(4'800);
-/// How long an owner keeps renewing workers' leases after the store last confirmed its own lease.
-/// This keeps tasks running through outages of the store, but a successor that cannot reach a
-/// worker has to wait longer by this time.
+/// How long after the end of its own lease at the store an owner lets workers' leases run while its
+/// witnesses confirm that they miss the store too. This keeps tasks running through outages of the
+/// store, but a successor that cannot reach a worker has to wait longer by this time.
 inline constexpr Millis kStoreOutageRenewalPeriod = Millis(8'000);
+/// The same without such confirmations: leases then end one `kWorkerLeaseTtl` after the store has
+/// last confirmed the owner's lease.
+inline constexpr Millis kUnconfirmedRenewalPeriod = kWorkerLeaseTtl - kStoreLeaseTtl;
 /// Workers' clocks may run slow by up to 2 %.
 inline constexpr int64_t kClockDriftPercent = 2;
 /// Added to every duration after which a lease is treated as expired. Covers rounding and one round
@@ -193,7 +196,15 @@
                         const StoreReply& reply);
 
 /// Returns the time by which all leases that former owners granted to a worker have expired.
-Millis InheritedExpiry(const OwnedCell& cell, const VmId& worker);
+InheritedBounds InheritedExpiry(const OwnedCell& cell, const VmId& worker);
+
+/// Returns whether tasks wait for leases that former owners granted to workers which have not
+/// answered under the current grant.
+bool AwaitsFormerLeases(const State& state, const OwnedCell& cell);
+
+/// Shortens the waits for workers that have not answered under the current grant to what is known
+/// about their leases now.
+void ShortenWaits(const State& state, Effects& effects, OwnedCell& cell, std::string_view reason);
 
 /// Finds out whether a former owner has stopped renewing leases, and records which leases this
 /// owner renews.
@@ -216,6 +227,27 @@
                            const StoreItem& item);
 void ApplyHandOverAnswer(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
 
+// Witnesses of outages of the store
+
+/// Returns whether all witnesses that the cell's record may name have confirmed lately that they
+/// miss the store.
+bool IsOutageConfirmed(const State& state, const OwnedCell& cell);
+
+/// Chooses this entry's witnesses, and asks them for confirmations while this entry misses the
+/// store.
+void UpdateWitnesses(State& state, Effects& effects);
+void ApplyOutageQuestion(State& state, Effects& effects, const EntryId& witness,
+                         const StoreItem& item);
+void ApplyOutageConfirmation(State& state, Effects& effects, const EntryId& witness,
+                             const StoreItem& item);
+
+/// Asks the witnesses of a cell's former owner whether it may have renewed leases for long.
+void AskForDenial(State& state, Effects& effects, OwnedCell& cell);
+void HandleFormerLeaseEnded(State& state, Effects& effects, const FormerLeaseEnded& ended,
+                            const StoreReply& reply);
+void ApplyDenialQuestion(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
+void ApplyDenialAnswer(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
+
 // Jobs of owned cells
 
 /// Adds a job to an owned, open cell. Does nothing if the job is already there.
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -101,6 +101,22 @@
   return tasks;
 }
 
+Json LeasesJson(const std::map<VmId, Millis>& leases) {
+  Json json = Json::object();
+  for (const auto& [worker, rest] : leases) json[worker.Text()] = rest.Count();
+
+  return json;
+}
+
+std::map<VmId, Millis> LeasesOf(const Json& json) {
+  std::map<VmId, Millis> leases;
+  for (const auto& [worker, rest] : json.items()) {
+    leases[VmId(worker)] = Millis(rest.get<int64_t>());
+  }
+
+  return leases;
+}
+
 ProgressRecord CarriedOf(const Json& json) {
   if (!json.contains("carried")) return ProgressRecord{};
 
@@ -174,10 +190,19 @@
 }
 
 std::string Encode(const HandOverRecord& record) {
-  Json leases = Json::object();
-  for (const auto& [worker, rest] : record.leases) leases[worker.Text()] = rest.Count();
+  Json json{{"grant", record.grant}, {"leases", LeasesJson(record.leases)}};
+  if (!record.listed_leases.empty()) json["listed"] = LeasesJson(record.listed_leases);
+
+  if (record.lease != 0) json["lease"] = record.lease;
+
+  if (record.witnesses) {
+    Json& rows = json["witnesses"] = Json::array();
+    for (const auto& [witness, address] : *record.witnesses) {
+      rows.push_back(
+          Json::array({witness.entry.Text(), witness.incarnation, AddressJson(address)}));
+    }
+  }
 
-  Json json{{"grant", record.grant}, {"leases", std::move(leases)}};
   if (record.owner.Empty()) return Dump(json);
 
   json["owner"] = record.owner.Text();
@@ -191,8 +216,18 @@
     HandOverRecord record;
     record.grant = json.at("grant").get<KvRevision>();
 
-    for (const auto& [worker, rest] : json.at("leases").items()) {
-      record.leases[VmId(worker)] = Millis(rest.get<int64_t>());
+    record.leases = LeasesOf(json.at("leases"));
+    if (json.contains("listed")) record.listed_leases = LeasesOf(json.at("listed"));
+
+    record.lease = json.value("lease", LeaseId{0});
+
+    if (json.contains("witnesses")) {
+      record.witnesses.emplace();
+      for (const Json& row : json.at("witnesses")) {
+        const EntryInstance witness{EntryId(row.at(0).get<std::string>()),
+                                    row.at(1).get<std::string>()};
+        (*record.witnesses)[witness] = AddressOf(row.at(2));
+      }
     }
 
     if (!json.contains("owner")) return record;
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -48,6 +48,9 @@
   void operator()(const HandOverWritten& purpose) const {
     HandleHandOverWritten(state, effects, purpose, reply);
   }
+  void operator()(const FormerLeaseEnded& purpose) const {
+    HandleFormerLeaseEnded(state, effects, purpose, reply);
+  }
   void operator()(const JobMoved& purpose) const { HandleJobMoved(state, effects, purpose, reply); }
   void operator()(const TasksLent& purpose) const {
     HandleTasksLent(state, effects, purpose, reply);
@@ -178,6 +181,7 @@
   std::visit(EventHandler{state, effects}, event.body);
 
   UpdateLease(state, effects);
+  UpdateWitnesses(state, effects);
   UpdateFeeds(state, effects);
   UpdateCancelReads(state, effects);
   LogRecordsStaleness(state, effects);
--- a/tests/scheduler/hand_over_review_test.cc
+++ b/tests/scheduler/hand_over_review_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "hand_over_record.h"
 #include "world.h"
 
 /// Tests how the owners of a cell judge the leases of its workers while it changes owner: no task
@@ -128,6 +129,7 @@
   RunUntilStarted();
   world_.Run(Millis(3'000));
   const Millis lost_at = world_.now();
+  DropWitnesses(world_, worker_.starts_with("wr0") ? "dc0/0" : "dc1/0");
   world_.LoseWorker(worker_);
   world_.KillForGood(owner_);
   world_.Run(Millis(12'000));
--- /dev/null
+++ b/tests/scheduler/outage_test.cc
@@ -0,0 +1,232 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "world.h"
+
+/// How long an owner without the store renews the leases of its workers, and how long its successor
+/// waits for them.
+
+namespace currantpost::scheduler {
+namespace {
+
+using Names = std::vector<std::string>;
+
+constexpr const char* kJob = "a";
+/// Longest time that a long-running task may be away: 6 s for its restart and 3 s more.
+constexpr Millis kMaxAbsence = Millis(9'000);
+/// A cut that is shorter than the time for which leases are renewed without the store.
+constexpr Millis kShortCut = Millis(6'500);
+
+/// Entries and cells in several data centres, and a job with one long-running task.
+class OutageWorld {
+ public:
+  OutageWorld(int32_t entries, int32_t data_centres)
+      : world(WorldShape{
+            .entries = entries, .data_centres = data_centres, .racks = 1, .workers_per_rack = 4}) {
+    world.DropUnresponsiveWorkers();
+    world.planner = [](const TaskName&) {
+      return RunPlan{.never_ends = true, .need = Resources{.millicores = 1'000, .memory_mib = 100}};
+    };
+    world.Run(Millis(6'000));
+    JobSpec spec = MakeJob(kJob, 1);
+    spec.steps[0].is_long_running = true;
+    world.Submit("e0", spec);
+    world.Run(Millis(4'000));
+    worker = world.WorkersOf(kJob).front();
+    owner = world.OwnerOf(kJob);
+  }
+
+  /// Returns the other entries of the owner's data centre, or those elsewhere.
+  [[nodiscard]] Names OtherEntries(bool local) const {
+    const auto& centres = world.DataCentres();
+    Names names;
+    for (const auto& [entry, centre] : centres) {
+      if (entry != owner && (centre == centres.at(owner)) == local) names.push_back(entry);
+    }
+    return names;
+  }
+
+  /// Returns the workers of the owner's data centre, or those elsewhere.
+  [[nodiscard]] Names OtherWorkers(bool local) const {
+    Names names;
+    for (const std::string& id : world.Workers()) {
+      if ((id.substr(0, 3) == worker.substr(0, 3)) == local) names.push_back(id);
+    }
+    return names;
+  }
+
+  /// Cuts a group off from the store and from all entries and workers outside it.
+  void Isolate(const Names& group) {
+    Names others = {"store"};
+    for (const bool local : {true, false}) {
+      std::ranges::copy(OtherEntries(local), std::back_inserter(others));
+      std::ranges::copy(OtherWorkers(local), std::back_inserter(others));
+    }
+    others.push_back(owner);
+
+    for (const std::string& one : group) {
+      for (const std::string& other : others) {
+        if (std::ranges::find(group, other) == group.end()) world.Cut(one, other);
+      }
+    }
+  }
+
+  /// Isolates the owner's data centre.
+  Names IsolateDataCentre() {
+    Names group = OtherEntries(true);
+    group.push_back(owner);
+    std::ranges::copy(OtherWorkers(true), std::back_inserter(group));
+    Isolate(group);
+    return group;
+  }
+
+  /// Returns how long the task was away at the longest during `span`.
+  Millis LongestAbsence(Millis span) {
+    Millis longest;
+    Millis absence;
+    for (Millis passed; passed < span; passed = passed + Millis(20)) {
+      world.Run(Millis(20));
+      const Names workers = world.WorkersOf(kJob);
+      const bool runs = std::ranges::any_of(
+          workers, [this](const std::string& id) { return world.worker(id).up; });
+      absence = runs ? Millis(0) : absence + Millis(20);
+      longest = std::max(longest, absence);
+    }
+    return longest;
+  }
+
+  [[nodiscard]] int32_t Starts() { return world.starts[TaskName{JobId(kJob), 0, 0, 0}]; }
+
+  World world;
+  std::string worker;
+  std::string owner;
+};
+
+// Guards against a wait for leases that nobody renews: the only entry of a data centre was gone for
+// good together with a worker.
+TEST(Outage, TasksReturnInTimeIfTheOnlyOwnerOfADataCentreIsGoneForGood) {
+  OutageWorld outage(3, 3);
+  outage.world.KillForGood(outage.owner);
+  outage.world.LoseWorker(outage.worker);
+
+  EXPECT_LE(outage.LongestAbsence(Millis(20'000)), kMaxAbsence);
+  EXPECT_EQ(outage.world.violations, Names());
+}
+
+// Guards against the same where other entries of the data centre are gone too.
+TEST(Outage, TasksReturnInTimeIfTwoOfThreeEntriesAreGoneForGood) {
+  OutageWorld outage(6, 2);
+  outage.world.KillForGood(outage.owner);
+  outage.world.KillForGood(outage.OtherEntries(true).front());
+  outage.world.Run(Millis(200));
+  outage.world.LoseWorker(outage.worker);
+
+  EXPECT_LE(outage.LongestAbsence(Millis(20'000)), kMaxAbsence);
+  EXPECT_EQ(outage.world.violations, Names());
+}
+
+// Guards against a task that runs twice: an owner that is cut off alone with a worker renewed the
+// worker's lease longer than its successor waited.
+TEST(Outage, ATaskDoesNotRunTwiceIfItsOwnerIsCutOffAloneWithItsWorker) {
+  for (const int32_t data_centres : {1, 2, 4}) {
+    OutageWorld outage(4, data_centres);
+    outage.Isolate({outage.owner, outage.worker});
+    EXPECT_LE(outage.LongestAbsence(Millis(20'000)), kMaxAbsence);
+    outage.world.Reconnect();
+    outage.world.Run(Millis(5'000));
+
+    EXPECT_EQ(outage.world.violations, Names()) << data_centres;
+    EXPECT_EQ(outage.world.WorkersOf(kJob).size(), 1U) << data_centres;
+  }
+}
+
+// Guards against the same if the store removes the owner's keys unseen before.
+TEST(Outage, ATaskDoesNotRunTwiceIfTheKeysOfItsOwnerAreRemovedUnseen) {
+  OutageWorld outage(4, 2);
+  const LeaseId lease = outage.world.store.LeaseOf(std::string(kEntryPrefix) + outage.owner);
+  outage.world.DelayWatches(outage.owner, Millis(1'500));
+  for (const std::string& entry : outage.OtherEntries(true)) {
+    outage.world.Cut(entry, outage.owner);
+    outage.world.Cut(entry, outage.worker);
+  }
+  for (const std::string& entry : outage.OtherEntries(false)) {
+    outage.world.Cut(entry, outage.owner);
+    outage.world.Cut(entry, outage.worker);
+  }
+  outage.world.store.Revoke(lease, true, outage.world.now());
+  outage.world.Run(Millis(20'000));
+  outage.world.Reconnect();
+  outage.world.Run(Millis(5'000));
+
+  EXPECT_EQ(outage.world.violations, Names());
+  EXPECT_EQ(outage.world.WorkersOf(kJob).size(), 1U);
+}
+
+// Guards against tasks that end in an outage which all entries see.
+TEST(Outage, TasksRunOnWhileTheStoreIsAway) {
+  for (const int32_t data_centres : {1, 2, 4}) {
+    OutageWorld outage(4, data_centres);
+    for (const std::string& entry : outage.world.Entries()) outage.world.Cut(entry, "store");
+    outage.world.Run(kShortCut);
+    outage.world.Reconnect();
+    outage.world.Run(Millis(15'000));
+
+    EXPECT_EQ(outage.Starts(), 1) << data_centres;
+    EXPECT_EQ(outage.world.WorkersOf(kJob).size(), 1U) << data_centres;
+  }
+}
+
+// Guards against tasks that end in a data centre that is cut off as a whole.
+TEST(Outage, TasksRunOnInADataCentreThatIsCutOff) {
+  OutageWorld outage(6, 2);
+  outage.IsolateDataCentre();
+  outage.world.Run(kShortCut);
+  outage.world.Reconnect();
+  outage.world.Run(Millis(15'000));
+
+  EXPECT_EQ(outage.Starts(), 1);
+  EXPECT_EQ(outage.world.violations, Names());
+}
+
+// Guards against a task that runs twice: a witness that had confirmed the outage reached the store
+// again, and counted as proof that there had been none.
+TEST(Outage, ATaskDoesNotRunTwiceIfAWitnessReachesTheStoreAgainFirst) {
+  for (const Millis alone : {Millis(2'500), Millis(3'500), Millis(4'500), Millis(6'000)}) {
+    OutageWorld outage(4, 2);
+    const Names group = outage.IsolateDataCentre();
+    outage.world.Run(alone);
+    outage.world.Reconnect();
+    outage.Isolate({outage.owner, outage.worker});
+    outage.world.Run(Millis(20'000));
+    outage.world.Reconnect();
+    outage.world.Run(Millis(5'000));
+
+    EXPECT_EQ(outage.world.violations, Names()) << alone.Count();
+    EXPECT_EQ(outage.world.WorkersOf(kJob).size(), 1U) << alone.Count();
+  }
+}
+
+// Guards against a process that acts on an old permission: a confirmation that waited while the
+// owner was paused.
+TEST(Outage, ATaskDoesNotRunTwiceIfItsOwnerWasPausedInTheOutage) {
+  for (const Millis paused : {Millis(1'000), Millis(3'000), Millis(6'000)}) {
+    OutageWorld outage(4, 2);
+    outage.IsolateDataCentre();
+    outage.world.Run(Millis(2'000));
+    outage.world.Pause(outage.owner);
+    outage.world.Run(paused);
+    outage.world.Reconnect();
+    outage.Isolate({outage.owner, outage.worker});
+    outage.world.Resume(outage.owner);
+    outage.world.Run(Millis(20'000));
+    outage.world.Reconnect();
+    outage.world.Run(Millis(5'000));
+
+    EXPECT_EQ(outage.world.violations, Names()) << paused.Count();
+    EXPECT_EQ(outage.world.WorkersOf(kJob).size(), 1U) << paused.Count();
+  }
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
