--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -118,6 +118,21 @@
   }
 }
 
+// Guards against an entry that runs out of memory: a scheduled job with one occurrence a minute for
+// a year was accepted.
+TEST(Documents, RejectsJobsWithMoreTasksThanARecordHolds) {
+  for (const char* text : {R"({"repeat_count":525600,"steps":[{"count":4}]})",
+                           R"({"steps":[{"count":10000},{"count":10000},{"count":10000}]})",
+                           R"({"repeat_count":2000000000,"steps":[{"count":10000}]})"}) {
+    const auto spec = DecodeJobSpec(JobId("a"), text);
+    ASSERT_FALSE(spec) << text;
+    EXPECT_EQ(spec.error().code, ErrorCode::kInvalidArgument);
+  }
+
+  EXPECT_TRUE(DecodeJobSpec(JobId("a"), R"({"steps":[{"count":10000},{"count":10000}]})"));
+  EXPECT_TRUE(DecodeJobSpec(JobId("a"), R"({"repeat_count":1440,"steps":[{"count":4}]})"));
+}
+
 TEST(Documents, TaskNamesRoundTripAndMalformedOnesAreRejected) {
   const scheduler::TaskName name{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
 
@@ -270,6 +285,14 @@
   EXPECT_EQ(DecodeWorkerReply(Answered(200, R"({"running":[[1]]})")).status, OrderStatus::kUnknown);
 }
 
+// Guards against a process that one malformed rejection ends.
+TEST(Workers, RejectionsWithoutAReadableReasonAreInvalid) {
+  for (const char* body : {R"({"reason":7})", R"({"reason":null})", R"({"reason":["old"]})", "{}",
+                           "[]", "7", "not JSON", ""}) {
+    EXPECT_EQ(DecodeWorkerReply(Answered(409, body)).status, OrderStatus::kInvalid) << body;
+  }
+}
+
 // Callers.
 
 class Callers : public testing::Test {
