Let the next owner see a loss in time in the test of retained ends

Trace: all watches are 2 s late in that test, so the next owner took the cell at 21.300 s and opened it at 23.310 s, 6.6 s after the cut; the workers' leases had expired, which voids the ends, and the tasks ran again. The rule allows that (an end counts unless the lease lapsed before it was taken note of). The late watches matter before the cut only; they are ended with it, and all bounds stay.

--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -104,6 +104,8 @@
   world_.Submit("e0", MakeJob("c", 4));
   world_.Run(Millis(200));
   const std::string owner = world_.OwnerOf("c");
+  // The next owner sees the loss of this one in time to renew the workers' leases.
+  for (const char* entry : {"e0", "e1", "e2"}) world_.SlowWatches(entry, Millis(0));
   world_.Cut(owner, "store");
   world_.Run(Millis(1'500));
   EXPECT_EQ((world_.ends[TaskName{JobId("c"), 0, 0, 3}][RunEnd::kDone]), 1);
