Share the doubling pause and the message to a peer, and do less for each renewal

Read again as a whole; nothing that callers or workers see changes. - The pause after an owner that did not reply and the one after a cell that declined best-effort tasks were two structs with the same steps: DoublingPause. - Eight places built a message to a peer by hand: PushMessage. - A renewal of a lease copied the maps of witnesses although the store answered, and each event copied this entry's witnesses for each cell. - A reply to a request for capacity collected the waiting tasks twice, a move summed up its demand twice. - Remaining and ExpiredAt in hand_over.cc, IsDone in cell_jobs.cc and OwnerOf in outage.cc take the place of copies; two tests share RemoveKeysOfOwnerUnseen. Assertions are unchanged. The field listed_rest_ms of one log line is 0 in place of a negative figure.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -524,12 +524,15 @@
   Millis sent_at;
 };
 
-/// An owner that did not reply to requests for capacity in time.
-struct UnresponsiveOwner {
-  /// It is not asked again before.
+/// A pause that doubles each time it is extended.
+struct DoublingPause {
   Millis until;
-  /// Consecutive requests without a reply.
-  int32_t requests = 0;
+  int32_t extensions = 0;
+
+  void Extend(Millis now, Millis first, int32_t max_doublings) {
+    until = now + first * (int64_t{1} << std::min(extensions, max_doublings));
+    ++extensions;
+  }
 };
 
 /// Requirements of best-effort tasks. A cell accepts or declines tasks with equal ones alike.
@@ -544,14 +547,6 @@
   auto operator<=>(const BestEffortNeeds&) const = default;
 };
 
-/// A cell that had no capacity for some best-effort tasks.
-struct DeclinedNeeds {
-  /// It is not asked again before.
-  Millis until;
-  /// Consecutive refusals.
-  int32_t times = 0;
-};
-
 /// Sort key of waiting tasks: priority, long-running tasks first, target time of the job, task.
 using WaitingKey = std::tuple<int32_t, int32_t, int64_t, TaskRef>;
 
@@ -833,11 +828,12 @@
   std::map<JobId, PendingCancel> cancels;
   absl::flat_hash_map<RequestId, PendingPeerQuery> peer_queries;
   std::map<CellId, SentDemand> sent_demand;
-  /// Cells whose owners did not reply to the last request for capacity in time.
-  std::map<CellId, UnresponsiveOwner> unresponsive_owners;
+  /// Cells whose owners did not reply to the last request for capacity in time, and for how long
+  /// they are not asked again.
+  std::map<CellId, DoublingPause> unresponsive_owners;
+  /// The same for cells that had no capacity for best-effort tasks, by the requirements of these.
+  std::map<std::pair<CellId, BestEffortNeeds>, DoublingPause> declined_needs;
   OutageState outage;
-  /// Cells that had no capacity for best-effort tasks, by the requirements of these.
-  std::map<std::pair<CellId, BestEffortNeeds>, DeclinedNeeds> declined_needs;
 
   /// When the store last answered any call.
   std::optional<Millis> store_answered_at;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -171,19 +171,20 @@
   }
 }
 
+bool IsDone(const StepState& step) { return static_cast<size_t>(step.done) == step.tasks.size(); }
+
 bool AllStepsDone(const OccurrenceState& occurrence, const std::vector<int32_t>& steps) {
   return std::ranges::all_of(steps, [&](int32_t step) {
     if (step < 0 || static_cast<size_t>(step) >= occurrence.steps.size()) return true;
 
-    const StepState& before = occurrence.steps[static_cast<size_t>(step)];
-    return static_cast<size_t>(before.done) == before.tasks.size();
+    return IsDone(occurrence.steps[static_cast<size_t>(step)]);
   });
 }
 
 bool AllTasksDone(const JobState& job) {
   for (const OccurrenceState& occurrence : job.occurrences) {
     for (const StepState& step : occurrence.steps) {
-      if (static_cast<size_t>(step.done) != step.tasks.size()) return false;
+      if (!IsDone(step)) return false;
     }
   }
 
@@ -484,7 +485,7 @@
 
     for (size_t step = 0; step < occurrence.steps.size(); ++step) {
       StepState& tasks = occurrence.steps[step];
-      if (static_cast<size_t>(tasks.done) == tasks.tasks.size()) continue;
+      if (IsDone(tasks)) continue;
       if (!AllStepsDone(occurrence, job.record.spec.steps[step].after)) continue;
 
       for (size_t index = 0; index < tasks.tasks.size(); ++index) {
@@ -576,7 +577,7 @@
     StepState& step =
         job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
     ++step.done;
-    if (static_cast<size_t>(step.done) == step.tasks.size()) UnblockTasks(state, cell, job);
+    if (IsDone(step)) UnblockTasks(state, cell, job);
     FinalizeJobIfDone(state, effects, cell, ref.job);
     return;
   }
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -399,6 +399,12 @@
   return entry->second.record.peer_address;
 }
 
+void PushMessage(Effects& effects, const Address& peer, std::string_view prefix,
+                 std::string_view name, std::string value) {
+  StoreItem message{.key = std::string(prefix).append(name), .value = std::move(value)};
+  effects.emplace_back(PushRecords{peer, {std::move(message)}});
+}
+
 void PushToOwner(State& state, Effects& effects, const CellId& cell, StoreItem item) {
   if (const auto owner = OwnerAddress(state, cell)) {
     effects.emplace_back(PushRecords{*owner, {std::move(item)}});
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -26,6 +26,9 @@
       .listed = granted_at + MaxLeaseDuration(kStoreLeaseTtl + kStoreOutageRenewalPeriod)};
 }
 
+/// Returns bounds that are the same for all runs.
+InheritedBounds ExpiredAt(Millis at) { return InheritedBounds{.any = at, .listed = at}; }
+
 InheritedBounds Earlier(const InheritedBounds& left, const InheritedBounds& right) {
   return InheritedBounds{.any = std::min(left.any, right.any),
                          .listed = std::min(left.listed, right.listed)};
@@ -51,16 +54,12 @@
   return !worker.contacted || worker.failed_polls >= kFailedPollsUntilUnresponsive;
 }
 
-Millis RemainingLease(const State& state, const WorkerState& worker) {
-  return std::max(worker.lease.Expiry() - state.now, Millis(0));
-}
+Millis Remaining(Millis expiry, Millis now) { return std::max(expiry - now, Millis(0)); }
 
 /// Adds a worker's remaining leases to a record.
 void AddLease(HandOverRecord& record, const VmId& id, const InheritedBounds& expiry, Millis now) {
-  record.leases[id] = std::max(expiry.any - now, Millis(0));
-  if (expiry.listed < expiry.any) {
-    record.listed_leases[id] = std::max(expiry.listed - now, Millis(0));
-  }
+  record.leases[id] = Remaining(expiry.any, now);
+  if (expiry.listed < expiry.any) record.listed_leases[id] = Remaining(expiry.listed, now);
 }
 
 InheritedBounds ExpiriesOf(const WorkerState& worker) {
@@ -125,8 +124,8 @@
   if (record.incarnation == former.incarnation || record.peer_address != former.peer_address)
     return;
 
-  const Millis ended_at = state.now + MaxLeaseDuration(kWorkerLeaseTtl);
-  hand_over.default_expiry = Earlier(hand_over.default_expiry, {ended_at, ended_at});
+  hand_over.default_expiry =
+      Earlier(hand_over.default_expiry, ExpiredAt(state.now + MaxLeaseDuration(kWorkerLeaseTtl)));
   hand_over.former.owner = EntryId();
   ShortenWaits(state, effects, cell, "the former owner has restarted");
 }
@@ -134,7 +133,7 @@
 void ApplyFormerLeases(const State& state, Effects& effects, OwnedCell& cell,
                        const HandOverRecord& leases) {
   InheritLeases(cell.hand_over, leases, state.now);
-  cell.hand_over.default_expiry = InheritedBounds{.any = state.now, .listed = state.now};
+  cell.hand_over.default_expiry = ExpiredAt(state.now);
   cell.hand_over.former.owner = EntryId();
   ShortenWaits(state, effects, cell, "the former owner reported its remaining leases");
 }
@@ -172,10 +171,8 @@
                                   .incarnation = former.incarnation,
                                   .current_grant = cell.grant,
                                   .reply_to = state.settings.peer_address};
-  effects.emplace_back(
-      PushRecords{former.peer_address,
-                  {StoreItem{.key = std::string(kHandOverQuestionPrefix) + cell.cell.Text(),
-                             .value = Encode(question)}}});
+  PushMessage(effects, former.peer_address, kHandOverQuestionPrefix, cell.cell.Text(),
+              Encode(question));
 }
 
 /// Marks this owner's record as stored. No earlier write of the record
@@ -231,7 +228,7 @@
   if (!hand_over.written && !FirstPollsAreDone(state, cell)) return;
 
   std::set<VmId> names = WorkersAwaitingLeaseExpiry(cell);
-  std::map<EntryInstance, Address> witnesses = state.outage.witnesses;
+  const std::map<EntryInstance, Address>& witnesses = state.outage.witnesses;
 
   if (!IsOutdated(state, cell, names, witnesses)) {
     if (!names.empty()) WakeAt(state, hand_over.refresh_at);
@@ -249,7 +246,7 @@
   for (const VmId& id : names) hand_over.recorded_expiries[id] = cell.workers.at(id).lease.Expiry();
   hand_over.maybe_recorded_workers.insert(names.begin(), names.end());
   hand_over.maybe_recorded_witnesses.insert(witnesses.begin(), witnesses.end());
-  hand_over.pending_witnesses = std::move(witnesses);
+  hand_over.pending_witnesses = witnesses;
 
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
@@ -300,10 +297,7 @@
 
   // The former owner wrote the record before this grant.
   InheritLeases(hand_over, *record, cell->taken_over_at);
-  if (record->owner.Empty()) {
-    hand_over.default_expiry =
-        InheritedBounds{.any = cell->taken_over_at, .listed = cell->taken_over_at};
-  }
+  if (record->owner.Empty()) hand_over.default_expiry = ExpiredAt(cell->taken_over_at);
 
   Log(effects, Severity::kInfo, "read the former owner's handover record",
       {{"cell", read.cell.Text()},
@@ -334,8 +328,9 @@
     Log(effects, Severity::kInfo,
         "leases of a worker that has not answered expire earlier than assumed",
         {{"worker", id.Text()},
-         {"rest_ms", std::to_string(RemainingLease(state, worker).Count())},
-         {"listed_rest_ms", std::to_string((worker.lease.ListedExpiry() - state.now).Count())},
+         {"rest_ms", std::to_string(Remaining(worker.lease.Expiry(), state.now).Count())},
+         {"listed_rest_ms",
+          std::to_string(Remaining(worker.lease.ListedExpiry(), state.now).Count())},
          {"tasks", std::to_string(worker.tasks.size())},
          {"proof", std::string(reason)}});
   }
@@ -442,10 +437,8 @@
     DropCell(state, effects, cell, "the next owner asked for the remaining leases");
   }
 
-  effects.emplace_back(
-      PushRecords{question->reply_to,
-                  {StoreItem{.key = std::string(kHandOverAnswerPrefix) + cell.Text(),
-                             .value = Encode(FormerLeases(state, cell, question->grant))}}});
+  PushMessage(effects, question->reply_to, kHandOverAnswerPrefix, cell.Text(),
+              Encode(FormerLeases(state, cell, question->grant)));
 }
 
 void ApplyHandOverAnswer(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -184,6 +184,10 @@
 /// owns it.
 std::optional<Address> OwnerAddress(const State& state, const CellId& cell);
 
+/// Sends a message that is never stored to a peer. Its key is the prefix and the name.
+void PushMessage(Effects& effects, const Address& peer, std::string_view prefix,
+                 std::string_view name, std::string value);
+
 /// Sends a record to the owner of a cell, which would otherwise see it later or never.
 void PushToOwner(State& state, Effects& effects, const CellId& cell, StoreItem item);
 
--- a/lib/scheduler/source/learning.cc
+++ b/lib/scheduler/source/learning.cc
@@ -40,10 +40,8 @@
   EvidenceRecord record{.pairs = state.interference.DrainEvidence(), .images = state.images};
   if (record.pairs.empty()) return;
 
-  effects.emplace_back(
-      PushRecords{state.view.entries.begin()->second.record.peer_address,
-                  {StoreItem{.key = std::string(kEvidencePrefix) + state.settings.entry.Text(),
-                             .value = Encode(record)}}});
+  PushMessage(effects, state.view.entries.begin()->second.record.peer_address, kEvidencePrefix,
+              state.settings.entry.Text(), Encode(record));
 }
 
 void WriteLearnedRecord(State& state, Effects& effects) {
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -28,10 +28,9 @@
   return demand;
 }
 
-/// Returns another cell with capacity for a job, or nothing.
+/// Returns another cell with capacity for the demand of a job, or nothing.
 std::optional<CellId> ChooseMoveTarget(const State& state, const OwnedCell& cell,
-                                       const JobState& job) {
-  Demand demand = WaitingDemand(cell, job);
+                                       const JobState& job, Demand demand) {
   demand.reserved *= kMoveRoomFactor;
   demand.best_effort *= kMoveRoomFactor;
   return ChooseOtherCell(state, cell.cell, job.record, demand);
@@ -81,10 +80,11 @@
   // While peers reply, tasks are passed on to a cell that has reserved capacity for them.
   if (job.unanswered_reservations == 0) return;
 
-  const std::optional<CellId> to = ChooseMoveTarget(state, cell, job);
+  const Demand demand = WaitingDemand(cell, job);
+  const std::optional<CellId> to = ChooseMoveTarget(state, cell, job, demand);
   if (!to) return;
 
-  AddSentDemand(state, *to, WaitingDemand(cell, job));
+  AddSentDemand(state, *to, demand);
   MoveJob(state, effects, cell, job, *to);
 }
 
--- a/lib/scheduler/source/outage.cc
+++ b/lib/scheduler/source/outage.cc
@@ -3,6 +3,14 @@
 #include "record_json.h"
 
 namespace currantpost::scheduler {
+namespace {
+
+EntryInstance OwnerOf(const Json& json) {
+  return EntryInstance{EntryId(json.at("owner").get<std::string>()),
+                       json.at("life").get<std::string>()};
+}
+
+}  // namespace
 
 std::string Encode(const OutageQuestion& question) {
   return Dump(Json{{"owner", question.owner.entry.Text()},
@@ -14,8 +22,7 @@
 
 Result<OutageQuestion> DecodeOutageQuestion(std::string_view value) {
   return Decode<OutageQuestion>(value, "question about an outage", [](const Json& json) {
-    return OutageQuestion{.owner = EntryInstance{EntryId(json.at("owner").get<std::string>()),
-                                                 json.at("life").get<std::string>()},
+    return OutageQuestion{.owner = OwnerOf(json),
                           .witness_incarnation = json.at("witness_life").get<std::string>(),
                           .asked_at = Millis(json.at("at").get<int64_t>()),
                           .reply_to = AddressOf(json.at("peer"))};
@@ -31,8 +38,7 @@
 
 Result<OutageConfirmation> DecodeOutageConfirmation(std::string_view value) {
   return Decode<OutageConfirmation>(value, "confirmation of an outage", [](const Json& json) {
-    return OutageConfirmation{.owner = EntryInstance{EntryId(json.at("owner").get<std::string>()),
-                                                     json.at("life").get<std::string>()},
+    return OutageConfirmation{.owner = OwnerOf(json),
                               .witness_incarnation = json.at("witness_life").get<std::string>(),
                               .asked_at = Millis(json.at("at").get<int64_t>())};
   });
@@ -48,12 +54,10 @@
 
 Result<DenialQuestion> DecodeDenialQuestion(std::string_view value) {
   return Decode<DenialQuestion>(value, "question to a witness", [](const Json& json) {
-    return DenialQuestion{
-        .former_owner = EntryInstance{EntryId(json.at("owner").get<std::string>()),
-                                      json.at("life").get<std::string>()},
-        .former_grant = json.at("grant").get<KvRevision>(),
-        .witness_incarnation = json.at("witness_life").get<std::string>(),
-        .reply_to = AddressOf(json.at("peer"))};
+    return DenialQuestion{.former_owner = OwnerOf(json),
+                          .former_grant = json.at("grant").get<KvRevision>(),
+                          .witness_incarnation = json.at("witness_life").get<std::string>(),
+                          .reply_to = AddressOf(json.at("peer"))};
   });
 }
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -117,8 +117,7 @@
 /// Passes waiting tasks on to a cell that holds capacity for a number of them: the job is moved if
 /// these are all the tasks that it has, otherwise they are lent.
 void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
-            size_t tasks) {
-  WaitingBatch batch = WaitingTasks(state, cell, job);
+            WaitingBatch batch, size_t tasks) {
   if (batch.tasks.empty()) return;
 
   const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
@@ -148,10 +147,7 @@
   std::erase_if(state.declined_needs, [&](const auto& row) {
     return state.now - row.second.until > kDeclinedNeedsMemory;
   });
-  DeclinedNeeds& declined = state.declined_needs[key];
-  declined.until = state.now + kDeclinedNeedsPause *
-                                   (int64_t{1} << std::min(declined.times, kMaxDeclinedDoublings));
-  ++declined.times;
+  state.declined_needs[key].Extend(state.now, kDeclinedNeedsPause, kMaxDeclinedDoublings);
 }
 
 void HandleReply(State& state, Effects& effects, const CellId& to, const ReservationReply& reply) {
@@ -168,11 +164,12 @@
   state.unresponsive_owners.erase(to);
   job.reservation.reset();
   job.unanswered_reservations = 0;
-  RecordReply(state, job, to, WaitingTasks(state, *cell, job).spec, reply.tasks);
+  WaitingBatch batch = WaitingTasks(state, *cell, job);
+  RecordReply(state, job, to, batch.spec, reply.tasks);
   const bool stopped = job.cancelled || job.attempts_exhausted || job.move || job.loan;
   if (stopped || cell->releasing || reply.tasks <= 0) return;
 
-  PassOn(state, effects, *cell, job, to, static_cast<size_t>(reply.tasks));
+  PassOn(state, effects, *cell, job, to, std::move(batch), static_cast<size_t>(reply.tasks));
 }
 
 /// Returns a cell that reports no capacity, to ask it all the same, at most one per interval.
@@ -204,10 +201,7 @@
   const CellId to = job.reservation->to;
   job.reservation.reset();
   ++job.unanswered_reservations;
-  UnresponsiveOwner& owner = state.unresponsive_owners[to];
-  owner.until = state.now + kUnresponsiveOwnerPause *
-                                (int64_t{1} << std::min(owner.requests, kMaxPauseDoublings));
-  ++owner.requests;
+  state.unresponsive_owners[to].Extend(state.now, kUnresponsiveOwnerPause, kMaxPauseDoublings);
   Log(effects, Severity::kInfo, "no reply to a request for capacity in another cell",
       {{"job", job.record.spec.job.Text()}, {"to", to.Text()}});
   return false;
@@ -271,10 +265,7 @@
   if (!request) return LogUnreadable(effects, item, request.error());
 
   const ReservationReply reply = MakeReply(state, FindOpenCell(state, id), *request);
-  effects.emplace_back(
-      PushRecords{request->reply_to,
-                  {StoreItem{.key = std::string(kReservationReplyPrefix) + id.Text(),
-                             .value = Encode(reply)}}});
+  PushMessage(effects, request->reply_to, kReservationReplyPrefix, id.Text(), Encode(reply));
 }
 
 void ClaimReservations(State& state, OwnedCell& cell, JobState& job) {
--- a/lib/scheduler/source/witnesses.cc
+++ b/lib/scheduler/source/witnesses.cc
@@ -142,16 +142,16 @@
                                   .witness_incarnation = witness.incarnation,
                                   .asked_at = state.now,
                                   .reply_to = state.settings.peer_address};
-    effects.emplace_back(
-        PushRecords{address,
-                    {StoreItem{.key = std::string(kOutageQuestionPrefix) + witness.entry.Text(),
-                               .value = Encode(question)}}});
+    PushMessage(effects, address, kOutageQuestionPrefix, witness.entry.Text(), Encode(question));
   }
 }
 
 }  // namespace
 
 bool IsOutageConfirmed(const State& state, const OwnedCell& cell) {
+  // Asked for each renewal, and nobody confirms anything while the store answers.
+  if (state.outage.confirmed_at.empty()) return false;
+
   const std::map<EntryInstance, Address> witnesses = NeededWitnesses(cell.hand_over);
   if (witnesses.empty()) return false;
 
@@ -190,10 +190,8 @@
   const OutageConfirmation confirmation{.owner = question->owner,
                                         .witness_incarnation = question->witness_incarnation,
                                         .asked_at = question->asked_at};
-  effects.emplace_back(
-      PushRecords{question->reply_to,
-                  {StoreItem{.key = std::string(kOutageConfirmationPrefix) + witness.Text(),
-                             .value = Encode(confirmation)}}});
+  PushMessage(effects, question->reply_to, kOutageConfirmationPrefix, witness.Text(),
+              Encode(confirmation));
 }
 
 void ApplyOutageConfirmation(State& state, Effects& effects, const EntryId& witness,
@@ -237,10 +235,7 @@
                                   .former_grant = former.grant,
                                   .witness_incarnation = witness.incarnation,
                                   .reply_to = state.settings.peer_address};
-    effects.emplace_back(
-        PushRecords{address,
-                    {StoreItem{.key = std::string(kDenialQuestionPrefix) + cell.cell.Text(),
-                               .value = Encode(question)}}});
+    PushMessage(effects, address, kDenialQuestionPrefix, cell.cell.Text(), Encode(question));
   }
 }
 
@@ -252,9 +247,7 @@
   if (!Deny(state, question->former_owner)) return;
 
   const Denial denial{.former_grant = question->former_grant};
-  effects.emplace_back(PushRecords{
-      question->reply_to,
-      {StoreItem{.key = std::string(kDenialPrefix) + cell.Text(), .value = Encode(denial)}}});
+  PushMessage(effects, question->reply_to, kDenialPrefix, cell.Text(), Encode(denial));
 }
 
 void ApplyDenialAnswer(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
--- a/tests/scheduler/hand_over_test.cc
+++ b/tests/scheduler/hand_over_test.cc
@@ -455,6 +455,16 @@
 
   static int32_t Number(const std::string& entry) { return std::stoi(entry.substr(1)); }
 
+  /// Removes the owner's keys from the store, which goes on renewing its lease, and cuts the owner
+  /// and the worker off from the other entries.
+  void RemoveKeysOfOwnerUnseen() {
+    CutWorkerFromOthers();
+    for (const std::string& entry : others_) world_.Cut(entry, owner_);
+    world_.SlowWatches(owner_, Millis(6'000));
+    world_.store.Revoke(world_.store.LeaseOf(std::string(kEntryPrefix) + owner_), true,
+                        world_.now());
+  }
+
   /// Lets time pass, and returns how long the tasks continued to run on the worker.
   Millis RunAndMeasure(Millis span) {
     const Millis begin = world_.now();
@@ -528,20 +538,14 @@
 // has lost the cell.
 TEST_F(HandOverStillRenewed, TasksStartNowhereElseWhileAFormerOwnerDoesNotDetectItsLoss) {
   DropWitnesses(world_, "dc" + std::to_string(Number(owner_) % 2) + "/0");
-  CutWorkerFromOthers();
-  for (const std::string& entry : others_) world_.Cut(entry, owner_);
-  world_.SlowWatches(owner_, Millis(6'000));
-  world_.store.Revoke(world_.store.LeaseOf(std::string(kEntryPrefix) + owner_), true, world_.now());
+  RemoveKeysOfOwnerUnseen();
   EXPECT_GE(RunAndMeasure(Millis(25'000)), Millis(6'000));
   EXPECT_NE(world_.OwnerOf("a"), owner_);
 }
 
 // The next owner ends that lease, so the former one detects its loss by the next renewal.
 TEST_F(HandOverStillRenewed, ANextOwnerEndsTheLeaseOfAFormerOwnerThatDoesNotDetectItsLoss) {
-  CutWorkerFromOthers();
-  for (const std::string& entry : others_) world_.Cut(entry, owner_);
-  world_.SlowWatches(owner_, Millis(6'000));
-  world_.store.Revoke(world_.store.LeaseOf(std::string(kEntryPrefix) + owner_), true, world_.now());
+  RemoveKeysOfOwnerUnseen();
   EXPECT_LE(RunAndMeasure(Millis(25'000)), Millis(6'000));
   EXPECT_NE(world_.OwnerOf("a"), owner_);
 }
--- a/tests/scheduler/outage_test.cc
+++ b/tests/scheduler/outage_test.cc
@@ -146,11 +146,9 @@
   OutageWorld outage(4, 2);
   const LeaseId lease = outage.world.store.LeaseOf(std::string(kEntryPrefix) + outage.owner);
   outage.world.DelayWatches(outage.owner, Millis(1'500));
-  for (const std::string& entry : outage.OtherEntries(true)) {
-    outage.world.Cut(entry, outage.owner);
-    outage.world.Cut(entry, outage.worker);
-  }
-  for (const std::string& entry : outage.OtherEntries(false)) {
+  for (const std::string& entry : outage.world.Entries()) {
+    if (entry == outage.owner) continue;
+
     outage.world.Cut(entry, outage.owner);
     outage.world.Cut(entry, outage.worker);
   }
