Log what a cell waits for before it opens, how long a copy takes to catch up, and slow turns

A cell that comes back to its data centre runs nothing until its owner has opened it and has renewed the leases of its workers. The log said when a cell was taken and when it was opened, not what was missing in between, and nothing of an entry that is busy with a backlog.

- renewing the leases of a cell's workers: the first renewal under a grant, and how many workers had answered by then
- caught up with the store: feed, ms, replies, items, bytes of a list or of a backlog of changes
- slow turn of the scheduler: event, ms, late_ms, effects
- lines on leases say whether the address of the worker is known

No logic is changed.

--- a/lib/entry/source/entry.cc
+++ b/lib/entry/source/entry.cc
@@ -20,6 +20,9 @@
 /// Longest wait for requests in flight after the grace period.
 constexpr Millis kDrainTimeout = Millis(1'500);
 constexpr Millis kDrainPollInterval = Millis(50);
+/// Turns of the scheduler and waits for a turn that take longer are logged.
+constexpr Millis kSlowTurn = Millis(100);
+constexpr Millis kLateTurn = Millis(300);
 
 int64_t UnixMillis() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -75,15 +78,33 @@
   /// scheduler's next wake-up.
   template <typename Body>
   void Dispatch(Body body) {
+    const Millis began = clock.Now();
+    const bool has_run = state->wake_at > Millis(0);
+    const Millis late = has_run ? std::max(began - state->wake_at, Millis(0)) : Millis(0);
     scheduler::Effects effects;
-    scheduler::Event event{clock.Now(), UnixMillis(), std::move(body)};
+    scheduler::Event event{began, UnixMillis(), std::move(body)};
+    const size_t kind = event.body.index();
     scheduler::Reduce(*state, event, effects);
+    const size_t effect_count = effects.size();
     for (scheduler::Effect& effect : effects) std::visit(*this, effect);
+    LogSlowTurn(kind, late, clock.Now() - began, effect_count);
 
     const Millis pause = std::max(state->wake_at - clock.Now(), Millis(1));
     wake_timer.Set(pause, [this] { Dispatch(scheduler::Tick{}); });
   }
 
+  /// Logs a turn that took long, or began long after it was due: the process is short of processor
+  /// time, and whatever it sends is late.
+  static void LogSlowTurn(size_t kind, Millis late, Millis took, size_t effect_count) {
+    if (took < kSlowTurn && late < kLateTurn) return;
+
+    WriteLog(Severity::kWarning, "entry", "slow turn of the scheduler",
+             {{"event", std::string(scheduler::kEventKindNames[kind])},
+              {"ms", std::to_string(took.Count())},
+              {"late_ms", std::to_string(late.Count())},
+              {"effects", std::to_string(effect_count)}});
+  }
+
   // Effect handlers.
 
   void operator()(const scheduler::StoreCall& call) {
--- a/lib/scheduler/include/currantpost/scheduler/events.h
+++ b/lib/scheduler/include/currantpost/scheduler/events.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <array>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -82,6 +84,11 @@
 /// The process was asked to stop.
 struct StopRequested {};
 
+/// Names of the kinds of events, in the order of `Event::body`. For the log.
+inline constexpr std::array<std::string_view, 8> kEventKindNames = {
+    "tick",           "store_answer", "worker_answer", "caller_request",
+    "pushed_records", "peer_query",   "peer_answer",   "stop_request"};
+
 /// One event, with the time at which the process started to handle it.
 struct Event {
   Millis now;
@@ -93,4 +100,6 @@
       body;
 };
 
+static_assert(std::variant_size_v<decltype(Event::body)> == kEventKindNames.size());
+
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -30,6 +30,15 @@
 
 // Local replica of the store's records
 
+/// Replies that brought a copy of a feed up to date. For the log.
+struct FeedBacklog {
+  /// When the first of them was requested.
+  Millis since;
+  int32_t replies = 0;
+  size_t items = 0;
+  size_t bytes = 0;
+};
+
 /// Synchronization state of the local copy of a feed.
 struct FeedState {
   /// The feed was listed completely, and all changes up to `revision` were applied since then.
@@ -57,6 +66,8 @@
   KvRevision listed_from = 0;
   /// The keys that the list in flight has returned so far.
   std::set<std::string> listed_keys;
+  /// The replies since the copy was last complete.
+  FeedBacklog backlog;
 };
 
 /// A store revision reported in a reply. An upper bound on the revision that the store had when
@@ -550,6 +561,24 @@
 /// Sort key of waiting tasks: priority, long-running tasks first, target time of the job, task.
 using WaitingKey = std::tuple<int32_t, int32_t, int64_t, TaskRef>;
 
+/// What a cell needs before it can be opened.
+enum class CellInput {
+  kProgress,
+  kHandOver,
+  kRegistry,
+  kRecords,
+  /// Changes of the records up to the grant.
+  kRecordsAtGrant,
+};
+
+inline constexpr EnumNames kCellInputNames(std::to_array<EnumName<CellInput>>({
+    {CellInput::kProgress, "progress"},
+    {CellInput::kHandOver, "handover_record"},
+    {CellInput::kRegistry, "registry"},
+    {CellInput::kRecords, "records"},
+    {CellInput::kRecordsAtGrant, "records_at_grant"},
+}));
+
 /// A cell that this entry owns.
 struct OwnedCell {
   CellId cell;
@@ -564,9 +593,13 @@
   /// When to read next.
   Millis progress_at;
   HandOverState hand_over;
+  /// The input that was found missing last. For the log.
+  std::optional<CellInput> last_missing;
   /// All records up to the grant are known, and the jobs were taken over.
   bool open = false;
   Millis opened_at;
+  /// A lease of a worker was renewed under the grant.
+  bool has_renewed = false;
   std::map<VmId, WorkerState> workers;
   /// Highest fence of the workers that were dropped. A worker that returns may have seen it, so it
   /// gets a higher one.
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -169,6 +169,7 @@
        {"answered_ms", std::to_string(answered.Count())},
        {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
        {"listed", worker.listed ? "yes" : "no"},
+       {"address", worker.info.address.port == 0 ? "unknown" : "known"},
        {"draining", worker.info.draining ? "yes" : "no"}});
 }
 
@@ -216,6 +217,29 @@
   if (lost) RaiseFence(state, worker);
 }
 
+/// Logs the first renewal under a grant: from then on the tasks of the cell's workers that have
+/// answered are safe.
+void LogFirstRenewal(const State& state, Effects& effects, OwnedCell& cell) {
+  if (std::exchange(cell.has_renewed, true)) return;
+
+  int64_t with_tasks = 0;
+  int64_t answered = 0;
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.tasks.empty()) continue;
+
+    ++with_tasks;
+    if (worker.contacted) ++answered;
+  }
+
+  Log(effects, Severity::kInfo, "renewing the leases of a cell's workers",
+      {{"cell", cell.cell.Text()},
+       {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
+       {"open_ms", std::to_string((state.now - cell.opened_at).Count())},
+       {"workers_with_tasks", std::to_string(with_tasks)},
+       {"answered", std::to_string(answered)}});
+}
+
 bool HasMixedLoad(const WorkerState& worker) {
   return worker.long_running_millicores > 0 && worker.best_effort_millicores > 0;
 }
@@ -282,6 +306,7 @@
     order.wait = std::min(order.wait, kUnrenewedPollWait);
   }
   ExtendLeaseBound(state, worker, order.lease_until_ms);
+  if (order.lease_until_ms) LogFirstRenewal(state, effects, cell);
 
   PollInFlight poll;
   poll.request = NextRequest(state);
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -120,6 +120,39 @@
   }
 }
 
+size_t BytesOf(const StoreReply& reply) {
+  size_t bytes = 0;
+  for (const StoreItem& item : reply.items) bytes += item.value.size();
+
+  return bytes;
+}
+
+bool IsLongReply(const StoreReply& reply) {
+  return reply.items.size() >= kLongReplyItems || BytesOf(reply) >= kLongReplyBytes;
+}
+
+/// Counts a reply that did not bring the copy up to date by itself, or the last one of a series of
+/// such replies, which ends with a line in the log.
+void CountBacklog(const State& state, Effects& effects, Feed feed, FeedState& copy,
+                  const StoreReply& reply, bool complete) {
+  FeedBacklog& backlog = copy.backlog;
+  if (complete && backlog.replies == 0) return;
+
+  if (backlog.replies == 0) backlog.since = copy.sent_at;
+  ++backlog.replies;
+  backlog.items += reply.items.size();
+  backlog.bytes += BytesOf(reply);
+  if (!complete) return;
+
+  Log(effects, Severity::kInfo, "caught up with the store",
+      {{"feed", std::string(kFeedNames.Name(feed))},
+       {"ms", std::to_string((state.now - backlog.since).Count())},
+       {"replies", std::to_string(backlog.replies)},
+       {"items", std::to_string(backlog.items)},
+       {"bytes", std::to_string(backlog.bytes)}});
+  backlog = FeedBacklog{};
+}
+
 void ApplyPage(State& state, Effects& effects, Feed feed, FeedState& copy,
                const StoreReply& reply) {
   // A list older than the copy would bring back removed keys.
@@ -140,7 +173,10 @@
     ApplyItem(state, effects, feed, item);
   }
 
-  if (reply.truncated && !reply.items.empty()) {
+  const bool complete = !reply.truncated || reply.items.empty();
+  CountBacklog(state, effects, feed, copy, reply, complete);
+
+  if (!complete) {
     copy.page_after = reply.items.back().key;
     return;
   }
@@ -153,13 +189,6 @@
   copy.synced = true;
 }
 
-bool IsLongReply(const StoreReply& reply) {
-  size_t bytes = 0;
-  for (const StoreItem& item : reply.items) bytes += item.value.size();
-
-  return reply.items.size() >= kLongReplyItems || bytes >= kLongReplyBytes;
-}
-
 /// Returns the pause before the rest of a long reply is requested. An entry that processes replies
 /// slowly needs time for its other work, above all to renew its lease.
 Millis CatchUpPause(const State& state, Feed feed, const FeedState& copy) {
@@ -175,6 +204,7 @@
 
   const bool is_recent = reply.revision >= copy.least_revision;
   const bool whole = !IsLongReply(reply) && is_recent;
+  CountBacklog(state, effects, feed, copy, reply, whole);
   copy.revision = reply.revision;
   if (whole) copy.known_at = std::max(copy.known_at, std::optional(copy.sent_at));
   if (is_recent) copy.known_at = std::max(copy.known_at, std::optional(copy.least_revision_at));
