--- /dev/null
+++ b/lib/scheduler/source/cell_workers.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "internal.h"
+
+/// Declarations shared by the source files on the workers of owned cells.
+
+namespace currantpost::scheduler {
+
+/// Backoff after a poll or an order that the worker did not answer; a poll multiplies it by the
+/// number of consecutive failures, up to the maximum.
+inline constexpr Millis kFailedPollBackoff = Millis(200);
+/// Backoff after a refusal that does not say when to retry.
+inline constexpr Millis kRefusalBackoff = Millis(300);
+
+// Leases
+
+/// Returns whether the worker answered a poll so recently that it can hardly have restarted since.
+bool IsIncarnationFresh(const State& state, const WorkerState& worker);
+
+/// Returns the time, by the worker's clock, up to which this entry may let its tasks run, or
+/// nothing if it may not renew the lease.
+std::optional<int64_t> NextLeaseEnd(const State& state, const OwnedCell& cell,
+                                    const WorkerState& worker);
+
+/// Extends the bound on the worker's lease, because an order that grants a lease until `until` is
+/// about to be sent.
+void ExtendLeaseBound(const State& state, WorkerState& worker, std::optional<int64_t> until);
+
+/// Extends the bound on the worker's lease to the longest lease that a worker grants. A restarted
+/// worker cuts a lease end computed for its former clock to that length.
+void ExtendLeaseBoundToMax(const State& state, WorkerState& worker);
+
+/// Logs how long a worker's leases may still last, and why.
+void LogLeaseState(const State& state, Effects& effects, const OwnedCell& cell,
+                   const WorkerState& worker, std::string message);
+
+/// Returns whether a worker does not answer, or cannot be polled because its address is unknown.
+bool HasFailedPollsOrNoAddress(const WorkerState& worker);
+
+/// Requeues the tasks of a worker once its lease has surely expired.
+void RequeueExpiredTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
+
+/// Returns whether the worker needs a lease renewal: it has a run that is still needed, or an ended
+/// run whose result would be lost without one.
+bool NeedsLease(const OwnedCell& cell, const WorkerState& worker);
+
+// Polls
+
+void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
+
+void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                     const PollInFlight& poll, const WorkerReply& reply);
+
+void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, OrderStatus status);
+
+// Orders
+
+/// Sends the stops that are due, several at once: an entry that handles replies a second late would
+/// otherwise need that second for each stop.
+void SendDueStops(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
+
+void SendDueOrder(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
+
+/// Reads the registry entry of a worker to which starts are to be sent, if the copy of the registry
+/// is too old for that.
+void ReadRegistration(State& state, Effects& effects, const OwnedCell& cell, WorkerState& worker);
+
+/// Requeues the worker's tasks whose starts were not sent yet and may not be sent any more: all of
+/// them if the worker accepts no starts or the cell is being released, otherwise those whose queue
+/// now belongs to another service.
+void RequeueUnsentStarts(State& state, OwnedCell& cell, WorkerState& worker);
+
+void HandleStopReply(const State& state, Effects& effects, OwnedCell& cell,
+                     const WorkerState& worker, const StopTask& stop, OrderStatus status);
+
+void HandleOrderReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                      const WorkerReply& reply);
+
+// Workers
+
+FencingToken TokenOf(const OwnedCell& cell, const WorkerState& worker);
+
+/// Invalidates all orders that may still arrive at the worker, and polls it for its present state.
+void RaiseFence(State& state, WorkerState& worker);
+
+/// Handles a restart of a worker: no run of the former incarnation is left. Runs whose start may
+/// have reached the new incarnation are settled by the next poll.
+void HandleNewIncarnation(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                          int64_t incarnation);
+
+/// Counts a failure of a worker, and quarantines the worker after several in a row.
+void RecordWorkerFailure(State& state, Effects& effects, WorkerState& worker);
+
+/// Marks a job as active once a worker has started a run of it.
+void RecordRunStart(const State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                    const WorkerState& worker);
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/lib/scheduler/source/worker_leases.cc
@@ -0,0 +1,129 @@
+#include <utility>
+
+#include "cell_workers.h"
+
+/// Leases of the workers of owned cells: until when they are renewed, and what is lost once they
+/// have expired.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// A worker that answered its last poll longer ago than this may have restarted since. Longer than
+/// a poll and the pause after it.
+constexpr Millis kIncarnationFreshness = Millis(2'000);
+
+/// Returns the lowest time that the worker's clock, which may be slow, can show now, in
+/// milliseconds.
+int64_t MinWorkerClock(const State& state, const WorkerState& worker) {
+  const int64_t passed = (state.now - worker.clock_at).Count();
+  return *worker.clock_ms + passed - passed * kClockDriftPercent / 100;
+}
+
+}  // namespace
+
+bool IsIncarnationFresh(const State& state, const WorkerState& worker) {
+  return worker.clock_ms && state.now - worker.clock_at <= kIncarnationFreshness;
+}
+
+std::optional<int64_t> NextLeaseEnd(const State& state, const OwnedCell& cell,
+                                    const WorkerState& worker) {
+  if (!worker.clock_ms || !MayRenewLease(cell, worker)) return std::nullopt;
+
+  const Millis longest = std::min(kWorkerLeaseTtl, state.settings.max_worker_lease);
+  const Millis beyond_own_lease =
+      IsOutageConfirmed(state, cell) ? kStoreOutageRenewalPeriod : kUnconfirmedRenewalPeriod;
+  const Millis horizon = std::min(state.now + longest, state.lease.valid_until + beyond_own_lease);
+  if (horizon <= state.now) return std::nullopt;
+
+  return MinWorkerClock(state, worker) + (horizon - state.now).Count();
+}
+
+void ExtendLeaseBound(const State& state, WorkerState& worker, std::optional<int64_t> until) {
+  if (!until) return;
+
+  const Millis span(*until - MinWorkerClock(state, worker));
+  worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(span));
+}
+
+void ExtendLeaseBoundToMax(const State& state, WorkerState& worker) {
+  const Millis expiry = state.now + MaxLeaseDuration(state.settings.max_worker_lease);
+  worker.lease.own = std::max(worker.lease.own, expiry);
+}
+
+void LogLeaseState(const State& state, Effects& effects, const OwnedCell& cell,
+                   const WorkerState& worker, std::string message) {
+  const Millis answered = worker.contacted ? state.now - worker.answered_at : Millis(-1);
+  Log(effects, Severity::kInfo, std::move(message),
+      {{"worker", worker.info.id.Text()},
+       {"cell", cell.cell.Text()},
+       {"tasks", std::to_string(worker.tasks.size())},
+       {"own_ms", std::to_string((worker.lease.own - state.now).Count())},
+       {"inherited_ms", std::to_string((worker.lease.inherited.any - state.now).Count())},
+       {"inherited_listed_ms", std::to_string((worker.lease.inherited.listed - state.now).Count())},
+       {"answered_ms", std::to_string(answered.Count())},
+       {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
+       {"listed", worker.listed ? "yes" : "no"},
+       {"address", worker.info.address.port == 0 ? "unknown" : "known"},
+       {"draining", worker.info.draining ? "yes" : "no"}});
+}
+
+bool HasFailedPollsOrNoAddress(const WorkerState& worker) {
+  return worker.failed_polls > 0 || worker.info.address.port == 0;
+}
+
+void RequeueExpiredTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
+  if (worker.tasks.empty()) return;
+
+  const bool all_expired = state.now >= worker.lease.Expiry();
+  const bool listed_expired = state.now >= worker.lease.ListedExpiry();
+
+  if (!listed_expired) WakeAt(state, worker.lease.ListedExpiry());
+
+  if (!all_expired) {
+    if (HasFailedPollsOrNoAddress(worker) && !std::exchange(worker.wait_logged, true)) {
+      LogLeaseState(
+          state, effects, cell, worker,
+          "worker does not answer or has no known address; its tasks wait until its lease expires");
+    }
+    WakeAt(state, worker.lease.Expiry());
+    if (!listed_expired) return;
+  }
+
+  const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
+  bool lost = false;
+
+  for (const TaskRef& ref : refs) {
+    const TaskState& task = *FindTask(cell, ref);
+    const bool may_run = task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kStopping ||
+                         (task.phase == TaskPhase::kStarting && task.start_sent);
+    if (!may_run || !(all_expired || task.listed)) continue;
+
+    if (!lost) {
+      LogLeaseState(state, effects, cell, worker,
+                    "lease of a worker has expired; its runs are treated as lost");
+    }
+    HandleLostRun(state, effects, cell, ref, "the worker's lease has expired");
+    lost = true;
+  }
+
+  if (lost) RaiseFence(state, worker);
+}
+
+bool NeedsLease(const OwnedCell& cell, const WorkerState& worker) {
+  if (!worker.ends.empty()) return true;
+
+  return std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+    const JobState& job = cell.jobs.at(ref.job);
+    return !job.cancelled && !job.attempts_exhausted;
+  });
+}
+
+void LogPendingLeaseWaits(const State& state, Effects& effects, const OwnedCell& cell) {
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.tasks.empty() || (worker.contacted && !HasFailedPollsOrNoAddress(worker))) continue;
+
+    LogLeaseState(state, effects, cell, worker, "releasing a cell while a worker does not answer");
+  }
+}
+
+}  // namespace currantpost::scheduler
--- /dev/null
+++ b/lib/scheduler/source/worker_polls.cc
@@ -0,0 +1,320 @@
+#include <utility>
+
+#include "cell_workers.h"
+
+/// Polls of workers: each renews the lease, and its reply lists what runs there and what has ended.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// How long a poll waits at the worker for a run to end. Each poll renews the lease, so the lease
+/// is renewed about once a second.
+constexpr Millis kPollWait = Millis(1'000);
+/// Wait of a poll where best-effort tasks may disturb long-running ones: the measurements in a
+/// reply cover half a second.
+constexpr Millis kMixedLoadPollWait = Millis(500);
+/// Wait of a poll while this owner may not renew the lease yet: the next poll renews it.
+constexpr Millis kUnrenewedPollWait = Millis(100);
+/// Maximum delay of the next poll while ended runs wait to be recorded. Without the delay the
+/// worker would reply with the same ended runs at once.
+constexpr Millis kUnrecordedEndsPollDelay = Millis(400);
+constexpr Millis kMaxFailedPollBackoff = Millis(1'000);
+/// Maximum number of ended runs that a worker lists in one reply.
+constexpr size_t kMaxEndsPerReply = 500;
+
+/// Logs the first renewal under a grant: from then on the tasks of the cell's workers that have
+/// answered are safe.
+void LogFirstRenewal(const State& state, Effects& effects, OwnedCell& cell) {
+  if (std::exchange(cell.has_renewed, true)) return;
+
+  int64_t with_tasks = 0;
+  int64_t answered = 0;
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.tasks.empty()) continue;
+
+    ++with_tasks;
+    if (worker.contacted) ++answered;
+  }
+
+  Log(effects, Severity::kInfo, "renewing the leases of a cell's workers",
+      {{"cell", cell.cell.Text()},
+       {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
+       {"open_ms", std::to_string((state.now - cell.opened_at).Count())},
+       {"workers_with_tasks", std::to_string(with_tasks)},
+       {"answered", std::to_string(answered)}});
+}
+
+bool HasMixedLoad(const WorkerState& worker) {
+  return worker.long_running_millicores > 0 && worker.best_effort_millicores > 0;
+}
+
+/// Returns the number up to which the worker may discard the ended runs that it lists, 0 for none.
+/// A number that was sent before is not repeated unless the worker still lists the ends: a new
+/// incarnation that this entry has not seen yet would apply it to its own ends.
+int64_t EndsToForget(const State& state, const WorkerState& worker) {
+  // The worker may have restarted, and each incarnation numbers its ended runs from the start.
+  if (worker.failed_polls > 0 || !IsIncarnationFresh(state, worker)) return 0;
+
+  int64_t up_to = 0;
+
+  for (const auto& [number, end] : worker.ends) {
+    if (!end.recorded) break;
+    up_to = number;
+  }
+
+  const bool sent = std::ranges::any_of(
+      worker.polls, [&](const PollInFlight& poll) { return poll.forget_up_to >= up_to; });
+  return sent ? 0 : up_to;
+}
+
+/// Adds up, for the log, the time that a best-effort task lost since the previous poll.
+void AccumulateLostTime(const State& state, JobState& job, const StepSpec& spec, TaskState& task) {
+  const Millis span = state.now - std::max(task.last_seen_running_at, task.began);
+  task.last_seen_running_at = state.now;
+  if (!spec.best_effort || spec.need.millicores <= 0) return;
+
+  const int32_t speed = task.sent_speed_percent == kUnknownSpeed ? 100 : task.sent_speed_percent;
+  const Millis throttled(span.Count() * (100 - speed) / 100);
+  const Millis used(span.Count() * task.last_measurement / spec.need.millicores);
+  job.best_effort_time = job.best_effort_time + span;
+  job.throttled_time = job.throttled_time + throttled;
+  job.starved_time = job.starved_time + std::max(span - throttled - used, Millis(0));
+}
+
+/// Notes that a poll has listed the current run of a task. For long-running tasks this is recorded,
+/// so that a successor does not wait for the lease of a run that ended with its worker's
+/// incarnation.
+void RecordListedRun(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task,
+                     const WorkerState& worker) {
+  task.worker_incarnation = worker.info.incarnation;
+  if (std::exchange(task.listed, true) || !SpecOf(job, ref).is_long_running) return;
+
+  MarkDirty(cell, job);
+}
+
+void HandleRunningTask(const State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                       const RunningTask& row) {
+  const TaskRef ref = RefOf(cell, row.task);
+  TaskState* task = FindTask(cell, ref);
+  const bool bound = task != nullptr && worker.tasks.contains(ref) && task->run == row.run;
+
+  if (!bound) {
+    worker.orphaned_runs[row.task] = row.run;
+    return;
+  }
+
+  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  task->last_measurement = row.last_measurement;
+  JobState& job = cell.jobs.at(ref.job);
+  RecordRunStart(state, effects, cell, job, worker);
+  RecordListedRun(cell, job, ref, *task, worker);
+  AccumulateLostTime(state, job, SpecOf(job, ref), *task);
+  const bool must_stop = job.cancelled || job.attempts_exhausted;
+
+  if (task->phase == TaskPhase::kStarting || task->phase == TaskPhase::kRunning) {
+    task->phase = TaskPhase::kRunning;
+    task->start_sent = true;
+    if (must_stop) SetStopping(worker, *task);
+  }
+}
+
+void HandleEndedTask(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                     const EndedTask& row) {
+  if (row.number <= worker.forgotten || worker.ends.contains(row.number)) return;
+
+  const TaskRef ref = RefOf(cell, row.task);
+  TaskState* task = FindTask(cell, ref);
+  RetainedEnd retained{.job = ref.job, .recorded = true};
+
+  if (task != nullptr && worker.tasks.contains(ref) && task->run == row.run) {
+    RecordRunStart(state, effects, cell, cell.jobs.at(ref.job), worker);
+    if (row.end == RunEnd::kFailed) RecordWorkerFailure(state, effects, worker);
+    if (row.end == RunEnd::kDone) worker.failures_in_row = 0;
+
+    if (row.end != RunEnd::kDone) {
+      Log(effects, Severity::kInfo, "run has ended",
+          {{"job", ref.job.Text()},
+           {"step", std::to_string(ref.step)},
+           {"task", std::to_string(ref.index)},
+           {"run", std::to_string(row.run)},
+           {"worker", worker.info.id.Text()},
+           {"end", std::string(kRunEndNames.Name(row.end))}});
+    }
+
+    HandleRunEnd(state, effects, cell, ref, row.end, row.checkpoint);
+    const auto job = cell.jobs.find(ref.job);
+    retained.recorded = job == cell.jobs.end();
+    if (!retained.recorded) retained.version = job->second.version;
+  }
+
+  worker.ends[row.number] = retained;
+}
+
+/// Requeues tasks that the reply does not list although the poll was sent after their start was
+/// settled.
+void RequeueMissingTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                         const PollInFlight& poll, const WorkerReply& reply) {
+  if (reply.ended.size() >= kMaxEndsPerReply) return;
+
+  std::set<TaskName> listed;
+  for (const RunningTask& row : reply.running) listed.insert(row.task);
+
+  const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
+
+  for (const TaskRef& ref : refs) {
+    const TaskState& task = *FindTask(cell, ref);
+    const JobState& job = cell.jobs.at(ref.job);
+    const bool settled = task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kStopping ||
+                         (task.phase == TaskPhase::kStarting && task.start_sent);
+    if (!settled || listed.contains(NameOf(job, ref))) continue;
+    if (task.start_sequence >= poll.sequence || poll.token != TokenOf(cell, worker)) continue;
+
+    // The reply to its start is still in flight.
+    const auto* start = std::get_if<StartTask>(&worker.order);
+    if (worker.order_request != 0 && start != nullptr && start->task == NameOf(job, ref)) continue;
+
+    HandleLostRun(state, effects, cell, ref, "the worker does not list the run");
+  }
+}
+
+}  // namespace
+
+void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
+  const bool listed_without_answer = worker.listed && worker.failed_polls > 0;
+  const bool needed = listed_without_answer || !worker.confirmed || !worker.tasks.empty() ||
+                      !worker.ends.empty() || !worker.orphaned_runs.empty();
+  if (!needed || worker.info.address.port == 0) return;
+
+  const FencingToken token = TokenOf(cell, worker);
+  const bool in_flight = std::ranges::any_of(
+      worker.polls, [&](const PollInFlight& poll) { return poll.token == token; });
+  if (in_flight) return;
+
+  if (state.now < worker.next_poll) {
+    WakeAt(state, worker.next_poll);
+    return;
+  }
+
+  PollWorker order;
+  // After a failed poll, the next one renews nothing: an unanswered renewal may have taken effect,
+  // and repeated ones would extend the lease bound forever.
+  const bool needs_lease = NeedsLease(cell, worker);
+  const bool incarnation_fresh = IsIncarnationFresh(state, worker);
+  const bool renew = worker.failed_polls == 0 && needs_lease && incarnation_fresh;
+  if (renew) order.lease_until_ms = NextLeaseEnd(state, cell, worker);
+  order.forget_up_to = EndsToForget(state, worker);
+  if (worker.confirmed && incarnation_fresh) {
+    order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
+  }
+
+  if (needs_lease && !MayRenewLease(cell, worker)) {
+    order.wait = std::min(order.wait, kUnrenewedPollWait);
+  }
+  ExtendLeaseBound(state, worker, order.lease_until_ms);
+  if (order.lease_until_ms) LogFirstRenewal(state, effects, cell);
+
+  PollInFlight poll;
+  poll.request = NextRequest(state);
+  poll.token = token;
+  poll.sequence = ++state.worker_event_sequence;
+  poll.forget_up_to = order.forget_up_to;
+  worker.polls.push_back(poll);
+  state.worker_calls[poll.request] = WorkerCallInFlight{cell.cell, worker.info.id, true};
+  effects.emplace_back(WorkerCall{.request = poll.request,
+                                  .worker = worker.info.id,
+                                  .address = worker.info.address,
+                                  .token = token,
+                                  .order = order,
+                                  .timeout = order.wait + kOrderTimeout});
+}
+
+void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
+                     const PollInFlight& poll, const WorkerReply& reply) {
+  int64_t forgotten = poll.forget_up_to;
+
+  // The reply comes from another incarnation than the known one.
+  if (reply.incarnation != 0 && reply.incarnation != worker.info.incarnation) {
+    if (reply.incarnation < worker.info.incarnation) {
+      worker.next_poll = state.now + kRefusalBackoff;
+      return;
+    }
+    HandleNewIncarnation(state, effects, cell, worker, reply.incarnation);
+    // Each incarnation numbers its ended runs from the start.
+    forgotten = 0;
+  }
+
+  if (std::exchange(worker.wait_logged, false)) {
+    LogLeaseState(state, effects, cell, worker, "unresponsive worker answers again");
+  }
+
+  worker.failed_polls = 0;
+  worker.answered_at = state.now;
+  worker.next_poll = state.now;
+  // The new measurements may show room for best-effort tasks.
+  cell.placement_due = true;
+
+  if (poll.token == TokenOf(cell, worker) && !worker.confirmed) {
+    worker.confirmed = true;
+    cell.placement_due = true;
+  }
+
+  if (worker.confirmed && !worker.contacted) {
+    // The worker now rejects renewals by former owners; the leases that they granted expire within
+    // the time to live.
+    worker.contacted = true;
+    worker.lease.inherited = InheritedBounds{};
+    worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(kWorkerLeaseTtl));
+
+    const bool other_incarnation = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+      return FindTask(cell, ref)->worker_incarnation < worker.info.incarnation;
+    });
+    if (other_incarnation) ExtendLeaseBoundToMax(state, worker);
+  }
+
+  // Replies on two connections may overtake each other; the lists of the older reply are ignored.
+  const bool is_stale = worker.clock_ms && reply.clock_ms && *reply.clock_ms < *worker.clock_ms;
+
+  if (reply.clock_ms && !is_stale) {
+    worker.clock_ms = reply.clock_ms;
+    worker.clock_at = state.now;
+  }
+
+  std::erase_if(worker.ends, [&](const auto& row) { return row.first <= forgotten; });
+  worker.forgotten = std::max(worker.forgotten, forgotten);
+
+  for (const EndedTask& row : reply.ended) HandleEndedTask(state, effects, cell, worker, row);
+
+  if (!is_stale) {
+    for (const RunningTask& row : reply.running) {
+      HandleRunningTask(state, effects, cell, worker, row);
+    }
+    RequeueMissingTasks(state, effects, cell, worker, poll, reply);
+    UpdateSpeeds(state, cell, worker);
+  }
+
+  const bool unrecorded =
+      std::ranges::any_of(worker.ends, [](const auto& row) { return !row.second.recorded; });
+  if (unrecorded) worker.next_poll = state.now + kUnrecordedEndsPollDelay;
+}
+
+void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, OrderStatus status) {
+  ++worker.failed_polls;
+
+  if (worker.failed_polls == 1) {
+    Log(effects, Severity::kInfo, "poll of the worker failed",
+        {{"worker", worker.info.id.Text()},
+         {"status", std::string(kOrderStatusNames.Name(status))},
+         {"tasks", std::to_string(worker.tasks.size())}});
+  }
+
+  const bool refused = status == OrderStatus::kFenced || status == OrderStatus::kOtherIncarnation;
+  if (refused) worker.confirmed = false;
+
+  const Millis pause =
+      refused ? kRefusalBackoff
+              : std::min(kFailedPollBackoff * worker.failed_polls, kMaxFailedPollBackoff);
+  worker.next_poll = state.now + pause;
+}
+
+}  // namespace currantpost::scheduler
