Show that runs lapse on workers that answer once a cut heals after an outage of the store

The users saw LOST on the large site: long-running tasks of a data centre lapsed 0.8 s after its cut had healed. The registry had dropped all workers while the store was away. The owner in another data centre then has no address to poll until a worker has registered again, and the former owner has given the cell up, so nobody renews.

--- a/tests/scheduler/outage_test.cc
+++ b/tests/scheduler/outage_test.cc
@@ -18,6 +18,11 @@
 /// A cut that is shorter than the time for which leases are renewed without the store.
 constexpr Millis kShortCut = Millis(6'500);
 
+/// How long after the end of its lease at the store an owner lets the leases of workers run, and
+/// how much of that has to be enough for the next owner to take over once both can be reached.
+constexpr Millis kOutageRenewals = Millis(8'000);
+constexpr Millis kTimeToTakeOver = Millis(1'400);
+
 /// Entries and cells in several data centres, and a job with one long-running task.
 class OutageWorld {
  public:
@@ -72,6 +77,17 @@
     }
   }
 
+  /// Cuts all entries and workers off from the store.
+  void CutStore() {
+    for (const std::string& entry : world.Entries()) world.Cut(entry, "store");
+    for (const std::string& id : world.Workers()) world.Cut(id, "store");
+  }
+
+  /// Removes all workers from the registry. Those that reach it return with their next heartbeat.
+  void EmptyRegistry() {
+    for (const std::string& id : world.Workers()) world.WithdrawWorker(id);
+  }
+
   /// Isolates the owner's data centre.
   Names IsolateDataCentre() {
     Names group = OtherEntries(true);
@@ -187,6 +203,29 @@
   EXPECT_EQ(outage.world.violations, Names());
 }
 
+// Guards against runs that lapse though their workers answer: the registry had dropped the workers
+// while the store was away, so the next owner did not know their addresses once the cut had healed.
+TEST(Outage, TasksRunOnInADataCentreThatIsCutOffWhileTheRegistryIsEmpty) {
+  for (int64_t offset = 0; offset < 1'500; offset += 100) {
+    OutageWorld outage(9, 3);
+    World& world = outage.world;
+    world.Run(Millis(offset));
+    outage.CutStore();
+    world.Run(Millis(2'500));
+    const Millis leases_end = world.state(outage.owner).lease.valid_until + kOutageRenewals;
+    world.Reconnect();
+    outage.EmptyRegistry();
+    outage.IsolateDataCentre();
+    world.Run(leases_end - kTimeToTakeOver - world.now());
+    world.Reconnect();
+    world.Run(Millis(20'000));
+
+    EXPECT_EQ(outage.Starts(), 1) << offset;
+    EXPECT_EQ(world.violations, Names()) << offset;
+    EXPECT_EQ(world.WorkersOf(kJob).size(), 1U) << offset;
+  }
+}
+
 // Guards against a task that runs twice: a witness that had confirmed the outage reached the store
 // again, and counted as proof that there had been none.
 TEST(Outage, ATaskDoesNotRunTwiceIfAWitnessReachesTheStoreAgainFirst) {
