Hand the addresses of a cell's workers on, and poll them as soon as they may be reached again

Callers saw LOST: long-running tasks of a data centre ended though their workers ran and answered, 1.3 s after a cut had healed. An outage of the store before the cut had emptied the registry. The new owner in another data centre had no address of 124 of 220 workers, and polls none without one; a healthy owner reached the first worker 1.1 s after the healing, when the registry listed it again, and most of them too late for a renewal. The former owners had given their cells up.

The handover record now holds the addresses of the cell's workers. The next owner polls them from the start, and again at once when the former owner answers or the registry lists a worker again: a poll in flight may wait on a connection that was cut. Nothing changes in who may renew: a lease is renewed only by an owner whose token the worker has accepted.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -96,6 +96,9 @@
   std::map<VmId, Millis> listed_leases;
   /// The owner's lease at the store, 0 if it is not known.
   LeaseId lease = 0;
+  /// Addresses of the cell's workers. The next owner may find some of them in no registry: the
+  /// store drops workers that are cut off, or all of them in an outage.
+  std::map<VmId, Address> addresses;
   /// Entries that all have to confirm an outage of the store before the owner renews leases for
   /// long without it, with their addresses for peers. Absent if it needs none.
   std::optional<std::map<EntryInstance, Address>> witnesses;
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -478,6 +478,8 @@
   std::map<VmId, InheritedBounds> expiries;
   /// When the leases of former owners have expired at all other workers.
   InheritedBounds default_expiry;
+  /// Addresses of workers that the former owner recorded.
+  std::map<VmId, Address> addresses;
   /// A witness has proved that the former owner renews leases for a short time only after the end
   /// of its own lease at the store.
   bool denied = false;
@@ -505,6 +507,11 @@
   std::set<VmId> maybe_recorded_workers;
   /// Workers named by the write in flight.
   std::set<VmId> pending_workers;
+  /// Addresses of workers that the record contains, and those of the write in flight.
+  /// @{
+  std::map<VmId, Address> recorded_addresses;
+  std::map<VmId, Address> pending_addresses;
+  /// @}
   /// Witnesses that the record names, that it may name after a write of unknown outcome, and those
   /// named by the write in flight.
   /// @{
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -51,6 +51,15 @@
   worker.next_poll = state.now;
 }
 
+void PollUncontactedWorkers(State& state, OwnedCell& cell) {
+  for (auto& [id, worker] : cell.workers) {
+    if (worker.contacted || worker.tasks.empty()) continue;
+
+    RaiseFence(state, worker);
+    worker.needs_update = true;
+  }
+}
+
 void HandleNewIncarnation(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                           int64_t incarnation) {
   const bool is_first = worker.info.incarnation == 0;
@@ -120,6 +129,9 @@
     found->second.info.id = id;
     found->second.fence = cell.dropped_fence + 1;
     found->second.lease.inherited = InheritedExpiry(cell, id);
+
+    const auto address = cell.hand_over.addresses.find(id);
+    if (address != cell.hand_over.addresses.end()) found->second.info.address = address->second;
   }
 
   return found->second;
@@ -188,9 +200,11 @@
     if (info.incarnation < known_incarnation) continue;
 
     const bool began_draining = info.draining && !worker.info.draining;
+    const bool returned = !std::exchange(worker.listed, true);
     worker.info = info;
     worker.info.incarnation = known_incarnation;
-    worker.listed = true;
+    // An earlier poll may wait on a connection that was cut.
+    if (returned && !worker.contacted) RaiseFence(state, worker);
 
     if (info.incarnation > known_incarnation) {
       HandleNewIncarnation(state, effects, cell->second, worker, info.incarnation);
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -83,6 +83,10 @@
 /// Invalidates all orders that may still arrive at the worker, and polls it for its present state.
 void RaiseFence(State& state, WorkerState& worker);
 
+/// Polls the workers with tasks that have not answered under the grant, also those with a poll in
+/// flight, which may be on a connection that is cut.
+void PollUncontactedWorkers(State& state, OwnedCell& cell);
+
 /// Handles a restart of a worker: no run of the former incarnation is left. Runs whose start may
 /// have reached the new incarnation are settled by the next poll.
 void HandleNewIncarnation(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "cell_workers.h"
 
 /// Handover of the leases of a cell's workers between successive owners of the cell.
 ///
@@ -77,6 +77,30 @@
   return names;
 }
 
+/// Returns the known addresses of the cell's workers.
+std::map<VmId, Address> KnownAddresses(const OwnedCell& cell) {
+  std::map<VmId, Address> addresses;
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.info.address.port != 0) addresses[id] = worker.info.address;
+  }
+
+  return addresses;
+}
+
+/// Returns whether the record lacks the address of a worker that may hold tasks.
+bool LacksAddress(const OwnedCell& cell) {
+  const std::map<VmId, Address>& recorded = cell.hand_over.recorded_addresses;
+
+  return std::ranges::any_of(cell.workers, [&](const auto& row) {
+    const Address& address = row.second.info.address;
+    if (address.port == 0) return false;
+
+    const auto found = recorded.find(row.first);
+    return found == recorded.end() || found->second != address;
+  });
+}
+
 HandOverRecord MakeHandOverRecord(const State& state, const OwnedCell& cell,
                                   const std::set<VmId>& names) {
   HandOverRecord record{.owner = state.settings.entry,
@@ -84,6 +108,7 @@
                         .peer_address = state.settings.peer_address,
                         .grant = cell.grant,
                         .lease = state.lease.lease,
+                        .addresses = cell.hand_over.pending_addresses,
                         .witnesses = cell.hand_over.pending_witnesses};
   for (const VmId& id : names) {
     AddLease(record, id, ExpiriesOf(cell.workers.at(id)), state.now);
@@ -130,12 +155,14 @@
   ShortenWaits(state, effects, cell, "the former owner has restarted");
 }
 
-void ApplyFormerLeases(const State& state, Effects& effects, OwnedCell& cell,
+void ApplyFormerLeases(State& state, Effects& effects, OwnedCell& cell,
                        const HandOverRecord& leases) {
   InheritLeases(cell.hand_over, leases, state.now);
   cell.hand_over.default_expiry = ExpiredAt(state.now);
   cell.hand_over.former.owner = EntryId();
   ShortenWaits(state, effects, cell, "the former owner reported its remaining leases");
+  // The former owner can be reached, so its workers probably can be too.
+  PollUncontactedWorkers(state, cell);
 }
 
 /// Returns the unexpired leases that this entry granted in a cell under a former grant.
@@ -178,11 +205,12 @@
 /// Marks this owner's record as stored. No earlier write of the record
 /// can take effect any more, since each expects a revision that this one replaced.
 void MarkWritten(HandOverState& hand_over, KvRevision revision, std::set<VmId> names,
-                 std::map<EntryInstance, Address> witnesses) {
+                 std::map<VmId, Address> addresses, std::map<EntryInstance, Address> witnesses) {
   hand_over.written = true;
   hand_over.revision = revision;
   hand_over.recorded_workers = std::move(names);
   hand_over.maybe_recorded_workers.clear();
+  hand_over.recorded_addresses = std::move(addresses);
   hand_over.recorded_witnesses = std::move(witnesses);
   hand_over.maybe_recorded_witnesses.clear();
 }
@@ -202,8 +230,9 @@
 }
 
 /// Returns whether the record has to be written: because it was never written, because an earlier
-/// write has an unknown outcome, because it names other workers or witnesses, because a lease runs
-/// longer than recorded, or because the recorded times have partly elapsed.
+/// write has an unknown outcome, because it names other workers or witnesses, because it lacks an
+/// address, because a lease runs longer than recorded, or because the recorded times have partly
+/// elapsed.
 bool IsOutdated(const State& state, const OwnedCell& cell, const std::set<VmId>& names,
                 const std::map<EntryInstance, Address>& witnesses) {
   const HandOverState& hand_over = cell.hand_over;
@@ -211,6 +240,7 @@
   if (!hand_over.written || names != hand_over.recorded_workers ||
       !hand_over.maybe_recorded_workers.empty())
     return true;
+  if (LacksAddress(cell)) return true;
   if (names.empty()) return false;
 
   if (state.now >= hand_over.refresh_at) return true;
@@ -247,6 +277,7 @@
   hand_over.maybe_recorded_workers.insert(names.begin(), names.end());
   hand_over.maybe_recorded_witnesses.insert(witnesses.begin(), witnesses.end());
   hand_over.pending_witnesses = witnesses;
+  hand_over.pending_addresses = KnownAddresses(cell);
 
   WriteRecords write;
   write.expected = {ExpectedRecord{CellKey(cell.cell), cell.grant},
@@ -297,6 +328,7 @@
 
   // The former owner wrote the record before this grant.
   InheritLeases(hand_over, *record, cell->taken_over_at);
+  hand_over.addresses = record->addresses;
   if (record->owner.Empty()) hand_over.default_expiry = ExpiredAt(cell->taken_over_at);
 
   Log(effects, Severity::kInfo, "read the former owner's handover record",
@@ -360,6 +392,7 @@
   switch (reply.status) {
     case StoreStatus::kOk:
       return MarkWritten(hand_over, reply.revision, std::move(hand_over.pending_workers),
+                         std::move(hand_over.pending_addresses),
                          std::move(hand_over.pending_witnesses));
     case StoreStatus::kConflict:
       break;
@@ -385,7 +418,7 @@
     hand_over.write_at = state.now;
     // The record comes from an earlier write whose reply was lost.
     if (own) {
-      MarkWritten(hand_over, item.revision, NamedWorkers(*record),
+      MarkWritten(hand_over, item.revision, NamedWorkers(*record), record->addresses,
                   record->witnesses.value_or(std::map<EntryInstance, Address>()));
     }
   }
@@ -401,7 +434,7 @@
 }
 
 HandOverRecord RemainingLeases(const State& state, const OwnedCell& cell) {
-  HandOverRecord record{.grant = cell.grant};
+  HandOverRecord record{.grant = cell.grant, .addresses = KnownAddresses(cell)};
 
   for (const auto& [id, worker] : cell.workers) {
     if (worker.lease.Expiry() > state.now) AddLease(record, id, ExpiriesOf(worker), state.now);
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -117,6 +117,22 @@
   return leases;
 }
 
+Json AddressesJson(const std::map<VmId, Address>& addresses) {
+  Json json = Json::object();
+  for (const auto& [worker, address] : addresses) json[worker.Text()] = AddressJson(address);
+
+  return json;
+}
+
+std::map<VmId, Address> AddressesOf(const Json& json) {
+  std::map<VmId, Address> addresses;
+  for (const auto& [worker, address] : json.items()) {
+    addresses[VmId(worker)] = AddressOf(address);
+  }
+
+  return addresses;
+}
+
 ProgressRecord CarriedOf(const Json& json) {
   if (!json.contains("carried")) return ProgressRecord{};
 
@@ -193,6 +209,8 @@
   Json json{{"grant", record.grant}, {"leases", LeasesJson(record.leases)}};
   if (!record.listed_leases.empty()) json["listed"] = LeasesJson(record.listed_leases);
 
+  if (!record.addresses.empty()) json["addresses"] = AddressesJson(record.addresses);
+
   if (record.lease != 0) json["lease"] = record.lease;
 
   if (record.witnesses) {
@@ -219,6 +237,8 @@
     record.leases = LeasesOf(json.at("leases"));
     if (json.contains("listed")) record.listed_leases = LeasesOf(json.at("listed"));
 
+    if (json.contains("addresses")) record.addresses = AddressesOf(json.at("addresses"));
+
     record.lease = json.value("lease", LeaseId{0});
 
     if (json.contains("witnesses")) {
