Let an entry claim beyond what it can serve only after the others had time to claim

The first entry that had a lease again knew of no other, so it had rank 0 for all cells and no delay: it took 57 of the 70 cells within 40 ms, on 0.12 of a core, and gave them back one at a time. Its renewals, polls and starts were then up to a second late, it reached no worker of the data centre that came back, and lapsed tasks ran nowhere for 12 s. The size of an entry ordered the candidates and bounded nothing.

A claim that overburdens the entry now waits 1.5 s more. Within that time the others hold leases again, and the leases of workers outlast it. An entry that is left alone still takes all cells.

--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -25,6 +25,10 @@
 constexpr Millis kMaxLayoutDelay = Millis(4'000);
 /// Additional delay per rank before an entry claims a cell that a better ranked entry should claim.
 constexpr Millis kClaimRankDelay = Millis(400);
+/// Additional delay before an entry claims a cell beyond what its processor can serve. After an
+/// outage of the store the first entry that has a lease again knows of no other; with a delay of
+/// this length the others claim their share, and still before the leases of workers end.
+constexpr Millis kOverburdenedClaimDelay = Millis(1'500);
 /// A cell is released to another entry only if that entry has been up, and the cell has been owned,
 /// for this time. Otherwise entries that are restarted one after the other would pass cells back
 /// and forth.
@@ -116,12 +120,15 @@
   orphan.claim = CallStore(state, effects, CellClaimed{id}, std::move(write));
 }
 
-void ClaimWhenDue(State& state, Effects& effects, const CellId& id, size_t rank) {
+void ClaimWhenDue(State& state, Effects& effects, const CellId& id, size_t rank,
+                  bool overburdened) {
   OrphanedCell& orphan = state.orphans[id];
   if (orphan.claim != 0) return;
 
-  const Millis at =
-      std::max(orphan.since + kClaimRankDelay * static_cast<int64_t>(rank), orphan.retry_at);
+  Millis delay = kClaimRankDelay * static_cast<int64_t>(rank);
+  if (overburdened) delay = delay + kOverburdenedClaimDelay;
+
+  const Millis at = std::max(orphan.since + delay, orphan.retry_at);
   if (state.now < at) {
     WakeAt(state, at);
     return;
@@ -178,7 +185,8 @@
 
     OrphanedCell& orphan = state.orphans[id];
     if (orphan.since == Millis(0)) orphan.since = state.now;
-    ClaimWhenDue(state, effects, id, static_cast<size_t>(self - candidates.begin()));
+    ClaimWhenDue(state, effects, id, static_cast<size_t>(self - candidates.begin()),
+                 self->suitability.overburdened);
   }
 }
 
