Delay only claims of entries that have just registered, and count the claims of lower ranks

An entry now claims once its copy holds its own registration, and so all earlier ones. Beyond its share it waits only for a time after its registration. Its own claims count whatever its rank. The failure of a poll whose fence was raised meanwhile no longer counts against the worker, and an address alone is recorded at most once a second.

ClaimsAfterOutage.TheFirstEntryDoesNotTakeAllCellsThoughTheOthersAreBackSecondsLater covers others that return 2.5 s later.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -155,6 +155,7 @@
   Millis next_at;
   /// The entry's record was written under this lease.
   bool registered = false;
+  Millis registered_at;
   RequestId register_request = 0;
   Millis register_at;
   /// Lease of the previous incarnation of this entry, which is to be revoked. 0 if there is none.
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -291,7 +291,8 @@
 
   if (answered.reply.status == OrderStatus::kOk) {
     HandlePollReply(state, effects, cell->second, worker, sent, answered.reply);
-  } else {
+  } else if (sent.token == TokenOf(cell->second, worker)) {
+    // A poll under an earlier fence tells nothing of the one that replaced it.
     HandleFailedPoll(state, effects, worker, answered.reply.status);
   }
 }
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -25,10 +25,11 @@
 constexpr Millis kMaxLayoutDelay = Millis(4'000);
 /// Additional delay per rank before an entry claims a cell that a better ranked entry should claim.
 constexpr Millis kClaimRankDelay = Millis(400);
-/// Additional delay before an entry claims a cell beyond what its processor can serve. After an
-/// outage of the store the first entry that has a lease again knows of no other; with a delay of
-/// this length the others claim their share, and still before the leases of workers end.
+/// How long after its registration an entry claims no cell beyond what its processor can serve, for
+/// each multiple of that, up to the maximum. The first entry that has a lease after an outage of
+/// the store knows of no other, and the others claim their share within that time.
 constexpr Millis kOverburdenedClaimDelay = Millis(1'500);
+constexpr int64_t kMaxClaimDelays = 4;
 /// A cell is released to another entry only if that entry has been up, and the cell has been owned,
 /// for this time. Otherwise entries that are restarted one after the other would pass cells back
 /// and forth.
@@ -66,6 +67,9 @@
   return count == owned.end() ? 0 : count->second;
 }
 
+/// Returns how many times over an entry with this burden has as many cells as it can serve.
+int64_t Overload(int64_t burden) { return burden * kMillicoresPerCell / kBurdenScale; }
+
 /// How well an entry suits a cell. The smallest value is best. Entries in the cell's own data
 /// centre come first unless they are overburdened, because workers in a data centre that is cut off
 /// are unreachable for all entries elsewhere.
@@ -120,21 +124,41 @@
   orphan.claim = CallStore(state, effects, CellClaimed{id}, std::move(write));
 }
 
-void ClaimWhenDue(State& state, Effects& effects, const CellId& id, size_t rank,
-                  bool overburdened) {
-  OrphanedCell& orphan = state.orphans[id];
-  if (orphan.claim != 0) return;
+/// Returns the earliest time at which this entry may claim a cell, the others being as known.
+Millis ClaimTime(const State& state, const OrphanedCell& orphan, size_t rank,
+                 const OwnerCandidate& self) {
+  const Millis ranked = orphan.since + kClaimRankDelay * static_cast<int64_t>(rank);
+  const Millis at = std::max(ranked, orphan.retry_at);
+  if (!self.suitability.overburdened) return at;
+
+  const int64_t delays = std::min(Overload(self.burden), kMaxClaimDelays);
+  return std::max(at, state.lease.registered_at + kOverburdenedClaimDelay * delays);
+}
 
-  Millis delay = kClaimRankDelay * static_cast<int64_t>(rank);
-  if (overburdened) delay = delay + kOverburdenedClaimDelay;
+/// Returns whether a claim is in flight.
+bool ClaimWhenDue(State& state, Effects& effects, const CellId& id, size_t rank,
+                  const OwnerCandidate& self) {
+  OrphanedCell& orphan = state.orphans[id];
+  if (orphan.claim != 0) return true;
 
-  const Millis at = std::max(orphan.since + delay, orphan.retry_at);
+  const Millis at = ClaimTime(state, orphan, rank, self);
   if (state.now < at) {
     WakeAt(state, at);
-    return;
+    return false;
   }
 
   SendClaim(state, effects, id, orphan);
+  return true;
+}
+
+/// Returns whether the copy of the records contains all entries that had registered before this
+/// one.
+bool KnowsEarlierEntries(const State& state) {
+  const auto records = state.feeds.find(Feed::kRecords);
+  if (records == state.feeds.end() || !records->second.synced) return false;
+
+  const auto self = state.view.entries.find(state.settings.entry);
+  return self != state.view.entries.end() && records->second.revision >= self->second.revision;
 }
 
 /// Releases a grant that this entry still has in the store and does not use, because it dropped the
@@ -163,7 +187,7 @@
 /// in the same order and count those already distributed, so that no entry gets too many.
 void ClaimOrphanedCells(State& state, Effects& effects, std::map<EntryId, size_t> owned) {
   if (!HoldsLease(state) || !state.lease.registered || state.stopping) return;
-  if (!state.feeds[Feed::kRecords].synced) return;
+  if (!KnowsEarlierEntries(state)) return;
 
   for (const CellId& id : AllCells(state)) {
     const auto view = state.view.cells.find(id);
@@ -185,8 +209,10 @@
 
     OrphanedCell& orphan = state.orphans[id];
     if (orphan.since == Millis(0)) orphan.since = state.now;
-    ClaimWhenDue(state, effects, id, static_cast<size_t>(self - candidates.begin()),
-                 self->suitability.overburdened);
+    const auto rank = static_cast<size_t>(self - candidates.begin());
+    const bool claimed = ClaimWhenDue(state, effects, id, rank, *self);
+    // The best candidate may not be claiming its cells at all.
+    if (claimed && rank > 0) ++owned[state.settings.entry];
   }
 }
 
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -88,13 +88,13 @@
   return addresses;
 }
 
-/// Returns whether the record lacks the address of a worker that may hold tasks.
+/// Returns whether the record lacks the address of a worker with tasks.
 bool LacksAddress(const OwnedCell& cell) {
   const std::map<VmId, Address>& recorded = cell.hand_over.recorded_addresses;
 
   return std::ranges::any_of(cell.workers, [&](const auto& row) {
     const Address& address = row.second.info.address;
-    if (address.port == 0) return false;
+    if (address.port == 0 || row.second.tasks.empty()) return false;
 
     const auto found = recorded.find(row.first);
     return found == recorded.end() || found->second != address;
@@ -240,8 +240,7 @@
   if (!hand_over.written || names != hand_over.recorded_workers ||
       !hand_over.maybe_recorded_workers.empty())
     return true;
-  if (LacksAddress(cell)) return true;
-  if (names.empty()) return false;
+  if (names.empty() && !LacksAddress(cell)) return false;
 
   if (state.now >= hand_over.refresh_at) return true;
 
@@ -261,7 +260,7 @@
   const std::map<EntryInstance, Address>& witnesses = state.outage.witnesses;
 
   if (!IsOutdated(state, cell, names, witnesses)) {
-    if (!names.empty()) WakeAt(state, hand_over.refresh_at);
+    if (state.now < hand_over.refresh_at) WakeAt(state, hand_over.refresh_at);
     return;
   }
 
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -147,6 +147,7 @@
 
   if (reply.status == StoreStatus::kOk) {
     lease.registered = true;
+    lease.registered_at = state.now;
     // Applied immediately, so that a late removal of an earlier record is not mistaken for the
     // removal of this one.
     ApplyRecord(state, effects,
--- a/tests/scheduler/claim_test.cc
+++ b/tests/scheduler/claim_test.cc
@@ -65,6 +65,21 @@
   EXPECT_EQ(OwnedCells(), kCells);
 }
 
+// Guards against the same where the other entries are back seconds later.
+TEST_F(ClaimsAfterOutage, TheFirstEntryDoesNotTakeAllCellsThoughTheOthersAreBackSecondsLater) {
+  const std::vector<std::string> entries = world_.Entries();
+  for (const std::string& entry : entries) world_.Cut(entry, "store");
+  world_.Run(Millis(12'000));
+  world_.Reconnect(entries.front(), "store");
+  world_.Run(Millis(2'500));
+  EXPECT_LE(MostCellsOfAnEntry(), 2 * kCellsPerEntry);
+
+  world_.Reconnect();
+  world_.Run(Millis(12'000));
+  EXPECT_LE(MostCellsOfAnEntry(), kCellsPerEntry);
+  EXPECT_EQ(OwnedCells(), kCells);
+}
+
 TEST_F(ClaimsAfterOutage, ALoneEntryTakesAllCellsInTheEnd) {
   const std::vector<std::string> entries = world_.Entries();
   for (size_t number = 1; number < entries.size(); ++number) world_.KillForGood(entries[number]);
