--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -5,10 +5,6 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// Delay before a task whose run failed is retried. Keeps tasks that fail at once from flooding the
-/// workers with starts.
-constexpr Millis kFailedRunRetryDelay = Millis(50);
-
 /// Ranks of waiting tasks within one priority: long-running ones are placed first.
 constexpr int32_t kLongRunningRank = 0;
 constexpr int32_t kOtherRank = 1;
@@ -110,17 +106,6 @@
   }
 }
 
-void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
-                std::string_view reason) {
-  Log(effects, Severity::kInfo, "run was lost",
-      {{"job", ref.job.Text()},
-       {"step", std::to_string(ref.step)},
-       {"task", std::to_string(ref.index)},
-       {"run", std::to_string(run)},
-       {"worker", worker.Text()},
-       {"reason", std::string(reason)}});
-}
-
 /// Restores the state of a task from the progress that former owners recorded. A run that was
 /// listed in a former incarnation of its worker has ended, and the task starts again.
 void RestoreTask(const State& state, Effects& effects, OwnedCell& cell, JobState& job,
@@ -171,8 +156,6 @@
   }
 }
 
-bool IsDone(const StepState& step) { return static_cast<size_t>(step.done) == step.tasks.size(); }
-
 bool AllStepsDone(const OccurrenceState& occurrence, const std::vector<int32_t>& steps) {
   return std::ranges::all_of(steps, [&](int32_t step) {
     if (step < 0 || static_cast<size_t>(step) >= occurrence.steps.size()) return true;
@@ -561,62 +544,6 @@
   SetWaiting(cell, job, ref, task);
 }
 
-void HandleRunEnd(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref, RunEnd end,
-                  const std::string& checkpoint) {
-  JobState& job = cell.jobs.at(ref.job);
-  TaskState& task = *FindTask(cell, ref);
-  const StepSpec& spec = SpecOf(job, ref);
-  if (!checkpoint.empty()) task.checkpoint = checkpoint;
-
-  const VmId worker_id = task.worker;
-
-  if (end == RunEnd::kDone && !spec.is_long_running) {
-    UnbindTask(state, cell, job, ref);
-    task.phase = TaskPhase::kDone;
-    task.checkpoint.clear();
-    StepState& step =
-        job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
-    ++step.done;
-    if (IsDone(step)) UnblockTasks(state, cell, job);
-    FinalizeJobIfDone(state, effects, cell, ref.job);
-    return;
-  }
-
-  if (end == RunEnd::kFailed) {
-    ++task.failures;
-    task.avoided_worker = worker_id;
-  }
-
-  if (end == RunEnd::kFailed && !spec.is_long_running && task.failures >= job.record.max_attempts) {
-    UnbindTask(state, cell, job, ref);
-    task.phase = TaskPhase::kFailed;
-    job.attempts_exhausted = true;
-    Log(effects, Severity::kWarning, "task has no attempts left",
-        {{"job", ref.job.Text()},
-         {"step", std::to_string(ref.step)},
-         {"task", std::to_string(ref.index)},
-         {"failures", std::to_string(task.failures)}});
-    StopJob(cell, job);
-    MarkDirty(cell, job);
-    FinalizeJobIfDone(state, effects, cell, ref.job);
-    return;
-  }
-
-  const Millis delay =
-      end == RunEnd::kFailed && !spec.is_long_running ? kFailedRunRetryDelay : Millis(0);
-  RequeueTask(state, cell, job, ref, state.now + delay);
-  FinalizeJobIfDone(state, effects, cell, ref.job);
-}
-
-void HandleLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
-                   std::string_view reason) {
-  JobState& job = cell.jobs.at(ref.job);
-  const TaskState& task = *FindTask(cell, ref);
-  LogLostRun(effects, ref, task.run, task.worker, reason);
-  RequeueTask(state, cell, job, ref, state.now);
-  FinalizeJobIfDone(state, effects, cell, ref.job);
-}
-
 void FinalizeJobIfDone(State& state, Effects& effects, OwnedCell& cell, const JobId& id) {
   const auto found = cell.jobs.find(id);
   if (found == cell.jobs.end()) return;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -294,6 +294,11 @@
 /// Returns when a job was accepted and when it should be done.
 JobObjective JobObjectiveOf(const JobRecord& record);
 
+/// Returns whether all tasks of a step are done.
+inline bool IsDone(const StepState& step) {
+  return static_cast<size_t>(step.done) == step.tasks.size();
+}
+
 /// Returns the sort key of a task among the waiting tasks.
 WaitingKey WaitingKeyOf(const JobState& job, const TaskRef& ref);
 
@@ -324,6 +329,10 @@
 void HandleRunEnd(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref, RunEnd end,
                   const std::string& checkpoint);
 
+/// Logs the end of a run whose result is unknown.
+void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
+                std::string_view reason);
+
 /// Handles the end of the current run of a task whose result is unknown.
 void HandleLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
                    std::string_view reason);
