Take the end of a run that was treated as lost as the end of its task

Cause: once a run was treated as lost, its task waited for the next run, and the end that the worker listed later was no longer the end of a bound task. The owner counted it as recorded, so the worker was told to forget it, and the work was done again. The checkpoint in such an end was thrown away, too.

Now such an end counts as long as no later run has been sent to a worker and the task is neither lent nor being moved: done completes the task, and any other end leaves its checkpoint to the next run. The worker keeps the end until that is recorded. Ends as failed are still not counted again, as a former owner may have counted them.

--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -329,6 +329,11 @@
 void HandleRunEnd(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref, RunEnd end,
                   const std::string& checkpoint);
 
+/// Applies the end of a run that was treated as lost, unless a later run of its task may have
+/// begun. Returns whether that changed the job.
+bool HandleEndOfLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
+                        const EndedTask& row);
+
 /// Logs the end of a run whose result is unknown.
 void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
                 std::string_view reason);
--- a/lib/scheduler/source/run_ends.cc
+++ b/lib/scheduler/source/run_ends.cc
@@ -9,6 +9,36 @@
 /// workers with starts.
 constexpr Millis kFailedRunRetryDelay = Millis(50);
 
+/// Records that a task which is on no worker is done.
+void CompleteTask(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                  const TaskRef& ref) {
+  TaskState& task = *FindTask(cell, ref);
+  task.phase = TaskPhase::kDone;
+  task.checkpoint.clear();
+  StepState& step =
+      job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
+  ++step.done;
+  if (IsDone(step)) UnblockTasks(state, cell, job);
+  FinalizeJobIfDone(state, effects, cell, ref.job);
+}
+
+/// Returns whether a run that was treated as lost is still the last one of its task: no later run
+/// was sent to a worker or passed on to another cell.
+bool IsLastStartedRun(const JobState& job, const TaskState& task, Run run) {
+  if (job.cancelled || job.attempts_exhausted || job.move) return false;
+
+  switch (task.phase) {
+    case TaskPhase::kWaiting:
+      return task.run == run;
+    case TaskPhase::kBinding:
+      return task.run == run + 1;
+    case TaskPhase::kStarting:
+      return !task.start_sent && task.run == run + 1;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
@@ -33,13 +63,7 @@
 
   if (end == RunEnd::kDone && !spec.is_long_running) {
     UnbindTask(state, cell, job, ref);
-    task.phase = TaskPhase::kDone;
-    task.checkpoint.clear();
-    StepState& step =
-        job.occurrences[static_cast<size_t>(ref.occurrence)].steps[static_cast<size_t>(ref.step)];
-    ++step.done;
-    if (IsDone(step)) UnblockTasks(state, cell, job);
-    FinalizeJobIfDone(state, effects, cell, ref.job);
+    CompleteTask(state, effects, cell, job, ref);
     return;
   }
 
@@ -69,6 +93,32 @@
   FinalizeJobIfDone(state, effects, cell, ref.job);
 }
 
+bool HandleEndOfLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
+                        const EndedTask& row) {
+  JobState& job = cell.jobs.at(ref.job);
+  TaskState& task = *FindTask(cell, ref);
+  if (!IsLastStartedRun(job, task, row.run)) return false;
+
+  if (row.end == RunEnd::kDone && !SpecOf(job, ref).is_long_running) {
+    Log(effects, Severity::kInfo, "a run that was treated as lost has completed its task",
+        {{"job", ref.job.Text()},
+         {"step", std::to_string(ref.step)},
+         {"task", std::to_string(ref.index)},
+         {"run", std::to_string(row.run)}});
+    cell.waiting.erase(WaitingKeyOf(job, ref));
+    UnbindTask(state, cell, job, ref);
+    MarkDirty(cell, job);
+    CompleteTask(state, effects, cell, job, ref);
+    return true;
+  }
+
+  if (row.checkpoint.empty() || row.checkpoint == task.checkpoint) return false;
+
+  task.checkpoint = row.checkpoint;
+  MarkDirty(cell, job);
+  return true;
+}
+
 void HandleLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
                    std::string_view reason) {
   JobState& job = cell.jobs.at(ref.job);
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -119,6 +119,14 @@
   }
 }
 
+/// Returns an end that the worker keeps until the present state of its job is recorded.
+RetainedEnd RetainUntilRecorded(const OwnedCell& cell, const JobId& id) {
+  const auto job = cell.jobs.find(id);
+  if (job == cell.jobs.end()) return RetainedEnd{.job = id, .recorded = true};
+
+  return RetainedEnd{.job = id, .version = job->second.version};
+}
+
 void HandleEndedTask(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const EndedTask& row) {
   if (row.number <= worker.forgotten || worker.ends.contains(row.number)) return;
@@ -143,9 +151,9 @@
     }
 
     HandleRunEnd(state, effects, cell, ref, row.end, row.checkpoint);
-    const auto job = cell.jobs.find(ref.job);
-    retained.recorded = job == cell.jobs.end();
-    if (!retained.recorded) retained.version = job->second.version;
+    retained = RetainUntilRecorded(cell, ref.job);
+  } else if (task != nullptr && HandleEndOfLostRun(state, effects, cell, ref, row)) {
+    retained = RetainUntilRecorded(cell, ref.job);
   }
 
   worker.ends[row.number] = retained;
