Let an entry that has started learn which upstreams are leaving before it sends requests

Cause: an entry offered upstreams as soon as it had read the platform's list, which calls such an upstream live. What the peers know came later: a few milliseconds if the upstream left within the last 15 s, several heartbeats if it left earlier, as a heartbeat carries one such upstream. The window ended early only because the upstream told the entry itself, with the answer to the request that it should not have got.

Change: an entry that starts asks all seeds and peers for all leaving upstreams, and publishes no upstream and is not ready until a peer that has learned so itself has reported, or all seeds and live peers have, as after a start of all entries, or peers.timeout has passed. In the last case it logs a warning and goes on asking.

Price: an entry whose peers are all silent, or of an earlier version, serves after peers.timeout (2 s). An entry of an earlier version still has the fault when it is restarted.

--- a/lib/control/include/currantpost/control/membership_state.h
+++ b/lib/control/include/currantpost/control/membership_state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "currantpost/base/ids.h"
@@ -20,6 +21,10 @@
   bool alive = false;
   /// The peer started without access to the platform and requests the list of VMs.
   bool wants_vm_list = false;
+  /// When the peer last asked for the leaving upstreams, if it did.
+  std::optional<Millis> asked_for_leaving_at;
+  /// The peer reported all leaving upstreams that it knows of.
+  bool reported_leaving = false;
 };
 
 /// The entries of the system that are known to this one.
--- a/lib/control/include/currantpost/control/state.h
+++ b/lib/control/include/currantpost/control/state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
@@ -22,6 +23,8 @@
   Millis now;
   /// Time of the previous event; a long gap means that the process was paused.
   Millis previous;
+  /// Time of the first event.
+  std::optional<Millis> started_at;
   RequestId next_request = 1;
 
   ConfigurationState configuration;
--- a/lib/control/include/currantpost/control/upstream_state.h
+++ b/lib/control/include/currantpost/control/upstream_state.h
@@ -31,6 +31,10 @@
   /// Upstream incarnations known to be leaving, and since when. They are kept because the
   /// platform's list lags behind.
   std::map<LeavingUpstream, Millis> leaving;
+  /// Whether what the peers knew of leaving upstreams when this entry started is among them.
+  bool leaving_known = false;
+  /// Whether the snapshot contains the upstreams.
+  bool routing = false;
   /// The platform's list as last read. For other data centres, only the upstreams are kept.
   std::map<VmId, VmRecord> vms;
   /// Reads of the list so far.
--- a/lib/control/source/membership_feature.cc
+++ b/lib/control/source/membership_feature.cc
@@ -1,9 +1,9 @@
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "currantpost/model/codec.h"
 #include "feature.h"
+#include "leaving_knowledge.h"
 #include "membership.h"
 
 /// Tracks live entries by heartbeats, and gossips the state that must reach all of them.
@@ -93,20 +93,6 @@
   peer.alive = alive;
 }
 
-void OnHeartbeat(State& state, const Heartbeat& heartbeat, Effects& effects) {
-  UpdatePeer(state, heartbeat.sender, Millis(0), effects);
-
-  for (const KnownEntry& known : heartbeat.known) {
-    UpdatePeer(state, known, Millis(std::max<int64_t>(0, known.age_ms)), effects);
-  }
-
-  const auto sender = state.membership.peers.find(heartbeat.sender.entry);
-  if (sender == state.membership.peers.end()) return;
-
-  sender->second.racks = heartbeat.racks;
-  sender->second.wants_vm_list = heartbeat.wants_vm_list;
-}
-
 void MarkDeadPeers(State& state, Effects& effects) {
   const Millis local_timeout = PeerTimeout(state, true);
   const Millis remote_timeout = PeerTimeout(state, false);
@@ -171,6 +157,7 @@
 
   AddLeaving(state, heartbeat);
   heartbeat.wants_vm_list = !state.upstreams.list_known;
+  heartbeat.wants_leaving = !state.upstreams.leaving_known;
   return heartbeat;
 }
 
@@ -188,6 +175,12 @@
   }
 }
 
+/// Returns whether the peer asked for the leaving upstreams within the last two rounds.
+bool WantsLeaving(const State& state, const PeerState& peer) {
+  return peer.asked_for_leaving_at &&
+         state.now - *peer.asked_for_leaving_at <= state.settings.heartbeat_interval * 2;
+}
+
 /// Adds the data that only this receiver needs, and sends the heartbeat.
 void SendTo(const State& state, const PeerState& peer, Heartbeat heartbeat, Effects& effects) {
   const Configuration& present = state.configuration.current;
@@ -195,10 +188,34 @@
 
   if (is_behind) heartbeat.configuration = Encode(present);
   if (peer.wants_vm_list && IsLocal(state, peer)) heartbeat.vm_list = EncodeLocalVms(state);
+  if (WantsLeaving(state, peer)) heartbeat.leaving_report = MakeLeavingReport(state);
 
   effects.emplace_back(SendHeartbeat{peer.known.peer_address, std::move(heartbeat)});
 }
 
+void OnHeartbeat(State& state, const Heartbeat& heartbeat, Effects& effects) {
+  UpdatePeer(state, heartbeat.sender, Millis(0), effects);
+
+  for (const KnownEntry& known : heartbeat.known) {
+    UpdatePeer(state, known, Millis(std::max<int64_t>(0, known.age_ms)), effects);
+  }
+
+  const auto sender = state.membership.peers.find(heartbeat.sender.entry);
+  if (sender == state.membership.peers.end()) return;
+
+  PeerState& peer = sender->second;
+  peer.racks = heartbeat.racks;
+  peer.wants_vm_list = heartbeat.wants_vm_list;
+  peer.reported_leaving |= heartbeat.leaving_report.has_value();
+  if (!heartbeat.wants_leaving) return;
+
+  peer.asked_for_leaving_at = state.now;
+
+  // A reply that asks as well is answered with the next round, or two entries that have both just
+  // started would answer each other without end.
+  if (!heartbeat.leaving_report) SendTo(state, peer, MakeHeartbeat(state), effects);
+}
+
 /// Selects `count` peers, continuing where the previous round ended.
 std::vector<const PeerState*> SelectPeers(const std::vector<const PeerState*>& peers, size_t count,
                                           uint64_t round) {
@@ -214,40 +231,38 @@
 void SendRound(State& state, Effects& effects) {
   std::vector<const PeerState*> local;
   std::vector<const PeerState*> remote;
-  std::set<Address> known_addresses = {state.settings.identity.peer_address};
 
   for (const auto& [entry, peer] : state.membership.peers) {
-    known_addresses.insert(peer.known.peer_address);
     (IsLocal(state, peer) ? local : remote).push_back(&peer);
   }
 
   MembershipState& membership = state.membership;
   const Heartbeat base = MakeHeartbeat(state);
+  // Anyone may be the one who knows what this entry waits for.
+  const bool is_waiting = !MayRoute(state);
+  const size_t local_count = is_waiting ? local.size() : kLocalFanOut;
+  const size_t remote_count = is_waiting ? remote.size() : 1;
 
-  for (const PeerState* peer : SelectPeers(local, kLocalFanOut, membership.round)) {
+  for (const PeerState* peer : SelectPeers(local, local_count, membership.round)) {
     SendTo(state, *peer, base, effects);
   }
 
   Heartbeat full = base;
   AddKnownEntries(state, full);
 
-  if (membership.round % kRoundsPerRemoteHeartbeat == 0) {
+  if (is_waiting || membership.round % kRoundsPerRemoteHeartbeat == 0) {
     for (const PeerState* peer :
-         SelectPeers(remote, 1, membership.round / kRoundsPerRemoteHeartbeat)) {
+         SelectPeers(remote, remote_count, membership.round / kRoundsPerRemoteHeartbeat)) {
       SendTo(state, *peer, full, effects);
     }
   }
 
-  // Seeds that match no known peer yet. Contacting one per round is enough to discover the others.
-  std::vector<Address> unreached_seeds;
-
-  for (const Address& seed : state.settings.seeds) {
-    if (!known_addresses.contains(seed)) unreached_seeds.push_back(seed);
-  }
+  // Contacting one per round is enough to discover the others.
+  const std::vector<Address> seeds = UnreachedSeeds(state);
+  const size_t seed_count = is_waiting ? seeds.size() : std::min<size_t>(1, seeds.size());
 
-  if (!unreached_seeds.empty()) {
-    effects.emplace_back(
-        SendHeartbeat{unreached_seeds[membership.round % unreached_seeds.size()], full});
+  for (size_t offset = 0; offset < seed_count; ++offset) {
+    effects.emplace_back(SendHeartbeat{seeds[(membership.round + offset) % seeds.size()], full});
   }
 
   ++membership.round;
--- a/lib/control/source/reducer.cc
+++ b/lib/control/source/reducer.cc
@@ -48,6 +48,7 @@
 void Reduce(State& state, const Event& event, Effects& effects) {
   state.previous = state.now;
   state.now = event.now;
+  if (!state.started_at) state.started_at = event.now;
 
   for (const Feature* feature : kFeatures) feature->handle(state, event, effects);
 
--- a/lib/control/source/upstream_feature.cc
+++ b/lib/control/source/upstream_feature.cc
@@ -8,6 +8,7 @@
 
 #include "currantpost/model/codec.h"
 #include "feature.h"
+#include "leaving_knowledge.h"
 
 /// Maintains the list of upstreams, including leaving and ejected ones, and publishes the routing
 /// snapshot.
@@ -250,15 +251,30 @@
   snapshot->preset = PresetInForce(state.configuration.current);
   snapshot->draining = state.shutdown.draining;
 
-  for (const auto& [vm, upstream] : upstreams.upstreams) {
-    snapshot->upstreams.push_back(ToRoutedUpstream(state, upstream));
+  if (upstreams.routing) {
+    for (const auto& [vm, upstream] : upstreams.upstreams) {
+      snapshot->upstreams.push_back(ToRoutedUpstream(state, upstream));
+    }
   }
 
   effects.emplace_back(PublishRouting{std::move(snapshot)});
 }
 
+void UpdateRouting(State& state, Effects& effects) {
+  UpstreamState& upstreams = state.upstreams;
+  if (upstreams.routing || !MayRoute(state)) return;
+
+  upstreams.routing = true;
+  upstreams.snapshot_outdated = true;
+  if (upstreams.leaving_known) return;
+
+  Log(effects, Severity::kWarning, LogComponent::kUpstreams,
+      "no peer told which upstreams are leaving");
+}
+
 void UpdateReadiness(State& state, Effects& effects) {
-  const bool can_serve = state.upstreams.list_known && !state.upstreams.upstreams.empty();
+  const bool can_serve =
+      state.upstreams.routing && state.upstreams.list_known && !state.upstreams.upstreams.empty();
   const bool ready = can_serve && !state.shutdown.requested;
   if (ready == state.upstreams.ready) return;
 
@@ -272,14 +288,18 @@
   UpdateReadiness(state, effects);
 }
 
-void OnHeartbeat(State& state, const Heartbeat& heartbeat, Effects& effects) {
-  for (const LeavingUpstream& leaving_upstream : heartbeat.leaving_upstreams) {
+void MarkReported(State& state, const std::vector<LeavingUpstream>& reported, Effects& effects) {
+  for (const LeavingUpstream& leaving_upstream : reported) {
     const bool is_older =
         ListedIncarnation(state, leaving_upstream.vm).value_or(0) > leaving_upstream.incarnation;
 
     if (!is_older) MarkLeaving(state, leaving_upstream, effects);
   }
+}
 
+void OnHeartbeat(State& state, const Heartbeat& heartbeat, Effects& effects) {
+  MarkReported(state, heartbeat.leaving_upstreams, effects);
+  if (heartbeat.leaving_report) MarkReported(state, heartbeat.leaving_report->upstreams, effects);
   if (!heartbeat.vm_list.empty()) ApplyPeerVmList(state, heartbeat.vm_list, effects);
 }
 
@@ -299,6 +319,9 @@
              },
              event.body);
 
+  const auto* received = std::get_if<HeartbeatReceived>(&event.body);
+  UpdateLeavingKnowledge(state, received == nullptr ? nullptr : &received->heartbeat);
+  UpdateRouting(state, effects);
   Publish(state, effects);
 }
 
@@ -315,6 +338,7 @@
   }
 
   return {{"list_known", state.upstreams.list_known},
+          {"leaving_known", state.upstreams.leaving_known},
           {"ready", state.upstreams.ready},
           {"snapshot_revision", state.upstreams.snapshot_revision},
           {"upstreams", upstreams}};
--- a/lib/daemon/source/own_heartbeat.cc
+++ b/lib/daemon/source/own_heartbeat.cc
@@ -26,6 +26,9 @@
   // What was meant for one receiver goes to no other.
   latest_.configuration.clear();
   latest_.vm_list.clear();
+  latest_.leaving_report.reset();
+  // An answer asks nothing, or two entries would go on replying to each other's answers.
+  latest_.wants_leaving = false;
 }
 
 Heartbeat OwnHeartbeat::AnswerTo(const Heartbeat& peer) const {
--- a/lib/model/include/currantpost/model/peer.h
+++ b/lib/model/include/currantpost/model/peer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,13 @@
   auto operator<=>(const LeavingUpstream&) const = default;
 };
 
+/// All leaving upstreams that an entry knows of.
+struct LeavingReport {
+  std::vector<LeavingUpstream> upstreams;
+  /// Whether the entry learned from its peers what they knew when it started.
+  bool is_whole = false;
+};
+
 /// An entry as known to an entry that sends a heartbeat.
 struct KnownEntry {
   EntryId entry;
@@ -49,6 +57,10 @@
   bool wants_vm_list = false;
   /// The part of the list of VMs for the sender's data centre as JSON; empty unless requested.
   std::string vm_list;
+  /// The sender has started and asks for the leaving upstreams.
+  bool wants_leaving = false;
+  /// Present only in reply to such a question.
+  std::optional<LeavingReport> leaving_report;
 };
 
 }  // namespace currantpost
--- a/lib/peer/source/heartbeat_message.cc
+++ b/lib/peer/source/heartbeat_message.cc
@@ -32,6 +32,19 @@
   message.set_leaving(known.leaving);
 }
 
+void Encode(wire::LeavingUpstreamMessage& message, const LeavingUpstream& upstream) {
+  message.set_vm(upstream.vm.Text());
+  message.set_incarnation(upstream.incarnation);
+}
+
+void Encode(wire::LeavingReportMessage& message, const LeavingReport& report) {
+  for (const LeavingUpstream& upstream : report.upstreams) {
+    Encode(*message.add_upstreams(), upstream);
+  }
+
+  message.set_is_whole(report.is_whole);
+}
+
 Error CheckName(const std::string& name, const char* field) {
   if (name.empty()) return MakeError(ErrorCode::kMalformed, field);
   if (name.size() > kMaxNameBytes) return MakeError(ErrorCode::kTooLarge, field);
@@ -80,6 +93,10 @@
     return MakeError(ErrorCode::kTooLarge, "leaving_upstreams");
   }
 
+  if (message.leaving_report().upstreams_size() > kMaxLeavingUpstreams) {
+    return MakeError(ErrorCode::kTooLarge, "leaving_report");
+  }
+
   if (message.configuration().size() > kMaxConfigurationBytes) {
     return MakeError(ErrorCode::kTooLarge, "configuration");
   }
@@ -107,6 +124,10 @@
     if (Error error = CheckName(leaving.vm(), "vm"); error.code) return error;
   }
 
+  for (const auto& leaving : message.leaving_report().upstreams()) {
+    if (Error error = CheckName(leaving.vm(), "leaving_report"); error.code) return error;
+  }
+
   return {};
 }
 
@@ -127,6 +148,20 @@
   };
 }
 
+LeavingUpstream DecodeLeavingUpstream(const wire::LeavingUpstreamMessage& message) {
+  return LeavingUpstream{.vm = VmId(message.vm()), .incarnation = message.incarnation()};
+}
+
+LeavingReport DecodeLeavingReport(const wire::LeavingReportMessage& message) {
+  LeavingReport report{.is_whole = message.is_whole()};
+
+  for (const auto& upstream : message.upstreams()) {
+    report.upstreams.push_back(DecodeLeavingUpstream(upstream));
+  }
+
+  return report;
+}
+
 }  // namespace
 
 wire::HeartbeatMessage ToMessage(const Heartbeat& heartbeat) {
@@ -142,14 +177,17 @@
   }
 
   for (const LeavingUpstream& upstream : heartbeat.leaving_upstreams) {
-    wire::LeavingUpstreamMessage& leaving = *message.add_leaving_upstreams();
-    leaving.set_vm(upstream.vm.Text());
-    leaving.set_incarnation(upstream.incarnation);
+    Encode(*message.add_leaving_upstreams(), upstream);
   }
 
   message.set_configuration(heartbeat.configuration);
   message.set_wants_vm_list(heartbeat.wants_vm_list);
   message.set_vm_list(heartbeat.vm_list);
+  message.set_wants_leaving(heartbeat.wants_leaving);
+
+  if (heartbeat.leaving_report) {
+    Encode(*message.mutable_leaving_report(), *heartbeat.leaving_report);
+  }
 
   return message;
 }
@@ -169,13 +207,17 @@
   }
 
   for (const auto& leaving : message.leaving_upstreams()) {
-    heartbeat.leaving_upstreams.push_back(
-        LeavingUpstream{.vm = VmId(leaving.vm()), .incarnation = leaving.incarnation()});
+    heartbeat.leaving_upstreams.push_back(DecodeLeavingUpstream(leaving));
   }
 
   heartbeat.configuration = message.configuration();
   heartbeat.wants_vm_list = message.wants_vm_list();
   heartbeat.vm_list = message.vm_list();
+  heartbeat.wants_leaving = message.wants_leaving();
+
+  if (message.has_leaving_report()) {
+    heartbeat.leaving_report = DecodeLeavingReport(message.leaving_report());
+  }
 
   return heartbeat;
 }
--- a/tests/control/fake_world.cc
+++ b/tests/control/fake_world.cc
@@ -335,6 +335,8 @@
 }
 
 void FakeWorld::DeliverHeartbeat(const EntryId& entry, const SendHeartbeat& send) {
+  ++heartbeats_;
+
   for (const auto& [peer, node] : nodes_) {
     if (node.settings.identity.peer_address != send.peer) continue;
     if (IsLinkCut(entry.Text(), peer.Text()) || Chance(faults_.loss_probability)) return;
--- a/tests/control/fake_world.h
+++ b/tests/control/fake_world.h
@@ -97,6 +97,8 @@
   [[nodiscard]] std::shared_ptr<const RoutingSnapshot> Routing(const EntryId& entry) const;
   /// Returns the number of key-value calls, watches included.
   [[nodiscard]] int64_t KvCalls() const { return kv_calls_; }
+  /// Returns the number of heartbeats sent.
+  [[nodiscard]] int64_t Heartbeats() const { return heartbeats_; }
 
   /// Returns the invariants that were violated, or an empty set.
   [[nodiscard]] const std::set<std::string>& Violations() const { return violations_; }
@@ -166,6 +168,7 @@
   bool kv_down_ = false;
   bool list_frozen_ = false;
   int64_t kv_calls_ = 0;
+  int64_t heartbeats_ = 0;
   std::priority_queue<ScheduledAction, std::vector<ScheduledAction>, std::greater<>>
       scheduled_actions_;
 
--- a/tests/peer/heartbeat_message_test.cc
+++ b/tests/peer/heartbeat_message_test.cc
@@ -45,6 +45,12 @@
   heartbeat.configuration = *rc::gen::element<std::string>("", R"({"revision":7})");
   heartbeat.wants_vm_list = *rc::gen::arbitrary<bool>();
   heartbeat.vm_list = *rc::gen::element<std::string>("", "[]");
+  heartbeat.wants_leaving = *rc::gen::arbitrary<bool>();
+
+  if (*rc::gen::arbitrary<bool>()) {
+    heartbeat.leaving_report = LeavingReport{.upstreams = heartbeat.leaving_upstreams,
+                                             .is_whole = *rc::gen::arbitrary<bool>()};
+  }
 
   return heartbeat;
 }
@@ -61,6 +67,12 @@
   RC_ASSERT(ToMessage(*read).SerializeAsString() == message.SerializeAsString());
   RC_ASSERT(read->sender.incarnation == heartbeat.sender.incarnation);
   RC_ASSERT(read->racks.size() == heartbeat.racks.size());
+  RC_ASSERT(read->wants_leaving == heartbeat.wants_leaving);
+  RC_ASSERT(read->leaving_report.has_value() == heartbeat.leaving_report.has_value());
+  if (!read->leaving_report) return;
+
+  RC_ASSERT(read->leaving_report->upstreams == heartbeat.leaving_report->upstreams);
+  RC_ASSERT(read->leaving_report->is_whole == heartbeat.leaving_report->is_whole);
 }
 
 struct MalformedCase {
@@ -99,6 +111,14 @@
        [](auto& message) { message.mutable_racks(0)->set_epoch(-1); }},
       {"NoLeavingVm", ErrorCode::kMalformed,
        [](auto& message) { message.add_leaving_upstreams(); }},
+      {"NoVmInLeavingReport", ErrorCode::kMalformed,
+       [](auto& message) { message.mutable_leaving_report()->add_upstreams(); }},
+      {"LongLeavingReport", ErrorCode::kTooLarge,
+       [](auto& message) {
+         for (int number = 0; number < 16'385; ++number) {
+           message.mutable_leaving_report()->add_upstreams()->set_vm("vm");
+         }
+       }},
       {"LargeConfiguration", ErrorCode::kTooLarge,
        [](auto& message) { message.set_configuration(std::string(1'048'577, ' ')); }},
       {"LargeVmList", ErrorCode::kTooLarge,
--- a/tests/process/leaving_upstream_test.cc
+++ b/tests/process/leaving_upstream_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <functional>
 #include <string>
@@ -83,5 +84,37 @@
       });
 }
 
+/// The others answer only after the started entry has read the list.
+TEST(LeavingUpstream, RestartedEntryWaitsForOthersThatAnswerLate) {
+  constexpr Millis kLate(500);
+  const MonotonicClock clock;
+  RunningFleet fleet;
+  const VmRecord& leaver = fleet.Vms()[kLeaver];
+  const auto signal_others = [&](int signal) {
+    for (size_t entry = 1; entry < fleet.Entries().size(); ++entry) {
+      fleet.Entries()[entry].process->Signal(signal);
+    }
+  };
+
+  ExpectNoNewWorkAfter(
+      fleet,
+      [&] { EXPECT_FALSE(Ask(leaver.upstream, "PUT", "/admin/leaving", json(true)).is_null()); },
+      [&] {
+        fleet.Kill(0);
+        signal_others(SIGSTOP);
+        fleet.Restart(0);
+        // Its former callers have gone to the others, so it gets requests of its own.
+        const Millis end = clock.Now() + kLate;
+        for (int number = 0; clock.Now() < end; ++number) {
+          const std::string name = "early-" + std::to_string(number);
+          SendRequest(fleet.Entries()[0].callers, {"GET", name, name, ""});
+          Sleep(Millis(10));
+        }
+
+        signal_others(SIGCONT);
+        EXPECT_TRUE(fleet.AwaitServing(0));
+      });
+}
+
 }  // namespace
 }  // namespace currantpost::testing_support
