Log for how long a cell had no owner, and what its leases still hold

Callers saw a long-running task away for 13.5 s. The logs could not tell a cell that nobody took from one whose next owner was slow: neither the time without an owner nor what was left of the workers' leases was logged.

An entry that takes a cell now logs ownerless_ms, by its own view; one that gives a cell up logs the workers with tasks and the shortest lease that is left.

--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -521,6 +521,9 @@
   cell.grant = grant;
   cell.taken_over_at = state.now;
   cell.releasing = state.stopping;
+  const auto orphan = state.orphans.find(id);
+  const bool was_seen = orphan != state.orphans.end() && orphan->second.since > Millis(0);
+  const Millis ownerless = was_seen ? state.now - orphan->second.since : Millis(0);
   state.orphans.erase(id);
 
   for (auto& [job_id, job] : state.view.jobs) {
@@ -528,12 +531,13 @@
   }
 
   Log(effects, Severity::kInfo, "took cell",
-      {{"cell", id.Text()}, {"grant", std::to_string(grant)}});
+      {{"cell", id.Text()},
+       {"grant", std::to_string(grant)},
+       {"ownerless_ms", std::to_string(ownerless.Count())}});
 }
 
 void DropCell(State& state, Effects& effects, const CellId& id, std::string_view reason) {
-  Log(effects, Severity::kInfo, "gave cell up",
-      {{"cell", id.Text()}, {"reason", std::string(reason)}});
+  LogCellGivenUp(state, effects, state.cells.at(id), reason);
   LogPendingLeaseWaits(state, effects, state.cells.at(id));
   RememberFormerLeases(state, state.cells.at(id));
   state.cells.erase(id);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -409,6 +409,11 @@
 void UpdateWorkers(State& state, Effects& effects, OwnedCell& cell);
 void HandleWorkerAnswered(State& state, Effects& effects, const WorkerAnswered& answer);
 
+/// Logs that this entry stops owning a cell, and how long the leases of its workers still run: the
+/// time within which the next owner has to renew them.
+void LogCellGivenUp(const State& state, Effects& effects, const OwnedCell& cell,
+                    std::string_view reason);
+
 /// Logs the workers with tasks that do not answer, as their tasks wait for their leases to expire.
 void LogPendingLeaseWaits(const State& state, Effects& effects, const OwnedCell& cell);
 
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -118,6 +118,26 @@
   });
 }
 
+void LogCellGivenUp(const State& state, Effects& effects, const OwnedCell& cell,
+                    std::string_view reason) {
+  int64_t with_tasks = 0;
+  std::optional<Millis> shortest;
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.tasks.empty()) continue;
+
+    ++with_tasks;
+    const Millis left = std::max(worker.lease.own - state.now, Millis(0));
+    shortest = std::min(shortest.value_or(left), left);
+  }
+
+  Log(effects, Severity::kInfo, "gave cell up",
+      {{"cell", cell.cell.Text()},
+       {"reason", std::string(reason)},
+       {"workers_with_tasks", std::to_string(with_tasks)},
+       {"shortest_lease_ms", shortest ? std::to_string(shortest->Count()) : std::string()}});
+}
+
 void LogPendingLeaseWaits(const State& state, Effects& effects, const OwnedCell& cell) {
   for (const auto& [id, worker] : cell.workers) {
     if (worker.tasks.empty() || (worker.contacted && !HasFailedPollsOrNoAddress(worker))) continue;
