--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -37,6 +37,13 @@
   return bytes;
 }
 
+bool ReadsRecords(const StoreBody& body) {
+  if (const auto* list = std::get_if<ListFeed>(&body)) return list->feed == Feed::kRecords;
+
+  const auto* watch = std::get_if<WatchFeed>(&body);
+  return watch != nullptr && watch->feed == Feed::kRecords;
+}
+
 std::string Text(const TaskName& name) {
   return name.job.Text() + "." + std::to_string(name.step) + "." + std::to_string(name.index);
 }
@@ -417,7 +424,8 @@
                       !stops_lost_.empty() || !slowed_.empty();
   if (faults || std::ranges::any_of(start_delays_, is_positive)) return true;
   if (std::ranges::any_of(slow_lists_, is_positive) ||
-      std::ranges::any_of(slow_watches_, is_positive))
+      std::ranges::any_of(slow_watches_, is_positive) ||
+      std::ranges::any_of(slow_records_, is_positive))
     return true;
 
   const auto is_down = [this](const auto& row) {
@@ -452,6 +460,10 @@
 }
 
 Millis World::StoreDelay(const std::string& entry, const StoreBody& body) const {
+  if (const auto slow = slow_records_.find(entry);
+      slow != slow_records_.end() && ReadsRecords(body))
+    return slow->second;
+
   const bool list =
       std::holds_alternative<ListFeed>(body) || std::holds_alternative<ListRecords>(body);
   if (!list && !std::holds_alternative<WatchFeed>(body)) return Millis(0);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -104,6 +104,10 @@
   /// The same for its watches, so that the entry's view of the store is out of date by `span`.
   void SlowWatches(const std::string& entry, Millis span) { slow_watches_[entry] = span; }
 
+  /// Delays the replies to an entry's lists and watches of the records by `span`, and the timeouts
+  /// of these calls too, so that its copy of the records takes that long.
+  void SlowRecords(const std::string& entry, Millis span) { slow_records_[entry] = span; }
+
   /// Delays the replies to an entry's watches by `span`, with unchanged timeouts.
   void DelayWatches(const std::string& entry, Millis span) { delayed_watches_[entry] = span; }
 
@@ -285,6 +289,7 @@
   std::map<std::string, Millis> start_delays_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
+  std::map<std::string, Millis> slow_records_;
   std::map<std::string, Millis> delayed_watches_;
   /// Number of store calls in flight with a delayed reply, and when there last was one.
   std::map<std::string, int32_t> delayed_replies_;
