Read members apart from jobs, and keep runs alive before a cell is open

Callers saw a long-running task away for 13.5 s: its run lapsed after an outage, and it ran again only when its cell had an owner that had read all records.

Cause: an entry could own a cell, and an owner renew a lease, only once its copy of all shared records was complete: 7 MB for each of 30 entries that return together, up to 19 s, where a worker's lease lasts 4.8 s. Ownership and leases need far less.

Entries, owners and the layout are now a feed of their own, so an entry registers and claims by a few ten kilobytes. An owner that is not open polls the workers that the progress records bind runs to, and renews their leases; it starts nothing.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -23,18 +23,21 @@
 /// Identifies a cell: a set of whole racks in one data centre that has one owner.
 using CellId = Id<struct CellTag>;
 
-/// Prefix of the records that all entries watch. An owner reads the other records only when it
-/// takes over a cell.
+/// Prefixes of the records that all entries watch, as `Feed::kMembers` and `Feed::kRecords`. An
+/// owner reads the other records only when it takes over a cell.
+/// @{
+inline constexpr std::string_view kMembersPrefix = "members/";
 inline constexpr std::string_view kSharedPrefix = "shared/";
+/// @}
 
 /// Key prefixes of the records, and the two records that have a key of their own.
 /// @{
-inline constexpr std::string_view kEntryPrefix = "shared/entries/";
-inline constexpr std::string_view kCellPrefix = "shared/cells/";
+inline constexpr std::string_view kEntryPrefix = "members/entries/";
+inline constexpr std::string_view kCellPrefix = "members/cells/";
 inline constexpr std::string_view kLoadPrefix = "shared/load/";
 inline constexpr std::string_view kJobPrefix = "shared/jobs/";
 inline constexpr std::string_view kCancelPrefix = "shared/cancelled/";
-inline constexpr std::string_view kLayoutKey = "shared/layout";
+inline constexpr std::string_view kLayoutKey = "members/layout";
 inline constexpr std::string_view kLearnedKey = "shared/learned";
 /// Followed by the cell and the job: `progress/CELL/JOB`.
 inline constexpr std::string_view kProgressPrefix = "progress/";
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -156,6 +156,8 @@
   /// The entry's record was written under this lease.
   bool registered = false;
   Millis registered_at;
+  /// Revision of the first such record.
+  KvRevision registered_revision = 0;
   RequestId register_request = 0;
   Millis register_at;
   /// Lease of the previous incarnation of this entry, which is to be revoked. 0 if there is none.
@@ -417,6 +419,9 @@
   std::map<int64_t, RetainedEnd> ends;
   int64_t forgotten = 0;
   std::set<TaskRef> tasks;
+  /// Jobs that have runs bound to it according to the records, until the cell is opened and `tasks`
+  /// names the runs.
+  std::set<JobId> inherited_jobs;
   /// Number of its tasks by step, without those for which capacity is reserved.
   std::map<StepName, int32_t> tasks_by_step;
   /// Upper bound on the number of its tasks whose start was not sent at the last count, and those
@@ -606,6 +611,8 @@
   /// All records up to the grant are known, and the jobs were taken over.
   bool open = false;
   Millis opened_at;
+  /// The workers with inherited runs are known and are polled. Empty before.
+  std::optional<Millis> polled_since;
   /// A lease of a worker was renewed under the grant.
   bool has_renewed = false;
   std::map<VmId, WorkerState> workers;
--- a/lib/scheduler/include/currantpost/scheduler/store.h
+++ b/lib/scheduler/include/currantpost/scheduler/store.h
@@ -20,7 +20,10 @@
 
 /// Parts of the store that entries list and watch, by writer.
 enum class Feed {
-  /// Scheduler records shared by all entries.
+  /// The entries, the cells' owners and the layout: all that decides who owns a cell. Small, so an
+  /// entry that has just returned reads it at once.
+  kMembers,
+  /// The other scheduler records shared by all entries: jobs, cancellations and load reports.
   kRecords,
   /// The registry that workers register in.
   kWorkers,
@@ -29,6 +32,7 @@
 };
 
 inline constexpr EnumNames kFeedNames(std::to_array<EnumName<Feed>>({
+    {Feed::kMembers, "members"},
     {Feed::kRecords, "records"},
     {Feed::kWorkers, "workers"},
     {Feed::kConfiguration, "configuration"},
@@ -40,7 +44,7 @@
   KvRevision revision = 0;
   LeaseId lease = 0;
   bool removed = false;
-  /// Set for `Feed::kRecords` only.
+  /// Set for `Feed::kMembers` and `Feed::kRecords` only.
   std::string value;
   /// Set for `Feed::kWorkers` only; empty if the announcement could not be decoded.
   std::optional<WorkerAnnouncement> worker;
--- a/lib/scheduler/source/cell_opening.cc
+++ b/lib/scheduler/source/cell_opening.cc
@@ -1,9 +1,10 @@
 #include <optional>
 
-#include "internal.h"
+#include "cell_workers.h"
 
 /// Opening of cells: an owner takes over the jobs of a cell once it knows all that its predecessors
-/// recorded.
+/// recorded. Until then it keeps the runs alive that the records bind to workers: they need no more
+/// than the grant, and the copy of the records may be seconds behind.
 
 namespace currantpost::scheduler {
 namespace {
@@ -34,6 +35,57 @@
   return std::nullopt;
 }
 
+/// Adds the workers that have runs according to the recorded progress, with the addresses that the
+/// former owner recorded.
+void AddInheritedRuns(State& state, Effects& effects, OwnedCell& cell) {
+  cell.polled_since = state.now;
+
+  for (const auto& [id, job] : state.view.jobs) {
+    if (job.progress_cell != cell.cell || job.progress.empty()) continue;
+
+    const Result<ProgressRecord> progress = DecodeProgress(job.progress);
+
+    if (!progress) {
+      LogUnreadable(effects, StoreItem{.key = ProgressKey(cell.cell, id)}, progress.error());
+      continue;
+    }
+
+    for (const TaskProgress& task : progress->tasks) {
+      if (task.status != TaskStatus::kBound) continue;
+
+      WorkerState& worker = FindOrAddWorker(cell, task.worker);
+      worker.inherited_jobs.insert(id);
+      const auto announced = state.registry.find(task.worker);
+      if (announced != state.registry.end()) worker.info.address = announced->second.address;
+    }
+  }
+}
+
+/// Polls the workers of a cell that is not open yet and renews their leases. Starts and stops
+/// nothing.
+void KeepInheritedRuns(State& state, Effects& effects, OwnedCell& cell) {
+  if (!cell.progress_known || !cell.hand_over.known) return;
+  if (!cell.polled_since) AddInheritedRuns(state, effects, cell);
+
+  UpdateHandOver(state, effects, cell);
+  for (auto& [id, worker] : cell.workers) SendDuePoll(state, effects, cell, worker);
+}
+
+/// Replaces the inherited runs by the tasks of the jobs that were taken over. The next polls, under
+/// a raised fence, show which of them run.
+void SettleInheritedRuns(State& state, OwnedCell& cell) {
+  for (auto& [id, worker] : cell.workers) {
+    worker.inherited_jobs.clear();
+    if (!worker.contacted) continue;
+
+    const bool other_incarnation = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+      return FindTask(cell, ref)->worker_incarnation < worker.info.incarnation;
+    });
+    if (other_incarnation) ExtendLeaseBoundToMax(state, worker);
+    RaiseFence(state, worker);
+  }
+}
+
 }  // namespace
 
 void HandleProgressListed(State& state, Effects& effects, const ProgressListed& listed,
@@ -66,16 +118,19 @@
 
     if (const std::optional<CellInput> missing = MissingInput(state, cell)) {
       cell.last_missing = missing;
+      KeepInheritedRuns(state, effects, cell);
       continue;
     }
 
     cell.open = true;
     cell.opened_at = state.now;
+    if (!cell.polled_since) cell.polled_since = state.now;
     ApplyRegistry(state, effects);
 
     for (const auto& [job_id, job] : state.view.jobs) {
       if (job.revision != 0 && job.head.cell == id) AddJob(state, effects, cell, job_id);
     }
+    SettleInheritedRuns(state, cell);
 
     Log(effects, Severity::kInfo, "opened cell",
         {{"cell", id.Text()},
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -53,7 +53,7 @@
 
 void PollUncontactedWorkers(State& state, OwnedCell& cell) {
   for (auto& [id, worker] : cell.workers) {
-    if (worker.contacted || worker.tasks.empty()) continue;
+    if (worker.contacted || !MayHaveRuns(worker)) continue;
 
     RaiseFence(state, worker);
     worker.needs_update = true;
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -42,7 +42,13 @@
 
 /// Returns whether the worker needs a lease renewal: it has a run that is still needed, or an ended
 /// run whose result would be lost without one.
-bool NeedsLease(const OwnedCell& cell, const WorkerState& worker);
+bool NeedsLease(const State& state, const OwnedCell& cell, const WorkerState& worker);
+
+/// Returns whether runs may be on the worker: tasks of the cell, or before the cell is open, runs
+/// that the records bind to it.
+inline bool MayHaveRuns(const WorkerState& worker) {
+  return !worker.tasks.empty() || !worker.inherited_jobs.empty();
+}
 
 // Polls
 
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -151,14 +151,12 @@
   return true;
 }
 
-/// Returns whether the copy of the records contains all entries that had registered before this
-/// one.
+/// Returns whether this entry knows all entries that had registered before it.
 bool KnowsEarlierEntries(const State& state) {
-  const auto records = state.feeds.find(Feed::kRecords);
-  if (records == state.feeds.end() || !records->second.synced) return false;
+  const auto members = state.feeds.find(Feed::kMembers);
+  if (members == state.feeds.end() || !members->second.synced) return false;
 
-  const auto self = state.view.entries.find(state.settings.entry);
-  return self != state.view.entries.end() && records->second.revision >= self->second.revision;
+  return members->second.revision >= state.lease.registered_revision;
 }
 
 /// Releases a grant that this entry still has in the store and does not use, because it dropped the
@@ -324,7 +322,7 @@
 }
 
 void ExtendLayout(State& state, Effects& effects) {
-  const bool synced = state.feeds[Feed::kWorkers].synced && state.feeds[Feed::kRecords].synced;
+  const bool synced = state.feeds[Feed::kWorkers].synced && state.feeds[Feed::kMembers].synced;
   if (!IsCoordinator(state) || !synced || state.layout_request != 0 || !HoldsLease(state)) return;
 
   if (!NewRacksAreComplete(state)) return;
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -16,6 +16,9 @@
 /// Pause between two watches of the records. The entry that accepts a job sends it to the owner
 /// directly, so the watch only catches up, and the pause limits the number of calls.
 constexpr Millis kRecordsPause = Millis(350);
+/// How long a watch of the records waits while a cell is to be opened. It only has to show that the
+/// copy holds everything up to the grant.
+constexpr Millis kOpeningWait = Millis(20);
 /// Longest pause for the registry, in which every worker writes every 1.5 s.
 constexpr Millis kMaxRegistryPause = Millis(700);
 /// Shortest wait of a watch of the registry.
@@ -49,6 +52,8 @@
 
 Millis PauseOf(const State& state, Feed feed) {
   switch (feed) {
+    case Feed::kMembers:
+      return kRecordsPause;
     case Feed::kRecords:
       return AwaitsRecords(state) ? Millis(0) : kRecordsPause;
     case Feed::kWorkers:
@@ -63,7 +68,10 @@
 /// Returns how long a watch of a feed may wait for a change.
 Millis WaitOf(const State& state, Feed feed) {
   switch (feed) {
+    case Feed::kMembers:
+      return kWatchWait;
     case Feed::kRecords:
+      if (AwaitsRecords(state)) return kOpeningWait;
       return state.cells.empty() ? kWatchWait : kOwnerRecordsWait;
     case Feed::kWorkers:
       return std::min(kWatchWait, RegistryCycle(state) - PauseOf(state, feed));
@@ -76,6 +84,7 @@
 
 void ApplyItem(State& state, Effects& effects, Feed feed, const StoreItem& item) {
   switch (feed) {
+    case Feed::kMembers:
     case Feed::kRecords:
       ApplyRecord(state, effects, item);
       return;
@@ -96,11 +105,15 @@
     for (const auto& [id, worker] : state.registry) keys.emplace_back(id.Text(), 0);
   }
 
+  const View& view = state.view;
+
+  if (feed == Feed::kMembers) {
+    for (const auto& [id, entry] : view.entries) keys.emplace_back(EntryKey(id), entry.revision);
+    for (const auto& [id, cell] : view.cells) keys.emplace_back(CellKey(id), cell.revision);
+  }
+
   if (feed != Feed::kRecords) return keys;
 
-  const View& view = state.view;
-  for (const auto& [id, entry] : view.entries) keys.emplace_back(EntryKey(id), entry.revision);
-  for (const auto& [id, cell] : view.cells) keys.emplace_back(CellKey(id), cell.revision);
   for (const auto& [id, load] : view.loads) keys.emplace_back(LoadKey(id), load.revision);
 
   for (const auto& [id, job] : view.jobs) {
@@ -224,6 +237,29 @@
   copy.page_after.clear();
 }
 
+/// Returns whether the first list of a feed may be requested. The records are by far the largest
+/// feed, and must not delay an entry that may claim cells as soon as it knows the members.
+bool MayList(State& state, Feed feed) {
+  return feed != Feed::kRecords || state.feeds[Feed::kMembers].synced;
+}
+
+/// Returns whether the watch in flight waits for changes although a cell was taken over since it
+/// was sent. A short watch shows at once that the copy holds everything up to the grant.
+bool DelaysOpening(const State& state, Feed feed, const FeedState& copy) {
+  if (feed != Feed::kRecords || !copy.synced || copy.backlog.replies > 0) return false;
+
+  return std::ranges::any_of(state.cells, [&](const auto& row) {
+    const OwnedCell& cell = row.second;
+    return !cell.open && copy.sent_at < cell.taken_over_at && copy.revision < cell.grant;
+  });
+}
+
+void AbandonRequest(State& state, FeedState& copy) {
+  state.store_calls.erase(copy.request);
+  copy.request = 0;
+  copy.next_at = state.now;
+}
+
 }  // namespace
 
 void ApplyConfiguration(State& state, Effects& effects, const StoreItem& item) {
@@ -246,7 +282,8 @@
   for (const auto& row : kFeedNames.Rows()) {
     const Feed feed = row.value;
     FeedState& copy = state.feeds[feed];
-    if (copy.request != 0) continue;
+    if (copy.request != 0 && !DelaysOpening(state, feed, copy)) continue;
+    if (copy.request != 0) AbandonRequest(state, copy);
 
     if (!IsNeeded(state, feed)) {
       ResetFeed(copy);
@@ -260,6 +297,8 @@
       continue;
     }
 
+    if (!copy.synced && !MayList(state, feed)) continue;
+
     copy.sent_at = state.now;
     copy.least_revision = state.latest_revision;
     copy.least_revision_at = state.latest_revision_at;
@@ -280,9 +319,7 @@
   for (auto& [feed, copy] : state.feeds) {
     if (!copy.synced || copy.request == 0) continue;
 
-    state.store_calls.erase(copy.request);
-    copy.request = 0;
-    copy.next_at = state.now;
+    AbandonRequest(state, copy);
     WakeAt(state, state.now);
   }
 }
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -50,7 +50,7 @@
 /// Returns whether a worker has tasks and this owner does not renew its leases, so that the tasks
 /// wait for the leases to expire.
 bool WaitsForLeaseExpiry(const WorkerState& worker) {
-  if (worker.tasks.empty()) return false;
+  if (!MayHaveRuns(worker)) return false;
   return !worker.contacted || worker.failed_polls >= kFailedPollsUntilUnresponsive;
 }
 
@@ -94,7 +94,7 @@
 
   return std::ranges::any_of(cell.workers, [&](const auto& row) {
     const Address& address = row.second.info.address;
-    if (address.port == 0 || row.second.tasks.empty()) return false;
+    if (address.port == 0 || !MayHaveRuns(row.second)) return false;
 
     const auto found = recorded.find(row.first);
     return found == recorded.end() || found->second != address;
@@ -218,10 +218,10 @@
 /// Returns whether each worker with tasks has answered a poll or failed to, so that the first
 /// record names only those that failed. Also true after `kMaxFirstPollWait`.
 bool FirstPollsAreDone(State& state, const OwnedCell& cell) {
-  const Millis latest = cell.opened_at + kMaxFirstPollWait;
+  const Millis latest = cell.polled_since.value_or(state.now) + kMaxFirstPollWait;
   const bool all = std::ranges::all_of(cell.workers, [](const auto& row) {
     const WorkerState& worker = row.second;
-    return worker.tasks.empty() || worker.contacted || worker.failed_polls > 0;
+    return !MayHaveRuns(worker) || worker.contacted || worker.failed_polls > 0;
   });
   if (all || state.now >= latest) return true;
 
@@ -251,9 +251,18 @@
   });
 }
 
+/// Returns whether a record allows any renewal. The record of an owner that reaches no worker would
+/// only hide its predecessor from the next owner.
+bool AllowsRenewals(const OwnedCell& cell) {
+  return cell.open || std::ranges::any_of(cell.workers, [](const auto& row) {
+           return row.second.contacted;
+         });
+}
+
 void WriteHandOver(State& state, Effects& effects, OwnedCell& cell) {
   HandOverState& hand_over = cell.hand_over;
   if (hand_over.write_request != 0 || cell.release_request != 0 || cell.maybe_released) return;
+  if (!hand_over.written && !AllowsRenewals(cell)) return;
   if (!hand_over.written && !FirstPollsAreDone(state, cell)) return;
 
   std::set<VmId> names = WorkersAwaitingLeaseExpiry(cell);
@@ -341,7 +350,7 @@
 bool AwaitsFormerLeases(const State& state, const OwnedCell& cell) {
   return std::ranges::any_of(cell.workers, [&](const auto& row) {
     const WorkerState& worker = row.second;
-    return !worker.contacted && !worker.tasks.empty() && worker.lease.inherited.any > state.now;
+    return !worker.contacted && MayHaveRuns(worker) && worker.lease.inherited.any > state.now;
   });
 }
 
@@ -354,7 +363,7 @@
 
     worker.lease.inherited = expiry;
     worker.needs_update = true;
-    if (worker.tasks.empty()) continue;
+    if (!MayHaveRuns(worker)) continue;
 
     Log(effects, Severity::kInfo,
         "leases of a worker that has not answered expire earlier than assumed",
@@ -363,6 +372,7 @@
          {"listed_rest_ms",
           std::to_string(Remaining(worker.lease.ListedExpiry(), state.now).Count())},
          {"tasks", std::to_string(worker.tasks.size())},
+         {"inherited_jobs", std::to_string(worker.inherited_jobs.size())},
          {"proof", std::string(reason)}});
   }
 }
@@ -448,8 +458,8 @@
                                [&](const auto& lease) { return lease.second.any <= state.now; });
   });
 
-  // Before the cell is open, it has no workers and this owner has written no record.
-  if (!cell.open) return;
+  // Without a record, this owner has renewed no lease, and the next one asks its predecessor.
+  if (!cell.open && !cell.hand_over.written) return;
 
   FormerCell& former = state.former_cells[{cell.cell, cell.grant}];
   for (const auto& [id, worker] : cell.workers) former.expiries[id] = ExpiriesOf(worker);
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -16,7 +16,7 @@
 /// The previous process has ended, as the machine runs only one process of this entry.
 void RevokePreviousLease(State& state, Effects& effects) {
   LeaseState& lease = state.lease;
-  if (lease.previous_lease_checked || !state.feeds[Feed::kRecords].synced) return;
+  if (lease.previous_lease_checked || !state.feeds[Feed::kMembers].synced) return;
 
   lease.previous_lease_checked = true;
   const auto self = state.view.entries.find(state.settings.entry);
@@ -148,6 +148,7 @@
   if (reply.status == StoreStatus::kOk) {
     lease.registered = true;
     lease.registered_at = state.now;
+    lease.registered_revision = reply.revision;
     // Applied immediately, so that a late removal of an earlier record is not mistaken for the
     // removal of this one.
     ApplyRecord(state, effects,
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -81,7 +81,9 @@
 
 /// Returns whether an item that a peer pushed is a copy of a record rather than a message.
 bool IsRecord(const StoreItem& item) {
-  return item.key.starts_with(kSharedPrefix) || item.key.starts_with(kProgressPrefix);
+  constexpr std::string_view kPrefixes[] = {kMembersPrefix, kSharedPrefix, kProgressPrefix};
+  return std::ranges::any_of(
+      kPrefixes, [&](std::string_view prefix) { return item.key.starts_with(prefix); });
 }
 
 void HandleStoreAnswered(State& state, Effects& effects, const StoreAnswered& answered) {
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -109,9 +109,15 @@
   if (lost) RaiseFence(state, worker);
 }
 
-bool NeedsLease(const OwnedCell& cell, const WorkerState& worker) {
+bool NeedsLease(const State& state, const OwnedCell& cell, const WorkerState& worker) {
   if (!worker.ends.empty()) return true;
 
+  const bool inherited = std::ranges::any_of(worker.inherited_jobs, [&](const JobId& id) {
+    const auto job = state.view.jobs.find(id);
+    return job == state.view.jobs.end() || !job->second.cancelled;
+  });
+  if (inherited) return true;
+
   return std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
     const JobState& job = cell.jobs.at(ref.job);
     return !job.cancelled && !job.attempts_exhausted;
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -31,7 +31,7 @@
   int64_t answered = 0;
 
   for (const auto& [id, worker] : cell.workers) {
-    if (worker.tasks.empty()) continue;
+    if (!MayHaveRuns(worker)) continue;
 
     ++with_tasks;
     if (worker.contacted) ++answered;
@@ -40,7 +40,7 @@
   Log(effects, Severity::kInfo, "renewing the leases of a cell's workers",
       {{"cell", cell.cell.Text()},
        {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
-       {"open_ms", std::to_string((state.now - cell.opened_at).Count())},
+       {"open", cell.open ? "yes" : "no"},
        {"workers_with_tasks", std::to_string(with_tasks)},
        {"answered", std::to_string(answered)}});
 }
@@ -190,7 +190,7 @@
 
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   const bool listed_without_answer = worker.listed && worker.failed_polls > 0;
-  const bool needed = listed_without_answer || !worker.confirmed || !worker.tasks.empty() ||
+  const bool needed = listed_without_answer || !worker.confirmed || MayHaveRuns(worker) ||
                       !worker.ends.empty() || !worker.orphaned_runs.empty();
   if (!needed || worker.info.address.port == 0) return;
 
@@ -207,7 +207,7 @@
   PollWorker order;
   // After a failed poll, the next one renews nothing: an unanswered renewal may have taken effect,
   // and repeated ones would extend the lease bound forever.
-  const bool needs_lease = NeedsLease(cell, worker);
+  const bool needs_lease = NeedsLease(state, cell, worker);
   const bool incarnation_fresh = IsIncarnationFresh(state, worker);
   const bool renew = worker.failed_polls == 0 && needs_lease && incarnation_fresh;
   if (renew) order.lease_until_ms = NextLeaseEnd(state, cell, worker);
@@ -288,6 +288,12 @@
     worker.clock_at = state.now;
   }
 
+  if (!cell.open) {
+    // The worker replies at once while it lists ends, which are taken when the cell is open.
+    if (!reply.ended.empty()) worker.next_poll = state.now + kUnrecordedEndsPollDelay;
+    return;
+  }
+
   std::erase_if(worker.ends, [&](const auto& row) { return row.first <= forgotten; });
   worker.forgotten = std::max(worker.forgotten, forgotten);
 
--- a/tests/scheduler/sim_store.cc
+++ b/tests/scheduler/sim_store.cc
@@ -7,8 +7,12 @@
 namespace currantpost::scheduler {
 namespace {
 
+/// Returns the feed under which the items of a feed are kept: all records are kept together.
+Feed StorageOf(Feed feed) { return feed == Feed::kMembers ? Feed::kRecords : feed; }
+
 /// Returns whether readers of the feed receive an item.
 bool IsShared(Feed feed, const StoreItem& item) {
+  if (feed == Feed::kMembers) return item.key.starts_with(kMembersPrefix);
   return feed != Feed::kRecords || item.key.starts_with(kSharedPrefix);
 }
 
@@ -102,7 +106,8 @@
 
   for (auto row = newer; row != history_.end(); ++row) {
     const auto& [feed, item] = *row;
-    if (feed != waiting.watch.feed || !IsShared(feed, item)) continue;
+    const Feed watched = waiting.watch.feed;
+    if (feed != StorageOf(watched) || !IsShared(watched, item)) continue;
 
     const bool full = answer.items.size() >= changes_in_answer;
     if (full && answer.items.back().revision != item.revision) {
@@ -146,7 +151,7 @@
   }
 
   if (const auto* list = std::get_if<ListFeed>(&body)) {
-    for (const auto& [key, item] : items_[list->feed]) {
+    for (const auto& [key, item] : items_[StorageOf(list->feed)]) {
       if (key > list->after_key && IsShared(list->feed, item)) AddToPage(answer, item);
     }
     return reply(answer);
