Pass a cell on only to an entry that accepts it, in one write

Callers saw runs lapse 5 s after all trouble had ended. An owner released a cell to a better suited entry, which could not claim it, as its copy of the records was far behind; 30 more such entries came before those that could, 0.4 s each.

The owner now offers the cell; the other entry accepts if it is caught up, and one write moves the record. Late ranks claim after 1.6 s and 20 ms a rank. A former owner that finds its cell owned by another reports its leases unasked. Ownership is split by concern: layout, owner_choice, cell_release, cells.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -44,11 +44,14 @@
 /// Followed by the cell.
 inline constexpr std::string_view kHandOverPrefix = "hand-over/";
 /// Messages between peers that are never stored: interference measurements for the entry that
-/// merges them, the question to a former owner about leases that it left in a cell, and its answer.
+/// merges them, the question to a former owner about leases that it left in a cell, and its answer,
+/// the offer of a cell to its next owner, and the reply.
 /// @{
 inline constexpr std::string_view kEvidencePrefix = "evidence/";
 inline constexpr std::string_view kHandOverQuestionPrefix = "hand-over-question/";
 inline constexpr std::string_view kHandOverAnswerPrefix = "hand-over-answer/";
+inline constexpr std::string_view kTransferOfferPrefix = "transfer-offer/";
+inline constexpr std::string_view kTransferReplyPrefix = "transfer-reply/";
 /// @}
 /// @}
 
@@ -67,6 +70,8 @@
   Address peer_address;
   /// Processor capacity of the entry, in thousandths of a core.
   int64_t millicores = 0;
+  /// The entry's copy of the records is recent enough to start tasks by.
+  bool caught_up = true;
 };
 
 /// The cell of each rack. Racks are added but never removed.
@@ -119,6 +124,20 @@
   Address reply_to;
 };
 
+/// Asks an entry to take over a cell from its owner.
+struct TransferOffer {
+  /// The owner's grant, and the incarnation of the entry that is asked.
+  KvRevision grant = 0;
+  std::string successor_incarnation;
+  Address reply_to;
+};
+
+struct TransferReply {
+  KvRevision grant = 0;
+  /// The lease at the store to attach the cell to, 0 if the entry does not accept the cell.
+  LeaseId lease = 0;
+};
+
 /// Capacity and load of the workers of one service in one cell, in thousandths of a core.
 struct ServiceLoad {
   int64_t capacity = 0;
@@ -250,6 +269,8 @@
 std::string Encode(const CellRecord& record);
 std::string Encode(const HandOverRecord& record);
 std::string Encode(const HandOverQuestion& question);
+std::string Encode(const TransferOffer& offer);
+std::string Encode(const TransferReply& reply);
 std::string Encode(const LoadRecord& record);
 std::string Encode(const EvidenceRecord& record);
 std::string Encode(const LearnedRecord& record);
@@ -265,6 +286,8 @@
 Result<CellRecord> DecodeCell(std::string_view value);
 Result<HandOverRecord> DecodeHandOver(std::string_view value);
 Result<HandOverQuestion> DecodeHandOverQuestion(std::string_view value);
+Result<TransferOffer> DecodeTransferOffer(std::string_view value);
+Result<TransferReply> DecodeTransferReply(std::string_view value);
 Result<LoadRecord> DecodeLoad(std::string_view value);
 Result<EvidenceRecord> DecodeEvidence(std::string_view value);
 Result<LearnedRecord> DecodeLearned(std::string_view value);
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -160,6 +160,8 @@
   KvRevision registered_revision = 0;
   RequestId register_request = 0;
   Millis register_at;
+  /// The entry's record as last sent.
+  EntryRecord sent_record;
   /// Lease of the previous incarnation of this entry, which is to be revoked. 0 if there is none.
   LeaseId previous_lease = 0;
   /// The records were searched for such a lease, and its revocation was sent if there was one.
@@ -592,6 +594,14 @@
     {CellInput::kRecordsAtGrant, "records_at_grant"},
 }));
 
+/// The entry to which an owner has offered a cell.
+struct Successor {
+  EntryInstance instance;
+  /// Its lease at the store, 0 until it has accepted the cell.
+  LeaseId lease = 0;
+  Millis asked_at;
+};
+
 /// A cell that this entry owns.
 struct OwnedCell {
   CellId cell;
@@ -646,6 +656,10 @@
   Millis next_load;
   Millis taken_over_at;
   bool releasing = false;
+  std::optional<Successor> successor;
+  /// Number of offers so far, and earliest time of the next one.
+  size_t offers = 0;
+  Millis next_offer;
   RequestId release_request = 0;
   /// A release of the cell was sent and has an unknown outcome, so this entry may no longer be the
   /// owner: it renews no lease and writes no handover record.
@@ -729,6 +743,8 @@
 struct CellReleased {
   CellId cell;
   KvRevision grant = 0;
+  /// The entry that the same write makes the owner.
+  std::optional<Successor> successor;
 };
 struct ProgressListed {
   CellId cell;
@@ -861,6 +877,8 @@
   ImageStats images;
   LearningState learning;
   OwnershipRound ownership;
+  /// Earliest time at which this entry accepts another cell from its owner.
+  Millis next_acceptance;
   NewRacks new_racks;
   RequestId layout_request = 0;
   Millis layout_at;
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -87,6 +87,7 @@
   }
 
   if (own && !state.cells.contains(id)) AcquireCell(state, effects, id, item.revision);
+  if (!own) ReportFormerLeases(state, effects, id);
 }
 
 void ApplyLoad(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
@@ -225,6 +226,8 @@
                                              {kReservationReplyPrefix, ApplyReservationReply},
                                              {kHandOverQuestionPrefix, ApplyHandOverQuestion},
                                              {kHandOverAnswerPrefix, ApplyHandOverAnswer},
+                                             {kTransferOfferPrefix, ApplyTransferOffer},
+                                             {kTransferReplyPrefix, ApplyTransferReply},
                                              {kDenialQuestionPrefix, ApplyDenialQuestion},
                                              {kDenialPrefix, ApplyDenialAnswer}};
 constexpr RecordKind<EntryId> kEntryKinds[] = {
--- /dev/null
+++ b/lib/scheduler/source/cell_release.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <map>
+
+#include "internal.h"
+
+/// Release of owned cells to other entries.
+
+namespace currantpost::scheduler {
+
+/// Offers a cell that has a better owner to it. Only one cell at a time, because no tasks start in
+/// a cell while it is released.
+void RebalanceCells(State& state, Effects& effects, const std::map<EntryId, size_t>& owned);
+
+/// Releases a cell as soon as no write or order is in flight there and no entry may still accept
+/// it. Orders that stop tasks may be in flight.
+void UpdateRelease(State& state, Effects& effects, OwnedCell& cell);
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -1,120 +1,31 @@
-#include <xxhash.h>
-
 #include <optional>
 #include <utility>
 
-#include "internal.h"
+#include "cell_release.h"
+#include "owner_choice.h"
 
 /// Ownership of cells. docs/design/platform.md explains why a single grant in the store is enough.
 
 namespace currantpost::scheduler {
 namespace {
 
-/// Target number of workers per cell. Larger cells improve placement. Smaller cells reduce the
-/// effect of losing an owner, and spread the work over more entries.
-constexpr size_t kWorkersPerCell = 16;
-/// Interval between checks for racks without a cell.
-constexpr Millis kLayoutInterval = Millis(1'000);
-/// New racks are assigned to cells once no further worker of them has appeared for this time, which
-/// is longer than the interval between reads of the registry. The workers of a rack register over
-/// one heartbeat interval. If a rack were assigned by its first worker alone, its cell would get
-/// far too many workers.
-constexpr Millis kRegistrySettleTime = Millis(1'000);
-/// New racks are assigned to cells after this time in any case: two heartbeat intervals plus
-/// `kRegistrySettleTime`.
-constexpr Millis kMaxLayoutDelay = Millis(4'000);
 /// Additional delay per rank before an entry claims a cell that a better ranked entry should claim.
 constexpr Millis kClaimRankDelay = Millis(400);
+/// The same from this rank on: if so many better ranked entries claim nothing, the others probably
+/// don't either. The cell must have an owner before the leases of its workers end, and the claims
+/// of many entries must not reach the store together.
+constexpr int64_t kLateClaimRank = 4;
+constexpr Millis kLateClaimRankDelay = Millis(20);
 /// How long after its registration an entry claims no cell beyond what its processor can serve, for
 /// each multiple of that, up to the maximum. The first entry that has a lease after an outage of
 /// the store knows of no other, and the others claim their share within that time.
 constexpr Millis kOverburdenedClaimDelay = Millis(1'500);
 constexpr int64_t kMaxClaimDelays = 4;
-/// A cell is released to another entry only if that entry has been up, and the cell has been owned,
-/// for this time. Otherwise entries that are restarted one after the other would pass cells back
-/// and forth.
-constexpr Millis kRebalanceMinAge = Millis(3'000);
-/// Scale of the integer ratio of cells to thousandths of a core.
-constexpr int64_t kBurdenScale = 1'000'000;
-/// Thousandths of a core that an entry needs per cell. A busy cell of 16 workers takes up to 0.04
-/// of a core. An entry with less per cell falls behind, so that any other entry is a better owner.
-constexpr int64_t kMillicoresPerCell = 50;
 /// Maximum interval between evaluations of which entry should own which cell.
 constexpr Millis kMaxOwnershipReviewInterval = Millis(500);
 /// Delay before a claim that failed or has an unknown outcome is retried.
 constexpr Millis kClaimRetry = Millis(500);
 
-uint64_t RendezvousHash(const EntryId& entry, const CellId& cell) {
-  const std::string text = entry.Text() + "/" + cell.Text();
-  return XXH64(text.data(), text.size(), 0);
-}
-
-std::map<EntryId, size_t> CellsByOwner(const State& state) {
-  std::map<EntryId, size_t> owned;
-  for (const auto& [id, cell] : state.view.cells) ++owned[cell.record.owner];
-
-  return owned;
-}
-
-/// Returns the scaled number of cells per thousandth of a core of an entry. A cell takes the same
-/// work on every entry, and an entry that runs out of processor time falls seconds behind.
-int64_t Burden(size_t cells, int64_t millicores) {
-  return static_cast<int64_t>(cells) * kBurdenScale / std::max<int64_t>(millicores, 1);
-}
-
-size_t CellsOf(const std::map<EntryId, size_t>& owned, const EntryId& entry) {
-  const auto count = owned.find(entry);
-  return count == owned.end() ? 0 : count->second;
-}
-
-/// Returns how many times over an entry with this burden has as many cells as it can serve.
-int64_t Overload(int64_t burden) { return burden * kMillicoresPerCell / kBurdenScale; }
-
-/// How well an entry suits a cell. The smallest value is best. Entries in the cell's own data
-/// centre come first unless they are overburdened, because workers in a data centre that is cut off
-/// are unreachable for all entries elsewhere.
-struct Suitability {
-  bool overburdened = false;
-  bool other_data_centre = false;
-
-  auto operator<=>(const Suitability&) const = default;  // NOLINT(modernize-use-nullptr): false
-};
-
-Suitability SuitabilityOf(const CellId& cell, const DataCentreId& data_centre, int64_t burden) {
-  return Suitability{.overburdened = burden > kBurdenScale / kMillicoresPerCell,
-                     .other_data_centre = data_centre.Text() != DataCentreOf(cell)};
-}
-
-/// An entry that may own a cell. Among equally suitable entries, the one with the lowest burden
-/// comes first.
-struct OwnerCandidate {
-  Suitability suitability;
-  /// Burden of the entry including this cell.
-  int64_t burden = 0;
-  uint64_t hash = 0;
-  EntryId entry;
-
-  auto operator<=>(const OwnerCandidate&) const = default;  // NOLINT(modernize-use-nullptr): false
-};
-
-/// Returns the live entries in the order in which they should claim a cell.
-std::vector<OwnerCandidate> RankedCandidates(const State& state, const CellId& cell,
-                                             const std::map<EntryId, size_t>& owned) {
-  std::vector<OwnerCandidate> candidates;
-
-  for (const auto& [id, entry] : state.view.entries) {
-    const int64_t burden = Burden(CellsOf(owned, id) + 1, entry.record.millicores);
-    candidates.push_back(
-        OwnerCandidate{.suitability = SuitabilityOf(cell, entry.record.data_centre, burden),
-                       .burden = burden,
-                       .hash = RendezvousHash(id, cell),
-                       .entry = id});
-  }
-
-  std::ranges::sort(candidates);
-  return candidates;
-}
-
 void SendClaim(State& state, Effects& effects, const CellId& id, OrphanedCell& orphan) {
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{CellKey(id), 0});
@@ -127,7 +38,10 @@
 /// Returns the earliest time at which this entry may claim a cell, the others being as known.
 Millis ClaimTime(const State& state, const OrphanedCell& orphan, size_t rank,
                  const OwnerCandidate& self) {
-  const Millis ranked = orphan.since + kClaimRankDelay * static_cast<int64_t>(rank);
+  const auto early_ranks = std::min(static_cast<int64_t>(rank), kLateClaimRank);
+  const int64_t late_ranks = static_cast<int64_t>(rank) - early_ranks;
+  const Millis ranked =
+      orphan.since + kClaimRankDelay * early_ranks + kLateClaimRankDelay * late_ranks;
   const Millis at = std::max(ranked, orphan.retry_at);
   if (!self.suitability.overburdened) return at;
 
@@ -214,186 +128,6 @@
   }
 }
 
-/// Returns whether another entry, up for at least `kRebalanceMinAge`, is a better owner of a cell:
-/// it is more suitable, or equally suitable and its burden with this cell and one more is not above
-/// this entry's. With a smaller difference, that entry would soon release the cell in turn.
-bool HasBetterOwner(const State& state, const CellId& id, const std::map<EntryId, size_t>& owned) {
-  const int64_t own_burden = Burden(state.cells.size(), state.settings.millicores);
-  const Suitability own = SuitabilityOf(id, state.settings.data_centre, own_burden);
-
-  return std::ranges::any_of(state.view.entries, [&](const auto& row) {
-    const auto& [entry_id, entry] = row;
-    if (entry_id == state.settings.entry) return false;
-    if (state.now - entry.seen_at < kRebalanceMinAge) return false;
-
-    const size_t cells = CellsOf(owned, entry_id);
-    const int64_t millicores = entry.record.millicores;
-    const Suitability other =
-        SuitabilityOf(id, entry.record.data_centre, Burden(cells + 1, millicores));
-    if (other != own) return other < own;
-
-    return Burden(cells + 2, millicores) <= own_burden;
-  });
-}
-
-/// Starts to release a cell that has a better owner. Only one cell at a time, because no tasks
-/// start in it meanwhile.
-void RebalanceCells(State& state, Effects& effects, const std::map<EntryId, size_t>& owned) {
-  if (state.stopping || !HoldsLease(state)) return;
-
-  const bool busy = std::ranges::any_of(
-      state.cells, [](const auto& row) { return row.second.releasing || !row.second.open; });
-  if (busy) return;
-
-  for (auto& [id, cell] : state.cells) {
-    if (state.now - cell.taken_over_at < kRebalanceMinAge) continue;
-    if (!HasBetterOwner(state, id, owned)) continue;
-
-    Log(effects, Severity::kInfo, "releasing a cell to a better suited entry",
-        {{"cell", id.Text()}, {"cells", std::to_string(state.cells.size())}});
-    cell.releasing = true;
-    return;
-  }
-}
-
-/// Returns the layout with each rack without a cell assigned to the smallest cell of its data
-/// centre that has space left, or to a new cell. Returns nothing if there are no such racks.
-std::optional<LayoutRecord> ExtendedLayout(const State& state) {
-  std::map<RackId, size_t> rack_sizes;
-  std::map<RackId, DataCentreId> places;
-
-  for (const auto& [id, worker] : state.registry) {
-    ++rack_sizes[worker.rack];
-    places[worker.rack] = worker.data_centre;
-  }
-
-  LayoutRecord layout = state.view.layout;
-  std::map<CellId, size_t> cell_sizes;
-  for (const auto& [rack, cell] : layout.cell_of_rack) cell_sizes[cell] += rack_sizes[rack];
-
-  bool extended = false;
-
-  for (const auto& [rack, place] : places) {
-    if (layout.cell_of_rack.contains(rack)) continue;
-
-    std::optional<CellId> chosen;
-    size_t cells_there = 0;
-
-    for (const auto& [cell, size] : cell_sizes) {
-      if (DataCentreOf(cell) != place.Text()) continue;
-
-      ++cells_there;
-      const bool fits = size + rack_sizes[rack] <= kWorkersPerCell;
-      if (fits && (!chosen || size < cell_sizes[*chosen])) chosen = cell;
-    }
-
-    if (!chosen) chosen = CellId(place.Text() + "/" + std::to_string(cells_there));
-    layout.cell_of_rack[rack] = *chosen;
-    cell_sizes[*chosen] += rack_sizes[rack];
-    extended = true;
-  }
-
-  if (!extended) return std::nullopt;
-  return layout;
-}
-
-/// Returns whether the workers of new racks have probably all registered.
-bool NewRacksAreComplete(State& state) {
-  NewRacks& fresh = state.new_racks;
-
-  if (std::exchange(fresh.recount, false)) {
-    const auto is_new = [&](const auto& row) {
-      return !state.view.layout.cell_of_rack.contains(row.second.rack);
-    };
-    const auto workers = static_cast<size_t>(std::ranges::count_if(state.registry, is_new));
-    if (fresh.workers == 0) fresh.since = state.now;
-    if (fresh.workers != workers) fresh.changed_at = state.now;
-    fresh.workers = workers;
-  }
-
-  if (fresh.workers == 0) return false;
-
-  const Millis known_at =
-      std::min(fresh.changed_at + kRegistrySettleTime, fresh.since + kMaxLayoutDelay);
-  if (state.now >= known_at) return true;
-
-  WakeAt(state, known_at);
-  return false;
-}
-
-void ExtendLayout(State& state, Effects& effects) {
-  const bool synced = state.feeds[Feed::kWorkers].synced && state.feeds[Feed::kMembers].synced;
-  if (!IsCoordinator(state) || !synced || state.layout_request != 0 || !HoldsLease(state)) return;
-
-  if (!NewRacksAreComplete(state)) return;
-
-  if (state.now < state.layout_at) {
-    WakeAt(state, state.layout_at);
-    return;
-  }
-
-  state.layout_at = state.now + kLayoutInterval;
-  const std::optional<LayoutRecord> layout = ExtendedLayout(state);
-  if (!layout) return;
-
-  Log(effects, Severity::kInfo, "assigning new racks to cells",
-      {{"racks", std::to_string(layout->cell_of_rack.size())}});
-  WriteRecords write;
-  write.expected.push_back(ExpectedRecord{std::string(kLayoutKey), state.view.layout_revision});
-  write.puts.push_back(RecordPut{std::string(kLayoutKey), Encode(*layout), 0});
-  state.layout_request = CallStore(state, effects, LayoutWritten{}, std::move(write));
-}
-
-/// Applies the release of a cell, and notifies the entry that should claim it.
-void NotifySuccessor(State& state, Effects& effects, const CellId& id, KvRevision revision) {
-  std::vector<StoreItem> removals;
-
-  if (state.stopping) {
-    removals.push_back(
-        StoreItem{.key = EntryKey(state.settings.entry), .revision = revision, .removed = true});
-  }
-
-  removals.push_back(StoreItem{.key = CellKey(id), .revision = revision, .removed = true});
-  for (const StoreItem& item : removals) ApplyRecord(state, effects, item);
-
-  const std::vector<OwnerCandidate> candidates = RankedCandidates(state, id, CellsByOwner(state));
-  if (candidates.empty()) return;
-
-  const EntryView& successor = state.view.entries.at(candidates.front().entry);
-  effects.emplace_back(PushRecords{successor.record.peer_address, removals});
-}
-
-/// Releases a cell as soon as no write or order is in flight there. Orders that stop tasks may be.
-void ReleaseWhenIdle(State& state, Effects& effects, OwnedCell& cell) {
-  if (cell.release_request != 0 || cell.write.request != 0) return;
-  if (cell.hand_over.write_request != 0) return;
-
-  // Stop orders in flight do not delay the release: a stop that arrives late is still useful or has
-  // no effect, and it may never be answered.
-  const bool busy = std::ranges::any_of(cell.workers, [](const auto& row) {
-    const WorkerState& worker = row.second;
-    return worker.order_request != 0 && !std::holds_alternative<StopTask>(worker.order);
-  });
-  const bool moving = std::ranges::any_of(cell.jobs, [](const auto& row) {
-    return row.second.move.has_value() || row.second.loan.has_value();
-  });
-  if (busy || moving || !cell.dirty.empty()) return;
-
-  WriteRecords write;
-  write.expected.push_back(ExpectedRecord{CellKey(cell.cell), cell.grant});
-  write.removals = {CellKey(cell.cell), LoadKey(cell.cell)};
-  // An owner that has renewed no lease leaves its predecessor's record unchanged.
-  if (cell.hand_over.written) {
-    write.puts.push_back(
-        RecordPut{HandOverKey(cell.cell), Encode(RemainingLeases(state, cell)), 0});
-  }
-  // Once the entry's own record is removed, the other entries no longer rank it, so they do not
-  // wait for it to claim the cell.
-  if (state.stopping) write.removals.push_back(EntryKey(state.settings.entry));
-  cell.release_request =
-      CallStore(state, effects, CellReleased{cell.cell, cell.grant}, std::move(write));
-}
-
 /// Claims cells and releases cells to better owners. This iterates over all cells and entries, so
 /// it is skipped until a record has changed or `due_at` is reached.
 void UpdateOwnership(State& state, Effects& effects) {
@@ -458,14 +192,18 @@
   UpdateOwnership(state, effects);
 
   for (auto& [id, cell] : state.cells) {
-    if (cell.releasing) ReleaseWhenIdle(state, effects, cell);
+    UpdateRelease(state, effects, cell);
   }
 }
 
-void HandleCellClaimed(State& state, Effects& effects, const CellId& id, const StoreReply& reply) {
+void NoteClaimAnswered(State& state, const CellId& id) {
   OrphanedCell& orphan = state.orphans[id];
   orphan.claim = 0;
   orphan.retry_at = state.now + kClaimRetry;
+}
+
+void HandleCellClaimed(State& state, Effects& effects, const CellId& id, const StoreReply& reply) {
+  NoteClaimAnswered(state, id);
 
   if (reply.status == StoreStatus::kOk) {
     ApplyRecord(
@@ -488,31 +226,6 @@
   return &cell->second;
 }
 
-void HandleCellReleased(State& state, Effects& effects, const CellReleased& released,
-                        const StoreReply& reply) {
-  const CellId& id = released.cell;
-  OrphanedCell& orphan = state.orphans[id];
-  orphan.claim = 0;
-  orphan.retry_at = state.now + kClaimRetry;
-
-  if (OwnedCell* cell = FindCell(state, id, released.grant)) {
-    cell->release_request = 0;
-    if (reply.status == StoreStatus::kUnknown) cell->maybe_released = true;
-  }
-
-  if (reply.status == StoreStatus::kOk) {
-    NotifySuccessor(state, effects, id, reply.revision);
-    return;
-  }
-
-  if (reply.status != StoreStatus::kConflict) return;
-
-  if (FindCell(state, id, released.grant) != nullptr) {
-    DropCell(state, effects, id, "an earlier request already released the cell");
-  }
-  for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
-}
-
 void AcquireCell(State& state, Effects& effects, const CellId& id, KvRevision grant) {
   OwnedCell& cell = state.cells[id];
   cell.cell = id;
--- a/lib/scheduler/source/copy_age.cc
+++ b/lib/scheduler/source/copy_age.cc
@@ -8,6 +8,9 @@
 
 /// Age above which an owner's copy of the records counts as stale and is logged.
 constexpr Millis kStaleRecordsAge = Millis(2'500);
+/// Age up to which the copy of an entry counts as caught up. The copy of an entry without cells is
+/// up to two watches old while the store has no changes.
+constexpr Millis kMaxCaughtUpAge = Millis(5'000);
 /// Minimum interval between two stored revision marks, and their maximum number.
 constexpr Millis kMarkInterval = Millis(100);
 constexpr size_t kMaxMarks = 300;
@@ -36,6 +39,15 @@
   state.revision_marks.push_back(RevisionMark{sent_at, revision});
 }
 
+bool IsCaughtUp(const State& state) {
+  const auto records = state.feeds.find(Feed::kRecords);
+  if (records == state.feeds.end()) return false;
+
+  const FeedState& copy = records->second;
+  return copy.synced && copy.backlog.replies == 0 && copy.known_at &&
+         state.now - *copy.known_at <= kMaxCaughtUpAge;
+}
+
 std::string RecordsAgeText(const State& state) {
   const auto records = state.feeds.find(Feed::kRecords);
   if (records == state.feeds.end() || !records->second.known_at) return "never";
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -254,9 +254,8 @@
 /// Returns whether a record allows any renewal. The record of an owner that reaches no worker would
 /// only hide its predecessor from the next owner.
 bool AllowsRenewals(const OwnedCell& cell) {
-  return cell.open || std::ranges::any_of(cell.workers, [](const auto& row) {
-           return row.second.contacted;
-         });
+  return cell.open ||
+         std::ranges::any_of(cell.workers, [](const auto& row) { return row.second.contacted; });
 }
 
 void WriteHandOver(State& state, Effects& effects, OwnedCell& cell) {
@@ -416,6 +415,7 @@
   for (const StoreItem& item : reply.items) {
     if (item.key == CellKey(written.cell) && (item.removed || item.revision != written.grant)) {
       DropCell(state, effects, written.cell, "the store no longer has this entry's grant");
+      ApplyRecord(state, effects, item);
       return;
     }
 
@@ -465,6 +465,18 @@
   for (const auto& [id, worker] : cell.workers) former.expiries[id] = ExpiriesOf(worker);
 }
 
+void ReportFormerLeases(State& state, Effects& effects, const CellId& cell) {
+  const std::optional<Address> owner = OwnerAddress(state, cell);
+  if (!owner) return;
+
+  for (const auto& [key, former] : state.former_cells) {
+    if (key.first != cell) continue;
+
+    PushMessage(effects, *owner, kHandOverAnswerPrefix, cell.Text(),
+                Encode(FormerLeases(state, cell, key.second)));
+  }
+}
+
 void ApplyHandOverQuestion(State& state, Effects& effects, const CellId& cell,
                            const StoreItem& item) {
   const Result<HandOverQuestion> question = DecodeHandOverQuestion(item.value);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -112,6 +112,10 @@
 /// announced that.
 bool IsRegistrationCurrent(const State& state, const WorkerState& worker);
 
+/// Returns whether the copy of the records is recent and no long reply is outstanding, so that this
+/// entry can start tasks soon after it takes over a cell.
+bool IsCaughtUp(const State& state);
+
 /// Returns the age of this entry's copy of the records as a text for the log.
 std::string RecordsAgeText(const State& state);
 
@@ -163,6 +167,18 @@
 void HandleCellReleased(State& state, Effects& effects, const CellReleased& released,
                         const StoreReply& reply);
 
+/// Assigns new racks to cells.
+void ExtendLayout(State& state, Effects& effects);
+
+/// Marks a claim of a cell, or the release of an unused grant, as answered.
+void NoteClaimAnswered(State& state, const CellId& cell);
+
+/// Handles the offer of a cell by its owner, and the reply to such an offer.
+/// @{
+void ApplyTransferOffer(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
+void ApplyTransferReply(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
+/// @}
+
 /// Makes this entry the owner of a cell. `grant` is the revision of the cell record that says so.
 void AcquireCell(State& state, Effects& effects, const CellId& cell, KvRevision grant);
 
@@ -227,6 +243,10 @@
 /// question.
 void RememberFormerLeases(State& state, const OwnedCell& cell);
 
+/// Tells the owner of a cell, unasked, which leases this entry left there. The owner's questions
+/// may be on connections that a cut has silenced.
+void ReportFormerLeases(State& state, Effects& effects, const CellId& cell);
+
 void ApplyHandOverQuestion(State& state, Effects& effects, const CellId& cell,
                            const StoreItem& item);
 void ApplyHandOverAnswer(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "internal.h"
 
 /// This entry's lease at the store, and the record that announces it to the other entries.
@@ -9,6 +11,8 @@
 constexpr Millis kRenewRetry = Millis(300);
 /// Timeout of a renewal, after which it is retried.
 constexpr Millis kRenewTimeout = Millis(900);
+/// Minimum interval between two records of this entry.
+constexpr Millis kRecordInterval = Millis(1'000);
 /// Renewals that take at least this long are logged: the store, the link or this process is slow.
 constexpr Millis kSlowRenewal = Millis(300);
 
@@ -33,21 +37,24 @@
   return EntryRecord{.incarnation = state.settings.incarnation,
                      .data_centre = state.settings.data_centre,
                      .peer_address = state.settings.peer_address,
-                     .millicores = state.settings.millicores};
+                     .millicores = state.settings.millicores,
+                     .caught_up = IsCaughtUp(state)};
 }
 
 void Register(State& state, Effects& effects) {
   LeaseState& lease = state.lease;
-  if (lease.registered || lease.register_request != 0) return;
+  if (lease.register_request != 0) return;
+  if (lease.registered && lease.sent_record.caught_up == IsCaughtUp(state)) return;
 
   if (state.now < lease.register_at) {
     WakeAt(state, lease.register_at);
     return;
   }
 
+  lease.sent_record = OwnRecord(state);
   WriteRecords write;
   write.puts.push_back(
-      RecordPut{EntryKey(state.settings.entry), Encode(OwnRecord(state)), lease.lease});
+      RecordPut{EntryKey(state.settings.entry), Encode(lease.sent_record), lease.lease});
   lease.register_request = CallStore(state, effects, EntryRegistered{}, std::move(write));
 }
 
@@ -146,16 +153,19 @@
   lease.register_request = 0;
 
   if (reply.status == StoreStatus::kOk) {
-    lease.registered = true;
-    lease.registered_at = state.now;
-    lease.registered_revision = reply.revision;
+    lease.register_at = state.now + kRecordInterval;
+
+    if (!std::exchange(lease.registered, true)) {
+      lease.registered_at = state.now;
+      lease.registered_revision = reply.revision;
+    }
     // Applied immediately, so that a late removal of an earlier record is not mistaken for the
     // removal of this one.
     ApplyRecord(state, effects,
                 StoreItem{.key = EntryKey(state.settings.entry),
                           .revision = reply.revision,
                           .lease = lease.lease,
-                          .value = Encode(OwnRecord(state))});
+                          .value = Encode(lease.sent_record)});
     return;
   }
 
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -164,7 +164,8 @@
   return Dump(Json{{"life", record.incarnation},
                    {"dc", record.data_centre.Text()},
                    {"peer", AddressJson(record.peer_address)},
-                   {"cpu", record.millicores}});
+                   {"cpu", record.millicores},
+                   {"caught_up", record.caught_up}});
 }
 
 Result<EntryRecord> DecodeEntry(std::string_view value) {
@@ -172,7 +173,8 @@
     return EntryRecord{.incarnation = json.at("life").get<std::string>(),
                        .data_centre = DataCentreId(json.at("dc").get<std::string>()),
                        .peer_address = AddressOf(json.at("peer")),
-                       .millicores = json.at("cpu").get<int64_t>()};
+                       .millicores = json.at("cpu").get<int64_t>(),
+                       .caught_up = json.value("caught_up", true)};
   });
 }
 
@@ -275,6 +277,31 @@
   });
 }
 
+std::string Encode(const TransferOffer& offer) {
+  return Dump(Json{{"grant", offer.grant},
+                   {"life", offer.successor_incarnation},
+                   {"peer", AddressJson(offer.reply_to)}});
+}
+
+Result<TransferOffer> DecodeTransferOffer(std::string_view value) {
+  return Decode<TransferOffer>(value, "offer of a cell", [](const Json& json) {
+    return TransferOffer{.grant = json.at("grant").get<KvRevision>(),
+                         .successor_incarnation = json.at("life").get<std::string>(),
+                         .reply_to = AddressOf(json.at("peer"))};
+  });
+}
+
+std::string Encode(const TransferReply& reply) {
+  return Dump(Json{{"grant", reply.grant}, {"lease", reply.lease}});
+}
+
+Result<TransferReply> DecodeTransferReply(std::string_view value) {
+  return Decode<TransferReply>(value, "reply to the offer of a cell", [](const Json& json) {
+    return TransferReply{.grant = json.at("grant").get<KvRevision>(),
+                         .lease = json.at("lease").get<LeaseId>()};
+  });
+}
+
 std::string Encode(const LoadRecord& record) {
   Json json = Json::object();
 
