--- a/tests/scheduler/lone_entry.h
+++ b/tests/scheduler/lone_entry.h
@@ -18,6 +18,8 @@
     settings.incarnation = "1";
     state_ = MakeState(settings);
     Handle(Tick{});
+    Answer(LatestCall<ListFeed>([](const ListFeed& call) { return call.feed == Feed::kMembers; }),
+           StoreReply{.status = StoreStatus::kOk});
   }
 
   void Handle(decltype(Event::body) body) {
