Renew a lease soon after a poll that lists ended runs

Callers saw a filling task begin again: a new owner's first poll, which may not renew yet, listed an ended run, and the next poll came 400 ms later. The lease ended before (InheritedState.WorkThatAFormerOwnerThrottledToZeroGetsItsSpeedBack failed with the timing of the new feed: taken at 10.210 s, lapsed at 10.615 s, first renewal at 10.760 s). A poll that renewed nothing is now followed after 100 ms.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -349,6 +349,7 @@
   /// Value of `worker_event_sequence` when it was sent.
   uint64_t sequence = 0;
   int64_t forget_up_to = 0;
+  bool renews_lease = false;
 };
 
 /// End of a run that the worker keeps in its list until it is recorded in the store.
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -45,6 +45,12 @@
        {"answered", std::to_string(answered)}});
 }
 
+/// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed nothing
+/// is followed soon by one that does.
+Millis EndsPollDelay(const PollInFlight& poll) {
+  return poll.renews_lease ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
+}
+
 bool HasMixedLoad(const WorkerState& worker) {
   return worker.long_running_millicores > 0 && worker.best_effort_millicores > 0;
 }
@@ -227,6 +233,7 @@
   poll.token = token;
   poll.sequence = ++state.worker_event_sequence;
   poll.forget_up_to = order.forget_up_to;
+  poll.renews_lease = order.lease_until_ms.has_value();
   worker.polls.push_back(poll);
   state.worker_calls[poll.request] = WorkerCallInFlight{cell.cell, worker.info.id, true};
   effects.emplace_back(WorkerCall{.request = poll.request,
@@ -290,7 +297,7 @@
 
   if (!cell.open) {
     // The worker replies at once while it lists ends, which are taken when the cell is open.
-    if (!reply.ended.empty()) worker.next_poll = state.now + kUnrecordedEndsPollDelay;
+    if (!reply.ended.empty()) worker.next_poll = state.now + EndsPollDelay(poll);
     return;
   }
 
@@ -309,7 +316,7 @@
 
   const bool unrecorded =
       std::ranges::any_of(worker.ends, [](const auto& row) { return !row.second.recorded; });
-  if (unrecorded) worker.next_poll = state.now + kUnrecordedEndsPollDelay;
+  if (unrecorded) worker.next_poll = state.now + EndsPollDelay(poll);
 }
 
 void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, OrderStatus status) {
--- a/tests/scheduler/hand_over_test.cc
+++ b/tests/scheduler/hand_over_test.cc
@@ -458,9 +458,11 @@
   /// Removes the owner's keys from the store, which goes on renewing its lease, and cuts the owner
   /// and the worker off from the other entries.
   void RemoveKeysOfOwnerUnseen() {
+    world_.SlowWatches(owner_, Millis(6'000));
+    // A watch that is in flight is not delayed.
+    world_.Run(Millis(2'500));
     CutWorkerFromOthers();
     for (const std::string& entry : others_) world_.Cut(entry, owner_);
-    world_.SlowWatches(owner_, Millis(6'000));
     world_.store.Revoke(world_.store.LeaseOf(std::string(kEntryPrefix) + owner_), true,
                         world_.now());
   }
