--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -114,6 +114,7 @@
     ++ends[name][end];
     Log(id, "ends " + Text(name) + " as " + std::string(kRunEndNames.Name(end)));
     if (end == RunEnd::kDone) RecordDone(id, name);
+    if (on_run_end) on_run_end(id, name, end);
   };
   worker->on_checkpoint = [this](const TaskName& name, const std::string& checkpoint) {
     checkpoints[name].insert(checkpoint);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -91,6 +91,7 @@
   void Cut(const std::string& one, const std::string& other);
   void Reconnect() { cuts_.clear(); }
   void Reconnect(const std::string& one, const std::string& other);
+  [[nodiscard]] bool IsCut(const std::string& one, const std::string& other) const;
 
   /// Drops a worker's replies while set.
   void LoseAnswers(const std::string& worker, bool lose) { Mark(answers_lost_, worker, lose); }
@@ -193,6 +194,8 @@
   /// Called for each start order that reaches a worker, and for each run that starts.
   std::function<void(const ObservedStart&)> on_start_order;
   std::function<void(const ObservedStart&)> on_start;
+  /// Called for each run that ends, with its worker.
+  std::function<void(const std::string&, const TaskName&, RunEnd)> on_run_end;
   /// Jobs that callers submitted, and the time of the first cancel request of each cancelled job.
   std::map<JobId, JobSpec> submitted;
   std::map<JobId, Millis> cancel_sent_at;
@@ -250,7 +253,6 @@
   void RecordForgottenEnd(const std::string& worker, const EndedTask& end, bool expired);
   void AddWorker(const std::string& id, const std::string& data_centre, const std::string& rack,
                  const Resources& capacity);
-  [[nodiscard]] bool IsCut(const std::string& one, const std::string& other) const;
   bool ShouldLoseAnswer();
   static void Mark(std::set<std::string>& marks, const std::string& name, bool set);
 
