Mend what the review of the kept runs and the transfers found

Offers are numbered, and an entry does not use a grant under another lease. - A later record of an entry was written unconditionally, and could bring back a record that the store had removed. It expects the former one. - Runs of cancelled jobs were kept.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -34,6 +34,9 @@
 /// @{
 inline constexpr std::string_view kEntryPrefix = "members/entries/";
 inline constexpr std::string_view kCellPrefix = "members/cells/";
+/// Written with each grant: the owner's copy of the records holds everything up to the grant once
+/// it holds this record.
+inline constexpr std::string_view kGrantPrefix = "shared/grants/";
 inline constexpr std::string_view kLoadPrefix = "shared/load/";
 inline constexpr std::string_view kJobPrefix = "shared/jobs/";
 inline constexpr std::string_view kCancelPrefix = "shared/cancelled/";
@@ -128,12 +131,15 @@
 struct TransferOffer {
   /// The owner's grant, and the incarnation of the entry that is asked.
   KvRevision grant = 0;
+  /// Distinguishes the offers that are made under the grant.
+  int64_t number = 0;
   std::string successor_incarnation;
   Address reply_to;
 };
 
 struct TransferReply {
   KvRevision grant = 0;
+  int64_t number = 0;
   /// The lease at the store to attach the cell to, 0 if the entry does not accept the cell.
   LeaseId lease = 0;
 };
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -47,6 +47,9 @@
   /// The list or watch in flight, 0 if there is none.
   RequestId request = 0;
   Millis next_at;
+  /// Earliest time of the next request, also if a cell waits for the copy: the last one failed, or
+  /// its reply took long to process.
+  Millis not_before;
   /// When the last request was sent.
   Millis sent_at;
   /// The latest store revision known when the last request was sent, and when the call that
@@ -425,6 +428,9 @@
   /// Jobs that have runs bound to it according to the records, until the cell is opened and `tasks`
   /// names the runs.
   std::set<JobId> inherited_jobs;
+  /// Lowest incarnation that such a run was bound to which no poll has listed. Its start may still
+  /// reach a later incarnation.
+  std::optional<int64_t> unlisted_incarnation;
   /// Number of its tasks by step, without those for which capacity is reserved.
   std::map<StepName, int32_t> tasks_by_step;
   /// Upper bound on the number of its tasks whose start was not sent at the last count, and those
@@ -658,9 +664,13 @@
   Millis taken_over_at;
   bool releasing = false;
   std::optional<Successor> successor;
-  /// Number of offers so far, and earliest time of the next one.
-  size_t offers = 0;
+  /// Number of the last offer, number of entries asked since this entry stops, and earliest time of
+  /// the next offer.
+  /// @{
+  int64_t last_offer = 0;
+  size_t offers_at_stop = 0;
   Millis next_offer;
+  /// @}
   RequestId release_request = 0;
   /// A release of the cell was sent and has an unknown outcome, so this entry may no longer be the
   /// owner: it renews no lease and writes no handover record.
@@ -736,7 +746,9 @@
 struct LeaseGranted {};
 struct LeaseRenewed {};
 struct PreviousLeaseEnded {};
-struct EntryRegistered {};
+struct EntryRegistered {
+  LeaseId lease = 0;
+};
 struct LayoutWritten {};
 struct CellClaimed {
   CellId cell;
@@ -878,6 +890,8 @@
   ImageStats images;
   LearningState learning;
   OwnershipRound ownership;
+  /// This entry's copy of the records is recent enough to start tasks by, see `IsCaughtUp`.
+  bool caught_up = false;
   /// Earliest time at which this entry accepts another cell from its owner.
   Millis next_acceptance;
   NewRacks new_racks;
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -81,12 +81,14 @@
   state.view.cells[id] = CellView{*record, item.revision};
   const bool own =
       record->owner == state.settings.entry && record->incarnation == state.settings.incarnation;
+  // A grant that is attached to another lease than this entry's would outlive this entry's lease.
+  const bool usable = own && item.lease == state.lease.lease;
 
   if (owned != state.cells.end() && owned->second.grant < item.revision) {
     DropCell(state, effects, id, "another grant was made");
   }
 
-  if (own && !state.cells.contains(id)) AcquireCell(state, effects, id, item.revision);
+  if (usable && !state.cells.contains(id)) AcquireCell(state, effects, id, item.revision);
   if (!own) ReportFormerLeases(state, effects, id);
 }
 
--- a/lib/scheduler/source/cancel_reads.cc
+++ b/lib/scheduler/source/cancel_reads.cc
@@ -20,12 +20,9 @@
   return std::max(by_copy, state.cancel_reads.known_at);
 }
 
-/// Returns whether tasks may start once the cancellations are known.
-bool MayStartTasks(const State& state) {
-  if (!state.store_reachable) return false;
-
-  return std::ranges::any_of(state.cells, [](const auto& row) { return row.second.open; });
-}
+/// Returns whether the cancellations matter: tasks may start, or runs are kept that may have been
+/// cancelled.
+bool NeedsCancels(const State& state) { return state.store_reachable && !state.cells.empty(); }
 
 }  // namespace
 
@@ -38,7 +35,7 @@
 
 void UpdateCancelReads(State& state, Effects& effects) {
   CancelReads& reads = state.cancel_reads;
-  if (reads.request != 0 || !MayStartTasks(state)) return;
+  if (reads.request != 0 || !NeedsCancels(state)) return;
 
   const std::optional<Millis> copied_at = state.feeds[Feed::kRecords].known_at;
   const Millis due = std::max(copied_at.value_or(Millis(0)) + kLateCopyAge, reads.next_at);
--- a/lib/scheduler/source/cell_opening.cc
+++ b/lib/scheduler/source/cell_opening.cc
@@ -55,20 +55,29 @@
 
       WorkerState& worker = FindOrAddWorker(cell, task.worker);
       worker.inherited_jobs.insert(id);
-      const auto announced = state.registry.find(task.worker);
-      if (announced != state.registry.end()) worker.info.address = announced->second.address;
+      if (task.listed) continue;
+
+      worker.unlisted_incarnation = std::min(
+          worker.unlisted_incarnation.value_or(task.worker_incarnation), task.worker_incarnation);
     }
   }
 }
 
-/// Polls the workers of a cell that is not open yet and renews their leases. Starts and stops
-/// nothing.
+/// Polls the workers of a cell that is not open yet and renews their leases. Starts nothing, and
+/// stops only runs of jobs that are known to be cancelled.
 void KeepInheritedRuns(State& state, Effects& effects, OwnedCell& cell) {
   if (!cell.progress_known || !cell.hand_over.known) return;
   if (!cell.polled_since) AddInheritedRuns(state, effects, cell);
 
   UpdateHandOver(state, effects, cell);
-  for (auto& [id, worker] : cell.workers) SendDuePoll(state, effects, cell, worker);
+  for (auto& [id, worker] : cell.workers) {
+    const auto announced = state.registry.find(id);
+    const bool is_announced = announced != state.registry.end() && !worker.contacted;
+    if (is_announced) worker.info.address = announced->second.address;
+
+    SendDuePoll(state, effects, cell, worker);
+    if (!worker.orphaned_runs.empty()) SendDueOrder(state, effects, cell, worker);
+  }
 }
 
 /// Replaces the inherited runs by the tasks of the jobs that were taken over. The next polls, under
@@ -76,13 +85,8 @@
 void SettleInheritedRuns(State& state, OwnedCell& cell) {
   for (auto& [id, worker] : cell.workers) {
     worker.inherited_jobs.clear();
-    if (!worker.contacted) continue;
-
-    const bool other_incarnation = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
-      return FindTask(cell, ref)->worker_incarnation < worker.info.incarnation;
-    });
-    if (other_incarnation) ExtendLeaseBoundToMax(state, worker);
-    RaiseFence(state, worker);
+    worker.unlisted_incarnation.reset();
+    if (worker.contacted) RaiseFence(state, worker);
   }
 }
 
@@ -124,7 +128,7 @@
 
     cell.open = true;
     cell.opened_at = state.now;
-    if (!cell.polled_since) cell.polled_since = state.now;
+    if (!cell.hand_over.written) cell.polled_since = state.now;
     ApplyRegistry(state, effects);
 
     for (const auto& [job_id, job] : state.view.jobs) {
--- a/lib/scheduler/source/cell_release.cc
+++ b/lib/scheduler/source/cell_release.cc
@@ -31,9 +31,9 @@
 void SendOffer(State& state, Effects& effects, OwnedCell& cell, const EntryId& to) {
   const EntryRecord& record = state.view.entries.at(to).record;
   cell.successor = Successor{.instance = {to, record.incarnation}, .asked_at = state.now};
-  ++cell.offers;
   WakeAt(state, state.now + kOfferTimeout);
   const TransferOffer offer{.grant = cell.grant,
+                            .number = ++cell.last_offer,
                             .successor_incarnation = record.incarnation,
                             .reply_to = state.settings.peer_address};
   PushMessage(effects, record.peer_address, kTransferOfferPrefix, cell.cell.Text(), Encode(offer));
@@ -60,13 +60,14 @@
 
 /// Offers a cell to the next best entry. Returns false if it was offered to enough of them.
 bool OfferAtStop(State& state, Effects& effects, OwnedCell& cell) {
-  if (cell.offers >= kOffersAtStop) return false;
+  if (cell.offers_at_stop >= kOffersAtStop) return false;
 
   size_t rank = 0;
 
   for (const OwnerCandidate& other : RankedCandidates(state, cell.cell, CellsByOwner(state))) {
-    if (other.entry == state.settings.entry || rank++ < cell.offers) continue;
+    if (other.entry == state.settings.entry || rank++ < cell.offers_at_stop) continue;
 
+    ++cell.offers_at_stop;
     SendOffer(state, effects, cell, other.entry);
     return true;
   }
@@ -79,7 +80,7 @@
   if (HasAccepted(cell) || cell.maybe_released) return false;
   if (cell.successor) return true;
 
-  return state.stopping && cell.open && OfferAtStop(state, effects, cell);
+  return state.stopping && OfferAtStop(state, effects, cell);
 }
 
 /// Returns the items by which others learn of a release.
@@ -159,12 +160,13 @@
     const EntryInstance& to = cell.successor->instance;
     write.puts.push_back(RecordPut{CellKey(cell.cell), Encode(CellRecord{to.entry, to.incarnation}),
                                    cell.successor->lease});
+    write.puts.push_back(RecordPut{GrantKey(cell.cell), to.entry.Text(), 0});
   } else {
     write.removals.push_back(CellKey(cell.cell));
   }
 
   // An owner that has renewed no lease leaves its predecessor's record unchanged.
-  if (cell.hand_over.written) {
+  if (cell.hand_over.written || (cell.polled_since && ReplacesFormerRecord(cell))) {
     write.puts.push_back(
         RecordPut{HandOverKey(cell.cell), Encode(RemainingLeases(state, cell)), 0});
   }
@@ -183,8 +185,10 @@
 void RebalanceCells(State& state, Effects& effects, const std::map<EntryId, size_t>& owned) {
   if (state.stopping || !HoldsLease(state)) return;
 
-  const bool busy = std::ranges::any_of(state.cells, [](const auto& row) {
-    return row.second.releasing || row.second.successor || !row.second.open;
+  // The cells of an entry that is behind may stay closed for long, and another entry can open them.
+  const bool behind = !IsCaughtUp(state);
+  const bool busy = std::ranges::any_of(state.cells, [&](const auto& row) {
+    return row.second.releasing || row.second.successor || (!row.second.open && !behind);
   });
   if (busy) return;
 
@@ -214,7 +218,8 @@
                        IsCaughtUp(state) && !opening && state.now >= state.next_acceptance;
   if (accepts) state.next_acceptance = state.now + kAcceptancePause;
 
-  const TransferReply reply{.grant = offer->grant, .lease = accepts ? state.lease.lease : 0};
+  const TransferReply reply{
+      .grant = offer->grant, .number = offer->number, .lease = accepts ? state.lease.lease : 0};
   PushMessage(effects, offer->reply_to, kTransferReplyPrefix, cell.Text(), Encode(reply));
 }
 
@@ -226,6 +231,8 @@
   if (cell == nullptr || !cell->successor || HasAccepted(*cell) || cell->release_request != 0)
     return;
 
+  if (reply->number != cell->last_offer) return;
+
   if (reply->lease == 0) {
     cell->successor.reset();
     cell->next_offer = state.now + kOfferPause;
--- a/lib/scheduler/source/cells.cc
+++ b/lib/scheduler/source/cells.cc
@@ -32,6 +32,7 @@
   write.puts.push_back(
       RecordPut{CellKey(id), Encode(CellRecord{state.settings.entry, state.settings.incarnation}),
                 state.lease.lease});
+  write.puts.push_back(RecordPut{GrantKey(id), state.settings.entry.Text(), 0});
   orphan.claim = CallStore(state, effects, CellClaimed{id}, std::move(write));
 }
 
--- a/lib/scheduler/source/copy_age.cc
+++ b/lib/scheduler/source/copy_age.cc
@@ -39,13 +39,12 @@
   state.revision_marks.push_back(RevisionMark{sent_at, revision});
 }
 
-bool IsCaughtUp(const State& state) {
-  const auto records = state.feeds.find(Feed::kRecords);
-  if (records == state.feeds.end()) return false;
+bool IsCaughtUp(const State& state) { return state.caught_up; }
 
-  const FeedState& copy = records->second;
-  return copy.synced && copy.backlog.replies == 0 && copy.known_at &&
-         state.now - *copy.known_at <= kMaxCaughtUpAge;
+void UpdateCaughtUp(State& state) {
+  const FeedState& copy = state.feeds[Feed::kRecords];
+  const bool recent = copy.synced && copy.known_at && state.now - *copy.known_at <= kMaxCaughtUpAge;
+  state.caught_up = recent && (state.caught_up || copy.backlog.replies == 0);
 }
 
 std::string RecordsAgeText(const State& state) {
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -16,9 +16,6 @@
 /// Pause between two watches of the records. The entry that accepts a job sends it to the owner
 /// directly, so the watch only catches up, and the pause limits the number of calls.
 constexpr Millis kRecordsPause = Millis(350);
-/// How long a watch of the records waits while a cell is to be opened. It only has to show that the
-/// copy holds everything up to the grant.
-constexpr Millis kOpeningWait = Millis(20);
 /// Longest pause for the registry, in which every worker writes every 1.5 s.
 constexpr Millis kMaxRegistryPause = Millis(700);
 /// Shortest wait of a watch of the registry.
@@ -34,8 +31,13 @@
 /// long replies, and would never catch up if each one timed out half read.
 constexpr int32_t kMaxTimeoutDoublings = 2;
 
+/// Returns whether a cell cannot be opened before the copy of the records is newer.
 bool AwaitsRecords(const State& state) {
-  return std::ranges::any_of(state.cells, [](const auto& row) { return !row.second.open; });
+  const auto records = state.feeds.find(Feed::kRecords);
+  const KvRevision known = records == state.feeds.end() ? 0 : records->second.revision;
+
+  return std::ranges::any_of(
+      state.cells, [&](const auto& row) { return !row.second.open && known < row.second.grant; });
 }
 
 bool IsNeeded(const State& state, Feed feed) {
@@ -71,7 +73,6 @@
     case Feed::kMembers:
       return kWatchWait;
     case Feed::kRecords:
-      if (AwaitsRecords(state)) return kOpeningWait;
       return state.cells.empty() ? kWatchWait : kOwnerRecordsWait;
     case Feed::kWorkers:
       return std::min(kWatchWait, RegistryCycle(state) - PauseOf(state, feed));
@@ -166,12 +167,17 @@
   backlog = FeedBacklog{};
 }
 
+void RetryLater(const State& state, FeedState& copy) {
+  copy.next_at = state.now + kStoreRetryDelay;
+  copy.not_before = copy.next_at;
+}
+
 void ApplyPage(State& state, Effects& effects, Feed feed, FeedState& copy,
                const StoreReply& reply) {
   // A list older than the copy would bring back removed keys.
   if (reply.revision < copy.revision) {
     copy.page_after.clear();
-    copy.next_at = state.now + kStoreRetryDelay;
+    RetryLater(state, copy);
     return;
   }
 
@@ -205,7 +211,8 @@
 /// Returns the pause before the rest of a long reply is requested. An entry that processes replies
 /// slowly needs time for its other work, above all to renew its lease.
 Millis CatchUpPause(const State& state, Feed feed, const FeedState& copy) {
-  return std::min(PauseOf(state, feed), state.now - copy.sent_at);
+  const Millis longest = feed == Feed::kRecords ? kRecordsPause : PauseOf(state, feed);
+  return std::min(longest, state.now - copy.sent_at);
 }
 
 /// Applies a watch reply. The reply may be truncated, so by itself it does not show that the copy
@@ -222,6 +229,7 @@
   if (is_recent) copy.known_at = std::max(copy.known_at, std::optional(copy.least_revision_at));
   if (feed == Feed::kRecords) AdvanceKnownAt(state, copy);
   copy.next_at = state.now + (whole ? PauseOf(state, feed) : CatchUpPause(state, feed, copy));
+  if (!whole) copy.not_before = copy.next_at;
 }
 
 /// Returns the timeout of a feed request that the store may hold for `wait`.
@@ -243,23 +251,6 @@
   return feed != Feed::kRecords || state.feeds[Feed::kMembers].synced;
 }
 
-/// Returns whether the watch in flight waits for changes although a cell was taken over since it
-/// was sent. A short watch shows at once that the copy holds everything up to the grant.
-bool DelaysOpening(const State& state, Feed feed, const FeedState& copy) {
-  if (feed != Feed::kRecords || !copy.synced || copy.backlog.replies > 0) return false;
-
-  return std::ranges::any_of(state.cells, [&](const auto& row) {
-    const OwnedCell& cell = row.second;
-    return !cell.open && copy.sent_at < cell.taken_over_at && copy.revision < cell.grant;
-  });
-}
-
-void AbandonRequest(State& state, FeedState& copy) {
-  state.store_calls.erase(copy.request);
-  copy.request = 0;
-  copy.next_at = state.now;
-}
-
 }  // namespace
 
 void ApplyConfiguration(State& state, Effects& effects, const StoreItem& item) {
@@ -282,15 +273,16 @@
   for (const auto& row : kFeedNames.Rows()) {
     const Feed feed = row.value;
     FeedState& copy = state.feeds[feed];
-    if (copy.request != 0 && !DelaysOpening(state, feed, copy)) continue;
-    if (copy.request != 0) AbandonRequest(state, copy);
+    if (copy.request != 0) continue;
 
     if (!IsNeeded(state, feed)) {
       ResetFeed(copy);
       continue;
     }
 
-    if (feed == Feed::kRecords && AwaitsRecords(state)) copy.next_at = state.now;
+    if (feed == Feed::kRecords && AwaitsRecords(state)) {
+      copy.next_at = std::min(copy.next_at, copy.not_before);
+    }
 
     if (state.now < copy.next_at) {
       WakeAt(state, copy.next_at);
@@ -319,7 +311,9 @@
   for (auto& [feed, copy] : state.feeds) {
     if (!copy.synced || copy.request == 0) continue;
 
-    AbandonRequest(state, copy);
+    state.store_calls.erase(copy.request);
+    copy.request = 0;
+    copy.next_at = state.now;
     WakeAt(state, state.now);
   }
 }
@@ -340,7 +334,7 @@
       return;
     default:
       if (reply.status == StoreStatus::kUnknown) ++copy.timeouts;
-      copy.next_at = state.now + kStoreRetryDelay;
+      RetryLater(state, copy);
       return;
   }
 
@@ -351,7 +345,7 @@
   } else if (reply.revision >= copy.revision) {
     ApplyChanges(state, effects, purpose.feed, copy, reply);
   } else {
-    copy.next_at = state.now + kStoreRetryDelay;
+    RetryLater(state, copy);
   }
 
   if (purpose.feed == Feed::kWorkers) ApplyRegistry(state, effects);
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -251,17 +251,10 @@
   });
 }
 
-/// Returns whether a record allows any renewal. The record of an owner that reaches no worker would
-/// only hide its predecessor from the next owner.
-bool AllowsRenewals(const OwnedCell& cell) {
-  return cell.open ||
-         std::ranges::any_of(cell.workers, [](const auto& row) { return row.second.contacted; });
-}
-
 void WriteHandOver(State& state, Effects& effects, OwnedCell& cell) {
   HandOverState& hand_over = cell.hand_over;
   if (hand_over.write_request != 0 || cell.release_request != 0 || cell.maybe_released) return;
-  if (!hand_over.written && !AllowsRenewals(cell)) return;
+  if (!hand_over.written && !ReplacesFormerRecord(cell)) return;
   if (!hand_over.written && !FirstPollsAreDone(state, cell)) return;
 
   std::set<VmId> names = WorkersAwaitingLeaseExpiry(cell);
@@ -433,6 +426,11 @@
   }
 }
 
+bool ReplacesFormerRecord(const OwnedCell& cell) {
+  return cell.open ||
+         std::ranges::any_of(cell.workers, [](const auto& row) { return row.second.contacted; });
+}
+
 bool MayRenewLease(const OwnedCell& cell, const WorkerState& worker) {
   const HandOverState& hand_over = cell.hand_over;
   if (!hand_over.written || !worker.contacted) return false;
@@ -458,8 +456,8 @@
                                [&](const auto& lease) { return lease.second.any <= state.now; });
   });
 
-  // Without a record, this owner has renewed no lease, and the next one asks its predecessor.
-  if (!cell.open && !cell.hand_over.written) return;
+  // Nothing was sent to a worker before they were polled, and no record was written.
+  if (!cell.polled_since) return;
 
   FormerCell& former = state.former_cells[{cell.cell, cell.grant}];
   for (const auto& [id, worker] : cell.workers) former.expiries[id] = ExpiriesOf(worker);
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -75,6 +75,7 @@
 
 std::string EntryKey(const EntryId& entry);
 std::string CellKey(const CellId& cell);
+std::string GrantKey(const CellId& cell);
 std::string LoadKey(const CellId& cell);
 std::string JobKey(const JobId& job);
 std::string ProgressKey(const CellId& cell, const JobId& job);
@@ -112,9 +113,10 @@
 /// announced that.
 bool IsRegistrationCurrent(const State& state, const WorkerState& worker);
 
-/// Returns whether the copy of the records is recent and no long reply is outstanding, so that this
-/// entry can start tasks soon after it takes over a cell.
+/// Returns whether the copy of the records is recent enough that this entry can start tasks soon
+/// after it takes over a cell. It becomes so with a reply that leaves nothing outstanding.
 bool IsCaughtUp(const State& state);
+void UpdateCaughtUp(State& state);
 
 /// Returns the age of this entry's copy of the records as a text for the log.
 std::string RecordsAgeText(const State& state);
@@ -147,7 +149,8 @@
 void UpdateLease(State& state, Effects& effects);
 void HandleLeaseGranted(State& state, Effects& effects, const StoreReply& reply);
 void HandleLeaseRenewed(State& state, Effects& effects, const StoreReply& reply);
-void HandleEntryRegistered(State& state, Effects& effects, const StoreReply& reply);
+void HandleEntryRegistered(State& state, Effects& effects, const EntryRegistered& registered,
+                           const StoreReply& reply);
 /// Handles the unexpected removal of this entry's own record.
 void HandleEntryRecordRemoved(State& state, Effects& effects);
 
@@ -232,6 +235,10 @@
 void HandleHandOverWritten(State& state, Effects& effects, const HandOverWritten& written,
                            const StoreReply& reply);
 
+/// Returns whether this owner's record may replace its predecessor's. The record of an owner that
+/// is not open and reaches no worker would only hide the predecessor from the next owner.
+bool ReplacesFormerRecord(const OwnedCell& cell);
+
 /// Returns whether this owner may renew the lease of a worker and start tasks there. It may only if
 /// its handover record makes a successor wait for the expiry of that lease.
 bool MayRenewLease(const OwnedCell& cell, const WorkerState& worker);
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -41,10 +41,21 @@
                      .caught_up = IsCaughtUp(state)};
 }
 
+/// Returns whether the store holds this entry's record as it should be.
+bool IsRecordCurrent(const State& state) {
+  if (!state.lease.registered) return false;
+
+  const auto self = state.view.entries.find(state.settings.entry);
+  if (self == state.view.entries.end() || state.stopping) return true;
+
+  return self->second.record.caught_up == IsCaughtUp(state);
+}
+
+/// Writes this entry's record. A later record of the same lease replaces only the former one: if
+/// the store has removed that, the lease is useless.
 void Register(State& state, Effects& effects) {
   LeaseState& lease = state.lease;
-  if (lease.register_request != 0) return;
-  if (lease.registered && lease.sent_record.caught_up == IsCaughtUp(state)) return;
+  if (lease.register_request != 0 || IsRecordCurrent(state)) return;
 
   if (state.now < lease.register_at) {
     WakeAt(state, lease.register_at);
@@ -52,10 +63,17 @@
   }
 
   lease.sent_record = OwnRecord(state);
+  const std::string key = EntryKey(state.settings.entry);
   WriteRecords write;
-  write.puts.push_back(
-      RecordPut{EntryKey(state.settings.entry), Encode(lease.sent_record), lease.lease});
-  lease.register_request = CallStore(state, effects, EntryRegistered{}, std::move(write));
+  write.puts.push_back(RecordPut{key, Encode(lease.sent_record), lease.lease});
+
+  if (lease.registered) {
+    write.expected.push_back(
+        ExpectedRecord{key, state.view.entries.at(state.settings.entry).revision});
+  }
+
+  lease.register_request =
+      CallStore(state, effects, EntryRegistered{lease.lease}, std::move(write));
 }
 
 void HandleLeaseLost(State& state, Effects& effects, std::string_view reason) {
@@ -71,6 +89,20 @@
   for (const CellId& id : cells) DropCell(state, effects, id, "the entry's lease has ended");
 }
 
+/// Handles a conflict of a later record of this entry: an earlier write without an answer took
+/// effect, or the store has removed the record.
+void HandleConflictingRecord(State& state, Effects& effects, const StoreReply& reply) {
+  for (const StoreItem& item : reply.items) {
+    if (item.key != EntryKey(state.settings.entry)) continue;
+
+    const Result<EntryRecord> record = DecodeEntry(item.value);
+    const bool own = !item.removed && record && record->incarnation == state.settings.incarnation;
+    if (own) return ApplyRecord(state, effects, item);
+  }
+
+  HandleLeaseLost(state, effects, "the entry's record was replaced or removed");
+}
+
 }  // namespace
 
 bool HoldsLease(const State& state) {
@@ -148,9 +180,16 @@
   lease.next_at = state.now + kRenewRetry;
 }
 
-void HandleEntryRegistered(State& state, Effects& effects, const StoreReply& reply) {
+void HandleEntryRegistered(State& state, Effects& effects, const EntryRegistered& registered,
+                           const StoreReply& reply) {
   LeaseState& lease = state.lease;
   lease.register_request = 0;
+  if (registered.lease != lease.lease) return;
+
+  if (reply.status == StoreStatus::kConflict) {
+    HandleConflictingRecord(state, effects, reply);
+    return;
+  }
 
   if (reply.status == StoreStatus::kOk) {
     lease.register_at = state.now + kRecordInterval;
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -279,6 +279,7 @@
 
 std::string Encode(const TransferOffer& offer) {
   return Dump(Json{{"grant", offer.grant},
+                   {"number", offer.number},
                    {"life", offer.successor_incarnation},
                    {"peer", AddressJson(offer.reply_to)}});
 }
@@ -286,18 +287,20 @@
 Result<TransferOffer> DecodeTransferOffer(std::string_view value) {
   return Decode<TransferOffer>(value, "offer of a cell", [](const Json& json) {
     return TransferOffer{.grant = json.at("grant").get<KvRevision>(),
+                         .number = json.at("number").get<int64_t>(),
                          .successor_incarnation = json.at("life").get<std::string>(),
                          .reply_to = AddressOf(json.at("peer"))};
   });
 }
 
 std::string Encode(const TransferReply& reply) {
-  return Dump(Json{{"grant", reply.grant}, {"lease", reply.lease}});
+  return Dump(Json{{"grant", reply.grant}, {"number", reply.number}, {"lease", reply.lease}});
 }
 
 Result<TransferReply> DecodeTransferReply(std::string_view value) {
   return Decode<TransferReply>(value, "reply to the offer of a cell", [](const Json& json) {
     return TransferReply{.grant = json.at("grant").get<KvRevision>(),
+                         .number = json.at("number").get<int64_t>(),
                          .lease = json.at("lease").get<LeaseId>()};
   });
 }
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -25,7 +25,9 @@
   void operator()(const LeaseGranted&) const { HandleLeaseGranted(state, effects, reply); }
   void operator()(const LeaseRenewed&) const { HandleLeaseRenewed(state, effects, reply); }
   void operator()(const PreviousLeaseEnded&) const { state.lease.previous_lease = 0; }
-  void operator()(const EntryRegistered&) const { HandleEntryRegistered(state, effects, reply); }
+  void operator()(const EntryRegistered& purpose) const {
+    HandleEntryRegistered(state, effects, purpose, reply);
+  }
   void operator()(const LayoutWritten&) const {
     state.layout_request = 0;
     for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
@@ -82,8 +84,8 @@
 /// Returns whether an item that a peer pushed is a copy of a record rather than a message.
 bool IsRecord(const StoreItem& item) {
   constexpr std::string_view kPrefixes[] = {kMembersPrefix, kSharedPrefix, kProgressPrefix};
-  return std::ranges::any_of(
-      kPrefixes, [&](std::string_view prefix) { return item.key.starts_with(prefix); });
+  return std::ranges::any_of(kPrefixes,
+                             [&](std::string_view prefix) { return item.key.starts_with(prefix); });
 }
 
 void HandleStoreAnswered(State& state, Effects& effects, const StoreAnswered& answered) {
@@ -182,6 +184,7 @@
 
   std::visit(EventHandler{state, effects}, event.body);
 
+  UpdateCaughtUp(state);
   UpdateLease(state, effects);
   UpdateWitnesses(state, effects);
   UpdateFeeds(state, effects);
@@ -220,6 +223,7 @@
 
 std::string EntryKey(const EntryId& entry) { return std::string(kEntryPrefix) + entry.Text(); }
 std::string CellKey(const CellId& cell) { return std::string(kCellPrefix) + cell.Text(); }
+std::string GrantKey(const CellId& cell) { return std::string(kGrantPrefix) + cell.Text(); }
 std::string LoadKey(const CellId& cell) { return std::string(kLoadPrefix) + cell.Text(); }
 std::string JobKey(const JobId& job) { return std::string(kJobPrefix) + job.Text(); }
 std::string ProgressKey(const CellId& cell, const JobId& job) {
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -112,9 +112,15 @@
 bool NeedsLease(const State& state, const OwnedCell& cell, const WorkerState& worker) {
   if (!worker.ends.empty()) return true;
 
+  const auto is_cancelled = [&](const JobId& id) {
+    const auto job = state.view.jobs.find(id);
+    return job != state.view.jobs.end() && job->second.cancelled;
+  };
   const bool inherited = std::ranges::any_of(worker.inherited_jobs, [&](const JobId& id) {
     const auto job = state.view.jobs.find(id);
-    return job == state.view.jobs.end() || !job->second.cancelled;
+    const bool parent_cancelled =
+        job != state.view.jobs.end() && is_cancelled(job->second.head.parent);
+    return !is_cancelled(id) && !parent_cancelled;
   });
   if (inherited) return true;
 
@@ -130,10 +136,10 @@
   std::optional<Millis> shortest;
 
   for (const auto& [id, worker] : cell.workers) {
-    if (worker.tasks.empty()) continue;
+    if (!MayHaveRuns(worker)) continue;
 
     ++with_tasks;
-    const Millis left = std::max(worker.lease.own - state.now, Millis(0));
+    const Millis left = std::max(worker.lease.Expiry() - state.now, Millis(0));
     shortest = std::min(shortest.value_or(left), left);
   }
 
@@ -146,7 +152,7 @@
 
 void LogPendingLeaseWaits(const State& state, Effects& effects, const OwnedCell& cell) {
   for (const auto& [id, worker] : cell.workers) {
-    if (worker.tasks.empty() || (worker.contacted && !HasFailedPollsOrNoAddress(worker))) continue;
+    if (!MayHaveRuns(worker) || (worker.contacted && !HasFailedPollsOrNoAddress(worker))) continue;
 
     LogLeaseState(state, effects, cell, worker, "releasing a cell while a worker does not answer");
   }
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -45,8 +45,8 @@
        {"answered", std::to_string(answered)}});
 }
 
-/// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed nothing
-/// is followed soon by one that does.
+/// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed
+/// nothing is followed soon by one that does.
 Millis EndsPollDelay(const PollInFlight& poll) {
   return poll.renews_lease ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
 }
@@ -284,7 +284,9 @@
     const bool other_incarnation = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
       return FindTask(cell, ref)->worker_incarnation < worker.info.incarnation;
     });
-    if (other_incarnation) ExtendLeaseBoundToMax(state, worker);
+    const bool may_start_late =
+        worker.unlisted_incarnation && *worker.unlisted_incarnation < worker.info.incarnation;
+    if (other_incarnation || may_start_late) ExtendLeaseBoundToMax(state, worker);
   }
 
   // Replies on two connections may overtake each other; the lists of the older reply are ignored.
@@ -296,6 +298,12 @@
   }
 
   if (!cell.open) {
+    for (const RunningTask& row : reply.running) {
+      const auto job = state.view.jobs.find(row.task.job);
+      const bool cancelled = job != state.view.jobs.end() && job->second.cancelled;
+      if (cancelled) worker.orphaned_runs[row.task] = row.run;
+    }
+
     // The worker replies at once while it lists ends, which are taken when the cell is open.
     if (!reply.ended.empty()) worker.next_poll = state.now + EndsPollDelay(poll);
     return;
