--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -607,6 +607,7 @@
   /// Its lease at the store, 0 until it has accepted the cell.
   LeaseId lease = 0;
   Millis asked_at;
+  Millis accepted_at;
 };
 
 /// A cell that this entry owns.
--- a/lib/scheduler/source/cell_release.cc
+++ b/lib/scheduler/source/cell_release.cc
@@ -15,8 +15,11 @@
 /// owned, for this time. Otherwise entries that are restarted one after the other would pass cells
 /// back and forth.
 constexpr Millis kRebalanceMinAge = Millis(3'000);
-/// How long the reply to an offer is awaited. It needs no call to the store.
-constexpr Millis kOfferTimeout = Millis(400);
+/// How long the reply to an offer is awaited. An entry that is short of processor time handles it
+/// a second late, and has the most reason to pass a cell on.
+constexpr Millis kOfferTimeout = Millis(2'000);
+/// The same at an entry that stops.
+constexpr Millis kOfferTimeoutAtStop = Millis(500);
 /// Pause after an offer that was not accepted. An entry that stops makes no pause.
 constexpr Millis kOfferPause = Millis(1'000);
 /// Number of entries to which an entry that stops offers a cell before it releases it to nobody. It
@@ -31,7 +34,7 @@
 void SendOffer(State& state, Effects& effects, OwnedCell& cell, const EntryId& to) {
   const EntryRecord& record = state.view.entries.at(to).record;
   cell.successor = Successor{.instance = {to, record.incarnation}, .asked_at = state.now};
-  WakeAt(state, state.now + kOfferTimeout);
+  WakeAt(state, state.now + kOfferTimeoutAtStop);
   const TransferOffer offer{.grant = cell.grant,
                             .number = ++cell.last_offer,
                             .successor_incarnation = record.incarnation,
@@ -45,8 +48,9 @@
 void ExpireOffer(State& state, OwnedCell& cell) {
   if (!cell.successor) return;
 
-  const Millis until =
-      cell.successor->asked_at + (HasAccepted(cell) ? kAcceptanceTime : kOfferTimeout);
+  const Millis timeout = state.stopping ? kOfferTimeoutAtStop : kOfferTimeout;
+  const Millis until = HasAccepted(cell) ? cell.successor->accepted_at + kAcceptanceTime
+                                         : cell.successor->asked_at + timeout;
 
   if (state.now < until) {
     WakeAt(state, until);
@@ -240,6 +244,7 @@
   }
 
   cell->successor->lease = reply->lease;
+  cell->successor->accepted_at = state.now;
   cell->releasing = true;
 }
 
