Reach workers of a healed data centre before their leases end

The next owner knew nobody to ask, ignored the former owner's report, and its polls happened to be sent just before the healing: 0.8 s for one to fail and up to 1 s of pause, where 1.3 s of lease were left. The other 13 cells of that data centre were answered in time by chance.

- A cell whose tasks wait for a former owner's leases is not passed on for balance.
- A report of any former owner makes the owner poll the workers that are silent.
- A worker that answers after a failed poll makes its owner poll the silent workers of the same data centre, each at most every 0.2 s.

Outage.TasksRunOnInADataCentreThatIsCutOffThoughItsNextOwnerStops fails without the first two at one of 15 offsets, and passes.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -349,6 +349,7 @@
 struct PollInFlight {
   RequestId request = 0;
   FencingToken token = 0;
+  Millis sent_at;
   /// Value of `worker_event_sequence` when it was sent.
   uint64_t sequence = 0;
   int64_t forget_up_to = 0;
--- a/lib/scheduler/source/cell_release.cc
+++ b/lib/scheduler/source/cell_release.cc
@@ -198,6 +198,8 @@
 
   for (auto& [id, cell] : state.cells) {
     if (state.now - cell.taken_over_at < kRebalanceMinAge || state.now < cell.next_offer) continue;
+    // The next owner could not ask whose leases these are.
+    if (AwaitsFormerLeases(state, cell)) continue;
 
     const std::optional<EntryId> better = BetterOwner(state, id, owned, kRebalanceMinAge);
     if (!better) continue;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -16,6 +16,9 @@
 constexpr int32_t kFailuresToQuarantine = 2;
 constexpr Millis kQuarantine = Millis(2'000);
 constexpr Millis kMaxQuarantine = Millis(8'000);
+/// Minimum interval between two polls of a worker that has not answered under the grant. Replies
+/// take a few milliseconds.
+constexpr Millis kMinUncontactedPollInterval = Millis(200);
 /// Maximum time between two checks of a worker for which nothing has changed.
 constexpr Millis kMaxCheckInterval = Millis(1'000);
 
@@ -55,6 +58,11 @@
   for (auto& [id, worker] : cell.workers) {
     if (worker.contacted || !MayHaveRuns(worker)) continue;
 
+    const bool just_polled = std::ranges::any_of(worker.polls, [&](const PollInFlight& poll) {
+      return state.now - poll.sent_at < kMinUncontactedPollInterval;
+    });
+    if (just_polled) continue;
+
     RaiseFence(state, worker);
     worker.needs_update = true;
   }
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -501,7 +501,11 @@
   if (!leases) return LogUnreadable(effects, item, leases.error());
 
   const HandOverRecord& former = cell->second.hand_over.former;
-  if (former.owner.Empty() || former.grant != leases->grant) return;
+  // The record of an owner in between hides whose leases these are, but they come from an entry
+  // that probably reaches the workers.
+  if (former.owner.Empty() || former.grant != leases->grant) {
+    return PollUncontactedWorkers(state, cell->second);
+  }
 
   ApplyFormerLeases(state, effects, cell->second, *leases);
 }
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -51,6 +51,15 @@
   return poll.renews_lease ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
 }
 
+/// Polls the silent workers of a cell's data centre: one that was silent answers again, so the
+/// others probably do too, and what is left of their leases may be shorter than the pause after a
+/// failed poll.
+void PollSilentNeighbours(State& state, const OwnedCell& cell) {
+  for (auto& [id, other] : state.cells) {
+    if (DataCentreOf(id) == DataCentreOf(cell.cell)) PollUncontactedWorkers(state, other);
+  }
+}
+
 bool HasMixedLoad(const WorkerState& worker) {
   return worker.long_running_millicores > 0 && worker.best_effort_millicores > 0;
 }
@@ -231,6 +240,7 @@
   PollInFlight poll;
   poll.request = NextRequest(state);
   poll.token = token;
+  poll.sent_at = state.now;
   poll.sequence = ++state.worker_event_sequence;
   poll.forget_up_to = order.forget_up_to;
   poll.renews_lease = order.lease_until_ms.has_value();
@@ -263,6 +273,8 @@
     LogLeaseState(state, effects, cell, worker, "unresponsive worker answers again");
   }
 
+  if (worker.failed_polls > 0) PollSilentNeighbours(state, cell);
+
   worker.failed_polls = 0;
   worker.answered_at = state.now;
   worker.next_poll = state.now;
--- a/tests/scheduler/outage_test.cc
+++ b/tests/scheduler/outage_test.cc
@@ -120,6 +120,33 @@
   }
 }
 
+// Guards against the same where the former owner is unknown to the next one, because an owner in
+// between has released the cell.
+TEST(Outage, TasksRunOnInADataCentreThatIsCutOffThoughItsNextOwnerStops) {
+  for (int64_t offset = 0; offset < 1'500; offset += 100) {
+    OutageWorld outage(9, 3);
+    World& world = outage.world;
+    world.Run(Millis(offset));
+    outage.CutStore();
+    world.Run(Millis(2'500));
+    const Millis leases_end = world.state(outage.owner).lease.valid_until + kOutageRenewals;
+    world.Reconnect();
+    outage.EmptyRegistry();
+    outage.IsolateDataCentre();
+    world.Run(Millis(3'500));
+    const std::string next = world.OwnerOf(kJob);
+    ASSERT_FALSE(next.empty() || next == outage.owner) << offset;
+    world.Stop(next);
+    world.Run(leases_end - kTimeToTakeOver - world.now());
+    world.Reconnect();
+    world.Run(Millis(20'000));
+
+    EXPECT_EQ(outage.Starts(), 1) << offset;
+    EXPECT_EQ(world.violations, Names()) << offset;
+    EXPECT_EQ(world.WorkersOf(kJob).size(), 1U) << offset;
+  }
+}
+
 // Guards against a task that runs twice: a witness that had confirmed the outage reached the store
 // again, and counted as proof that there had been none.
 TEST(Outage, ATaskDoesNotRunTwiceIfAWitnessReachesTheStoreAgainFirst) {
