Poll the neighbours of a worker that answers again only after it counts as reached

The worker's own fence was raised before its reply was compared, so its first answer after a silence did not count and a second poll was needed. Found by reading.

--- a/lib/scheduler/source/cell_opening.cc
+++ b/lib/scheduler/source/cell_opening.cc
@@ -70,6 +70,7 @@
   if (!cell.polled_since) AddInheritedRuns(state, effects, cell);
 
   UpdateHandOver(state, effects, cell);
+
   for (auto& [id, worker] : cell.workers) {
     const auto announced = state.registry.find(id);
     const bool is_announced = announced != state.registry.end() && !worker.contacted;
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -273,9 +273,7 @@
     LogLeaseState(state, effects, cell, worker, "unresponsive worker answers again");
   }
 
-  if (worker.failed_polls > 0) PollSilentNeighbours(state, cell);
-
-  worker.failed_polls = 0;
+  const bool was_silent = std::exchange(worker.failed_polls, 0) > 0;
   worker.answered_at = state.now;
   worker.next_poll = state.now;
   // The new measurements may show room for best-effort tasks.
@@ -301,6 +299,8 @@
     if (other_incarnation || may_start_late) ExtendLeaseBoundToMax(state, worker);
   }
 
+  if (was_silent) PollSilentNeighbours(state, cell);
+
   // Replies on two connections may overtake each other; the lists of the older reply are ignored.
   const bool is_stale = worker.clock_ms && reply.clock_ms && *reply.clock_ms < *worker.clock_ms;
 
