--- a/lib/scheduler/source/cell_release.cc
+++ b/lib/scheduler/source/cell_release.cc
@@ -138,8 +138,8 @@
   if (!state.stopping && !cell.maybe_released) cell.releasing = false;
 }
 
-}  // namespace
-
+/// Releases a cell as soon as no write or order is in flight there and no entry may still accept
+/// it. Orders that stop tasks may be in flight.
 void ReleaseWhenIdle(State& state, Effects& effects, OwnedCell& cell) {
   if (cell.release_request != 0 || cell.write.request != 0) return;
   if (cell.hand_over.write_request != 0) return;
@@ -181,6 +181,8 @@
       state, effects, CellReleased{cell.cell, cell.grant, cell.successor}, std::move(write));
 }
 
+}  // namespace
+
 void UpdateRelease(State& state, Effects& effects, OwnedCell& cell) {
   if (cell.release_request == 0) ExpireOffer(state, cell);
   if (cell.releasing) ReleaseWhenIdle(state, effects, cell);
--- a/lib/scheduler/source/cell_release.h
+++ b/lib/scheduler/source/cell_release.h
@@ -12,8 +12,7 @@
 /// a cell while it is released.
 void RebalanceCells(State& state, Effects& effects, const std::map<EntryId, size_t>& owned);
 
-/// Releases a cell as soon as no write or order is in flight there and no entry may still accept
-/// it. Orders that stop tasks may be in flight.
+/// Gives up an offer that is not accepted in time, and releases a cell that is to be released.
 void UpdateRelease(State& state, Effects& effects, OwnedCell& cell);
 
 }  // namespace currantpost::scheduler
