Lint each file in a process of its own

clang-tidy keeps what it knows of files by relative path, also for the next file of the same process, whose command may be inferred for another folder. With an odd number of sources more, review/5/case.cc and review/standin.cc met in one process, and the second one's headers counted as missing. Each alone is clean; the checks stay.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,5 +7,5 @@
 
 cmake -S . -B build >/dev/null
 git ls-files '*.cc' ':!lib/generated' |
-  xargs --max-procs "${LINT_JOBS:-$(nproc)}" --max-args 2 clang-tidy --quiet -p build 2>/dev/null
+  xargs --max-procs "${LINT_JOBS:-$(nproc)}" --max-args 1 clang-tidy --quiet -p build 2>/dev/null
 echo "format and lint are clean"
