--- a/tests/scheduler/outage_test.cc
+++ b/tests/scheduler/outage_test.cc
@@ -97,26 +97,38 @@
   EXPECT_EQ(outage.world.violations, Names());
 }
 
+/// Isolates the data centre of the owner just after an outage of the store that emptied the
+/// registry. Returns when the leases that the owner may grant meanwhile end.
+Millis IsolateAfterOutage(OutageWorld& outage, Millis offset) {
+  World& world = outage.world;
+  world.Run(offset);
+  outage.CutStore();
+  world.Run(Millis(2'500));
+  const Millis leases_end = world.state(outage.owner).lease.valid_until + kOutageRenewals;
+  world.Reconnect();
+  outage.EmptyRegistry();
+  outage.IsolateDataCentre();
+  return leases_end;
+}
+
+/// Reconnects all just before `leases_end`, and checks that the task has run on.
+void ExpectTaskRunsOn(OutageWorld& outage, Millis leases_end, int64_t offset) {
+  World& world = outage.world;
+  world.Run(leases_end - kTimeToTakeOver - world.now());
+  world.Reconnect();
+  world.Run(Millis(20'000));
+
+  EXPECT_EQ(outage.Starts(), 1) << offset;
+  EXPECT_EQ(world.violations, Names()) << offset;
+  EXPECT_EQ(world.WorkersOf(kJob).size(), 1U) << offset;
+}
+
 // Guards against runs that lapse though their workers answer: the registry had dropped the workers
 // while the store was away, so the next owner did not know their addresses once the cut had healed.
 TEST(Outage, TasksRunOnInADataCentreThatIsCutOffWhileTheRegistryIsEmpty) {
   for (int64_t offset = 0; offset < 1'500; offset += 100) {
     OutageWorld outage(9, 3);
-    World& world = outage.world;
-    world.Run(Millis(offset));
-    outage.CutStore();
-    world.Run(Millis(2'500));
-    const Millis leases_end = world.state(outage.owner).lease.valid_until + kOutageRenewals;
-    world.Reconnect();
-    outage.EmptyRegistry();
-    outage.IsolateDataCentre();
-    world.Run(leases_end - kTimeToTakeOver - world.now());
-    world.Reconnect();
-    world.Run(Millis(20'000));
-
-    EXPECT_EQ(outage.Starts(), 1) << offset;
-    EXPECT_EQ(world.violations, Names()) << offset;
-    EXPECT_EQ(world.WorkersOf(kJob).size(), 1U) << offset;
+    ExpectTaskRunsOn(outage, IsolateAfterOutage(outage, Millis(offset)), offset);
   }
 }
 
@@ -125,25 +137,12 @@
 TEST(Outage, TasksRunOnInADataCentreThatIsCutOffThoughItsNextOwnerStops) {
   for (int64_t offset = 0; offset < 1'500; offset += 100) {
     OutageWorld outage(9, 3);
-    World& world = outage.world;
-    world.Run(Millis(offset));
-    outage.CutStore();
-    world.Run(Millis(2'500));
-    const Millis leases_end = world.state(outage.owner).lease.valid_until + kOutageRenewals;
-    world.Reconnect();
-    outage.EmptyRegistry();
-    outage.IsolateDataCentre();
-    world.Run(Millis(3'500));
-    const std::string next = world.OwnerOf(kJob);
+    const Millis leases_end = IsolateAfterOutage(outage, Millis(offset));
+    outage.world.Run(Millis(3'500));
+    const std::string next = outage.world.OwnerOf(kJob);
     ASSERT_FALSE(next.empty() || next == outage.owner) << offset;
-    world.Stop(next);
-    world.Run(leases_end - kTimeToTakeOver - world.now());
-    world.Reconnect();
-    world.Run(Millis(20'000));
-
-    EXPECT_EQ(outage.Starts(), 1) << offset;
-    EXPECT_EQ(world.violations, Names()) << offset;
-    EXPECT_EQ(world.WorkersOf(kJob).size(), 1U) << offset;
+    outage.world.Stop(next);
+    ExpectTaskRunsOn(outage, leases_end, offset);
   }
 }
 
