--- a/tests/scheduler/answers_audit_test.cc
+++ b/tests/scheduler/answers_audit_test.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
-#include <random>
 #include <sstream>
 
 #include "order_audit.h"
+#include "random_source.h"
 #include "world.h"
 
 /// Random scenarios with faults. They compare every answer of an entry to a caller, and every start
@@ -40,26 +40,6 @@
 /// After the traffic ends, callers query every half second.
 constexpr int32_t kRoundsBetweenQueries = 5;
 
-/// Random decisions of one scenario.
-class RandomSource {
- public:
-  explicit RandomSource(uint64_t seed) : random_(seed) {}
-
-  int64_t Between(int64_t low, int64_t high) {
-    return std::uniform_int_distribution<int64_t>(low, high)(random_);
-  }
-  Millis RandomDuration(int64_t low, int64_t high) { return Millis(Between(low, high)); }
-  bool Chance(int64_t percent) { return Between(1, 100) <= percent; }
-
-  template <typename T>
-  const T& PickOne(const std::vector<T>& items) {
-    return items[static_cast<size_t>(Between(0, static_cast<int64_t>(items.size()) - 1))];
-  }
-
- private:
-  std::mt19937_64 random_;
-};
-
 /// Processor share of the smallest machines in large deployments.
 constexpr int64_t kSmallMillicores = 69;
 /// Maximum delays of an entry with a small machine. They are short enough for a page of a list to
