--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -138,7 +138,7 @@
 }
 
 void Fleet::AddWorker(const std::string& id, const std::string& zone, const std::string& rack,
-                      const std::string& kind, int64_t cpu) {
+                      const std::string& kind, int64_t cpu, const std::string& service) {
   WorkerOptions& options = workers_[id];
   options.id = id;
   options.address = Address{HostOf(1), FreePorts(1).front()};
@@ -146,6 +146,7 @@
   options.zone = zone;
   options.labels = {kind, rack};
   options.cpu = cpu;
+  options.service = service;
 }
 
 void Fleet::StartWorker(const std::string& id) {
@@ -159,7 +160,7 @@
                                std::to_string(options.address.port), options.store.host,
                                std::to_string(options.store.port), options.zone, labels,
                                std::to_string(options.cpu), options.guards ? "yes" : "no",
-                               record_.path()},
+                               options.service, record_.path()},
       std::vector<std::string>{}, folder_ + "/" + id + ".log");
 }
 
@@ -186,13 +187,18 @@
                         {"stretch", 2.0}});
   }
 
-  const Json services = Json::array({Json{{"name", "grinders"},
-                                          {"health_path", "/health"},
-                                          {"max_conns", 64},
-                                          {"protocol", "h1"},
-                                          {"tls", false},
-                                          {"rejects_overload", true},
-                                          {"spare", false}}});
+  Json services = Json::array();
+
+  for (const char* name : {"grinders", "mixers"}) {
+    services.push_back(Json{{"name", name},
+                            {"health_path", "/health"},
+                            {"max_conns", 64},
+                            {"protocol", "h1"},
+                            {"tls", false},
+                            {"rejects_overload", true},
+                            {"spare", false}});
+  }
+
   const Json limits{{"max_header_bytes", 16'384},
                     {"max_body_bytes", 262'144},
                     {"header_timeout_ms", 3'000},
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -52,7 +52,7 @@
 
   /// Prepares a worker without starting it.
   void AddWorker(const std::string& id, const std::string& zone, const std::string& rack,
-                 const std::string& kind, int64_t cpu);
+                 const std::string& kind, int64_t cpu, const std::string& service = "grinders");
   void StartWorker(const std::string& id);
   void KillWorker(const std::string& id);
 
--- a/review/standins-2/silent_case.cc
+++ b/review/standins-2/silent_case.cc
@@ -1,4 +1,6 @@
 #include <cstdio>
+#include <iterator>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -14,7 +16,6 @@
 
 constexpr int64_t kContactMs = 3'000;
 constexpr int64_t kConfigApplyMs = 2'000;
-constexpr int64_t kMaxStretchMs = 5'000;
 constexpr int kRounds = 9;
 constexpr int64_t kRoundMs = 11'000;
 constexpr int64_t kFirstRoundMs = 9'000;
@@ -22,6 +23,7 @@
 constexpr int64_t kConfigAfterMs = 400;
 constexpr int64_t kProbeIntervalMs = 50;
 constexpr int64_t kProbeTimeMs = 3'500;
+constexpr int64_t kJobIntervalMs = 150;
 
 class SilentCase {
  public:
@@ -31,9 +33,10 @@
     fleet_.Configure(version_, Routes());
     for (const char* name : kEntries) fleet_.AddEntry(name, "valley", true);
 
-    for (int number = 0; number < 4; ++number) {
+    for (int number = 0; number < 8; ++number) {
       const std::string id = "w-" + std::to_string(number);
-      fleet_.AddWorker(id, "valley", "r-0", "stone", 8'000);
+      const std::string rack = "r-" + std::to_string(number / 4);
+      fleet_.AddWorker(id, "valley", rack, "stone", 8'000, number % 2 == 0 ? "grinders" : "mixers");
       fleet_.StartWorker(id);
     }
 
@@ -48,12 +51,15 @@
   }
 
  private:
-  /// The queue of each version exists only in that version; one more exists in all.
+  /// The queue of each version exists only in that version. One more exists in all, and goes to
+  /// another service with each version.
   [[nodiscard]] std::vector<Route> Routes() const {
-    return {Route{.name = "flour", .prefix = "/flour/"},
+    return {Route{.name = "flour", .prefix = "/flour/", .service = ServiceOf(version_)},
             Route{.name = "q" + std::to_string(version_), .prefix = PrefixOf(version_)}};
   }
 
+  static std::string ServiceOf(int64_t version) { return version % 2 == 0 ? "mixers" : "grinders"; }
+
   static std::string PrefixOf(int64_t version) { return "/q" + std::to_string(version) + "/"; }
 
   void Round() {
@@ -70,6 +76,21 @@
       acked_at_ = review::NowMs();
     });
     fleet_.After(kContactMs + kProbeIntervalMs, [this] { Probe(); });
+    // One client, whose connections all go to one entry.
+    client_entry_ = kEntries[static_cast<size_t>(rounds_++) % std::size(kEntries)];
+    fleet_.After(kContactMs + kProbeIntervalMs, [this] { SubmitNext(); });
+  }
+
+  void SubmitNext() {
+    const int64_t sent_at = review::NowMs();
+    if (sent_at - silenced_at_ > kContactMs + kProbeTimeMs) return;
+
+    const std::string id = review::JobIdOf(++jobs_);
+    const bool judged = sent_at - silenced_at_ > kContactMs && sent_at - acked_at_ > kConfigApplyMs;
+    if (judged) service_[id] = ServiceOf(version_);
+    fleet_.Submit(client_entry_, "/flour/" + id, {review::Step{.count = 2, .duration_ms = 100}}, 3,
+                  nullptr);
+    fleet_.After(kJobIntervalMs, [this] { SubmitNext(); });
   }
 
   /// Requests the count of the queue that was added and of the one that was dropped.
@@ -109,14 +130,35 @@
         });
   }
 
+  /// Counts the tasks of jobs that were submitted after the bound and ran at the old service.
+  int CountOldService() {
+    int count = 0;
+
+    for (const std::string& line : fleet_.record().Lines()) {
+      if (line.find(" START ") == std::string::npos) continue;
+
+      const auto service = service_.find(review::ValueOf(line, "task").substr(0, 16));
+      if (service == service_.end() || service->second == review::ValueOf(line, "service"))
+        continue;
+
+      ++count;
+      std::printf("at the old service: %s\n", line.c_str());
+    }
+
+    return count;
+  }
+
   int Judge() {
+    const int old_service = CountOldService();
     const std::string result = "asked=" + std::to_string(asked_) +
                                " by_older_version=" + std::to_string(broken_) +
-                               " latest_after_ack_ms=" + std::to_string(latest_);
+                               " latest_after_ack_ms=" + std::to_string(latest_) +
+                               " jobs=" + std::to_string(service_.size()) +
+                               " tasks_at_old_service=" + std::to_string(old_service);
     std::printf("%s\n", result.c_str());
     fleet_.record().Write("RESULT " + result);
     if (asked_ == 0 || !fleet_.EntriesRun()) return 2;
-    return broken_ > 0 ? 1 : 0;
+    return broken_ + old_service > 0 ? 1 : 0;
   }
 
   static constexpr const char* kEntries[] = {"front-1", "front-2", "front-3"};
@@ -126,6 +168,11 @@
   int64_t silenced_at_ = 0;
   int64_t acked_at_ = 0;
   int64_t latest_ = 0;
+  int64_t jobs_ = 0;
+  int rounds_ = 0;
+  std::string client_entry_;
+  /// The service that has to run each judged job.
+  std::map<std::string, std::string> service_;
   int asked_ = 0;
   int broken_ = 0;
 };
@@ -134,6 +181,5 @@
 
 int main(int argc, char** argv) {
   static_assert(kFirstRoundMs + kRounds * kRoundMs < 115'000);
-  static_assert(kMaxStretchMs > 0);
   return review::RunCase(argc, argv, [](Fleet& fleet) { return SilentCase(fleet).Play(); });
 }
--- a/review/standins-2/worker.cc
+++ b/review/standins-2/worker.cc
@@ -165,7 +165,8 @@
   const TaskNeeds needs{NumberOf(spec, "ms"), NumberOf(spec, "cpu"), NumberOf(spec, "mem")};
   const std::string what = " worker=" + options_.id + " task=" + task +
                            " run=" + std::to_string(run) + " " + spec +
-                           " labels=" + Joined(options_.labels) + " born=" + std::to_string(born_);
+                           " labels=" + Joined(options_.labels) + " service=" + options_.service +
+                           " born=" + std::to_string(born_);
   const auto present = running_.find(task);
   if (present != running_.end() && present->second.run == run) {
     return Json{{"clock_ms", Clock()}};
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -20,7 +20,7 @@
   std::string id;
   currantpost::Address address;
   currantpost::Address store;
-  std::string service = "grinders";
+  std::string service;
   std::string zone;
   std::vector<std::string> labels;
   int64_t cpu = 8'000;
--- a/review/standins-2/worker_main.cc
+++ b/review/standins-2/worker_main.cc
@@ -8,7 +8,7 @@
 
 /// One life of a stand-in worker. Arguments: id, host, port, store's host, store's port, zone,
 /// labels joined by commas, thousandths of a core, whether it rejects what does not fit ("yes" or
-/// "no"), and the record's path.
+/// "no"), its service, and the record's path.
 
 namespace {
 
@@ -28,7 +28,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  constexpr int kArguments = 11;
+  constexpr int kArguments = 12;
   if (argc != kArguments) return EXIT_FAILURE;
 
   try {
@@ -41,10 +41,11 @@
     options.labels = Split(args[7]);
     options.cpu = std::stoll(args[8]);
     options.guards = args[9] == "yes";
+    options.service = args[10];
 
     currantpost::EventLoop loop;
     const currantpost::MonotonicClock clock;
-    review::Worker worker(loop, clock, options, review::Record(args[10]));
+    review::Worker worker(loop, clock, options, review::Record(args[11]));
     worker.Start();
     loop.Run();
   } catch (const std::exception& exception) {
