Log the earliest end of a worker's lease, and why it is not renewed

The logs gave only the latest time at which a lease may end (own_ms), which every renewal that is sent moves, answered or not. They could not tell a lease that ran out because renewals were lost from one that the owner was not allowed to renew.

Polls now keep the lease end that they grant, and an answer moves the earliest end. The lines about a worker's lease add earliest_ms, failed_polls, recorded_as_silent (the handover record names the worker, so a renewal waits for a write) and store_lease_ms; a failed poll says how long it took and whether it renewed; a reply that lists lapsed runs is logged with the state of the lease. No decision changes.

--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -18,6 +18,14 @@
 
 namespace currantpost::scheduler {
 
+/// End of a lease that an order grants to a worker.
+struct LeaseGrant {
+  /// By the worker's clock, in milliseconds.
+  int64_t until_ms = 0;
+  /// The earliest time, by this entry's clock, at which the worker's clock can show that.
+  Millis ends_at;
+};
+
 /// A poll of a worker that is in flight.
 struct PollInFlight {
   RequestId request = 0;
@@ -26,7 +34,7 @@
   /// Value of `worker_event_sequence` when it was sent.
   uint64_t sequence = 0;
   int64_t forget_up_to = 0;
-  bool renews_lease = false;
+  std::optional<LeaseGrant> grant;
 };
 
 /// End of a run that the worker keeps in its list until it is recorded in the store.
@@ -47,13 +55,16 @@
   bool operator==(const InheritedBounds&) const = default;
 };
 
-/// Latest expiry of the leases at a worker, by the owner that granted them. The runs of an
-/// unresponsive worker have ended by then.
+/// Bounds on the expiry of the leases at a worker, by the owner that granted them. The runs of an
+/// unresponsive worker have ended by the latest of them.
 struct LeaseBounds {
-  /// Of leases granted by this owner. Updated when an order that may renew the lease is sent.
+  /// Earliest expiry: of the longest lease that this owner granted in a poll which was answered.
+  Millis earliest;
+  /// Latest expiry of leases granted by this owner. Updated when an order that may renew the lease
+  /// is sent.
   Millis own;
-  /// Of leases granted by former owners of the cell. Not used once the worker has answered under
-  /// the current grant.
+  /// Latest expiry of leases granted by former owners of the cell. Not used once the worker has
+  /// answered under the current grant.
   InheritedBounds inherited;
 
   [[nodiscard]] Millis Expiry() const { return std::max(own, inherited.any); }
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -83,6 +83,7 @@
   worker.polls.clear();
   worker.next_poll = state.now;
   worker.clock_ms.reset();
+  worker.lease.earliest = Millis(0);
   worker.order_request = 0;
   worker.next_order = state.now;
   worker.stops.clear();
@@ -303,7 +304,7 @@
     HandlePollReply(state, effects, cell->second, worker, sent, answered.reply);
   } else if (sent.token == TokenOf(cell->second, worker)) {
     // A poll under an earlier fence tells nothing of the one that replaced it.
-    HandleFailedPoll(state, effects, worker, answered.reply.status);
+    HandleFailedPoll(state, effects, worker, sent, answered.reply.status);
   }
 }
 
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -17,14 +17,13 @@
 /// Returns whether the worker answered a poll so recently that it can hardly have restarted since.
 bool IsIncarnationFresh(const State& state, const WorkerState& worker);
 
-/// Returns the time, by the worker's clock, up to which this entry may let its tasks run, or
-/// nothing if it may not renew the lease.
-std::optional<int64_t> NextLeaseEnd(const State& state, const OwnedCell& cell,
-                                    const WorkerState& worker);
+/// Returns the longest lease that this entry may grant to the worker now, or nothing if it may not
+/// renew the lease.
+std::optional<LeaseGrant> NextLeaseGrant(const State& state, const OwnedCell& cell,
+                                         const WorkerState& worker);
 
-/// Extends the bound on the worker's lease, because an order that grants a lease until `until` is
-/// about to be sent.
-void ExtendLeaseBound(const State& state, WorkerState& worker, std::optional<int64_t> until);
+/// Extends the bound on the worker's lease, because an order with this grant is about to be sent.
+void ExtendLeaseBound(const State& state, WorkerState& worker, const LeaseGrant& grant);
 
 /// Extends the bound on the worker's lease to the longest lease that a worker grants. A restarted
 /// worker cuts a lease end computed for its former clock to that length.
@@ -62,7 +61,8 @@
 void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const PollInFlight& poll, const WorkerReply& reply);
 
-void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, OrderStatus status);
+void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, const PollInFlight& poll,
+                      OrderStatus status);
 
 // Orders
 
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -431,13 +431,17 @@
          std::ranges::any_of(cell.workers, [](const auto& row) { return row.second.contacted; });
 }
 
-bool MayRenewLease(const OwnedCell& cell, const WorkerState& worker) {
+bool IsRecordedAsSilent(const OwnedCell& cell, const WorkerState& worker) {
   const HandOverState& hand_over = cell.hand_over;
-  if (!hand_over.written || !worker.contacted) return false;
+  const VmId& id = worker.info.id;
+  return hand_over.recorded_workers.contains(id) || hand_over.maybe_recorded_workers.contains(id);
+}
+
+bool MayRenewLease(const OwnedCell& cell, const WorkerState& worker) {
+  if (!cell.hand_over.written || !worker.contacted) return false;
   if (cell.release_request != 0 || cell.maybe_released) return false;
 
-  const VmId& id = worker.info.id;
-  return !hand_over.recorded_workers.contains(id) && !hand_over.maybe_recorded_workers.contains(id);
+  return !IsRecordedAsSilent(cell, worker);
 }
 
 HandOverRecord RemainingLeases(const State& state, const OwnedCell& cell) {
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -239,6 +239,10 @@
 /// is not open and reaches no worker would only hide the predecessor from the next owner.
 bool ReplacesFormerRecord(const OwnedCell& cell);
 
+/// Returns whether this owner's record names the worker as one whose leases it does not renew, or
+/// may do so after a write of unknown outcome.
+bool IsRecordedAsSilent(const OwnedCell& cell, const WorkerState& worker);
+
 /// Returns whether this owner may renew the lease of a worker and start tasks there. It may only if
 /// its handover record makes a successor wait for the expiry of that lease.
 bool MayRenewLease(const OwnedCell& cell, const WorkerState& worker);
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -25,8 +25,8 @@
   return worker.clock_ms && state.now - worker.clock_at <= kIncarnationFreshness;
 }
 
-std::optional<int64_t> NextLeaseEnd(const State& state, const OwnedCell& cell,
-                                    const WorkerState& worker) {
+std::optional<LeaseGrant> NextLeaseGrant(const State& state, const OwnedCell& cell,
+                                         const WorkerState& worker) {
   if (!worker.clock_ms || !MayRenewLease(cell, worker)) return std::nullopt;
 
   const Millis longest = std::min(kWorkerLeaseTtl, state.settings.max_worker_lease);
@@ -35,13 +35,12 @@
   const Millis horizon = std::min(state.now + longest, state.lease.valid_until + beyond_own_lease);
   if (horizon <= state.now) return std::nullopt;
 
-  return MinWorkerClock(state, worker) + (horizon - state.now).Count();
+  return LeaseGrant{.until_ms = MinWorkerClock(state, worker) + (horizon - state.now).Count(),
+                    .ends_at = horizon};
 }
 
-void ExtendLeaseBound(const State& state, WorkerState& worker, std::optional<int64_t> until) {
-  if (!until) return;
-
-  const Millis span(*until - MinWorkerClock(state, worker));
+void ExtendLeaseBound(const State& state, WorkerState& worker, const LeaseGrant& grant) {
+  const Millis span(grant.until_ms - MinWorkerClock(state, worker));
   worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(span));
 }
 
@@ -57,10 +56,14 @@
       {{"worker", worker.info.id.Text()},
        {"cell", cell.cell.Text()},
        {"tasks", std::to_string(worker.tasks.size())},
+       {"earliest_ms", std::to_string((worker.lease.earliest - state.now).Count())},
        {"own_ms", std::to_string((worker.lease.own - state.now).Count())},
        {"inherited_ms", std::to_string((worker.lease.inherited.any - state.now).Count())},
        {"inherited_listed_ms", std::to_string((worker.lease.inherited.listed - state.now).Count())},
        {"answered_ms", std::to_string(answered.Count())},
+       {"failed_polls", std::to_string(worker.failed_polls)},
+       {"recorded_as_silent", IsRecordedAsSilent(cell, worker) ? "yes" : "no"},
+       {"store_lease_ms", std::to_string((state.lease.valid_until - state.now).Count())},
        {"owned_ms", std::to_string((state.now - cell.taken_over_at).Count())},
        {"listed", worker.listed ? "yes" : "no"},
        {"address", worker.info.address.port == 0 ? "unknown" : "known"},
--- a/lib/scheduler/source/worker_orders.cc
+++ b/lib/scheduler/source/worker_orders.cc
@@ -43,17 +43,17 @@
       // that it grants.
       if (!IsIncarnationFresh(state, worker)) return std::nullopt;
 
-      const std::optional<int64_t> until = NextLeaseEnd(state, cell, worker);
-      if (!until) return std::nullopt;
+      const std::optional<LeaseGrant> grant = NextLeaseGrant(state, cell, worker);
+      if (!grant) return std::nullopt;
 
-      ExtendLeaseBound(state, worker, until);
+      ExtendLeaseBound(state, worker, *grant);
       task.start_sent = true;
       task.start_sequence = ++state.worker_event_sequence;
       return StartTask{.task = NameOf(job, ref),
                        .run = task.run,
                        .payload = job.record.spec.payload,
                        .checkpoint = task.checkpoint,
-                       .lease_until_ms = *until};
+                       .lease_until_ms = grant->until_ms};
     }
     case TaskPhase::kStopping:
       if (!IsStopDue(state, task)) return std::nullopt;
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -48,7 +48,7 @@
 /// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed
 /// nothing is followed soon by one that does.
 Millis EndsPollDelay(const PollInFlight& poll) {
-  return poll.renews_lease ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
+  return poll.grant ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
 }
 
 /// Polls the silent workers of a cell's data centre: one that was silent answers again, so the
@@ -225,7 +225,9 @@
   const bool needs_lease = NeedsLease(state, cell, worker);
   const bool incarnation_fresh = IsIncarnationFresh(state, worker);
   const bool renew = worker.failed_polls == 0 && needs_lease && incarnation_fresh;
-  if (renew) order.lease_until_ms = NextLeaseEnd(state, cell, worker);
+  const std::optional<LeaseGrant> grant =
+      renew ? NextLeaseGrant(state, cell, worker) : std::nullopt;
+  if (grant) order.lease_until_ms = grant->until_ms;
   order.forget_up_to = EndsToForget(state, worker);
   if (worker.confirmed && incarnation_fresh) {
     order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
@@ -234,8 +236,11 @@
   if (needs_lease && !MayRenewLease(cell, worker)) {
     order.wait = std::min(order.wait, kUnrenewedPollWait);
   }
-  ExtendLeaseBound(state, worker, order.lease_until_ms);
-  if (order.lease_until_ms) LogFirstRenewal(state, effects, cell);
+
+  if (grant) {
+    ExtendLeaseBound(state, worker, *grant);
+    LogFirstRenewal(state, effects, cell);
+  }
 
   PollInFlight poll;
   poll.request = NextRequest(state);
@@ -243,7 +248,7 @@
   poll.sent_at = state.now;
   poll.sequence = ++state.worker_event_sequence;
   poll.forget_up_to = order.forget_up_to;
-  poll.renews_lease = order.lease_until_ms.has_value();
+  poll.grant = grant;
   worker.polls.push_back(poll);
   state.worker_calls[poll.request] = WorkerCallInFlight{cell.cell, worker.info.id, true};
   effects.emplace_back(WorkerCall{.request = poll.request,
@@ -267,6 +272,8 @@
     HandleNewIncarnation(state, effects, cell, worker, reply.incarnation);
     // Each incarnation numbers its ended runs from the start.
     forgotten = 0;
+  } else if (poll.grant) {
+    worker.lease.earliest = std::max(worker.lease.earliest, poll.grant->ends_at);
   }
 
   if (std::exchange(worker.wait_logged, false)) {
@@ -323,6 +330,12 @@
   std::erase_if(worker.ends, [&](const auto& row) { return row.first <= forgotten; });
   worker.forgotten = std::max(worker.forgotten, forgotten);
 
+  const bool lapsed = std::ranges::any_of(reply.ended, [&](const EndedTask& row) {
+    return row.end == RunEnd::kLeaseExpired && row.number > worker.forgotten &&
+           !worker.ends.contains(row.number);
+  });
+  if (lapsed) LogLeaseState(state, effects, cell, worker, "runs have lapsed at a worker");
+
   for (const EndedTask& row : reply.ended) HandleEndedTask(state, effects, cell, worker, row);
 
   if (!is_stale) {
@@ -338,14 +351,19 @@
   if (unrecorded) worker.next_poll = state.now + EndsPollDelay(poll);
 }
 
-void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, OrderStatus status) {
+void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, const PollInFlight& poll,
+                      OrderStatus status) {
   ++worker.failed_polls;
 
   if (worker.failed_polls == 1) {
     Log(effects, Severity::kInfo, "poll of the worker failed",
         {{"worker", worker.info.id.Text()},
          {"status", std::string(kOrderStatusNames.Name(status))},
-         {"tasks", std::to_string(worker.tasks.size())}});
+         {"tasks", std::to_string(worker.tasks.size())},
+         {"took_ms", std::to_string((state.now - poll.sent_at).Count())},
+         {"renewed", poll.grant ? "yes" : "no"},
+         {"earliest_ms", std::to_string((worker.lease.earliest - state.now).Count())},
+         {"own_ms", std::to_string((worker.lease.own - state.now).Count())}});
   }
 
   const bool refused = status == OrderStatus::kFenced || status == OrderStatus::kOtherIncarnation;
