--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -536,12 +536,13 @@
 
   if (IsCut(entry, id)) return;
   if (std::holds_alternative<StopTask>(call.order) && stops_lost_.contains(id)) return;
+  if (loses_order(call)) return;
 
   const bool is_start = std::holds_alternative<StartTask>(call.order);
   const auto start_delay = start_delays_.find(id);
   const Millis delay =
       is_start && start_delay != start_delays_.end() ? start_delay->second : Millis(0);
-  const bool lost = ShouldLoseAnswer() || delay > Millis(0);
+  const bool lost = ShouldLoseAnswer() || delay > Millis(0) || loses_reply(call);
   const int64_t worker_incarnation =
       workers_.contains(id) ? workers_.at(id)->info().incarnation : 0;
   const Millis transfer = LinkDelay(entry, kOrderBytes);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -214,6 +214,11 @@
   SimWorker::Planner planner;
   /// Probability that the answer to a call is lost.
   double loss = 0.0;
+  /// Decide which orders get lost on their way to a worker, and of which only the reply is lost.
+  /// @{
+  std::function<bool(const WorkerCall&)> loses_order = [](const WorkerCall&) { return false; };
+  std::function<bool(const WorkerCall&)> loses_reply = [](const WorkerCall&) { return false; };
+  /// @}
   std::vector<std::string> log;
 
  private:
