Repeat a lost renewal before the worker's lease ends

Callers saw long-running tasks go away and start again though their worker was up and its owner reached it.

Cause: the schedule of polls knew fixed pauses and the latest end of the lease, and nothing of the earliest. A poll after a failed one renewed nothing, since an unanswered renewal may have taken effect and further ones would extend the bound for ever; so of polls that get lost in turn none renewed, though no two in a row were lost. It also waited up to 1 s at the worker. LostPoll shows it in simulated time.

Change: between two answers a worker is granted one lease end, which all polls repeat. A repeated end cannot move the latest end, so tasks of a lost worker start elsewhere as early as before, and the handover record stays true. While a lease is at stake a poll is repeated once its reply is overdue by a share of what is left (200 ms to 800 ms, three in flight at most); repeats do not wait at the worker, and overlapping polls count as one failure. A renewal waits at the worker only for as long as leaves 1.5 s for repeats. Not repeated is an end that a start in flight could carry into a later incarnation.

--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -31,6 +31,8 @@
   RequestId request = 0;
   FencingToken token = 0;
   Millis sent_at;
+  /// How long the worker may hold back its reply.
+  Millis wait;
   /// Value of `worker_event_sequence` when it was sent.
   uint64_t sequence = 0;
   int64_t forget_up_to = 0;
@@ -89,6 +91,11 @@
   bool contacted = false;
   std::vector<PollInFlight> polls;
   Millis next_poll;
+  /// Polls up to this sequence number no longer count as failed: a later one was answered, or an
+  /// overlapping one has failed.
+  uint64_t settled_polls = 0;
+  /// Lease end granted since the worker last replied to a poll.
+  std::optional<LeaseGrant> unanswered_grant;
   /// Last reading of the worker's clock.
   std::optional<int64_t> clock_ms;
   /// When that reading was taken.
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -26,14 +26,6 @@
   return phase == TaskPhase::kRunning || phase == TaskPhase::kStopping;
 }
 
-/// Returns whether the start of a task may have reached a later incarnation of its worker than the
-/// one that the task was bound to: the start was sent, and no poll has listed the run yet.
-bool MayHaveReachedNewIncarnation(const TaskState& task) {
-  const bool started =
-      task.phase == TaskPhase::kStarting ? task.start_sent : IsOnWorker(task.phase);
-  return started && !task.listed;
-}
-
 /// Returns whether the state of a worker can be dropped without losing anything.
 bool IsIdle(const WorkerState& worker) {
   const bool recorded =
@@ -44,6 +36,12 @@
 
 }  // namespace
 
+bool MayHaveReachedNewIncarnation(const TaskState& task) {
+  const bool started =
+      task.phase == TaskPhase::kStarting ? task.start_sent : IsOnWorker(task.phase);
+  return started && !task.listed;
+}
+
 FencingToken TokenOf(const OwnedCell& cell, const WorkerState& worker) {
   return cell.grant * kFencesPerGrant + worker.fence;
 }
@@ -84,6 +82,7 @@
   worker.next_poll = state.now;
   worker.clock_ms.reset();
   worker.lease.earliest = Millis(0);
+  worker.unanswered_grant.reset();
   worker.order_request = 0;
   worker.next_order = state.now;
   worker.stops.clear();
@@ -304,7 +303,7 @@
     HandlePollReply(state, effects, cell->second, worker, sent, answered.reply);
   } else if (sent.token == TokenOf(cell->second, worker)) {
     // A poll under an earlier fence tells nothing of the one that replaced it.
-    HandleFailedPoll(state, effects, worker, sent, answered.reply.status);
+    HandleFailedPoll(state, effects, cell->second, worker, sent, answered.reply.status);
   }
 }
 
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -54,6 +54,10 @@
   return worker.unlisted_incarnation && *worker.unlisted_incarnation < incarnation;
 }
 
+/// Returns whether the start of a task may have reached a later incarnation of its worker than the
+/// one that the task was bound to: the start was sent, and no poll has listed the run yet.
+bool MayHaveReachedNewIncarnation(const TaskState& task);
+
 // Polls
 
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
@@ -61,8 +65,8 @@
 void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const PollInFlight& poll, const WorkerReply& reply);
 
-void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, const PollInFlight& poll,
-                      OrderStatus status);
+void HandleFailedPoll(State& state, Effects& effects, const OwnedCell& cell, WorkerState& worker,
+                      const PollInFlight& poll, OrderStatus status);
 
 // Orders
 
--- /dev/null
+++ b/lib/scheduler/source/poll_schedule.cc
@@ -0,0 +1,105 @@
+#include "poll_schedule.h"
+
+#include <algorithm>
+
+namespace currantpost::scheduler {
+namespace {
+
+/// A poll is repeated once its reply is overdue by this fraction of what is then left of the lease,
+/// so that several repeats fit whatever is left.
+constexpr int64_t kRepeatFraction = 5;
+/// Minimum interval between repeats. Replies take a few milliseconds.
+constexpr Millis kMinRepeatDelay = Millis(200);
+/// Maximum number of polls of a worker in flight. Repeats would delay an owner further that handles
+/// replies late.
+constexpr size_t kMaxPollsInFlight = 3;
+/// What must be left of a lease when the reply to its renewal is due: time for four repeats.
+constexpr Millis kRenewalReserve = Millis(1'500);
+constexpr Millis kMaxFailedPollBackoff = Millis(1'000);
+
+/// Returns how long the reply to a poll that is expected at a time may be overdue before the poll
+/// is repeated.
+Millis RepeatDelay(const WorkerState& worker, Millis expected_at) {
+  const int64_t left = (worker.lease.earliest - expected_at).Count();
+  return std::clamp(Millis(left / (kRepeatFraction + 1)), kMinRepeatDelay, kOrderTimeout);
+}
+
+/// Returns whether runs on the worker may still be saved by a renewal. At most the lease ends that
+/// this owner has granted already can be confirmed by a late reply.
+bool IsLeaseAtStake(const State& state, const OwnedCell& cell, const WorkerState& worker) {
+  return state.now < worker.lease.own && NeedsLease(state, cell, worker);
+}
+
+/// Returns whether a start may still reach a later incarnation of the worker than the known one. A
+/// lease end by the clock of the known one would let that run last for the longest lease that a
+/// worker grants.
+bool MayStartInNewIncarnation(OwnedCell& cell, const WorkerState& worker) {
+  if (worker.unlisted_incarnation) return true;
+
+  return std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+    const TaskState* task = FindTask(cell, ref);
+    return task != nullptr && MayHaveReachedNewIncarnation(*task);
+  });
+}
+
+}  // namespace
+
+std::optional<Millis> NextPollTime(const State& state, const OwnedCell& cell,
+                                   const WorkerState& worker) {
+  const FencingToken token = TokenOf(cell, worker);
+  const PollInFlight* newest = nullptr;
+  size_t in_flight = 0;
+
+  for (const PollInFlight& poll : worker.polls) {
+    if (poll.token != token) continue;
+
+    ++in_flight;
+    if (newest == nullptr || poll.sequence > newest->sequence) newest = &poll;
+  }
+
+  if (newest == nullptr) return worker.next_poll;
+  if (in_flight >= kMaxPollsInFlight || !IsLeaseAtStake(state, cell, worker)) return std::nullopt;
+
+  const Millis expected_at = newest->sent_at + newest->wait;
+  return std::max(worker.next_poll, expected_at + RepeatDelay(worker, expected_at));
+}
+
+std::optional<LeaseGrant> GrantOfNextPoll(const State& state, OwnedCell& cell,
+                                          const WorkerState& worker) {
+  if (!NeedsLease(state, cell, worker)) return std::nullopt;
+
+  const bool is_fresh = IsIncarnationFresh(state, worker);
+
+  // Repeating an end that was granted before cannot extend the bound on the lease. New ends would:
+  // the tasks of a worker that is lost would never start elsewhere.
+  if (worker.unanswered_grant) {
+    const bool may_repeat = !cell.maybe_released && cell.release_request == 0 &&
+                            (is_fresh || !MayStartInNewIncarnation(cell, worker));
+    return may_repeat ? worker.unanswered_grant : std::nullopt;
+  }
+
+  if (worker.failed_polls > 0 || !is_fresh) return std::nullopt;
+
+  return NextLeaseGrant(state, cell, worker);
+}
+
+bool IsRepeat(const OwnedCell& cell, const WorkerState& worker) {
+  if (worker.failed_polls > 0 || worker.unanswered_grant) return true;
+
+  const FencingToken token = TokenOf(cell, worker);
+  return std::ranges::any_of(worker.polls,
+                             [&](const PollInFlight& poll) { return poll.token == token; });
+}
+
+Millis MaxRenewalWait(const State& state, const WorkerState& worker) {
+  return std::max(worker.lease.earliest - state.now - kRenewalReserve, Millis(0));
+}
+
+Millis PauseAfterFailedPoll(const State& state, const OwnedCell& cell, const WorkerState& worker) {
+  const Millis backoff = std::min(kFailedPollBackoff * worker.failed_polls, kMaxFailedPollBackoff);
+  if (!IsLeaseAtStake(state, cell, worker)) return backoff;
+
+  return std::min(backoff, RepeatDelay(worker, state.now));
+}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "cell_workers.h"
+#include "poll_schedule.h"
 
 /// Polls of workers: each renews the lease, and its reply lists what runs there and what has ended.
 
@@ -18,7 +18,6 @@
 /// Maximum delay of the next poll while ended runs wait to be recorded. Without the delay the
 /// worker would reply with the same ended runs at once.
 constexpr Millis kUnrecordedEndsPollDelay = Millis(400);
-constexpr Millis kMaxFailedPollBackoff = Millis(1'000);
 /// Maximum number of ended runs that a worker lists in one reply.
 constexpr size_t kMaxEndsPerReply = 500;
 
@@ -209,43 +208,37 @@
                       !worker.ends.empty() || !worker.orphaned_runs.empty();
   if (!needed || worker.info.address.port == 0) return;
 
-  const FencingToken token = TokenOf(cell, worker);
-  const bool in_flight = std::ranges::any_of(
-      worker.polls, [&](const PollInFlight& poll) { return poll.token == token; });
-  if (in_flight) return;
+  const std::optional<Millis> poll_at = NextPollTime(state, cell, worker);
+  if (!poll_at) return;
 
-  if (state.now < worker.next_poll) {
-    WakeAt(state, worker.next_poll);
+  if (state.now < *poll_at) {
+    WakeAt(state, *poll_at);
     return;
   }
 
   PollWorker order;
-  // After a failed poll, the next one renews nothing: an unanswered renewal may have taken effect,
-  // and repeated ones would extend the lease bound forever.
-  const bool needs_lease = NeedsLease(state, cell, worker);
-  const bool incarnation_fresh = IsIncarnationFresh(state, worker);
-  const bool renew = worker.failed_polls == 0 && needs_lease && incarnation_fresh;
-  const std::optional<LeaseGrant> grant =
-      renew ? NextLeaseGrant(state, cell, worker) : std::nullopt;
-  if (grant) order.lease_until_ms = grant->until_ms;
+  const std::optional<LeaseGrant> grant = GrantOfNextPoll(state, cell, worker);
   order.forget_up_to = EndsToForget(state, worker);
-  if (worker.confirmed && incarnation_fresh) {
+  if (worker.confirmed && IsIncarnationFresh(state, worker) && !IsRepeat(cell, worker)) {
     order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
   }
 
-  if (needs_lease && !MayRenewLease(cell, worker)) {
-    order.wait = std::min(order.wait, kUnrenewedPollWait);
-  }
-
   if (grant) {
-    ExtendLeaseBound(state, worker, *grant);
+    order.lease_until_ms = grant->until_ms;
+    order.wait = std::min(order.wait, MaxRenewalWait(state, worker));
     LogFirstRenewal(state, effects, cell);
+    if (!worker.unanswered_grant) ExtendLeaseBound(state, worker, *grant);
+    worker.unanswered_grant = grant;
+  } else if (NeedsLease(state, cell, worker) && !MayRenewLease(cell, worker)) {
+    order.wait = std::min(order.wait, kUnrenewedPollWait);
   }
 
+  const FencingToken token = TokenOf(cell, worker);
   PollInFlight poll;
   poll.request = NextRequest(state);
   poll.token = token;
   poll.sent_at = state.now;
+  poll.wait = order.wait;
   poll.sequence = ++state.worker_event_sequence;
   poll.forget_up_to = order.forget_up_to;
   poll.grant = grant;
@@ -280,6 +273,8 @@
     LogLeaseState(state, effects, cell, worker, "unresponsive worker answers again");
   }
 
+  worker.unanswered_grant.reset();
+  worker.settled_polls = std::max(worker.settled_polls, poll.sequence);
   const bool was_silent = std::exchange(worker.failed_polls, 0) > 0;
   worker.answered_at = state.now;
   worker.next_poll = state.now;
@@ -351,9 +346,14 @@
   if (unrecorded) worker.next_poll = state.now + EndsPollDelay(poll);
 }
 
-void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, const PollInFlight& poll,
-                      OrderStatus status) {
+void HandleFailedPoll(State& state, Effects& effects, const OwnedCell& cell, WorkerState& worker,
+                      const PollInFlight& poll, OrderStatus status) {
+  const bool refused = status == OrderStatus::kFenced || status == OrderStatus::kOtherIncarnation;
+  if (refused) worker.confirmed = false;
+  if (!refused && poll.sequence <= worker.settled_polls) return;
+
   ++worker.failed_polls;
+  worker.settled_polls = state.worker_event_sequence;
 
   if (worker.failed_polls == 1) {
     Log(effects, Severity::kInfo, "poll of the worker failed",
@@ -366,13 +366,8 @@
          {"own_ms", std::to_string((worker.lease.own - state.now).Count())}});
   }
 
-  const bool refused = status == OrderStatus::kFenced || status == OrderStatus::kOtherIncarnation;
-  if (refused) worker.confirmed = false;
-
-  const Millis pause =
-      refused ? kRefusalBackoff
-              : std::min(kFailedPollBackoff * worker.failed_polls, kMaxFailedPollBackoff);
-  worker.next_poll = state.now + pause;
+  worker.next_poll =
+      state.now + (refused ? kRefusalBackoff : PauseAfterFailedPoll(state, cell, worker));
 }
 
 }  // namespace currantpost::scheduler
