Name a worker as silent only once its lease can no longer be renewed

Callers saw long-running tasks start again although their worker answered again before its lease ended.

Cause: the handover record names workers whose leases the owner does not renew, and named one after two failed polls, while its lease lasted. A worker that is named cannot be renewed before a write without the name is confirmed, so a renewal at a worker that answers depended on the store.

Change: a worker that has answered under the grant is named only after the earliest end of its lease, when a renewal cannot be relied on any more. Until then a renewal needs no write. A successor that comes in between waits as it does for any worker that is not named.

--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -47,11 +47,15 @@
 /// Interval between questions to a former owner, which may be unreachable.
 constexpr Millis kQuestionInterval = Millis(500);
 
-/// Returns whether a worker has tasks and this owner does not renew its leases, so that the tasks
-/// wait for the leases to expire.
-bool WaitsForLeaseExpiry(const WorkerState& worker) {
+/// Returns whether a worker has tasks that this owner cannot keep running any more, so that they
+/// wait for the leases to expire. While a lease certainly lasts it can be renewed, which must not
+/// depend on a write of the record.
+bool WaitsForLeaseExpiry(const State& state, const WorkerState& worker) {
   if (!MayHaveRuns(worker)) return false;
-  return !worker.contacted || worker.failed_polls >= kFailedPollsUntilUnresponsive;
+  if (!worker.contacted) return true;
+
+  return worker.failed_polls >= kFailedPollsUntilUnresponsive &&
+         state.now >= worker.lease.earliest;
 }
 
 Millis Remaining(Millis expiry, Millis now) { return std::max(expiry - now, Millis(0)); }
@@ -67,11 +71,11 @@
 }
 
 /// Returns the workers that the owner's record must name.
-std::set<VmId> WorkersAwaitingLeaseExpiry(const OwnedCell& cell) {
+std::set<VmId> WorkersAwaitingLeaseExpiry(const State& state, const OwnedCell& cell) {
   std::set<VmId> names;
 
   for (const auto& [id, worker] : cell.workers) {
-    if (WaitsForLeaseExpiry(worker)) names.insert(id);
+    if (WaitsForLeaseExpiry(state, worker)) names.insert(id);
   }
 
   return names;
@@ -257,7 +261,7 @@
   if (!hand_over.written && !ReplacesFormerRecord(cell)) return;
   if (!hand_over.written && !FirstPollsAreDone(state, cell)) return;
 
-  std::set<VmId> names = WorkersAwaitingLeaseExpiry(cell);
+  std::set<VmId> names = WorkersAwaitingLeaseExpiry(state, cell);
   const std::map<EntryInstance, Address>& witnesses = state.outage.witnesses;
 
   if (!IsOutdated(state, cell, names, witnesses)) {
--- a/tests/scheduler/lost_poll_test.cc
+++ b/tests/scheduler/lost_poll_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "world.h"
 
 /// Polls that get lost, or whose replies do, while the worker is up and its owner reaches it again
@@ -95,36 +97,78 @@
                                          LossPattern{LostPart::kOrder, 2, 1, true},
                                          LossPattern{LostPart::kOrder, 3, 2, true}));
 
-// Guards against renewals that wait for the store: the handover record named the worker as silent,
-// and its lease ran out before a write without the name was confirmed.
-TEST(LostPollBesideAnOutage, ARunLastsWhoseWorkerAnswersAgainWhileTheStoreIsAway) {
-  World world{WorldShape{}};
-  world.planner = [](const TaskName&) { return RunPlan{.never_ends = true}; };
-  world.Run(Millis(3'500));
-  JobSpec spec = MakeJob(kJob, 1);
-  spec.steps[0].is_long_running = true;
-  world.Submit("e0", spec);
-  world.Run(Millis(2'000));
+/// A worker whose polls get lost for a while, and that answers again while its owner cannot write
+/// to the store.
+class LostPollBesideAnOutage : public testing::Test {
+ protected:
+  void SetUp() override {
+    world_.planner = [](const TaskName&) { return RunPlan{.never_ends = true}; };
+    world_.Run(Millis(3'500));
+    JobSpec spec = MakeJob(kJob, 1);
+    spec.steps[0].is_long_running = true;
+    world_.Submit("e0", spec);
+    world_.Run(Millis(2'000));
+    owner_ = world_.OwnerOf(kJob);
+  }
 
-  const std::string owner = world.OwnerOf(kJob);
-  const std::string worker = world.WorkersOf(kJob).front();
-  int32_t lost = 0;
-  world.loses_order = [&](const WorkerCall& call) {
-    const bool loses = call.worker.Text() == worker && lost < 2;
-    if (loses) ++lost;
-    return loses;
-  };
-  while (lost < 2) world.Run(Millis(10));
-
-  world.Cut(owner, "store");
-  world.Run(Millis(2'500));
-  world.Reconnect(owner, "store");
-  world.Run(Millis(3'000));
-
-  const TaskName name{JobId(kJob), 0, 0, 0};
-  EXPECT_EQ(world.ends[name][RunEnd::kLeaseExpired], 0);
-  EXPECT_EQ(world.starts[name], 1);
-  EXPECT_EQ(world.violations, std::vector<std::string>());
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  /// Loses polls of the task's worker, up to a number or until `EndLoss`, and returns after the
+  /// last of them or after the first one.
+  /// @{
+  void LosePolls(int32_t count) {
+    LosePolls();
+    max_lost_ = count;
+    while (lost_ < count) world_.Run(Millis(10));
+  }
+  void LosePolls() {
+    const std::string worker = world_.WorkersOf(kJob).front();
+    world_.loses_order = [this, worker](const WorkerCall& call) {
+      const bool loses = call.worker.Text() == worker && lost_ < max_lost_;
+      if (loses) ++lost_;
+      return loses;
+    };
+    while (lost_ == 0) world_.Run(Millis(10));
+  }
+  /// @}
+
+  void EndLoss() { max_lost_ = 0; }
+
+  void ExpectNoLapse() {
+    const TaskName name{JobId(kJob), 0, 0, 0};
+    EXPECT_EQ(world_.ends[name][RunEnd::kLeaseExpired], 0);
+    EXPECT_EQ(world_.starts[name], 1);
+  }
+
+  World world_{WorldShape{}};
+  std::string owner_;
+  int32_t lost_ = 0;
+  int32_t max_lost_ = std::numeric_limits<int32_t>::max();
+};
+
+TEST_F(LostPollBesideAnOutage, ARunLastsWhoseWorkerAnswersAgainWhileTheStoreIsAway) {
+  LosePolls(2);
+  world_.Cut(owner_, "store");
+  world_.Run(Millis(2'500));
+  world_.Reconnect(owner_, "store");
+  world_.Run(Millis(3'000));
+
+  ExpectNoLapse();
+}
+
+// Guards against renewals that wait for the store: the handover record named the worker as silent
+// while its lease lasted, and the lease ended before a write without the name was confirmed.
+TEST_F(LostPollBesideAnOutage, ARunLastsWhoseWorkerAnswersAgainBeforeItsLeaseEnds) {
+  LosePolls();
+  world_.Run(Millis(2'400));
+  world_.Cut(owner_, "store");
+  world_.Run(Millis(500));
+  EndLoss();
+  world_.Run(Millis(2'000));
+  world_.Reconnect(owner_, "store");
+  world_.Run(Millis(3'000));
+
+  ExpectNoLapse();
 }
 
 class SilentWorker : public testing::Test {
