--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "cell_workers.h"
+#include "poll_schedule.h"
 
 /// Polls of workers: each renews the lease, and its reply lists what runs there and what has ended.
 
@@ -18,7 +18,6 @@
 /// Maximum delay of the next poll while ended runs wait to be recorded. Without the delay the
 /// worker would reply with the same ended runs at once.
 constexpr Millis kUnrecordedEndsPollDelay = Millis(400);
-constexpr Millis kMaxFailedPollBackoff = Millis(1'000);
 /// Maximum number of ended runs that a worker lists in one reply.
 constexpr size_t kMaxEndsPerReply = 500;
 
@@ -48,7 +47,7 @@
 /// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed
 /// nothing is followed soon by one that does.
 Millis EndsPollDelay(const PollInFlight& poll) {
-  return poll.renews_lease ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
+  return poll.grant ? kUnrecordedEndsPollDelay : kUnrenewedPollWait;
 }
 
 /// Polls the silent workers of a cell's data centre: one that was silent answers again, so the
@@ -209,41 +208,40 @@
                       !worker.ends.empty() || !worker.orphaned_runs.empty();
   if (!needed || worker.info.address.port == 0) return;
 
-  const FencingToken token = TokenOf(cell, worker);
-  const bool in_flight = std::ranges::any_of(
-      worker.polls, [&](const PollInFlight& poll) { return poll.token == token; });
-  if (in_flight) return;
+  const std::optional<Millis> poll_at = NextPollTime(state, cell, worker);
+  if (!poll_at) return;
 
-  if (state.now < worker.next_poll) {
-    WakeAt(state, worker.next_poll);
+  if (state.now < *poll_at) {
+    WakeAt(state, *poll_at);
     return;
   }
 
   PollWorker order;
-  // After a failed poll, the next one renews nothing: an unanswered renewal may have taken effect,
-  // and repeated ones would extend the lease bound forever.
-  const bool needs_lease = NeedsLease(state, cell, worker);
-  const bool incarnation_fresh = IsIncarnationFresh(state, worker);
-  const bool renew = worker.failed_polls == 0 && needs_lease && incarnation_fresh;
-  if (renew) order.lease_until_ms = NextLeaseEnd(state, cell, worker);
+  const std::optional<LeaseGrant> grant = GrantOfNextPoll(state, cell, worker);
   order.forget_up_to = EndsToForget(state, worker);
-  if (worker.confirmed && incarnation_fresh) {
+  if (worker.confirmed && IsIncarnationFresh(state, worker) && !IsRepeat(cell, worker)) {
     order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
   }
 
-  if (needs_lease && !MayRenewLease(cell, worker)) {
+  if (grant) {
+    order.lease_until_ms = grant->until_ms;
+    order.wait = std::min(order.wait, MaxRenewalWait(state, worker));
+    LogFirstRenewal(state, effects, cell);
+    if (!worker.unanswered_grant) ExtendLeaseBound(state, worker, *grant);
+    worker.unanswered_grant = grant;
+  } else if (NeedsLease(state, cell, worker) && !MayRenewLease(cell, worker)) {
     order.wait = std::min(order.wait, kUnrenewedPollWait);
   }
-  ExtendLeaseBound(state, worker, order.lease_until_ms);
-  if (order.lease_until_ms) LogFirstRenewal(state, effects, cell);
 
+  const FencingToken token = TokenOf(cell, worker);
   PollInFlight poll;
   poll.request = NextRequest(state);
   poll.token = token;
   poll.sent_at = state.now;
+  poll.wait = order.wait;
   poll.sequence = ++state.worker_event_sequence;
   poll.forget_up_to = order.forget_up_to;
-  poll.renews_lease = order.lease_until_ms.has_value();
+  poll.grant = grant;
   worker.polls.push_back(poll);
   state.worker_calls[poll.request] = WorkerCallInFlight{cell.cell, worker.info.id, true};
   effects.emplace_back(WorkerCall{.request = poll.request,
@@ -267,12 +265,16 @@
     HandleNewIncarnation(state, effects, cell, worker, reply.incarnation);
     // Each incarnation numbers its ended runs from the start.
     forgotten = 0;
+  } else if (poll.grant) {
+    worker.lease.earliest = std::max(worker.lease.earliest, poll.grant->ends_at);
   }
 
   if (std::exchange(worker.wait_logged, false)) {
     LogLeaseState(state, effects, cell, worker, "unresponsive worker answers again");
   }
 
+  worker.unanswered_grant.reset();
+  worker.settled_polls = std::max(worker.settled_polls, poll.sequence);
   const bool was_silent = std::exchange(worker.failed_polls, 0) > 0;
   worker.answered_at = state.now;
   worker.next_poll = state.now;
@@ -323,6 +325,12 @@
   std::erase_if(worker.ends, [&](const auto& row) { return row.first <= forgotten; });
   worker.forgotten = std::max(worker.forgotten, forgotten);
 
+  const bool lapsed = std::ranges::any_of(reply.ended, [&](const EndedTask& row) {
+    return row.end == RunEnd::kLeaseExpired && row.number > worker.forgotten &&
+           !worker.ends.contains(row.number);
+  });
+  if (lapsed) LogLeaseState(state, effects, cell, worker, "runs have lapsed at a worker");
+
   for (const EndedTask& row : reply.ended) HandleEndedTask(state, effects, cell, worker, row);
 
   if (!is_stale) {
@@ -338,23 +346,28 @@
   if (unrecorded) worker.next_poll = state.now + EndsPollDelay(poll);
 }
 
-void HandleFailedPoll(State& state, Effects& effects, WorkerState& worker, OrderStatus status) {
+void HandleFailedPoll(State& state, Effects& effects, const OwnedCell& cell, WorkerState& worker,
+                      const PollInFlight& poll, OrderStatus status) {
+  const bool refused = status == OrderStatus::kFenced || status == OrderStatus::kOtherIncarnation;
+  if (refused) worker.confirmed = false;
+  if (!refused && poll.sequence <= worker.settled_polls) return;
+
   ++worker.failed_polls;
+  worker.settled_polls = state.worker_event_sequence;
 
   if (worker.failed_polls == 1) {
     Log(effects, Severity::kInfo, "poll of the worker failed",
         {{"worker", worker.info.id.Text()},
          {"status", std::string(kOrderStatusNames.Name(status))},
-         {"tasks", std::to_string(worker.tasks.size())}});
+         {"tasks", std::to_string(worker.tasks.size())},
+         {"took_ms", std::to_string((state.now - poll.sent_at).Count())},
+         {"renewed", poll.grant ? "yes" : "no"},
+         {"earliest_ms", std::to_string((worker.lease.earliest - state.now).Count())},
+         {"own_ms", std::to_string((worker.lease.own - state.now).Count())}});
   }
 
-  const bool refused = status == OrderStatus::kFenced || status == OrderStatus::kOtherIncarnation;
-  if (refused) worker.confirmed = false;
-
-  const Millis pause =
-      refused ? kRefusalBackoff
-              : std::min(kFailedPollBackoff * worker.failed_polls, kMaxFailedPollBackoff);
-  worker.next_poll = state.now + pause;
+  worker.next_poll =
+      state.now + (refused ? kRefusalBackoff : PauseAfterFailedPoll(state, cell, worker));
 }
 
 }  // namespace currantpost::scheduler
