Let an entry accept a cell only if it can read its progress in time

What callers saw: nothing started in a cell for a minute and more, and its runs lapsed, after it was passed on.

Cause: an entry accepted an offered cell if its own copy of the shared records was recent. Before an owner can renew a lease or open the cell it also has to read the cell's progress records, page by page. The processor of e1 was saturated, each reply of the store took it 1.2 s, also before the offer, and the progress had 47 pages of 3 records. The former owner, which was fast, had the cell open. An entry that had claimed such a cell kept it until it had read all pages.

Change: an entry that is offered a cell reads its progress first, and accepts if that took at most 1.5 s; the owner keeps the cell and its leases renewed meanwhile and so waits longer for the reply. What was read is dropped, as the owner goes on writing. An entry that could not read it in time says so, and gets no other offer from that owner for 1 s, doubling up to 32 s. An owner that stops says so in the offer and gets the old answer at once, as it can't keep the cell. An owner that has not read the progress 3 s after it took the cell offers the cell on; who accepts it has proved that it can read it.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -134,6 +134,8 @@
   /// Distinguishes the offers that are made under the grant.
   int64_t number = 0;
   std::string successor_incarnation;
+  /// The owner stops, and keeps the cell for a short time only.
+  bool stopping = false;
   Address reply_to;
 };
 
@@ -142,6 +144,8 @@
   int64_t number = 0;
   /// The lease at the store to attach the cell to, 0 if the entry does not accept the cell.
   LeaseId lease = 0;
+  /// The entry does not accept it because it could not read the progress in time.
+  bool read_too_long = false;
 };
 
 /// Capacity and load of the workers of one service in one cell, in thousandths of a core.
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -82,6 +82,15 @@
   Millis due_at;
 };
 
+/// A cell that its owner offers to this entry, which reads the recorded progress before it accepts.
+struct CellOffer {
+  CellId cell;
+  TransferOffer offer;
+  Millis received_at;
+  /// The last key of the previous page.
+  std::string read_up_to;
+};
+
 // Callers' requests
 
 /// A submission whose write to the store is not completed.
@@ -141,6 +150,12 @@
   CellId cell;
   KvRevision grant = 0;
 };
+struct OfferedProgressListed {
+  CellId cell;
+  KvRevision grant = 0;
+  /// The number of the offer.
+  int64_t number = 0;
+};
 struct ProgressWritten {
   CellId cell;
   KvRevision grant = 0;
@@ -194,10 +209,10 @@
 struct CancelsRead {};
 using StorePurpose =
     std::variant<FeedCalled, LeaseGranted, LeaseRenewed, PreviousLeaseEnded, EntryRegistered,
-                 LayoutWritten, CellClaimed, CellReleased, ProgressListed, ProgressWritten,
-                 HandOverRead, HandOverWritten, FormerLeaseEnded, JobMoved, TasksLent,
-                 SubmitWritten, CancelAnswered, JobRead, PhaseRead, WorkerRead, EndedJobsRemoved,
-                 LearnedWritten, CancelsRead>;
+                 LayoutWritten, CellClaimed, CellReleased, ProgressListed, OfferedProgressListed,
+                 ProgressWritten, HandOverRead, HandOverWritten, FormerLeaseEnded, JobMoved,
+                 TasksLent, SubmitWritten, CancelAnswered, JobRead, PhaseRead, WorkerRead,
+                 EndedJobsRemoved, LearnedWritten, CancelsRead>;
 /// @}
 
 /// A call to the store that is in flight.
@@ -272,6 +287,11 @@
   bool caught_up = false;
   /// Earliest time at which this entry accepts another cell from its owner.
   Millis next_acceptance;
+  /// The offer whose progress records this entry reads.
+  std::optional<CellOffer> offered;
+  /// Entries that could not read the progress of an offered cell in time, and until when they get
+  /// no other offer of this entry.
+  std::map<EntryId, DoublingPause> slow_readers;
   NewRacks new_racks;
   RequestId layout_request = 0;
   Millis layout_at;
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -1,3 +1,4 @@
+#include "cell_acceptance.h"
 #include "reservations.h"
 
 /// Applies records from any source to the local replica, and messages of peers to the state that
--- a/lib/scheduler/source/cell_release.cc
+++ b/lib/scheduler/source/cell_release.cc
@@ -15,9 +15,10 @@
 /// owned, for this time. Otherwise entries that are restarted one after the other would pass cells
 /// back and forth.
 constexpr Millis kRebalanceMinAge = Millis(3'000);
-/// How long the reply to an offer is awaited. An entry that is short of processor time handles it
-/// a second late, and has the most reason to pass a cell on.
-constexpr Millis kOfferTimeout = Millis(2'000);
+/// How long the reply to an offer is awaited. The other entry first reads the progress of the cell
+/// for up to 1.5 s, and an entry that is short of processor time, which has the most reason to pass
+/// a cell on, handles the reply two seconds late.
+constexpr Millis kOfferTimeout = Millis(3'500);
 /// The same at an entry that stops.
 constexpr Millis kOfferTimeoutAtStop = Millis(500);
 /// Pause after an offer that was not accepted. An entry that stops makes no pause.
@@ -27,9 +28,15 @@
 constexpr size_t kOffersAtStop = 3;
 /// How long an acceptance holds, until the last write of the cell's owner is answered.
 constexpr Millis kAcceptanceTime = Millis(2'000);
-/// Minimum interval between two acceptances, so that an entry that returns does not get all cells
-/// of its data centre together.
-constexpr Millis kAcceptancePause = Millis(200);
+/// Maximum number of times that the pause between two offers to an entry is doubled which could not
+/// read the progress in time. It will not be able to soon.
+constexpr int32_t kMaxOfferPauseDoublings = 5;
+
+/// Returns whether an owner has had enough time to read the recorded progress of a cell and has not
+/// done so. Until then it keeps no run alive there.
+bool IsReadOverdue(const State& state, const OwnedCell& cell) {
+  return !cell.progress_known && state.now - cell.taken_over_at >= kRebalanceMinAge;
+}
 
 void SendOffer(State& state, Effects& effects, OwnedCell& cell, const EntryId& to) {
   const EntryRecord& record = state.view.entries.at(to).record;
@@ -38,6 +45,7 @@
   const TransferOffer offer{.grant = cell.grant,
                             .number = ++cell.last_offer,
                             .successor_incarnation = record.incarnation,
+                            .stopping = state.stopping,
                             .reply_to = state.settings.peer_address};
   PushMessage(effects, record.peer_address, kTransferOfferPrefix, cell.cell.Text(), Encode(offer));
 }
@@ -199,7 +207,9 @@
   // The cells of an entry that is behind may stay closed for long, and another entry can open them.
   const bool behind = !IsCaughtUp(state);
   const bool busy = std::ranges::any_of(state.cells, [&](const auto& row) {
-    return row.second.releasing || row.second.successor || (!row.second.open && !behind);
+    const OwnedCell& cell = row.second;
+    const bool opening = !cell.open && !behind && !IsReadOverdue(state, cell);
+    return cell.releasing || cell.successor || opening;
   });
   if (busy) return;
 
@@ -208,7 +218,8 @@
     // The next owner could not ask whose leases these are.
     if (AwaitsFormerLeases(state, cell)) continue;
 
-    const std::optional<EntryId> better = BetterOwner(state, id, owned, kRebalanceMinAge);
+    const std::optional<EntryId> better =
+        BetterOwner(state, id, owned, kRebalanceMinAge, behind || IsReadOverdue(state, cell));
     if (!better) continue;
 
     Log(effects, Severity::kInfo, "offering a cell to a better suited entry",
@@ -220,22 +231,6 @@
   }
 }
 
-void ApplyTransferOffer(State& state, Effects& effects, const CellId& cell, const StoreItem& item) {
-  const Result<TransferOffer> offer = DecodeTransferOffer(item.value);
-  if (!offer) return LogUnreadable(effects, item, offer.error());
-  if (offer->successor_incarnation != state.settings.incarnation) return;
-
-  const bool opening =
-      std::ranges::any_of(state.cells, [](const auto& row) { return !row.second.open; });
-  const bool accepts = HoldsLease(state) && state.lease.registered && !state.stopping &&
-                       IsCaughtUp(state) && !opening && state.now >= state.next_acceptance;
-  if (accepts) state.next_acceptance = state.now + kAcceptancePause;
-
-  const TransferReply reply{
-      .grant = offer->grant, .number = offer->number, .lease = accepts ? state.lease.lease : 0};
-  PushMessage(effects, offer->reply_to, kTransferReplyPrefix, cell.Text(), Encode(reply));
-}
-
 void ApplyTransferReply(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
   const Result<TransferReply> reply = DecodeTransferReply(item.value);
   if (!reply) return LogUnreadable(effects, item, reply.error());
@@ -246,8 +241,15 @@
 
   if (reply->number != cell->last_offer) return;
 
+  const EntryId& entry = cell->successor->instance.entry;
+
+  if (reply->read_too_long) {
+    state.slow_readers[entry].Extend(state.now, kOfferPause, kMaxOfferPauseDoublings);
+  }
+
   if (reply->lease == 0) return GiveUpOffer(state, *cell);
 
+  state.slow_readers.erase(entry);
   cell->successor->lease = reply->lease;
   cell->successor->accepted_at = state.now;
   cell->releasing = true;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -176,11 +176,8 @@
 /// Marks a claim of a cell, or the release of an unused grant, as answered.
 void NoteClaimAnswered(State& state, const CellId& cell);
 
-/// Handles the offer of a cell by its owner, and the reply to such an offer.
-/// @{
-void ApplyTransferOffer(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
+/// Handles the reply to the offer of a cell.
 void ApplyTransferReply(State& state, Effects& effects, const CellId& cell, const StoreItem& item);
-/// @}
 
 /// Makes this entry the owner of a cell. `grant` is the revision of the cell record that says so.
 void AcquireCell(State& state, Effects& effects, const CellId& cell, KvRevision grant);
--- a/lib/scheduler/source/owner_choice.cc
+++ b/lib/scheduler/source/owner_choice.cc
@@ -68,16 +68,19 @@
 }
 
 std::optional<EntryId> BetterOwner(const State& state, const CellId& cell,
-                                   const std::map<EntryId, size_t>& owned, Millis min_age) {
+                                   const std::map<EntryId, size_t>& owned, Millis min_age,
+                                   bool behind) {
   const int64_t own_burden = Burden(state.cells.size(), state.settings.millicores);
-  const Suitability own =
-      SuitabilityOf(cell, state.settings.data_centre, own_burden, IsCaughtUp(state));
+  const Suitability own = SuitabilityOf(cell, state.settings.data_centre, own_burden, !behind);
 
   std::optional<OwnerCandidate> best;
 
   for (const auto& [id, entry] : state.view.entries) {
     if (id == state.settings.entry || state.now - entry.seen_at < min_age) continue;
 
+    const auto slow = state.slow_readers.find(id);
+    if (slow != state.slow_readers.end() && state.now < slow->second.until) continue;
+
     const EntryRecord& record = entry.record;
     const size_t cells = CellsOf(owned, id);
     const Suitability other = SuitabilityOf(cell, record.data_centre,
--- a/lib/scheduler/source/owner_choice.h
+++ b/lib/scheduler/source/owner_choice.h
@@ -45,8 +45,10 @@
 /// Returns the best other entry that has been up for at least `min_age` and is a better owner of
 /// one of this entry's cells: it is more suitable, or equally suitable and its burden with this
 /// cell and one more is not above this entry's. With a smaller difference, that entry would soon
-/// pass the cell on in turn.
+/// pass the cell on in turn. `behind` says whether this entry starts no tasks in the cell. Entries
+/// that could not read the progress of an offered cell lately are left out.
 std::optional<EntryId> BetterOwner(const State& state, const CellId& cell,
-                                   const std::map<EntryId, size_t>& owned, Millis min_age);
+                                   const std::map<EntryId, size_t>& owned, Millis min_age,
+                                   bool behind);
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -281,6 +281,7 @@
   return Dump(Json{{"grant", offer.grant},
                    {"number", offer.number},
                    {"life", offer.successor_incarnation},
+                   {"stopping", offer.stopping},
                    {"peer", AddressJson(offer.reply_to)}});
 }
 
@@ -289,19 +290,24 @@
     return TransferOffer{.grant = json.at("grant").get<KvRevision>(),
                          .number = json.at("number").get<int64_t>(),
                          .successor_incarnation = json.at("life").get<std::string>(),
+                         .stopping = json.value("stopping", false),
                          .reply_to = AddressOf(json.at("peer"))};
   });
 }
 
 std::string Encode(const TransferReply& reply) {
-  return Dump(Json{{"grant", reply.grant}, {"number", reply.number}, {"lease", reply.lease}});
+  return Dump(Json{{"grant", reply.grant},
+                   {"number", reply.number},
+                   {"lease", reply.lease},
+                   {"read_too_long", reply.read_too_long}});
 }
 
 Result<TransferReply> DecodeTransferReply(std::string_view value) {
   return Decode<TransferReply>(value, "reply to the offer of a cell", [](const Json& json) {
     return TransferReply{.grant = json.at("grant").get<KvRevision>(),
                          .number = json.at("number").get<int64_t>(),
-                         .lease = json.at("lease").get<LeaseId>()};
+                         .lease = json.at("lease").get<LeaseId>(),
+                         .read_too_long = json.value("read_too_long", false)};
   });
 }
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -1,5 +1,6 @@
 #include "currantpost/scheduler/scheduler.h"
 
+#include "cell_acceptance.h"
 #include "reservations.h"
 
 /// The reducer: dispatches each event to its handler, then updates every part of the scheduler.
@@ -41,6 +42,9 @@
   void operator()(const ProgressListed& purpose) const {
     HandleProgressListed(state, effects, purpose, reply);
   }
+  void operator()(const OfferedProgressListed& purpose) const {
+    HandleOfferedProgressListed(state, effects, purpose, reply);
+  }
   void operator()(const ProgressWritten& purpose) const {
     HandleProgressWritten(state, effects, purpose, reply);
   }
