Use late replies to requests for capacity, and end the pause with them

A reply later than 150 ms was dropped, and the whole cell was not asked for 1 s to 8 s: requests that were under way together doubled the pause, a late reply did not end it, and the next owner of the cell inherited it. A job that had missed two replies asked nobody again.

A reply now ends the pause whoever still waits, and is used while the capacity is held. The pause follows from the measured reply time of that owner (0.3 s to 1 s) and not from the cell. A slow owner is asked one request at a time, waiting long-running tasks do not all ask for the same reported room, a reply no longer counts the whole load of the cell, and a job that has waited for a second looks for a cell five times a second.

--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -122,6 +122,18 @@
   }
 };
 
+/// How the owner of a cell replies to requests for capacity.
+struct OwnerContact {
+  /// What is known of one owner says nothing of the next.
+  EntryId owner;
+  /// Longest time that the first request without a reply has waited, or the time that the last
+  /// reply took.
+  Millis reply_time;
+  std::optional<Millis> unanswered_since;
+  /// Until when it is not asked again. Ends early with a reply to any job, or with another owner.
+  Millis paused_until;
+};
+
 /// Requirements of best-effort tasks. A cell accepts or declines tasks with equal ones alike.
 struct BestEffortNeeds {
   std::string service;
--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -163,6 +163,8 @@
   std::optional<PendingReservation> reservation;
   /// Consecutive such requests without a reply.
   int32_t unanswered_reservations = 0;
+  /// Earliest time of the next search for a cell to ask.
+  Millis next_search;
   /// Cells that had no capacity for its tasks, and until when they are not asked again.
   std::map<CellId, Millis> declined_until;
   /// Number of tasks lent to other cells.
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -7,6 +7,7 @@
 
 #include "currantpost/base/error.h"
 #include "currantpost/base/ids.h"
+#include "currantpost/base/time.h"
 #include "currantpost/scheduler/job_spec.h"
 #include "currantpost/scheduler/records.h"
 
@@ -40,6 +41,8 @@
   /// are borrowed.
   CellId from;
   JobId job;
+  /// When it was sent, by the sender's clock.
+  Millis asked_at;
   Address reply_to;
 };
 
@@ -47,6 +50,8 @@
 struct ReservationReply {
   CellId from;
   JobId job;
+  /// As in the request; 0 if an earlier version replied.
+  Millis asked_at;
   std::string service;
   int32_t tasks = 0;
   /// Free capacity that is left in the cell, and the largest task that fits, in thousandths of a
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -287,10 +287,10 @@
   std::map<JobId, PendingCancel> cancels;
   absl::flat_hash_map<RequestId, PendingPeerQuery> peer_queries;
   std::map<CellId, SentDemand> sent_demand;
-  /// Cells whose owners did not reply to the last request for capacity in time, and for how long
-  /// they are not asked again.
-  std::map<CellId, DoublingPause> unresponsive_owners;
-  /// The same for cells that had no capacity for best-effort tasks, by the requirements of these.
+  /// How the owners of other cells reply to requests for capacity.
+  std::map<CellId, OwnerContact> owner_contacts;
+  /// Cells that had no capacity for best-effort tasks, by the requirements of these, and for how
+  /// long they are not asked again for such tasks.
   std::map<std::pair<CellId, BestEffortNeeds>, DoublingPause> declined_needs;
   OutageState outage;
 
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "internal.h"
+#include "owner_contact.h"
 
 /// Chooses the cell for a job, or for tasks that do not fit into their own cell. Many entries
 /// choose concurrently on load records that are half a second old. Different images of best-effort
@@ -154,9 +155,7 @@
 
 /// Returns whether the owner of a cell may be asked for capacity for tasks of a step.
 bool MayAsk(const State& state, const JobState& job, const StepSpec& spec, const CellId& cell) {
-  const auto unresponsive = state.unresponsive_owners.find(cell);
-  if (unresponsive != state.unresponsive_owners.end() && state.now < unresponsive->second.until)
-    return false;
+  if (!CanReachOwner(state, cell) || IsOwnerPaused(state, cell)) return false;
 
   if (spec.best_effort) {
     const auto needs =
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -20,6 +20,11 @@
 /// because load reports are up to half a second old.
 constexpr int64_t kLendRoomPercent = 130;
 
+/// How often a job that has waited long looks for a cell to ask. An entry that is short of
+/// processor time may have hundreds of them.
+constexpr Millis kLongWait = Millis(1'000);
+constexpr Millis kLongWaitInterval = Millis(200);
+
 /// Maximum number of tasks that are passed on together.
 constexpr size_t kMaxTasksPerLoan = 500;
 
@@ -152,11 +157,11 @@
   job->second.waits_since = state.now - kLendDelay;
 }
 
-/// Lends tasks to the cell that reports most capacity for them.
-void LendByReports(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+/// Lends tasks to the cell that reports most capacity for them. Returns false if there is none.
+bool LendByReports(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                    WaitingBatch batch) {
   const auto borrower = ChooseBorrower(state, cell, job, *batch.spec);
-  if (!borrower) return;
+  if (!borrower) return false;
 
   const auto& [to, fit] = *borrower;
   if (static_cast<int64_t>(batch.tasks.size()) > fit) {
@@ -167,6 +172,7 @@
   AddDemand(demand, *batch.spec, static_cast<int64_t>(batch.tasks.size()));
   AddSentDemand(state, to, demand);
   LendTasks(state, effects, cell, job, batch.tasks, to);
+  return true;
 }
 
 }  // namespace
@@ -249,6 +255,9 @@
     return;
   }
 
+  if (state.now < job.next_search) return;
+  if (state.now >= *job.waits_since + kLongWait) job.next_search = state.now + kLongWaitInterval;
+
   WaitingBatch batch = WaitingTasks(state, cell, job);
   if (batch.tasks.empty() || batch.spec->gang) return;
 
@@ -259,15 +268,13 @@
 
   const bool is_borrowed = !job.record.parent.Empty();
 
-  if (!HasUnresponsivePeers(job)) {
-    // Borrowed tasks are not lent again. Their borrowed job is moved as a whole instead.
-    if (is_borrowed && job.bound > 0) return;
-    if (RequestCapacity(state, effects, cell, job, batch)) return;
-    // While peers do not reply, the load reports alone decide.
-    if (job.unanswered_reservations == 0) return;
-  }
-
-  if (is_borrowed) return;
+  // While peers do not reply, the load reports decide.
+  if (!is_borrowed && HasUnresponsivePeers(job) && LendByReports(state, effects, cell, job, batch))
+    return;
+  // Borrowed tasks are not lent again. Their borrowed job is moved as a whole instead.
+  if (is_borrowed && job.bound > 0) return;
+  if (RequestCapacity(state, effects, cell, job, batch)) return;
+  if (is_borrowed || job.unanswered_reservations == 0) return;
 
   LendByReports(state, effects, cell, job, std::move(batch));
 }
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -197,6 +197,15 @@
   return first_keys;
 }
 
+/// Adds the capacity of a worker to that of its service.
+void AddFree(const WorkerState& worker, ServiceLoad& load) {
+  const int64_t free = std::max<int64_t>(FreeMillicores(worker), 0);
+  load.capacity += worker.info.capacity.millicores;
+  load.free += free;
+  load.largest_free = std::max(load.largest_free, free);
+  load.free_best_effort += std::max<int64_t>(FreeBestEffort(worker), 0);
+}
+
 /// Outcome of a placement round for one job and rank.
 struct JobPlacement {
   int32_t bound = 0;
@@ -353,6 +362,16 @@
   return waiting;
 }
 
+ServiceLoad CountFree(const State& state, const OwnedCell& cell, const std::string& service) {
+  ServiceLoad load;
+
+  for (const auto& [id, worker] : cell.workers) {
+    if (worker.info.service == service && AcceptsTasks(state, worker)) AddFree(worker, load);
+  }
+
+  return load;
+}
+
 LoadRecord CountLoad(const State& state, const OwnedCell& cell) {
   LoadRecord record;
 
@@ -360,11 +379,7 @@
     if (!AcceptsTasks(state, worker)) continue;
 
     ServiceLoad& load = record.services[worker.info.service];
-    const int64_t free = std::max<int64_t>(FreeMillicores(worker), 0);
-    load.capacity += worker.info.capacity.millicores;
-    load.free += free;
-    load.largest_free = std::max(load.largest_free, free);
-    load.free_best_effort += std::max<int64_t>(FreeBestEffort(worker), 0);
+    AddFree(worker, load);
 
     for (const TaskRef& ref : worker.tasks) {
       const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -18,6 +18,7 @@
                    {"service", request.service},
                    {"from", request.from.Text()},
                    {"waiting", request.job.Text()},
+                   {"asked", request.asked_at.Count()},
                    {"peer", AddressJson(request.reply_to)}});
 }
 
@@ -31,6 +32,7 @@
                                   .service = json.at("service").get<std::string>(),
                                   .from = CellId(json.at("from").get<std::string>()),
                                   .job = JobId(json.at("waiting").get<std::string>()),
+                                  .asked_at = Millis(json.value("asked", int64_t{0})),
                                   .reply_to = AddressOf(json.at("peer"))};
       });
   if (!request) return request;
@@ -47,6 +49,7 @@
 std::string Encode(const ReservationReply& reply) {
   return Dump(Json{{"from", reply.from.Text()},
                    {"waiting", reply.job.Text()},
+                   {"asked", reply.asked_at.Count()},
                    {"service", reply.service},
                    {"tasks", reply.tasks},
                    {"free", reply.free},
@@ -58,6 +61,7 @@
   return Decode<ReservationReply>(value, "reservation reply", [](const Json& json) {
     return ReservationReply{.from = CellId(json.at("from").get<std::string>()),
                             .job = JobId(json.at("waiting").get<std::string>()),
+                            .asked_at = Millis(json.value("asked", int64_t{0})),
                             .service = json.at("service").get<std::string>(),
                             .tasks = json.at("tasks").get<int32_t>(),
                             .free = json.at("free").get<int64_t>(),
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -1,5 +1,7 @@
 #include "reservations.h"
 
+#include "owner_contact.h"
+
 /// Reservation of capacity in another cell for tasks that find none in their own. Load reports are
 /// half a second old, and many owners choose by the same reports, so tasks that were passed on by
 /// reports alone often arrived in a full cell and were passed on again. An owner that asks first
@@ -10,14 +12,7 @@
 
 /// How long capacity is held for tasks to arrive: a write by a slow store and its delivery.
 constexpr Millis kReservationTime = Millis(800);
-/// How long a reply is awaited. Peers reply within milliseconds, and those that are short of
-/// processor time in tens of milliseconds.
-constexpr Millis kReplyTimeout = Millis(150);
-/// How long the owner of a cell is not asked again after it did not reply. The pause doubles with
-/// each further request without a reply, as late replies take processor time that is short.
-constexpr Millis kUnresponsiveOwnerPause = Millis(1'000);
-constexpr int32_t kMaxPauseDoublings = 3;
-/// Consecutive requests of a job without a reply after which no more are sent.
+/// Consecutive requests of a job without a reply after which the load reports go first.
 constexpr int32_t kMaxUnansweredRequests = 2;
 /// How long a cell that had no capacity for a job's tasks is not asked again for them.
 constexpr Millis kDeclinedPause = Millis(400);
@@ -85,17 +80,17 @@
 }
 
 ReservationReply MakeReply(const State& state, OwnedCell* cell, const ReservationRequest& request) {
-  ReservationReply reply{.from = request.from, .job = request.job, .service = request.service};
+  ReservationReply reply{.from = request.from,
+                         .job = request.job,
+                         .asked_at = request.asked_at,
+                         .service = request.service};
   if (cell == nullptr) return reply;
 
   reply.tasks = ReserveCapacity(state, *cell, request);
-  const LoadRecord load = CountLoad(state, *cell);
-  const auto service = load.services.find(request.service);
-  if (service == load.services.end()) return reply;
-
-  reply.free = service->second.free;
-  reply.largest_free = service->second.largest_free;
-  reply.free_best_effort = service->second.free_best_effort;
+  const ServiceLoad load = CountFree(state, *cell, request.service);
+  reply.free = load.free;
+  reply.largest_free = load.largest_free;
+  reply.free_best_effort = load.free_best_effort;
   return reply;
 }
 
@@ -150,8 +145,20 @@
   state.declined_needs[key].Extend(state.now, kDeclinedNeedsPause, kMaxDeclinedDoublings);
 }
 
+/// Returns whether a reply may be used: it is awaited, or it is late and the capacity is still
+/// held.
+bool IsUsable(const State& state, const OwnedCell& cell, const JobState& job, const CellId& to,
+              const ReservationReply& reply) {
+  if (job.reservation && job.reservation->to == to) return true;
+
+  const bool is_measured = reply.asked_at > Millis(0) && reply.asked_at <= state.now;
+  const bool is_held = is_measured && state.now < reply.asked_at + kReservationTime;
+  return is_held && !cell.write.versions.contains(job.record.spec.job);
+}
+
 void HandleReply(State& state, Effects& effects, const CellId& to, const ReservationReply& reply) {
   UpdateReportedRoom(state, to, reply);
+  NoteOwnerReplied(state, to, reply.asked_at);
   OwnedCell* cell = FindOpenCell(state, reply.from);
   if (cell == nullptr) return;
 
@@ -159,16 +166,16 @@
   if (found == cell->jobs.end()) return;
 
   JobState& job = found->second;
-  if (!job.reservation || job.reservation->to != to) return;
-
-  state.unresponsive_owners.erase(to);
-  job.reservation.reset();
+  const bool is_usable = IsUsable(state, *cell, job, to, reply);
+  if (job.reservation && job.reservation->to == to) job.reservation.reset();
   job.unanswered_reservations = 0;
   WaitingBatch batch = WaitingTasks(state, *cell, job);
   RecordReply(state, job, to, batch.spec, reply.tasks);
   const bool stopped = job.cancelled || job.attempts_exhausted || job.move || job.loan;
-  if (stopped || cell->releasing || reply.tasks <= 0) return;
+  if (!is_usable || stopped || cell->releasing || reply.tasks <= 0) return;
 
+  // Another cell may have been asked since.
+  job.reservation.reset();
   PassOn(state, effects, *cell, job, to, std::move(batch), static_cast<size_t>(reply.tasks));
 }
 
@@ -199,9 +206,9 @@
   }
 
   const CellId to = job.reservation->to;
+  NoteOwnerSilent(state, to, job.reservation->expires_at - kReplyTimeout);
   job.reservation.reset();
   ++job.unanswered_reservations;
-  state.unresponsive_owners[to].Extend(state.now, kUnresponsiveOwnerPause, kMaxPauseDoublings);
   Log(effects, Severity::kInfo, "no reply to a request for capacity in another cell",
       {{"job", job.record.spec.job.Text()}, {"to", to.Text()}});
   return false;
@@ -228,6 +235,7 @@
                              .service = ServiceOf(state, job.record),
                              .from = cell.cell,
                              .job = job.record.spec.job,
+                             .asked_at = state.now,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = static_cast<int32_t>(tasks);
   job.reservation = JobState::PendingReservation{*to, state.now + kReplyTimeout};
@@ -238,6 +246,13 @@
     return true;
   }
 
+  if (batch.spec->is_long_running) {
+    // The others that wait do not ask for the same capacity meanwhile.
+    Demand demand;
+    AddDemand(demand, *batch.spec, tasks);
+    AddSentDemand(state, *to, demand);
+  }
+  NoteOwnerAsked(state, *to);
   PushToOwner(state, effects, *to,
               StoreItem{.key = std::string(kReservationRequestPrefix) + to->Text(),
                         .value = Encode(request)});
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -24,6 +24,9 @@
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
                   WorkerState& worker);
 
+/// Returns the capacity of a service in a cell and what of it is free.
+ServiceLoad CountFree(const State& state, const OwnedCell& cell, const std::string& service);
+
 /// Returns the step of a task as the workers know it.
 StepName StepNameOf(const JobState& job, const TaskRef& ref);
 
@@ -55,7 +58,7 @@
 /// overdue.
 bool AwaitsReservation(State& state, Effects& effects, JobState& job);
 
-/// Returns whether so many requests of the job had no reply that no more are sent.
+/// Returns whether so many requests of the job had no reply that the load reports go first.
 bool HasUnresponsivePeers(const JobState& job);
 
 void ApplyReservationReply(State& state, Effects& effects, const CellId& to, const StoreItem& item);
