Give each waiting job its turn to ask cells that report no room

The jobs of a cell now take turns. Other cells of the same entry are asked for long-running tasks without a turn, as that takes no message.

LargeTask.EachWaitingJobAsksOtherCells failed before: seven of eight jobs had not asked after 3 s.

--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -211,6 +211,8 @@
   std::map<StepName, Reservation> reservations;
   /// Earliest time of the next request to a cell that reports no capacity.
   Millis next_probe;
+  /// The job that sent the last one. Empty at the beginning of each cycle.
+  JobId last_probe;
   /// Earliest time of the next request for best-effort tasks.
   Millis next_best_effort_request;
   /// Some worker may need a poll or an order.
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -153,20 +153,6 @@
   return best;
 }
 
-/// Returns whether the owner of a cell may be asked for capacity for tasks of a step.
-bool MayAsk(const State& state, const JobState& job, const StepSpec& spec, const CellId& cell) {
-  if (!CanReachOwner(state, cell) || IsOwnerPaused(state, cell)) return false;
-
-  if (spec.best_effort) {
-    const auto needs =
-        state.declined_needs.find(std::make_pair(cell, NeedsOf(state, job.record, spec)));
-    if (needs != state.declined_needs.end() && state.now < needs->second.until) return false;
-  }
-
-  const auto declined = job.declined_until.find(cell);
-  return declined == job.declined_until.end() || state.now >= declined->second;
-}
-
 /// Returns for how many tasks of a step a cell reports room beside the tasks that wait there, and
 /// for how many if those do not fit.
 std::pair<int64_t, int64_t> ReportedFit(const CellRoom& room, const StepSpec& spec, int64_t tasks) {
@@ -193,6 +179,19 @@
 
 }  // namespace
 
+bool MayAsk(const State& state, const JobState& job, const StepSpec& spec, const CellId& cell) {
+  if (!CanReachOwner(state, cell) || IsOwnerPaused(state, cell)) return false;
+
+  if (spec.best_effort) {
+    const auto needs =
+        state.declined_needs.find(std::make_pair(cell, NeedsOf(state, job.record, spec)));
+    if (needs != state.declined_needs.end() && state.now < needs->second.until) return false;
+  }
+
+  const auto declined = job.declined_until.find(cell);
+  return declined == job.declined_until.end() || state.now >= declined->second;
+}
+
 void AddDemand(Demand& demand, const StepSpec& spec, int64_t tasks) {
   (spec.best_effort ? demand.best_effort : demand.reserved) += spec.need.millicores * tasks;
   if (!spec.best_effort) demand.largest = std::max(demand.largest, spec.need.millicores);
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -593,6 +593,9 @@
     TryMoveJob(state, effects, cell, job);
     TryLendTasks(state, effects, cell, job);
   }
+
+  // No job after the last one has asked, so that the first one has its turn again.
+  if (state.now >= cell.next_probe) cell.last_probe = JobId();
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -528,6 +528,9 @@
 std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
                                          const JobState& job, const StepSpec& spec);
 
+/// Returns whether the owner of a cell may be asked for capacity for tasks of a step.
+bool MayAsk(const State& state, const JobState& job, const StepSpec& spec, const CellId& cell);
+
 /// Returns the requirements of the best-effort tasks of a step.
 BestEffortNeeds NeedsOf(const State& state, const JobRecord& record, const StepSpec& spec);
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -179,7 +179,8 @@
   PassOn(state, effects, *cell, job, to, std::move(batch), static_cast<size_t>(reply.tasks));
 }
 
-/// Returns a cell that reports no capacity, to ask it all the same, at most one per interval.
+/// Returns a cell that reports no capacity, to ask it all the same, at most one per interval. Each
+/// waiting job has its turn.
 std::optional<CellId> ChooseProbe(State& state, OwnedCell& cell, const JobState& job,
                                   const StepSpec& spec) {
   if (state.now < cell.next_probe) {
@@ -187,8 +188,24 @@
     return std::nullopt;
   }
 
+  if (job.record.spec.job <= cell.last_probe) return std::nullopt;
+
+  const std::optional<CellId> to = ChooseAnyOtherCell(state, cell.cell, job, spec);
+  if (!to) return std::nullopt;
+
   cell.next_probe = state.now + kProbeInterval;
-  return ChooseAnyOtherCell(state, cell.cell, job, spec);
+  cell.last_probe = job.record.spec.job;
+  return to;
+}
+
+/// Returns another cell of this entry. Asking it takes no message, so that it needs no turn.
+std::optional<CellId> ChooseOwnCell(const State& state, const OwnedCell& cell, const JobState& job,
+                                    const StepSpec& spec) {
+  for (const auto& [id, other] : state.cells) {
+    if (id != cell.cell && other.open && MayAsk(state, job, spec, id)) return id;
+  }
+
+  return std::nullopt;
 }
 
 }  // namespace
@@ -223,6 +240,7 @@
 
   const auto tasks = static_cast<int64_t>(batch.tasks.size());
   std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, *batch.spec, tasks);
+  if (!to && batch.spec->is_long_running) to = ChooseOwnCell(state, cell, job, *batch.spec);
   if (!to) to = ChooseProbe(state, cell, job, *batch.spec);
   if (!to) return false;
 
