Keep a worker for a large long-running task that has waited long

A long-running task that has waited for a second has one worker of the cell kept for it, the one that needs the fewest short tasks to end. A cell that is asked for capacity does the same and is asked again. A cell keeps one worker at a time, for 1.5 s unless it is asked for again.

LargeTask.ALongRunningTaskGetsAWorkerFromShortTasks and ...OfAnotherCell failed before: the task had not started after 3 s.

--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -103,6 +103,15 @@
   Millis expires_at;
 };
 
+/// Capacity of a worker that is kept from other tasks until a long-running task fits there.
+struct WorkerHold {
+  StepName name;
+  Resources need;
+  VmId worker;
+  /// It ends then unless it is asked for again.
+  Millis expires_at;
+};
+
 /// Demand sent to a cell since its last load report, in thousandths of a core.
 struct SentDemand {
   int64_t reserved = 0;
@@ -210,6 +219,7 @@
   std::set<WaitingKey> waiting;
   /// By step and by the job that asked. Borrowed jobs of one step ask separately.
   std::map<std::pair<StepName, JobId>, Reservation> reservations;
+  std::optional<WorkerHold> hold;
   /// Earliest time of the next request to a cell that reports no capacity.
   Millis next_probe;
   /// The job that sent the last one. Empty at the beginning of each cycle.
--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -167,6 +167,8 @@
   Millis next_search;
   /// Cells that had no capacity for its tasks, and until when they are not asked again.
   std::map<CellId, Millis> declined_until;
+  /// The cell that keeps a worker for its waiting long-running task.
+  std::optional<CellId> kept_in;
   /// Number of tasks lent to other cells.
   int32_t lent = 0;
   /// When to poll the borrowers next.
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -43,6 +43,8 @@
   JobId job;
   /// When it was sent, by the sender's clock.
   Millis asked_at;
+  /// How long the tasks have waited.
+  Millis waited;
   Address reply_to;
 };
 
@@ -54,6 +56,8 @@
   Millis asked_at;
   std::string service;
   int32_t tasks = 0;
+  /// A worker is kept for one of the tasks until it is asked for again.
+  bool keeps = false;
   /// Free capacity that is left in the cell, and the largest task that fits, in thousandths of a
   /// core.
   int64_t free = 0;
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -1,6 +1,6 @@
 #include <limits>
 
-#include "reservations.h"
+#include "worker_hold.h"
 
 /// Chooses the worker for each waiting task, and reports the load of a cell. Designed for a load in
 /// which long-running tasks hold most of the capacity, short jobs need room at once, and
@@ -68,12 +68,16 @@
          worker.best_effort_millicores * kBestEffortUsePercent / 100;
 }
 
-bool HasRoom(const WorkerState& worker, const StepSpec& spec) {
+/// Returns whether a task fits on a worker beside what is kept for another one.
+bool HasRoom(const WorkerState& worker, const StepSpec& spec, const Resources& kept) {
   const Resources& capacity = worker.info.capacity;
-  if (worker.reserved.memory_mib + spec.need.memory_mib > capacity.memory_mib) return false;
-  if (worker.reserved.accelerators + spec.need.accelerators > capacity.accelerators) return false;
+  const Resources& reserved = worker.reserved;
+  if (reserved.memory_mib + kept.memory_mib + spec.need.memory_mib > capacity.memory_mib)
+    return false;
+  if (reserved.accelerators + kept.accelerators + spec.need.accelerators > capacity.accelerators)
+    return false;
 
-  if (!spec.best_effort) return spec.need.millicores <= FreeMillicores(worker);
+  if (!spec.best_effort) return spec.need.millicores + kept.millicores <= FreeMillicores(worker);
 
   return spec.need.millicores <= FreeBestEffort(worker);
 }
@@ -124,13 +128,10 @@
 std::optional<int64_t> ScoreWorker(const State& state, OwnedCell& cell,
                                    const PlacementRequest& request, WorkerState& worker) {
   const StepSpec& spec = request.spec;
-  if (!AcceptsTasks(state, worker) || worker.info.service != request.service) return std::nullopt;
-  if (!HasRoom(worker, spec) || !HasLabel(worker, spec.worker_label)) return std::nullopt;
+  if (!HasRoom(worker, spec, KeptFrom(cell, request.name, worker))) return std::nullopt;
+  if (!MayUseWorker(state, cell, request, worker)) return std::nullopt;
 
   const int32_t same = CountTasksOfStep(cell, worker, request.name);
-  if (HasManyUnstarted(worker, same)) return std::nullopt;
-  if (spec.max_per_worker > 0 && same >= spec.max_per_worker) return std::nullopt;
-
   int64_t score = 0;
 
   if (spec.best_effort) {
@@ -199,9 +200,30 @@
   return first_keys;
 }
 
+PlacementRequest RequestFor(const State& state, OwnedCell& cell, const TaskRef& ref) {
+  const JobState& job = cell.jobs.at(ref.job);
+  const TaskState& task = *FindTask(cell, ref);
+  return PlacementRequest{.name = StepNameOf(job, ref),
+                          .spec = SpecOf(job, ref),
+                          .service = ServiceOf(state, job.record),
+                          .avoided_worker = task.avoided_worker,
+                          .ready_at = task.not_before};
+}
+
+/// Keeps a worker for a task that has found none, if it is long-running and has waited long.
+void KeepWorkerIfOverdue(const State& state, OwnedCell& cell, const JobState& job,
+                         const TaskRef& ref) {
+  const StepSpec& spec = SpecOf(job, ref);
+  if (!spec.is_long_running || spec.best_effort || !job.waits_since) return;
+  if (state.now < *job.waits_since + kHoldDelay) return;
+
+  KeepWorker(state, cell, RequestFor(state, cell, ref));
+}
+
 /// Adds the capacity of a worker to that of its service.
-void AddFree(const WorkerState& worker, ServiceLoad& load) {
-  const int64_t free = std::max<int64_t>(FreeMillicores(worker), 0);
+void AddFree(const OwnedCell& cell, const WorkerState& worker, ServiceLoad& load) {
+  const int64_t kept = KeptFrom(cell, StepName(), worker).millicores;
+  const int64_t free = std::max<int64_t>(FreeMillicores(worker) - kept, 0);
   load.capacity += worker.info.capacity.millicores;
   load.free += free;
   load.largest_free = std::max(load.largest_free, free);
@@ -241,15 +263,17 @@
       break;
     }
 
-    WorkerState* worker = ChooseWorker(state, cell, ref);
+    WorkerState* worker = ChooseWorker(state, cell, RequestFor(state, cell, ref));
 
     if (worker == nullptr) {
       placement.has_unplaced = true;
+      KeepWorkerIfOverdue(state, cell, job, ref);
       // All tasks of a step have the same requirements.
       key = EndOfStep(key);
       continue;
     }
 
+    EndHold(cell, StepNameOf(job, ref));
     BindTask(state, cell, job, ref, *worker);
     ++placement.bound;
   }
@@ -285,14 +309,18 @@
 }
 
 WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const TaskRef& ref) {
-  const JobState& job = cell.jobs.at(ref.job);
-  const TaskState& task = *FindTask(cell, ref);
-  return ChooseWorker(state, cell,
-                      PlacementRequest{.name = StepNameOf(job, ref),
-                                       .spec = SpecOf(job, ref),
-                                       .service = ServiceOf(state, job.record),
-                                       .avoided_worker = task.avoided_worker,
-                                       .ready_at = task.not_before});
+  return ChooseWorker(state, cell, RequestFor(state, cell, ref));
+}
+
+bool MayUseWorker(const State& state, const OwnedCell& cell, const PlacementRequest& request,
+                  const WorkerState& worker) {
+  const StepSpec& spec = request.spec;
+  if (!AcceptsTasks(state, worker) || worker.info.service != request.service) return false;
+  if (!HasLabel(worker, spec.worker_label)) return false;
+
+  const int32_t same = CountTasksOfStep(cell, worker, request.name);
+  return !HasManyUnstarted(worker, same) &&
+         (spec.max_per_worker <= 0 || same < spec.max_per_worker);
 }
 
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
@@ -368,7 +396,7 @@
   ServiceLoad load;
 
   for (const auto& [id, worker] : cell.workers) {
-    if (worker.info.service == service && AcceptsTasks(state, worker)) AddFree(worker, load);
+    if (worker.info.service == service && AcceptsTasks(state, worker)) AddFree(cell, worker, load);
   }
 
   return load;
@@ -381,7 +409,7 @@
     if (!AcceptsTasks(state, worker)) continue;
 
     ServiceLoad& load = record.services[worker.info.service];
-    AddFree(worker, load);
+    AddFree(cell, worker, load);
 
     for (const TaskRef& ref : worker.tasks) {
       const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -19,6 +19,7 @@
                    {"from", request.from.Text()},
                    {"waiting", request.job.Text()},
                    {"asked", request.asked_at.Count()},
+                   {"waited", request.waited.Count()},
                    {"peer", AddressJson(request.reply_to)}});
 }
 
@@ -33,6 +34,7 @@
                                   .from = CellId(json.at("from").get<std::string>()),
                                   .job = JobId(json.at("waiting").get<std::string>()),
                                   .asked_at = Millis(json.value("asked", int64_t{0})),
+                                  .waited = Millis(json.value("waited", int64_t{0})),
                                   .reply_to = AddressOf(json.at("peer"))};
       });
   if (!request) return request;
@@ -52,6 +54,7 @@
                    {"asked", reply.asked_at.Count()},
                    {"service", reply.service},
                    {"tasks", reply.tasks},
+                   {"keeps", reply.keeps},
                    {"free", reply.free},
                    {"largest", reply.largest_free},
                    {"filling", reply.free_best_effort}});
@@ -64,6 +67,7 @@
                             .asked_at = Millis(json.value("asked", int64_t{0})),
                             .service = json.at("service").get<std::string>(),
                             .tasks = json.at("tasks").get<int32_t>(),
+                            .keeps = json.value("keeps", false),
                             .free = json.at("free").get<int64_t>(),
                             .largest_free = json.at("largest").get<int64_t>(),
                             .free_best_effort = json.value("filling", int64_t{0})};
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -1,6 +1,7 @@
 #include "reservations.h"
 
 #include "owner_contact.h"
+#include "worker_hold.h"
 
 /// Reservation of capacity in another cell for tasks that find none in their own. Load reports are
 /// half a second old, and many owners choose by the same reports, so tasks that were passed on by
@@ -77,9 +78,20 @@
 
   const auto tasks = static_cast<int32_t>(held.workers.size());
   if (tasks == 0) cell.reservations.erase(key);
+  if (tasks > 0) EndHold(cell, request.name);
   return tasks;
 }
 
+/// Keeps a worker for a long-running task of another cell that has waited long. Returns whether one
+/// is kept.
+bool KeepWorkerFor(const State& state, OwnedCell& cell, const ReservationRequest& request) {
+  if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return false;
+
+  const bool is_overdue =
+      request.step.is_long_running && !request.step.best_effort && request.waited >= kHoldDelay;
+  return is_overdue && KeepWorker(state, cell, PlacementOf(request, state.now));
+}
+
 ReservationReply MakeReply(const State& state, OwnedCell* cell, const ReservationRequest& request) {
   ReservationReply reply{.from = request.from,
                          .job = request.job,
@@ -88,6 +100,7 @@
   if (cell == nullptr) return reply;
 
   reply.tasks = ReserveCapacity(state, *cell, request);
+  reply.keeps = reply.tasks == 0 && KeepWorkerFor(state, *cell, request);
   const ServiceLoad load = CountFree(state, *cell, request.service);
   reply.free = load.free;
   reply.largest_free = load.largest_free;
@@ -170,6 +183,8 @@
   const bool is_usable = IsUsable(state, *cell, job, to, reply);
   if (job.reservation && job.reservation->to == to) job.reservation.reset();
   job.unanswered_reservations = 0;
+  if (reply.keeps) job.kept_in = to;
+  if (!reply.keeps && job.kept_in == to) job.kept_in.reset();
   WaitingBatch batch = WaitingTasks(state, *cell, job);
   RecordReply(state, job, to, batch.spec, reply.tasks);
   const bool stopped = job.cancelled || job.attempts_exhausted || job.move || job.loan;
@@ -242,6 +257,7 @@
   const auto tasks = static_cast<int64_t>(batch.tasks.size());
   std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, *batch.spec, tasks);
   if (!to && batch.spec->is_long_running) to = ChooseOwnCell(state, cell, job, *batch.spec);
+  if (!to && job.kept_in && MayAsk(state, job, *batch.spec, *job.kept_in)) to = job.kept_in;
   if (!to) to = ChooseProbe(state, cell, job, *batch.spec);
   if (!to) return false;
 
@@ -255,6 +271,7 @@
                              .from = cell.cell,
                              .job = job.record.spec.job,
                              .asked_at = state.now,
+                             .waited = state.now - job.waits_since.value_or(state.now),
                              .reply_to = state.settings.peer_address};
   request.step.task_count = static_cast<int32_t>(tasks);
   job.reservation = JobState::PendingReservation{*to, state.now + kReplyTimeout};
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -20,6 +20,10 @@
 /// Returns the best worker for a task, or null if none has capacity.
 WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const PlacementRequest& request);
 
+/// Returns whether a worker may run a task, whatever capacity it has free.
+bool MayUseWorker(const State& state, const OwnedCell& cell, const PlacementRequest& request,
+                  const WorkerState& worker);
+
 /// Returns whether a task may be placed on a worker.
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
                   WorkerState& worker);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -1,6 +1,7 @@
 #include "currantpost/scheduler/scheduler.h"
 
 #include "reservations.h"
+#include "worker_hold.h"
 
 /// The reducer: dispatches each event to its handler, then updates every part of the scheduler.
 
@@ -198,6 +199,7 @@
 
     UpdateHandOver(state, effects, cell);
     ExpireReservations(state, cell);
+    ExpireHold(state, cell);
     UpdateJobs(state, effects, cell);
     UpdateWorkers(state, effects, cell);
     EvacuateDraining(state, effects, cell);
