Read long replies in large pieces

The HTTP client read 512 bytes of a reply in each turn of the event loop, as its buffer was never given room for more: a reply of some hundred KB took a thousand turns, each with the other work of a machine that is short of processor time, and was dropped at its deadline.

A read now takes what the socket holds, up to 64 KB, and an idle connection keeps no large buffer.

--- a/lib/transport/source/http_client.cc
+++ b/lib/transport/source/http_client.cc
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -21,6 +22,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+/// Most bytes of a response body that one read takes. A buffer of this size is held only while a
+/// long body arrives.
+constexpr uint64_t kMaxReadBytes = 65'536;
+
 /// Returns whether an idle connection was closed by the server or has unsolicited data to read.
 bool IsUnusable(asio::ip::tcp::socket& socket) {
   pollfd waiting{.fd = socket.native_handle(), .events = POLLIN, .revents = 0};
@@ -94,6 +99,20 @@
   }
 
   void Read() {
+    http::async_read_header(
+        socket, buffer, *parser,
+        [self = shared_from_this(), this_call = call_sequence](error_code error, size_t) {
+          if (self->call_sequence != this_call) return;
+          if (error) return self->Finish({}, false);
+
+          self->ReadBody();
+        });
+  }
+
+  void ReadBody() {
+    // Beast reads 512 bytes at a time unless the buffer has room for more.
+    const uint64_t left = parser->content_length_remaining().value_or(kMaxReadBytes);
+    buffer.reserve(buffer.size() + static_cast<size_t>(std::min(left, kMaxReadBytes)));
     http::async_read(
         socket, buffer, *parser,
         [self = shared_from_this(), this_call = call_sequence](error_code error, size_t) {
@@ -115,6 +134,9 @@
                                          field.value().to_string());
     }
 
+    // An idle connection holds no large buffer.
+    buffer.shrink_to_fit();
+
     // Bytes received after the response would be read as the response to the next call, so the
     // connection is not reused if there are any.
     Finish(std::move(reply), response.keep_alive() && buffer.size() == 0);
