--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -103,6 +103,15 @@
   Millis expires_at;
 };
 
+/// Capacity of a worker that is kept from other tasks until a long-running task fits there.
+struct WorkerHold {
+  StepName name;
+  Resources need;
+  VmId worker;
+  /// It ends then unless it is asked for again.
+  Millis expires_at;
+};
+
 /// Demand sent to a cell since its last load report, in thousandths of a core.
 struct SentDemand {
   int64_t reserved = 0;
@@ -122,6 +131,18 @@
   }
 };
 
+/// How the owner of a cell replies to requests for capacity.
+struct OwnerContact {
+  /// What is known of one owner says nothing of the next.
+  EntryId owner;
+  /// Longest time that the first request without a reply has waited, or the time that the last
+  /// reply took.
+  Millis reply_time;
+  std::optional<Millis> unanswered_since;
+  /// Until when it is not asked again. Ends early with a reply to any job, or with another owner.
+  Millis paused_until;
+};
+
 /// Requirements of best-effort tasks. A cell accepts or declines tasks with equal ones alike.
 struct BestEffortNeeds {
   std::string service;
@@ -196,9 +217,13 @@
   /// Tasks borrowed from other cells, by the names under which the workers know them.
   std::map<TaskName, TaskRef> borrowed_tasks;
   std::set<WaitingKey> waiting;
-  std::map<StepName, Reservation> reservations;
+  /// By step and by the job that asked. Borrowed jobs of one step ask separately.
+  std::map<std::pair<StepName, JobId>, Reservation> reservations;
+  std::optional<WorkerHold> hold;
   /// Earliest time of the next request to a cell that reports no capacity.
   Millis next_probe;
+  /// The job that sent the last one. Empty at the beginning of each cycle.
+  JobId last_probe;
   /// Earliest time of the next request for best-effort tasks.
   Millis next_best_effort_request;
   /// Some worker may need a poll or an order.
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -1,5 +1,8 @@
 #include "reservations.h"
 
+#include "owner_contact.h"
+#include "worker_hold.h"
+
 /// Reservation of capacity in another cell for tasks that find none in their own. Load reports are
 /// half a second old, and many owners choose by the same reports, so tasks that were passed on by
 /// reports alone often arrived in a full cell and were passed on again. An owner that asks first
@@ -10,14 +13,7 @@
 
 /// How long capacity is held for tasks to arrive: a write by a slow store and its delivery.
 constexpr Millis kReservationTime = Millis(800);
-/// How long a reply is awaited. Peers reply within milliseconds, and those that are short of
-/// processor time in tens of milliseconds.
-constexpr Millis kReplyTimeout = Millis(150);
-/// How long the owner of a cell is not asked again after it did not reply. The pause doubles with
-/// each further request without a reply, as late replies take processor time that is short.
-constexpr Millis kUnresponsiveOwnerPause = Millis(1'000);
-constexpr int32_t kMaxPauseDoublings = 3;
-/// Consecutive requests of a job without a reply after which no more are sent.
+/// Consecutive requests of a job without a reply after which the load reports go first.
 constexpr int32_t kMaxUnansweredRequests = 2;
 /// How long a cell that had no capacity for a job's tasks is not asked again for them.
 constexpr Millis kDeclinedPause = Millis(400);
@@ -52,9 +48,10 @@
 }
 
 /// Reserves capacity for as many of the requested tasks as fit, and returns their number. A former
-/// reservation for the same step is replaced.
+/// reservation for the same step of the same job is replaced.
 int32_t ReserveCapacity(const State& state, OwnedCell& cell, const ReservationRequest& request) {
-  const auto former = cell.reservations.find(request.name);
+  const auto key = std::make_pair(request.name, request.job);
+  const auto former = cell.reservations.find(key);
 
   if (former != cell.reservations.end()) {
     ReleaseWorkers(cell, former->second);
@@ -66,7 +63,7 @@
 
   // Entered at once, so that the tasks count for each other where their number per worker is
   // limited.
-  Reservation& held = cell.reservations[request.name];
+  Reservation& held = cell.reservations[key];
   held = Reservation{.step = request.step, .expires_at = state.now + kReservationTime};
   CountUnstartedTasks(cell);
 
@@ -80,22 +77,34 @@
   }
 
   const auto tasks = static_cast<int32_t>(held.workers.size());
-  if (tasks == 0) cell.reservations.erase(request.name);
+  if (tasks == 0) cell.reservations.erase(key);
+  if (tasks > 0) EndHold(cell, request.name);
   return tasks;
 }
 
+/// Keeps a worker for a long-running task of another cell that has waited long. Returns whether one
+/// is kept.
+bool KeepWorkerFor(const State& state, OwnedCell& cell, const ReservationRequest& request) {
+  if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return false;
+
+  const bool is_overdue =
+      request.step.is_long_running && !request.step.best_effort && request.waited >= kHoldDelay;
+  return is_overdue && KeepWorker(state, cell, PlacementOf(request, state.now));
+}
+
 ReservationReply MakeReply(const State& state, OwnedCell* cell, const ReservationRequest& request) {
-  ReservationReply reply{.from = request.from, .job = request.job, .service = request.service};
+  ReservationReply reply{.from = request.from,
+                         .job = request.job,
+                         .asked_at = request.asked_at,
+                         .service = request.service};
   if (cell == nullptr) return reply;
 
   reply.tasks = ReserveCapacity(state, *cell, request);
-  const LoadRecord load = CountLoad(state, *cell);
-  const auto service = load.services.find(request.service);
-  if (service == load.services.end()) return reply;
-
-  reply.free = service->second.free;
-  reply.largest_free = service->second.largest_free;
-  reply.free_best_effort = service->second.free_best_effort;
+  reply.keeps = reply.tasks == 0 && KeepWorkerFor(state, *cell, request);
+  const ServiceLoad load = CountFree(state, *cell, request.service);
+  reply.free = load.free;
+  reply.largest_free = load.largest_free;
+  reply.free_best_effort = load.free_best_effort;
   return reply;
 }
 
@@ -150,8 +159,20 @@
   state.declined_needs[key].Extend(state.now, kDeclinedNeedsPause, kMaxDeclinedDoublings);
 }
 
+/// Returns whether a reply may be used: it is awaited, or it is late and the capacity is still
+/// held.
+bool IsUsable(const State& state, const OwnedCell& cell, const JobState& job, const CellId& to,
+              const ReservationReply& reply) {
+  if (job.reservation && job.reservation->to == to) return true;
+
+  const bool is_measured = reply.asked_at > Millis(0) && reply.asked_at <= state.now;
+  const bool is_held = is_measured && state.now < reply.asked_at + kReservationTime;
+  return is_held && !cell.write.versions.contains(job.record.spec.job);
+}
+
 void HandleReply(State& state, Effects& effects, const CellId& to, const ReservationReply& reply) {
   UpdateReportedRoom(state, to, reply);
+  NoteOwnerReplied(state, to, reply.asked_at);
   OwnedCell* cell = FindOpenCell(state, reply.from);
   if (cell == nullptr) return;
 
@@ -159,20 +180,23 @@
   if (found == cell->jobs.end()) return;
 
   JobState& job = found->second;
-  if (!job.reservation || job.reservation->to != to) return;
-
-  state.unresponsive_owners.erase(to);
-  job.reservation.reset();
+  const bool is_usable = IsUsable(state, *cell, job, to, reply);
+  if (job.reservation && job.reservation->to == to) job.reservation.reset();
   job.unanswered_reservations = 0;
+  if (reply.keeps) job.kept_in = to;
+  if (!reply.keeps && job.kept_in == to) job.kept_in.reset();
   WaitingBatch batch = WaitingTasks(state, *cell, job);
   RecordReply(state, job, to, batch.spec, reply.tasks);
   const bool stopped = job.cancelled || job.attempts_exhausted || job.move || job.loan;
-  if (stopped || cell->releasing || reply.tasks <= 0) return;
+  if (!is_usable || stopped || cell->releasing || reply.tasks <= 0) return;
 
+  // Another cell may have been asked since.
+  job.reservation.reset();
   PassOn(state, effects, *cell, job, to, std::move(batch), static_cast<size_t>(reply.tasks));
 }
 
-/// Returns a cell that reports no capacity, to ask it all the same, at most one per interval.
+/// Returns a cell that reports no capacity, to ask it all the same, at most one per interval. Each
+/// waiting job has its turn.
 std::optional<CellId> ChooseProbe(State& state, OwnedCell& cell, const JobState& job,
                                   const StepSpec& spec) {
   if (state.now < cell.next_probe) {
@@ -180,8 +204,24 @@
     return std::nullopt;
   }
 
+  if (job.record.spec.job <= cell.last_probe) return std::nullopt;
+
+  const std::optional<CellId> to = ChooseAnyOtherCell(state, cell.cell, job, spec);
+  if (!to) return std::nullopt;
+
   cell.next_probe = state.now + kProbeInterval;
-  return ChooseAnyOtherCell(state, cell.cell, job, spec);
+  cell.last_probe = job.record.spec.job;
+  return to;
+}
+
+/// Returns another cell of this entry. Asking it takes no message, so that it needs no turn.
+std::optional<CellId> ChooseOwnCell(const State& state, const OwnedCell& cell, const JobState& job,
+                                    const StepSpec& spec) {
+  for (const auto& [id, other] : state.cells) {
+    if (id != cell.cell && other.open && MayAsk(state, job, spec, id)) return id;
+  }
+
+  return std::nullopt;
 }
 
 }  // namespace
@@ -199,9 +239,9 @@
   }
 
   const CellId to = job.reservation->to;
+  NoteOwnerSilent(state, to, job.reservation->expires_at - kReplyTimeout);
   job.reservation.reset();
   ++job.unanswered_reservations;
-  state.unresponsive_owners[to].Extend(state.now, kUnresponsiveOwnerPause, kMaxPauseDoublings);
   Log(effects, Severity::kInfo, "no reply to a request for capacity in another cell",
       {{"job", job.record.spec.job.Text()}, {"to", to.Text()}});
   return false;
@@ -216,6 +256,8 @@
 
   const auto tasks = static_cast<int64_t>(batch.tasks.size());
   std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, *batch.spec, tasks);
+  if (!to && batch.spec->is_long_running) to = ChooseOwnCell(state, cell, job, *batch.spec);
+  if (!to && job.kept_in && MayAsk(state, job, *batch.spec, *job.kept_in)) to = job.kept_in;
   if (!to) to = ChooseProbe(state, cell, job, *batch.spec);
   if (!to) return false;
 
@@ -228,6 +270,8 @@
                              .service = ServiceOf(state, job.record),
                              .from = cell.cell,
                              .job = job.record.spec.job,
+                             .asked_at = state.now,
+                             .waited = state.now - job.waits_since.value_or(state.now),
                              .reply_to = state.settings.peer_address};
   request.step.task_count = static_cast<int32_t>(tasks);
   job.reservation = JobState::PendingReservation{*to, state.now + kReplyTimeout};
@@ -238,6 +282,13 @@
     return true;
   }
 
+  if (batch.spec->is_long_running) {
+    // The others that wait do not ask for the same capacity meanwhile.
+    Demand demand;
+    AddDemand(demand, *batch.spec, tasks);
+    AddSentDemand(state, *to, demand);
+  }
+  NoteOwnerAsked(state, *to);
   PushToOwner(state, effects, *to,
               StoreItem{.key = std::string(kReservationRequestPrefix) + to->Text(),
                         .value = Encode(request)});
@@ -270,10 +321,17 @@
 
 void ClaimReservations(State& state, OwnedCell& cell, JobState& job) {
   const JobId root = job.record.parent.Empty() ? job.record.spec.job : job.record.parent;
-  auto row = cell.reservations.lower_bound(StepName{.job = root});
+  auto row = cell.reservations.lower_bound({StepName{.job = root}, JobId()});
+
+  while (row != cell.reservations.end() && row->first.first.job == root) {
+    const auto [name, asker] = row->first;
+
+    // A lent task was asked for by its job, a moved one by the borrowed job itself.
+    if (asker != job.record.spec.job && asker != job.record.parent) {
+      ++row;
+      continue;
+    }
 
-  while (row != cell.reservations.end() && row->first.job == root) {
-    const StepName name = row->first;
     const Reservation held = std::move(row->second);
     row = cell.reservations.erase(row);
     ReleaseWorkers(cell, held);
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -20,10 +20,17 @@
 /// Returns the best worker for a task, or null if none has capacity.
 WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const PlacementRequest& request);
 
+/// Returns whether a worker may run a task, whatever capacity it has free.
+bool MayUseWorker(const State& state, const OwnedCell& cell, const PlacementRequest& request,
+                  const WorkerState& worker);
+
 /// Returns whether a task may be placed on a worker.
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
                   WorkerState& worker);
 
+/// Returns the capacity of a service in a cell and what of it is free.
+ServiceLoad CountFree(const State& state, const OwnedCell& cell, const std::string& service);
+
 /// Returns the step of a task as the workers know it.
 StepName StepNameOf(const JobState& job, const TaskRef& ref);
 
@@ -55,7 +62,7 @@
 /// overdue.
 bool AwaitsReservation(State& state, Effects& effects, JobState& job);
 
-/// Returns whether so many requests of the job had no reply that no more are sent.
+/// Returns whether so many requests of the job had no reply that the load reports go first.
 bool HasUnresponsivePeers(const JobState& job);
 
 void ApplyReservationReply(State& state, Effects& effects, const CellId& to, const StoreItem& item);
