Limit how often a worker is polled whose lease cannot be extended

No caller has reported it: an owner polled its workers without any pause while the store was away, which takes its processor and theirs when replies matter most.

Cause: a renewal waits at the worker only for what is left of the lease above 1.5 s, which is nothing once the lease cannot be extended any further; each reply was then followed by the next poll at once, at every worker with tasks. The same happened while a lost poll was in flight that a later one had replaced: polls after it counted as repeats, which do not wait. Evidence: PollRate failed before. All entries cut off from the store: 100 polls of a worker in one second, one in each step of the simulated time; one lost poll beside that: 48. 10 are allowed, one every 100 ms.

Change: a renewal waits 100 ms at least once the lease has a confirmed end, and a poll in flight no longer counts once a later one was answered.

PollRate passes; LostPoll, LostPollBesideAnOutage and SilentWorker still pass.

--- a/lib/scheduler/source/poll_schedule.cc
+++ b/lib/scheduler/source/poll_schedule.cc
@@ -15,6 +15,9 @@
 constexpr size_t kMaxPollsInFlight = 3;
 /// What must be left of a lease when the reply to its renewal is due: time for four repeats.
 constexpr Millis kRenewalReserve = Millis(1'500);
+/// Minimum wait of a renewal at a worker whose lease cannot be extended any further. Without it,
+/// each reply would be followed by the next poll at once.
+constexpr Millis kMinRenewalWait = Millis(100);
 constexpr Millis kMaxFailedPollBackoff = Millis(1'000);
 
 /// Returns how long the reply to a poll that is expected at a time may be overdue before the poll
@@ -30,6 +33,11 @@
   return state.now < worker.lease.own && NeedsLease(state, cell, worker);
 }
 
+/// Returns whether the worker has answered a later poll than this one, which is still in flight.
+bool IsSuperseded(const WorkerState& worker, const PollInFlight& poll) {
+  return worker.failed_polls == 0 && poll.sequence <= worker.settled_polls;
+}
+
 /// Returns whether a start may still reach a later incarnation of the worker than the known one. A
 /// lease end by the clock of the known one would let that run last for the longest lease that a
 /// worker grants.
@@ -54,11 +62,13 @@
     if (poll.token != token) continue;
 
     ++in_flight;
+    if (IsSuperseded(worker, poll)) continue;
     if (newest == nullptr || poll.sequence > newest->sequence) newest = &poll;
   }
 
+  if (in_flight >= kMaxPollsInFlight) return std::nullopt;
   if (newest == nullptr) return worker.next_poll;
-  if (in_flight >= kMaxPollsInFlight || !IsLeaseAtStake(state, cell, worker)) return std::nullopt;
+  if (!IsLeaseAtStake(state, cell, worker)) return std::nullopt;
 
   const Millis expected_at = newest->sent_at + newest->wait;
   return std::max(worker.next_poll, expected_at + RepeatDelay(worker, expected_at));
@@ -87,12 +97,17 @@
   if (worker.failed_polls > 0 || worker.unanswered_grant) return true;
 
   const FencingToken token = TokenOf(cell, worker);
-  return std::ranges::any_of(worker.polls,
-                             [&](const PollInFlight& poll) { return poll.token == token; });
+  return std::ranges::any_of(worker.polls, [&](const PollInFlight& poll) {
+    return poll.token == token && !IsSuperseded(worker, poll);
+  });
 }
 
 Millis MaxRenewalWait(const State& state, const WorkerState& worker) {
-  return std::max(worker.lease.earliest - state.now - kRenewalReserve, Millis(0));
+  const Millis left = worker.lease.earliest - state.now;
+  // The first renewal is to be confirmed at once.
+  if (left <= Millis(0)) return Millis(0);
+
+  return std::max(left - kRenewalReserve, kMinRenewalWait);
 }
 
 Millis PauseAfterFailedPoll(const State& state, const OwnedCell& cell, const WorkerState& worker) {
