Let an entry that is too slow to start tasks pass its cells on

Cause: the processor of the owner, e1, was saturated by its events, and each event waited for it. A start may leave only if the registration of the worker was read at most 1000 ms ago (the drain time less the timeout of an order), so no reply of the store was ever recent enough and no start could leave. Still e1 counted as able to start tasks, as its copy of the records was less than 5 s old, and kept the cell.

Change: an entry whose last five renewals have all taken longer than that age counts as behind until 30 s after the last such renewal, as the same cell would make it slow again. Entries that are behind already pass their cells to others that are not, accept none and claim after others. Where all entries are slow, nothing changes. Timeouts don't count, so that entries are not behind after an outage of the store.

Tests: both SlowOwner tests failed before (4 of 10 jobs not started, the cell kept by the slow entry).

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -39,6 +39,11 @@
   RequestId request = 0;
   Millis sent_at;
   Millis next_at;
+  /// Number of the last answered renewals that all took too long to start tasks by replies that
+  /// take as long.
+  int32_t late_renewals = 0;
+  /// Until when this entry counts as slow because of that.
+  Millis slow_until;
   /// The entry's record was written under this lease.
   bool registered = false;
   Millis registered_at;
--- a/lib/scheduler/source/copy_age.cc
+++ b/lib/scheduler/source/copy_age.cc
@@ -44,7 +44,7 @@
 void UpdateCaughtUp(State& state) {
   const FeedState& copy = state.feeds[Feed::kRecords];
   const bool recent = copy.synced && copy.known_at && state.now - *copy.known_at <= kMaxCaughtUpAge;
-  state.caught_up = recent && (state.caught_up || copy.backlog.replies == 0);
+  state.caught_up = recent && !IsSlow(state) && (state.caught_up || copy.backlog.replies == 0);
 }
 
 std::string RecordsAgeText(const State& state) {
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -114,7 +114,8 @@
 bool IsRegistrationCurrent(const State& state, const WorkerState& worker);
 
 /// Returns whether the copy of the records is recent enough that this entry can start tasks soon
-/// after it takes over a cell. It becomes so with a reply that leaves nothing outstanding.
+/// after it takes over a cell. It becomes so with a reply that leaves nothing outstanding. It never
+/// is at an entry that is slow.
 bool IsCaughtUp(const State& state);
 void UpdateCaughtUp(State& state);
 
@@ -154,6 +155,9 @@
 /// Handles the unexpected removal of this entry's own record.
 void HandleEntryRecordRemoved(State& state, Effects& effects);
 
+/// Returns whether this entry handles the store's replies too late to start tasks.
+bool IsSlow(const State& state);
+
 /// Returns whether this entry's lease at the store is certainly still valid.
 bool HoldsLease(const State& state);
 
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -15,6 +15,11 @@
 constexpr Millis kRecordInterval = Millis(1'000);
 /// Renewals that take at least this long are logged: the store, the link or this process is slow.
 constexpr Millis kSlowRenewal = Millis(300);
+/// Number of late renewals in a row after which this entry counts as slow: those of at least 5 s,
+/// as its copy of the records may be that old too. A pause of the process makes one or two late.
+constexpr int32_t kLateRenewalsUntilSlow = 5;
+/// For how long it counts as slow from then on: the cells that have made it slow would do so again.
+constexpr Millis kSlowTime = Millis(30'000);
 
 /// Revokes the lease of this entry's previous incarnation, so that its cells are free immediately.
 /// The previous process has ended, as the machine runs only one process of this entry.
@@ -76,6 +81,22 @@
       CallStore(state, effects, EntryRegistered{lease.lease}, std::move(write));
 }
 
+/// Notes whether a renewal took so long that no task can start by a reply of the store that takes
+/// as long, because what the reply says of a worker is too old then.
+void NoteRenewalTime(State& state, Effects& effects, Millis took) {
+  LeaseState& lease = state.lease;
+
+  const bool late = took > LongestUsableAge(state.settings.drain_time);
+  lease.late_renewals = late ? lease.late_renewals + 1 : 0;
+  if (lease.late_renewals < kLateRenewalsUntilSlow) return;
+
+  if (!IsSlow(state)) {
+    Log(effects, Severity::kWarning, "this entry is too slow to start tasks",
+        {{"cells", std::to_string(state.cells.size())}});
+  }
+  lease.slow_until = state.now + kSlowTime;
+}
+
 void HandleLeaseLost(State& state, Effects& effects, std::string_view reason) {
   Log(effects, Severity::kWarning, "lost the store lease",
       {{"lease", std::to_string(state.lease.lease)}, {"reason", std::string(reason)}});
@@ -105,6 +126,8 @@
 
 }  // namespace
 
+bool IsSlow(const State& state) { return state.now < state.lease.slow_until; }
+
 bool HoldsLease(const State& state) {
   return state.lease.lease != 0 && state.now < state.lease.valid_until;
 }
@@ -166,6 +189,7 @@
   }
 
   if (reply.status == StoreStatus::kOk) {
+    NoteRenewalTime(state, effects, took);
     // The store extends the lease when the renewal arrives, which is not before it was sent.
     lease.valid_until = lease.sent_at + std::min(reply.ttl, kStoreLeaseTtl);
     lease.next_at = lease.sent_at + kStoreLeaseRenewalInterval;
