Record that a job is absent before its caller is told so

Seen: a submission was answered 504; its caller withdrew the job by DELETE at another entry and was answered 410.

Cause: a cancel of a job that one read of the store did not find left nothing in the store. The write of the submission, whose answer was lost and which the store carried out late, expected only that the job was absent.

- The cancel writes `shared/withdrawn/J`, expecting the job to be absent, and answers 410 only then.
A submission expects that key to be absent.
On a conflict the job was stored meanwhile and is cancelled.
- The record is kept for 27.5 s: until a submission sent before is handled (15 s, the time that the removal of ended jobs allows too), is written for the last time (2.5 s) and that write is carried out (10 s).
Then the coordinator removes it by its revision, whoever wrote it.
No lease holds it, as the store may take leased keys away.
- Within that time the job can't be submitted anew.
The refusal is true: it is given only if no write of that submission is unanswered; else the outcome is unknown.
- At most 5,000 such records are kept; beyond that such a cancel is unknown.
- It costs one more write for a cancel of a job that isn't there.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -40,6 +40,9 @@
 inline constexpr std::string_view kLoadPrefix = "shared/load/";
 inline constexpr std::string_view kJobPrefix = "shared/jobs/";
 inline constexpr std::string_view kCancelPrefix = "shared/cancelled/";
+/// A caller was told that there is no such job: no submission of it that is still in flight may be
+/// stored.
+inline constexpr std::string_view kWithdrawnPrefix = "shared/withdrawn/";
 inline constexpr std::string_view kLayoutKey = "members/layout";
 inline constexpr std::string_view kLearnedKey = "shared/learned";
 /// Followed by the cell and the job: `progress/CELL/JOB`.
--- a/lib/scheduler/include/currantpost/scheduler/replica.h
+++ b/lib/scheduler/include/currantpost/scheduler/replica.h
@@ -118,6 +118,13 @@
   std::optional<Millis> ended_at;
 };
 
+/// A job that was withdrawn before it was stored.
+struct WithdrawnView {
+  KvRevision revision = 0;
+  /// When this entry first saw this revision.
+  Millis seen_at;
+};
+
 /// Local replica of the records that all entries share, and of the progress of jobs in owned cells.
 struct View {
   std::map<EntryId, EntryView> entries;
@@ -128,6 +135,7 @@
   /// The pending jobs that the owner of each cell last reported. Kept after the owner is gone.
   std::map<CellId, PendingJobs> waiting;
   std::map<JobId, JobView> jobs;
+  std::map<JobId, WithdrawnView> withdrawn;
   /// Revisions at which records were removed, by key. Older updates that arrive late are ignored.
   std::map<std::string, KvRevision> removed;
 };
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -95,11 +95,20 @@
   bool maybe_applied = false;
 };
 
+/// What a pending cancellation asks of the store.
+enum class CancelStep {
+  /// Whether it has the job, which this entry does not know.
+  kReading,
+  /// To accept no submission of the job, which it does not have.
+  kWithdrawing,
+  kCancelling,
+};
+
 /// A cancellation whose write to the store is not completed.
 struct PendingCancel {
   std::vector<RequestId> calls;
   RequestId request = 0;
-  bool reading = false;
+  CancelStep step = CancelStep::kReading;
   Millis retry_at;
   /// When the callers get the answer that the outcome is unknown.
   Millis answer_deadline;
@@ -190,6 +199,9 @@
   VmId worker;
 };
 struct EndedJobsRemoved {};
+struct WithdrawalsRemoved {
+  std::vector<JobId> jobs;
+};
 struct LearnedWritten {};
 struct CancelsRead {};
 using StorePurpose =
@@ -197,7 +209,7 @@
                  LayoutWritten, CellClaimed, CellReleased, ProgressListed, ProgressWritten,
                  HandOverRead, HandOverWritten, FormerLeaseEnded, JobMoved, TasksLent,
                  SubmitWritten, CancelAnswered, JobRead, PhaseRead, WorkerRead, EndedJobsRemoved,
-                 LearnedWritten, CancelsRead>;
+                 WithdrawalsRemoved, LearnedWritten, CancelsRead>;
 /// @}
 
 /// A call to the store that is in flight.
@@ -285,6 +297,9 @@
   absl::flat_hash_map<RequestId, WorkerCallInFlight> worker_calls;
   std::map<JobId, PendingSubmit> submits;
   std::map<JobId, PendingCancel> cancels;
+  /// The removal of old withdrawal records that is in flight, 0 if there is none.
+  RequestId withdrawal_removal = 0;
+  Millis next_withdrawal_removal;
   absl::flat_hash_map<RequestId, PendingPeerQuery> peer_queries;
   std::map<CellId, SentDemand> sent_demand;
   /// Cells whose owners did not reply to the last request for capacity in time, and for how long
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -213,6 +213,22 @@
   ApplyCancellation(state, effects, id);
 }
 
+void ApplyWithdrawal(State& state, Effects& /*effects*/, const JobId& id, const StoreItem& item) {
+  const auto known = state.view.withdrawn.find(id);
+  const KvRevision revision = known == state.view.withdrawn.end() ? 0 : known->second.revision;
+
+  if (item.removed) {
+    if (RememberRemoval(state.view, item.key, revision, item.revision)) {
+      state.view.withdrawn.erase(id);
+    }
+    return;
+  }
+
+  if (item.revision > revision) {
+    state.view.withdrawn[id] = WithdrawnView{.revision = item.revision, .seen_at = state.now};
+  }
+}
+
 /// Maps a key prefix to the function that applies its records.
 template <typename Name>
 struct RecordKind {
@@ -220,7 +236,8 @@
   void (*apply)(State&, Effects&, const Name&, const StoreItem&);
 };
 
-constexpr RecordKind<JobId> kJobKinds[] = {{kJobPrefix, ApplyJob}, {kCancelPrefix, ApplyCancel}};
+constexpr RecordKind<JobId> kJobKinds[] = {
+    {kJobPrefix, ApplyJob}, {kCancelPrefix, ApplyCancel}, {kWithdrawnPrefix, ApplyWithdrawal}};
 constexpr RecordKind<std::string> kProgressKinds[] = {{kProgressPrefix, ApplyProgress}};
 constexpr RecordKind<CellId> kCellKinds[] = {{kCellPrefix, ApplyCell},
                                              {kLoadPrefix, ApplyLoad},
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -1,19 +1,13 @@
 #include <cmath>
 #include <limits>
 
-#include "internal.h"
+#include "callers.h"
 
 /// Callers' requests and peers' queries.
 
 namespace currantpost::scheduler {
 namespace {
 
-/// Time after which a submission or cancellation that the store has not confirmed is answered as
-/// unknown, so that the caller retries. Below the usual caller timeout of 3 s.
-constexpr Millis kSettleTimeout = Millis(2'500);
-/// How long a cancellation is retried, also after its caller received an unknown outcome, as the
-/// caller may not retry. Outages and partitions of the store are shorter.
-constexpr Millis kCancelRetryPeriod = Millis(15'000);
 /// Timeout of a query to a peer; peers answer in a few milliseconds.
 constexpr Millis kPeerTimeout = Millis(250);
 /// Retry delay in responses that are not final.
@@ -23,14 +17,6 @@
 /// Maximum age of a count of pending jobs, on top of the time until an accepted job is visible.
 constexpr Millis kMaxCountAge = Millis(2'000);
 
-void Answer(Effects& effects, RequestId call, CallerOutcome outcome) {
-  effects.emplace_back(AnswerCaller{.call = call, .outcome = outcome, .retry_after = kRetryAfter});
-}
-
-void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome) {
-  for (const RequestId call : calls) Answer(effects, call, outcome);
-}
-
 void AnswerPhase(Effects& effects, RequestId call, JobPhase phase) {
   effects.emplace_back(
       AnswerCaller{.call = call, .outcome = CallerOutcome::kPhase, .phase = phase});
@@ -78,6 +64,8 @@
   WriteRecords write;
   const std::string key = JobKey(submit.record.spec.job);
   write.expected.push_back(ExpectedRecord{key, 0});
+  // No caller may have been told meanwhile that there is no such job.
+  write.expected.push_back(ExpectedRecord{WithdrawnKey(submit.record.spec.job), 0});
   // The queue must not have been removed meanwhile, whatever this entry's copy says.
   write.expected_configuration = state.configuration_revision;
   write.puts.push_back(RecordPut{key, submit.value, 0});
@@ -177,41 +165,6 @@
   FindPhase(state, effects, asked.call, body.job);
 }
 
-void SendCancel(State& state, Effects& effects, const JobId& id, PendingCancel& cancel) {
-  const auto job = state.view.jobs.find(id);
-
-  if (job == state.view.jobs.end() || job->second.revision == 0) {
-    cancel.reading = true;
-    cancel.request = CallStore(state, effects, CancelAnswered{id}, ReadRecord{JobKey(id)});
-    return;
-  }
-
-  cancel.reading = false;
-  WriteRecords write;
-  write.expected.push_back(ExpectedRecord{JobKey(id), job->second.revision});
-  write.puts.push_back(RecordPut{CancelKey(id), "{}", 0});
-  cancel.request = CallStore(state, effects, CancelAnswered{id}, std::move(write));
-}
-
-void HandleCancel(State& state, Effects& effects, const CallerRequested& asked,
-                  const JobCancelled& body) {
-  const auto job = state.view.jobs.find(body.job);
-
-  if (job != state.view.jobs.end() && job->second.revision != 0 &&
-      (job->second.cancelled || IsTerminal(job->second.phase))) {
-    return Answer(effects, asked.call, CallerOutcome::kCancelled);
-  }
-
-  const auto [found, is_new] = state.cancels.try_emplace(body.job);
-  PendingCancel& cancel = found->second;
-  const Millis answer_deadline = state.now + std::min(kSettleTimeout, asked.caller_timeout);
-  cancel.answer_deadline =
-      cancel.calls.empty() ? answer_deadline : std::min(cancel.answer_deadline, answer_deadline);
-  cancel.retry_deadline = state.now + kCancelRetryPeriod;
-  cancel.calls.push_back(asked.call);
-  if (is_new) SendCancel(state, effects, body.job, cancel);
-}
-
 /// Number of pending jobs of a queue, by source.
 struct PendingCount {
   /// In cells that this entry owns.
@@ -315,7 +268,8 @@
 void RetryWithNewConfiguration(State& state, Effects& effects, const JobId& id,
                                const StoreReply& reply) {
   for (const StoreItem& item : reply.items) {
-    if (item.key != JobKey(id)) ApplyConfiguration(state, effects, item);
+    const bool is_condition = item.key == JobKey(id) || item.key == WithdrawnKey(id);
+    if (!is_condition) ApplyConfiguration(state, effects, item);
   }
 
   const auto found = state.submits.find(id);
@@ -336,29 +290,32 @@
   SendSubmit(state, effects, submit);
 }
 
-/// Returns whether a job that the store did not have may exist after all: it is known by now, or
-/// its write is still in flight.
-bool MayBeAccepted(const State& state, const JobId& id) {
-  const auto job = state.view.jobs.find(id);
-  const bool known = job != state.view.jobs.end() && job->second.revision != 0;
-  return known || state.submits.contains(id);
-}
+/// Answers a submission that the store has rejected because the job was withdrawn. An earlier write
+/// of the same submission without an answer may still take effect once the withdrawal is removed.
+void AnswerWithdrawn(State& state, Effects& effects, const JobId& id) {
+  const auto found = state.submits.find(id);
 
-/// Logs a cancellation that the store has recorded, and the owner that has to execute it.
-void LogCancelled(const State& state, Effects& effects, const JobId& id, KvRevision revision) {
-  const auto job = state.view.jobs.find(id);
-  const bool known = job != state.view.jobs.end();
-  const CellId cell = known ? job->second.head.cell : CellId();
-  const auto owner = state.view.cells.find(cell);
-  Log(effects, Severity::kInfo, "cancelled job",
-      {{"job", id.Text()},
-       {"cell", cell.Text()},
-       {"owner", owner == state.view.cells.end() ? "" : owner->second.record.owner.Text()},
-       {"revision", std::to_string(revision)}});
+  for (const RequestId call : found->second.calls) {
+    if (found->second.maybe_applied) {
+      Answer(effects, call, CallerOutcome::kUnknown);
+    } else {
+      Refuse(effects, call, id, "the job was withdrawn");
+    }
+  }
+
+  state.submits.erase(found);
 }
 
 }  // namespace
 
+void Answer(Effects& effects, RequestId call, CallerOutcome outcome) {
+  effects.emplace_back(AnswerCaller{.call = call, .outcome = outcome, .retry_after = kRetryAfter});
+}
+
+void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome) {
+  for (const RequestId call : calls) Answer(effects, call, outcome);
+}
+
 void HandleCallerRequest(State& state, Effects& effects, const CallerRequested& asked) {
   if (const auto* body = std::get_if<JobSubmitted>(&asked.body)) {
     HandleSubmit(state, effects, asked, *body);
@@ -397,7 +354,12 @@
       return;
     }
     case StoreStatus::kConflict: {
-      if (!ContainsRecord(reply, JobKey(id))) {
+      const bool exists = ContainsRecord(reply, JobKey(id));
+      if (!exists && ContainsRecord(reply, WithdrawnKey(id))) {
+        return AnswerWithdrawn(state, effects, id);
+      }
+
+      if (!exists) {
         RetryWithNewConfiguration(state, effects, id, reply);
         return;
       }
@@ -432,55 +394,6 @@
   submit.retry_at = state.now + kStoreRetryDelay;
 }
 
-void HandleCancelAnswered(State& state, Effects& effects, const JobId& id, RequestId request,
-                          const StoreReply& reply) {
-  const auto found = state.cancels.find(id);
-  if (found == state.cancels.end() || found->second.request != request) return;
-
-  PendingCancel& cancel = found->second;
-  cancel.request = 0;
-
-  if (cancel.reading) {
-    if (reply.status == StoreStatus::kNotFound && !MayBeAccepted(state, id)) {
-      AnswerAll(effects, cancel.calls, CallerOutcome::kNoSuchJob);
-      state.cancels.erase(found);
-      return;
-    }
-
-    if (reply.status == StoreStatus::kOk) {
-      for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
-      SendCancel(state, effects, id, cancel);
-      return;
-    }
-  } else if (reply.status == StoreStatus::kOk) {
-    const StoreItem item{.key = CancelKey(id), .revision = reply.revision, .value = "{}"};
-    LogCancelled(state, effects, id, reply.revision);
-    AnswerAll(effects, cancel.calls, CallerOutcome::kCancelled);
-    state.cancels.erase(found);
-    // The removal of the job may have arrived before this reply.
-    const auto job = state.view.jobs.find(id);
-    if (job == state.view.jobs.end()) return;
-
-    PushToOwner(state, effects, job->second.head.cell, item);
-    ApplyRecord(state, effects, item);
-    return;
-  } else if (reply.status == StoreStatus::kConflict) {
-    const bool gone = std::ranges::any_of(
-        reply.items, [&](const StoreItem& item) { return item.key == JobKey(id) && item.removed; });
-
-    if (gone) {
-      AnswerAll(effects, cancel.calls, CallerOutcome::kNoSuchJob);
-      state.cancels.erase(found);
-      return;
-    }
-
-    for (const StoreItem& item : reply.items) ApplyRecord(state, effects, item);
-  }
-
-  cancel.retry_at =
-      state.now + (reply.status == StoreStatus::kConflict ? Millis(0) : kStoreRetryDelay);
-}
-
 void HandleJobRead(State& state, Effects& effects, const JobRead& read, const StoreReply& reply) {
   if (reply.status == StoreStatus::kNotFound) {
     return Answer(effects, read.call, CallerOutcome::kNoSuchJob);
@@ -562,11 +475,6 @@
   ReadPhase(state, effects, question.call, question.job, job->second.head.cell);
 }
 
-bool HasUnansweredCancels(const State& state) {
-  return std::ranges::any_of(state.cancels,
-                             [](const auto& row) { return !row.second.calls.empty(); });
-}
-
 void UpdateCalls(State& state, Effects& effects) {
   for (auto row = state.submits.begin(); row != state.submits.end();) {
     PendingSubmit& submit = row->second;
@@ -584,29 +492,7 @@
     ++row;
   }
 
-  for (auto row = state.cancels.begin(); row != state.cancels.end();) {
-    PendingCancel& cancel = row->second;
-
-    if (state.now >= cancel.answer_deadline) {
-      AnswerAll(effects, cancel.calls, CallerOutcome::kUnknown);
-      cancel.calls.clear();
-    }
-
-    if (state.now >= cancel.retry_deadline) {
-      Log(effects, Severity::kWarning,
-          "stopped retrying a cancellation; the store did not confirm it",
-          {{"job", row->first.Text()}});
-      row = state.cancels.erase(row);
-      continue;
-    }
-
-    WakeAt(state, cancel.calls.empty() ? cancel.retry_deadline : cancel.answer_deadline);
-    if (cancel.request == 0 && state.now >= cancel.retry_at) {
-      SendCancel(state, effects, row->first, cancel);
-    }
-    if (cancel.request == 0) WakeAt(state, cancel.retry_at);
-    ++row;
-  }
+  UpdateCancels(state, effects);
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -121,6 +121,8 @@
     if (job.revision != 0) keys.emplace_back(JobKey(id), job.revision);
   }
 
+  for (const auto& [id, job] : view.withdrawn) keys.emplace_back(WithdrawnKey(id), job.revision);
+
   return keys;
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -47,6 +47,9 @@
 inline constexpr Millis kStoreTimeout = Millis(1'500);
 /// Delay before a failed call to the store is retried.
 inline constexpr Millis kStoreRetryDelay = Millis(200);
+/// Longest time that a request of a caller takes to be handled, for example by an entry that stands
+/// still for a while.
+inline constexpr Millis kMaxRequestDelay = Millis(15'000);
 /// Consecutive failed polls after which a worker is treated as unresponsive.
 inline constexpr int32_t kFailedPollsUntilUnresponsive = 2;
 /// Timeout of an order to a worker. Orders are answered in a few milliseconds unless they are lost.
@@ -80,6 +83,7 @@
 std::string JobKey(const JobId& job);
 std::string ProgressKey(const CellId& cell, const JobId& job);
 std::string CancelKey(const JobId& job);
+std::string WithdrawnKey(const JobId& job);
 std::string HandOverKey(const CellId& cell);
 
 // Feeds and the local replica of the records
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -12,9 +12,6 @@
 constexpr int32_t kMaxMoveDelayDoublings = 4;
 /// A job is moved only to a cell that has this many times the capacity that the job needs.
 constexpr int64_t kMoveRoomFactor = 2;
-/// Added to the promised retention time of ended jobs, so that a request in flight never finds the
-/// job missing.
-constexpr Millis kRemovalMargin = Millis(15'000);
 /// Interval between removals of ended jobs, and the maximum number of jobs removed per write. Each
 /// job has three keys, and the write also has a condition on the grant.
 constexpr Millis kRemovalInterval = Millis(2'000);
@@ -137,7 +134,8 @@
   if (state.now < state.next_removal || state.cells.empty()) return;
 
   state.next_removal = state.now + kRemovalInterval;
-  const Millis age = state.settings.ended_job_retention + kRemovalMargin;
+  // A request that is in flight at the end of the promised time must not find the job missing.
+  const Millis age = state.settings.ended_job_retention + kMaxRequestDelay;
 
   for (const auto& [id, cell] : state.cells) {
     WriteRecords write;
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -1,5 +1,6 @@
 #include "currantpost/scheduler/scheduler.h"
 
+#include "callers.h"
 #include "reservations.h"
 
 /// The reducer: dispatches each event to its handler, then updates every part of the scheduler.
@@ -71,6 +72,9 @@
     HandleWorkerRead(state, effects, purpose, reply);
   }
   void operator()(const EndedJobsRemoved&) const {}
+  void operator()(const WithdrawalsRemoved& purpose) const {
+    HandleWithdrawalsRemoved(state, effects, purpose, reply);
+  }
   void operator()(const LearnedWritten&) const { HandleLearnedWritten(state, effects, reply); }
   void operator()(const CancelsRead&) const { HandleCancelsRead(state, effects, reply); }
 };
@@ -207,6 +211,7 @@
 
   UpdateCalls(state, effects);
   RemoveEndedJobs(state, effects);
+  RemoveWithdrawals(state, effects);
   UpdateLearning(state, effects);
   UpdateReadiness(state, effects);
 }
@@ -231,5 +236,6 @@
 }
 std::string HandOverKey(const CellId& cell) { return std::string(kHandOverPrefix) + cell.Text(); }
 std::string CancelKey(const JobId& job) { return std::string(kCancelPrefix) + job.Text(); }
+std::string WithdrawnKey(const JobId& job) { return std::string(kWithdrawnPrefix) + job.Text(); }
 
 }  // namespace currantpost::scheduler
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -423,7 +423,9 @@
   const auto is_positive = [](const auto& row) { return row.second > decltype(row.second)(0); };
   const bool faults = loss > 0.0 || !paused_.empty() || !cuts_.empty() || !answers_lost_.empty() ||
                       !stops_lost_.empty() || !slowed_.empty();
-  if (faults || std::ranges::any_of(start_delays_, is_positive)) return true;
+  if (faults || std::ranges::any_of(start_delays_, is_positive) ||
+      std::ranges::any_of(write_delays_, is_positive))
+    return true;
   if (std::ranges::any_of(slow_lists_, is_positive) ||
       std::ranges::any_of(slow_watches_, is_positive) ||
       std::ranges::any_of(slow_records_, is_positive))
@@ -474,6 +476,22 @@
   return delay == delays.end() ? Millis(0) : delay->second;
 }
 
+Millis World::WriteDelay(const std::string& entry, const StoreBody& body) const {
+  const auto* write = std::get_if<WriteRecords>(&body);
+  if (write == nullptr) return Millis(0);
+
+  Millis delay;
+  for (const auto& [concerned, span] : write_delays_) {
+    const auto& [writer, prefix] = concerned;
+    const bool puts = std::ranges::any_of(write->puts, [&start = prefix](const RecordPut& put) {
+      return put.key.starts_with(start);
+    });
+    if (writer == entry && puts) delay = std::max(delay, span);
+  }
+
+  return delay;
+}
+
 void World::CallStore(const std::string& entry, const StoreCall& call) {
   const uint64_t incarnation = incarnation_of_.at(entry);
   const auto answered = std::make_shared<bool>(false);
@@ -508,8 +526,9 @@
 
   if (IsCut(entry, "store")) return;
 
-  const bool lost = ShouldLoseAnswer();
-  ScheduleAt(now_ + kHopDelay, [this, body = call.body, answer, lost] {
+  const Millis write_delay = WriteDelay(entry, call.body);
+  const bool lost = ShouldLoseAnswer() || write_delay > Millis(0);
+  ScheduleAt(now_ + kHopDelay + write_delay, [this, body = call.body, answer, lost] {
     store.Handle(body, now_, lost ? SimStore::Reply([](const StoreReply&) {}) : answer);
   });
 }
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -97,6 +97,11 @@
   void LoseAnswers(const std::string& worker, bool lose) { Mark(answers_lost_, worker, lose); }
   /// Start orders reach a worker later by `span`, and their replies are lost.
   void DelayStarts(const std::string& worker, Millis span) { start_delays_[worker] = span; }
+  /// Writes of an entry that put a record with the key prefix are carried out by the store later by
+  /// `span`, and are not answered. 0 ends this for later writes.
+  void DelayWrites(const std::string& entry, const std::string& prefix, Millis span) {
+    write_delays_[{entry, prefix}] = span;
+  }
   /// Drops stop orders to a worker while set.
   void LoseStops(const std::string& worker, bool lose) { Mark(stops_lost_, worker, lose); }
 
@@ -236,6 +241,7 @@
   [[nodiscard]] bool IsDisrupted() const;
   void ExecuteEffects(const std::string& entry, Effects effects);
   void CallStore(const std::string& entry, const StoreCall& call);
+  [[nodiscard]] Millis WriteDelay(const std::string& entry, const StoreBody& body) const;
   [[nodiscard]] Millis StoreDelay(const std::string& entry, const StoreBody& body) const;
   void CallWorker(const std::string& entry, const WorkerCall& call);
   [[nodiscard]] std::optional<ObservedStart> DescribeStart(const std::string& entry,
@@ -289,6 +295,7 @@
   std::map<std::pair<std::string, TaskName>, scheduler::Run> run_at_;
   std::map<std::tuple<std::string, TaskName, scheduler::Run>, int32_t> starts_at_done_;
   std::map<std::string, Millis> start_delays_;
+  std::map<std::pair<std::string, std::string>, Millis> write_delays_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
   std::map<std::string, Millis> slow_records_;
