Bound the silence of small watches by the deployment's promise

Seen: open connections went silent for good while new ones worked.

Cause: the watch of the configuration was given up only 3.5 s after it was sent and sent again 0.2 s later, whatever the feed. contact_ms leaves 3 s. The watch of members/ had the same bound.

A watch of the configuration or of members/ may be silent for that time less the pause before the next watch and the reply to that one: 2.5 s of 3 s. The wait at the store is what is left of it, 2 s as before. A change is still read whole: the reply to a watch that finds one at once has all 2.5 s. - The watches of shared/ and of the registry keep their timeouts: their replies may be long, and what starts and cancels need is read apart meanwhile. - Other calls in flight to an address are not given up when one is silent: a slow store would turn all writes in flight into ones with an unknown outcome.

--- a/lib/scheduler/include/currantpost/scheduler/settings.h
+++ b/lib/scheduler/include/currantpost/scheduler/settings.h
@@ -24,6 +24,8 @@
   Millis stop_time = Millis(1'000);
   /// Time after the acknowledged cancellation of a job after which no task of it starts any more.
   Millis cancel_time = Millis(4'000);
+  /// Time after the end of a disruption after which all bounds hold again.
+  Millis contact_time = Millis(3'000);
   /// Time after a worker has announced that it drains after which no task starts there any more.
   Millis drain_time = Millis(2'000);
   /// How long callers can query an ended job.
--- a/lib/scheduler/source/feeds.cc
+++ b/lib/scheduler/source/feeds.cc
@@ -5,14 +5,21 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// How long a watch waits for a change. Together with `kStoreTimeout` it bounds the time until a
-/// silent connection is detected. That must be below 4 s, within which an entry must be up to date
-/// again after a fault.
+/// How long a watch waits for a change. For the large feeds, it bounds the time until a silent
+/// connection is detected, together with `kStoreTimeout`. That must be below 4 s, within which an
+/// entry must be up to date again after a fault. What else a silent watch of them would delay is
+/// read or pushed meanwhile. For the small feeds, see `SilenceLimit`.
 constexpr Millis kWatchWait = Millis(2'000);
 /// The same for an owner's watch of the records. It is shorter so that the owner's copy does not
 /// count as stale while the store has no changes. The request timeout is still that of
 /// `kWatchWait`, as a long reply takes time.
 constexpr Millis kOwnerRecordsWait = Millis(500);
+/// Time for the reply to a watch of a small feed after its wait, and for the reply to the next one
+/// if the connection was silent. A slow store takes 250 ms.
+constexpr Millis kSmallReplyTime = Millis(500);
+constexpr Millis kNextReplyTime = Millis(300);
+/// Shortest wait of a watch of a small feed, whatever the deployment promises.
+constexpr Millis kMinSmallFeedWait = Millis(100);
 /// Pause between two watches of the records. The entry that accepts a job sends it to the owner
 /// directly, so the watch only catches up, and the pause limits the number of calls.
 constexpr Millis kRecordsPause = Millis(350);
@@ -67,17 +74,31 @@
   return Millis(0);
 }
 
+/// Returns whether the replies to watches of a feed are small, so that none is cut off by a short
+/// timeout. Nothing but these watches tells an entry about changes of the small feeds.
+bool IsSmall(Feed feed) { return feed == Feed::kMembers || feed == Feed::kConfiguration; }
+
+/// Returns how long a watch of a small feed may be silent. Its connection may be silent for good
+/// since it was sent, and the next watch must still bring what has changed within
+/// `Settings::contact_time`.
+Millis SilenceLimit(const State& state) {
+  const Millis allowed = state.settings.contact_time - kStoreRetryDelay - kNextReplyTime;
+  return std::clamp(allowed, kMinSmallFeedWait + kSmallReplyTime, kWatchWait + kStoreTimeout);
+}
+
 /// Returns how long a watch of a feed may wait for a change.
 Millis WaitOf(const State& state, Feed feed) {
+  const Millis small_feed_wait = std::min(kWatchWait, SilenceLimit(state) - kSmallReplyTime);
+
   switch (feed) {
     case Feed::kMembers:
-      return kWatchWait;
+      return small_feed_wait;
     case Feed::kRecords:
       return state.cells.empty() ? kWatchWait : kOwnerRecordsWait;
     case Feed::kWorkers:
       return std::min(kWatchWait, RegistryCycle(state) - PauseOf(state, feed));
     case Feed::kConfiguration:
-      return kWatchWait;
+      return small_feed_wait;
   }
 
   return kWatchWait;
@@ -242,6 +263,12 @@
   return usual * (int64_t{1} << std::min(copy.timeouts, kMaxTimeoutDoublings));
 }
 
+/// Returns the timeout of a watch. For the large feeds, it does not depend on the wait, as a long
+/// reply takes time.
+Millis WatchTimeoutOf(const State& state, Feed feed, const FeedState& copy) {
+  return IsSmall(feed) ? SilenceLimit(state) : TimeoutOf(feed, copy, kWatchWait);
+}
+
 void ResetFeed(FeedState& copy) {
   copy.synced = false;
   copy.page_after.clear();
@@ -305,7 +332,7 @@
 
     copy.request = CallStore(state, effects, FeedCalled{feed, false},
                              WatchFeed{feed, copy.revision, WaitOf(state, feed)},
-                             TimeoutOf(feed, copy, kWatchWait));
+                             WatchTimeoutOf(state, feed, copy));
   }
 }
 
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -503,11 +503,11 @@
   const int32_t delayed_count = delay > Millis(0) ? 1 : 0;
   delayed_replies_[entry] += delayed_count;
   const auto answer = [this, entry, incarnation, delay = delay + watch_delay, delayed_count,
-                       request = call.request, answered](StoreReply reply) {
+                       request = call.request, answered, sent_at = now_](StoreReply reply) {
     const Millis transfer = LinkDelay(entry, BytesOf(reply.items));
     ScheduleAt(now_ + kHopDelay + delay + transfer,
-               [this, entry, incarnation, delayed_count, request, answered, reply] {
-                 if (*answered) return;
+               [this, entry, incarnation, delayed_count, request, answered, sent_at, reply] {
+                 if (*answered || sent_at <= silenced_at_) return;
                  if (IsCut(entry, "store") && reply.status != StoreStatus::kUnavailable) return;
                  *answered = true;
                  delayed_replies_[entry] -= delayed_count;
@@ -538,10 +538,11 @@
   const std::string id = call.worker.Text();
   const auto answered = std::make_shared<bool>(false);
 
-  const auto answer = [this, entry, incarnation, id, request = call.request,
-                       answered](const WorkerReply& reply) {
-    ScheduleAt(now_ + kHopDelay, [this, entry, incarnation, id, request, answered, reply] {
-      if (*answered || answers_lost_.contains(id) || IsCut(entry, id)) return;
+  const auto answer = [this, entry, incarnation, id, request = call.request, answered,
+                       sent_at = now_](const WorkerReply& reply) {
+    ScheduleAt(now_ + kHopDelay, [this, entry, incarnation, id, request, answered, sent_at, reply] {
+      if (*answered || sent_at <= silenced_at_) return;
+      if (answers_lost_.contains(id) || IsCut(entry, id)) return;
       *answered = true;
       Deliver(entry, incarnation, WorkerAnswered{request, reply});
     });
@@ -610,7 +611,8 @@
   if (IsCut(entry, peer) || !IsUp(peer)) return;
 
   const RequestId call = ++last_call_;
-  peer_calls_[call] = [this, entry, peer, settle](std::optional<JobPhase> phase) {
+  peer_calls_[call] = [this, entry, peer, settle, sent_at = now_](std::optional<JobPhase> phase) {
+    if (sent_at <= silenced_at_) return;
     if (!IsCut(entry, peer)) ScheduleAt(now_ + kHopDelay, [settle, phase] { settle(phase); });
   };
   ScheduleAt(now_ + kHopDelay, [this, peer, call, job = query.job] {
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -93,6 +93,13 @@
   void Reconnect(const std::string& one, const std::string& other);
   [[nodiscard]] bool IsCut(const std::string& one, const std::string& other) const;
 
+  /// Drops the replies to all calls in flight; later calls work. The calls in flight are on open
+  /// connections, which go silent without a reset.
+  void SilenceCallsInFlight() {
+    silenced_at_ = now_;
+    RecordDisruption();
+  }
+
   /// Drops a worker's replies while set.
   void LoseAnswers(const std::string& worker, bool lose) { Mark(answers_lost_, worker, lose); }
   /// Start orders reach a worker later by `span`, and their replies are lost.
@@ -305,6 +312,8 @@
   std::map<std::string, Millis> last_delayed_reply_at_;
   std::map<std::string, Millis> stopped_at_;
   Millis last_disruption_at_;
+  /// No call that was sent until then is answered any more.
+  Millis silenced_at_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Machine> slowed_;
   /// When an entry's link becomes free.
