Poll silent workers once their former owner has restarted

Cause: other proofs that a silent worker may be reached again are followed by a poll at once, the restart of the former owner was not. The workers were polled after the pause that failed polls had left, up to 1 s. Evidence: FirstContact.SilentWorkersArePolledOnceTheFormerOwnerHasRestarted failed before: no answer within 250 ms after the restart was known, though the worker could be reached since before the restart.

Change: workers with runs that have not answered under the grant are polled once the restart is known.

FirstContact, PollRate, LostPoll, LostPollBesideAnOutage and SilentWorker pass.

--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -143,7 +143,7 @@
 
 /// Checks whether the former owner has restarted on its machine. Its previous incarnation can no
 /// longer renew leases then.
-void CheckForNewIncarnation(const State& state, Effects& effects, OwnedCell& cell) {
+void CheckForNewIncarnation(State& state, Effects& effects, OwnedCell& cell) {
   HandOverState& hand_over = cell.hand_over;
   const HandOverRecord& former = hand_over.former;
   const auto entry = state.view.entries.find(former.owner);
@@ -157,6 +157,8 @@
       Earlier(hand_over.default_expiry, ExpiredAt(state.now + MaxLeaseDuration(kWorkerLeaseTtl)));
   hand_over.former.owner = EntryId();
   ShortenWaits(state, effects, cell, "the former owner has restarted");
+  // What kept the workers silent may have ended with the restart.
+  PollUncontactedWorkers(state, cell);
 }
 
 void ApplyFormerLeases(State& state, Effects& effects, OwnedCell& cell,
--- a/tests/scheduler/first_contact_test.cc
+++ b/tests/scheduler/first_contact_test.cc
@@ -57,5 +57,23 @@
   EXPECT_EQ(world_.starts[name], 1);
 }
 
+// Guards against a pause after failed polls that outlasts what is left of the leases.
+TEST_F(FirstContact, SilentWorkersArePolledOnceTheFormerOwnerHasRestarted) {
+  for (const std::string& entry : world_.Entries()) {
+    if (entry != former_) world_.Cut(entry, worker_);
+  }
+  world_.Kill(former_);
+  world_.Run(Millis(5'000));
+  ASSERT_NE(NewCell(), nullptr);
+  ASSERT_FALSE(NewCell()->hand_over.former.owner.Empty());
+
+  world_.Reconnect();
+  world_.Start(former_);
+  while (!NewCell()->hand_over.former.owner.Empty()) world_.Run(Millis(5));
+  world_.Run(Millis(250));
+
+  EXPECT_TRUE(NewCell()->workers.at(VmId(worker_)).contacted);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
