--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -256,11 +256,15 @@
   }
 
   if (state.now < job.next_search) return;
-  if (state.now >= *job.waits_since + kLongWait) job.next_search = state.now + kLongWaitInterval;
 
   WaitingBatch batch = WaitingTasks(state, cell, job);
   if (batch.tasks.empty() || batch.spec->gang) return;
 
+  // Best-effort tasks have an interval of their own.
+  if (!batch.spec->best_effort && state.now >= *job.waits_since + kLongWait) {
+    job.next_search = state.now + kLongWaitInterval;
+  }
+
   if (batch.spec->best_effort && state.now < *job.waits_since + kLendBestEffortDelay) {
     WakeAt(state, *job.waits_since + kLendBestEffortDelay);
     return;
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -282,7 +282,7 @@
     return true;
   }
 
-  if (batch.spec->is_long_running) {
+  if (batch.spec->is_long_running && !batch.spec->best_effort) {
     // The others that wait do not ask for the same capacity meanwhile.
     Demand demand;
     AddDemand(demand, *batch.spec, tasks);
