Say what the end of a granted lease by the owner's clock is good for

It only schedules polls and the naming of silent workers; what a successor waits for is the latest end. No code changes.

--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -22,7 +22,8 @@
 struct LeaseGrant {
   /// By the worker's clock, in milliseconds.
   int64_t until_ms = 0;
-  /// The earliest time, by this entry's clock, at which the worker's clock can show that.
+  /// The same by this entry's clock. The worker's clock shows it earlier by up to the age of the
+  /// reading that this was computed from, so only schedules rely on it, no promise.
   Millis ends_at;
 };
 
@@ -60,7 +61,8 @@
 /// Bounds on the expiry of the leases at a worker, by the owner that granted them. The runs of an
 /// unresponsive worker have ended by the latest of them.
 struct LeaseBounds {
-  /// Earliest expiry: of the longest lease that this owner granted in a poll which was answered.
+  /// Earliest expected expiry: of the longest lease that this owner granted in a poll which was
+  /// answered.
   Millis earliest;
   /// Latest expiry of leases granted by this owner. Updated when an order that may renew the lease
   /// is sent.
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -54,8 +54,7 @@
   if (!MayHaveRuns(worker)) return false;
   if (!worker.contacted) return true;
 
-  return worker.failed_polls >= kFailedPollsUntilUnresponsive &&
-         state.now >= worker.lease.earliest;
+  return worker.failed_polls >= kFailedPollsUntilUnresponsive && state.now >= worker.lease.earliest;
 }
 
 Millis Remaining(Millis expiry, Millis now) { return std::max(expiry - now, Millis(0)); }
