--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -5,9 +5,6 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// Ranks of waiting tasks within one priority: long-running ones are placed first.
-constexpr int32_t kLongRunningRank = 0;
-constexpr int32_t kOtherRank = 1;
 /// Minimum time between two checks of all jobs of a cell for what is due by time. Shorter than any
 /// wait before tasks are lent or a job is moved.
 constexpr Millis kJobsUpdateInterval = Millis(40);
@@ -241,85 +238,6 @@
 
 }  // namespace
 
-void AdjustReservedResources(WorkerState& worker, const StepSpec& spec, int64_t sign) {
-  worker.expected_stress.reset();
-  worker.reserved.memory_mib += sign * spec.need.memory_mib;
-  worker.reserved.accelerators += sign * spec.need.accelerators;
-
-  if (spec.best_effort) {
-    worker.best_effort_millicores += sign * spec.need.millicores;
-    return;
-  }
-
-  worker.reserved.millicores += sign * spec.need.millicores;
-  if (spec.is_long_running) worker.long_running_millicores += sign * spec.need.millicores;
-}
-
-WaitingKey WaitingKeyOf(const JobState& job, const TaskRef& ref) {
-  const int32_t class_rank = SpecOf(job, ref).is_long_running ? kLongRunningRank : kOtherRank;
-  return {job.record.priority, class_rank, JobObjectiveOf(job.record).DueAt(), ref};
-}
-
-JobObjective JobObjectiveOf(const JobRecord& record) {
-  return JobObjective{record.accepted_unix_ms, record.objective};
-}
-
-ExpectedRecord ExpectNotCancelled(const JobRecord& record) {
-  return ExpectedRecord{CancelKey(record.parent.Empty() ? record.spec.job : record.parent), 0};
-}
-
-std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
-  const JobId& id = job.record.spec.job;
-  std::vector<TaskRef> tasks;
-
-  // The tasks of one job are adjacent within each rank.
-  for (const int32_t class_rank : {kLongRunningRank, kOtherRank}) {
-    const WaitingKey first{job.record.priority, class_rank, JobObjectiveOf(job.record).DueAt(),
-                           TaskRef{.job = id}};
-
-    for (auto key = cell.waiting.lower_bound(first); key != cell.waiting.end(); ++key) {
-      const TaskRef& ref = std::get<3>(*key);
-      if (ref.job != id || std::get<1>(*key) != class_rank) break;
-
-      tasks.push_back(ref);
-    }
-  }
-
-  return tasks;
-}
-
-void SetWaiting(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task) {
-  task.phase = TaskPhase::kWaiting;
-  cell.waiting.insert(WaitingKeyOf(job, ref));
-  cell.placement_due = true;
-}
-
-bool IsKnownTask(const JobState& job, const TaskRef& ref) {
-  if (ref.occurrence < 0 || ref.step < 0 || ref.index < 0) return false;
-  if (static_cast<size_t>(ref.occurrence) >= job.occurrences.size()) return false;
-
-  const auto& steps = job.occurrences[static_cast<size_t>(ref.occurrence)].steps;
-  if (static_cast<size_t>(ref.step) >= steps.size()) return false;
-
-  return static_cast<size_t>(ref.index) < steps[static_cast<size_t>(ref.step)].tasks.size();
-}
-
-const StepSpec& SpecOf(const JobState& job, const TaskRef& ref) {
-  return job.record.spec.steps[static_cast<size_t>(ref.step)];
-}
-
-TaskRef RefOf(const OwnedCell& cell, const TaskName& name) {
-  const auto borrowed_job = cell.borrowed_tasks.find(name);
-  if (borrowed_job != cell.borrowed_tasks.end()) return borrowed_job->second;
-
-  return TaskRef{name.job, name.occurrence, name.step, name.index};
-}
-
-TaskName NameOf(const JobState& job, const TaskRef& ref) {
-  const JobId& id = job.record.parent.Empty() ? ref.job : job.record.parent;
-  return TaskName{id, ref.occurrence, ref.step, ref.index};
-}
-
 void RemoveJob(OwnedCell& cell, const JobId& id) {
   const JobState& job = cell.jobs.at(id);
   cell.worker_update_due = true;
@@ -348,38 +266,6 @@
   cell.jobs.erase(id);
 }
 
-TaskState* FindTask(OwnedCell& cell, const TaskRef& ref) {
-  const auto job = cell.jobs.find(ref.job);
-  if (job == cell.jobs.end()) return nullptr;
-  if (!IsKnownTask(job->second, ref)) return nullptr;
-
-  return &job->second.occurrences[static_cast<size_t>(ref.occurrence)]
-              .steps[static_cast<size_t>(ref.step)]
-              .tasks[static_cast<size_t>(ref.index)];
-}
-
-void MarkDirty(OwnedCell& cell, JobState& job) {
-  ++job.version;
-  cell.dirty.insert(job.record.spec.job);
-}
-
-void MarkActive(OwnedCell& cell, JobState& job) {
-  if (job.phase != JobPhase::kQueued) return;
-
-  job.phase = JobPhase::kActive;
-  MarkDirty(cell, job);
-}
-
-JobPhase ReportablePhase(const OwnedCell& cell, const JobId& id, const JobView& view) {
-  if (IsTerminal(view.phase)) return view.phase;
-  if (view.cancelled) return JobPhase::kCancelled;
-
-  const auto job = cell.jobs.find(id);
-  if (job == cell.jobs.end()) return view.phase;
-
-  return IsTerminal(job->second.phase) ? JobPhase::kActive : job->second.phase;
-}
-
 void SetStopping(WorkerState& worker, TaskState& task) {
   task.phase = TaskPhase::kStopping;
   worker.has_stopping_tasks = true;
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -1,4 +1,4 @@
-#include "cell_workers.h"
+#include "former_leases.h"
 
 /// Handover of the leases of a cell's workers between successive owners of the cell.
 ///
@@ -57,18 +57,6 @@
   return worker.failed_polls >= kFailedPollsUntilUnresponsive && state.now >= worker.lease.earliest;
 }
 
-Millis Remaining(Millis expiry, Millis now) { return std::max(expiry - now, Millis(0)); }
-
-/// Adds a worker's remaining leases to a record.
-void AddLease(HandOverRecord& record, const VmId& id, const InheritedBounds& expiry, Millis now) {
-  record.leases[id] = Remaining(expiry.any, now);
-  if (expiry.listed < expiry.any) record.listed_leases[id] = Remaining(expiry.listed, now);
-}
-
-InheritedBounds ExpiriesOf(const WorkerState& worker) {
-  return InheritedBounds{.any = worker.lease.Expiry(), .listed = worker.lease.ListedExpiry()};
-}
-
 /// Returns the workers that the owner's record must name.
 std::set<VmId> WorkersAwaitingLeaseExpiry(const State& state, const OwnedCell& cell) {
   std::set<VmId> names;
@@ -80,17 +68,6 @@
   return names;
 }
 
-/// Returns the known addresses of the cell's workers.
-std::map<VmId, Address> KnownAddresses(const OwnedCell& cell) {
-  std::map<VmId, Address> addresses;
-
-  for (const auto& [id, worker] : cell.workers) {
-    if (worker.info.address.port != 0) addresses[id] = worker.info.address;
-  }
-
-  return addresses;
-}
-
 /// Returns whether the record lacks the address of a worker with tasks.
 bool LacksAddress(const OwnedCell& cell) {
   const std::map<VmId, Address>& recorded = cell.hand_over.recorded_addresses;
@@ -170,19 +147,6 @@
   PollUncontactedWorkers(state, cell);
 }
 
-/// Returns the unexpired leases that this entry granted in a cell under a former grant.
-HandOverRecord FormerLeases(const State& state, const CellId& cell, KvRevision grant) {
-  HandOverRecord record{.grant = grant};
-  const auto former = state.former_cells.find(std::make_pair(cell, grant));
-  if (former == state.former_cells.end()) return record;
-
-  for (const auto& [id, expiry] : former->second.expiries) {
-    if (expiry.any > state.now) AddLease(record, id, expiry, state.now);
-  }
-
-  return record;
-}
-
 void AskFormerOwner(State& state, Effects& effects, OwnedCell& cell) {
   HandOverState& hand_over = cell.hand_over;
   const HandOverRecord& former = hand_over.former;
@@ -449,59 +413,6 @@
   return !IsRecordedAsSilent(cell, worker);
 }
 
-HandOverRecord RemainingLeases(const State& state, const OwnedCell& cell) {
-  HandOverRecord record{.grant = cell.grant, .addresses = KnownAddresses(cell)};
-
-  for (const auto& [id, worker] : cell.workers) {
-    if (worker.lease.Expiry() > state.now) AddLease(record, id, ExpiriesOf(worker), state.now);
-  }
-
-  return record;
-}
-
-void RememberFormerLeases(State& state, const OwnedCell& cell) {
-  std::erase_if(state.former_cells, [&](const auto& row) {
-    return std::ranges::all_of(row.second.expiries,
-                               [&](const auto& lease) { return lease.second.any <= state.now; });
-  });
-
-  // Nothing was sent to a worker before they were polled, and no record was written.
-  if (!cell.polled_since) return;
-
-  FormerCell& former = state.former_cells[{cell.cell, cell.grant}];
-  for (const auto& [id, worker] : cell.workers) former.expiries[id] = ExpiriesOf(worker);
-}
-
-void ReportFormerLeases(State& state, Effects& effects, const CellId& cell) {
-  const std::optional<Address> owner = OwnerAddress(state, cell);
-  if (!owner) return;
-
-  for (const auto& [key, former] : state.former_cells) {
-    if (key.first != cell) continue;
-
-    PushMessage(effects, *owner, kHandOverAnswerPrefix, cell.Text(),
-                Encode(FormerLeases(state, cell, key.second)));
-  }
-}
-
-void ApplyHandOverQuestion(State& state, Effects& effects, const CellId& cell,
-                           const StoreItem& item) {
-  const Result<HandOverQuestion> question = DecodeHandOverQuestion(item.value);
-  if (!question) return LogUnreadable(effects, item, question.error());
-  if (question->incarnation != state.settings.incarnation) return;
-
-  const auto own = state.cells.find(cell);
-
-  if (own != state.cells.end() && own->second.grant == question->grant) {
-    if (question->current_grant <= question->grant) return;
-
-    DropCell(state, effects, cell, "the next owner asked for the remaining leases");
-  }
-
-  PushMessage(effects, question->reply_to, kHandOverAnswerPrefix, cell.Text(),
-              Encode(FormerLeases(state, cell, question->grant)));
-}
-
 void ApplyHandOverAnswer(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
   const auto cell = state.cells.find(id);
   if (cell == state.cells.end()) return;
