--- a/tests/transport/long_reply_test.cc
+++ b/tests/transport/long_reply_test.cc
@@ -29,7 +29,7 @@
     address.sin_family = AF_INET;
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
     socklen_t length = sizeof(address);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), length), 0);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
     listen(listener_, 1);
     port = ntohs(address.sin_port);
