--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -21,7 +21,7 @@
 /// End of a lease that an order grants to a worker.
 struct LeaseGrant {
   /// By the worker's clock, in milliseconds.
-  int64_t until_ms = 0;
+  int64_t lease_until_ms = 0;
   /// The same by this entry's clock. The worker's clock shows it earlier by up to the age of the
   /// reading that this was computed from, so only schedules rely on it, no promise.
   Millis ends_at;
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -35,12 +35,12 @@
   const Millis horizon = std::min(state.now + longest, state.lease.valid_until + beyond_own_lease);
   if (horizon <= state.now) return std::nullopt;
 
-  return LeaseGrant{.until_ms = MinWorkerClock(state, worker) + (horizon - state.now).Count(),
+  return LeaseGrant{.lease_until_ms = MinWorkerClock(state, worker) + (horizon - state.now).Count(),
                     .ends_at = horizon};
 }
 
 void ExtendLeaseBound(const State& state, WorkerState& worker, const LeaseGrant& grant) {
-  const Millis span(grant.until_ms - MinWorkerClock(state, worker));
+  const Millis span(grant.lease_until_ms - MinWorkerClock(state, worker));
   worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(span));
 }
 
--- a/lib/scheduler/source/worker_orders.cc
+++ b/lib/scheduler/source/worker_orders.cc
@@ -53,7 +53,7 @@
                        .run = task.run,
                        .payload = job.record.spec.payload,
                        .checkpoint = task.checkpoint,
-                       .lease_until_ms = grant->until_ms};
+                       .lease_until_ms = grant->lease_until_ms};
     }
     case TaskPhase::kStopping:
       if (!IsStopDue(state, task)) return std::nullopt;
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -224,7 +224,7 @@
   }
 
   if (grant) {
-    order.lease_until_ms = grant->until_ms;
+    order.lease_until_ms = grant->lease_until_ms;
     order.wait = std::min(order.wait, MaxRenewalWait(state, worker));
     LogFirstRenewal(state, effects, cell);
     if (!worker.unanswered_grant) ExtendLeaseBound(state, worker, *grant);
