--- a/lib/scheduler/source/callers.h
+++ b/lib/scheduler/source/callers.h
@@ -13,6 +13,8 @@
 void Answer(Effects& effects, RequestId call, CallerOutcome outcome);
 void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome);
 
+void HandleJobStatus(State& state, Effects& effects, const CallerRequested& asked,
+                     const JobStatusRequested& body);
 void HandleCancel(State& state, Effects& effects, const CallerRequested& asked,
                   const JobCancelled& body);
 void UpdateCancels(State& state, Effects& effects);
