Don't report a job as absent while it is accepted

What callers saw: a GET is answered 410, there is no such job, although the job is accepted at that moment: it was stored while the read was in flight, or the entry that is asked still writes it. Cause: the answer went by one read of the store, whatever this entry had learned since, and whatever it was writing. Found on the paths that the postmortem of withdrawn jobs lists ("GET, answered 410"). Change: a job that became known during the read is answered by its phase; while this entry writes it the answer is 503, to be asked again.

--- a/lib/scheduler/source/job_status.cc
+++ b/lib/scheduler/source/job_status.cc
@@ -39,6 +39,19 @@
   effects.emplace_back(QueryPeer{request, *owner, id, kPeerTimeout});
 }
 
+/// Answers a request for the state of a job that the store did not have when it was read.
+void AnswerAbsentJob(State& state, Effects& effects, const JobRead& read) {
+  const auto job = state.view.jobs.find(read.job);
+  const bool known = job != state.view.jobs.end() && job->second.revision != 0;
+
+  // The job was accepted while the read was in flight.
+  if (known && read.unrecorded.Empty()) return FindPhase(state, effects, read.call, read.job);
+
+  const bool may_be_stored = state.submits.contains(read.job);
+  Answer(effects, read.call,
+         may_be_stored ? CallerOutcome::kUnavailable : CallerOutcome::kNoSuchJob);
+}
+
 }  // namespace
 
 void HandleJobStatus(State& state, Effects& effects, const CallerRequested& asked,
@@ -53,9 +66,7 @@
 }
 
 void HandleJobRead(State& state, Effects& effects, const JobRead& read, const StoreReply& reply) {
-  if (reply.status == StoreStatus::kNotFound) {
-    return Answer(effects, read.call, CallerOutcome::kNoSuchJob);
-  }
+  if (reply.status == StoreStatus::kNotFound) return AnswerAbsentJob(state, effects, read);
 
   if (reply.status != StoreStatus::kOk) {
     return Answer(effects, read.call, CallerOutcome::kUnavailable);
