Read replies that have arrived before their call times out

Cause: a reply is read in several turns of the event loop (header, body), and the timer of its call comes between them. A process whose turns take hundreds of milliseconds so dropped replies that were in its socket, or half parsed, and with them the ends that they listed. A worker that has listed an end with nothing disturbed has reported it; its owner never knew, let the lease lapse and started the task again. Simulated time couldn't show it: there a reply that arrives is always handled. Change: an overdue call whose reply has begun to arrive is read on, for at most its timeout once more. A call without a reply ends as before.

--- a/lib/transport/source/event_loop.cc
+++ b/lib/transport/source/event_loop.cc
@@ -1,6 +1,7 @@
 #include "currantpost/transport/event_loop.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <chrono>
@@ -34,6 +35,11 @@
              sizeof(kTcpUserTimeoutMs));
 }
 
+bool HasUnreadData(boost::asio::ip::tcp::socket& socket) {
+  pollfd waiting{.fd = socket.native_handle(), .events = POLLIN, .revents = 0};
+  return poll(&waiting, 1, 0) != 0;
+}
+
 EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) { std::signal(SIGPIPE, SIG_IGN); }
 
 EventLoop::~EventLoop() = default;
--- a/lib/transport/source/http_client.cc
+++ b/lib/transport/source/http_client.cc
@@ -1,8 +1,5 @@
 #include "currantpost/transport/http_client.h"
 
-#include <poll.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <chrono>
 #include <map>
@@ -26,11 +23,10 @@
 /// long body arrives.
 constexpr uint64_t kMaxReadBytes = 65'536;
 
-/// Returns whether an idle connection was closed by the server or has unsolicited data to read.
-bool IsUnusable(asio::ip::tcp::socket& socket) {
-  pollfd waiting{.fd = socket.native_handle(), .events = POLLIN, .revents = 0};
-  return poll(&waiting, 1, 0) != 0;
-}
+/// Interval at which an overdue call whose reply has begun to arrive is checked again.
+constexpr std::chrono::milliseconds kArrivedReplyInterval(10);
+/// Such a call ends after this many times its timeout at the latest.
+constexpr int kMaxTimeouts = 2;
 
 }  // namespace
 
@@ -46,10 +42,9 @@
              CompletionHandler completion_handler) {
     on_complete = std::move(completion_handler);
     const uint64_t this_call = ++call_sequence;
-    timer.expires_after(std::chrono::milliseconds(timeout.Count()));
-    timer.async_wait([self = shared_from_this(), this_call](error_code error) {
-      if (!error && self->call_sequence == this_call) self->Finish({}, false);
-    });
+    const std::chrono::milliseconds duration(timeout.Count());
+    latest_end = asio::steady_timer::clock_type::now() + kMaxTimeouts * duration;
+    SetTimeout(duration);
 
     message = {};
     message.version(11);
@@ -86,6 +81,28 @@
     });
   }
 
+  void SetTimeout(std::chrono::milliseconds duration) {
+    timer.expires_after(duration);
+    timer.async_wait([self = shared_from_this(), this_call = call_sequence](error_code error) {
+      if (!error && self->call_sequence == this_call) self->HandleTimeout();
+    });
+  }
+
+  /// Ends the call unless its reply has begun to arrive: a process that is short of processor time
+  /// reads replies late, in several turns of the event loop.
+  void HandleTimeout() {
+    const bool may_continue = asio::steady_timer::clock_type::now() < latest_end;
+    if (may_continue && HasPartOfReply()) return SetTimeout(kArrivedReplyInterval);
+
+    Finish({}, false);
+  }
+
+  [[nodiscard]] bool HasPartOfReply() {
+    if (!may_have_been_sent) return false;
+
+    return parser->got_some() || buffer.size() > 0 || HasUnreadData(socket);
+  }
+
   void Write() {
     may_have_been_sent = true;
     http::async_write(
@@ -172,6 +189,7 @@
   /// Incremented at the start and end of each call, so that late handlers can detect that their
   /// call has ended.
   uint64_t call_sequence = 0;
+  asio::steady_timer::time_point latest_end;
   bool may_have_been_sent = false;
   Millis idle_since;
 };
@@ -187,7 +205,8 @@
       std::shared_ptr<ClientConnection> connection = std::move(waiting.back());
       waiting.pop_back();
       const bool stale = clock.Now() - connection->idle_since > limits.max_idle_time;
-      if (!stale && !IsUnusable(connection->socket)) return connection;
+      // Unsolicited data, or the end of the connection, makes it unusable.
+      if (!stale && !HasUnreadData(connection->socket)) return connection;
     }
 
     return nullptr;
--- a/lib/transport/source/loop_impl.h
+++ b/lib/transport/source/loop_impl.h
@@ -19,4 +19,7 @@
 /// the time that sent data may stay unacknowledged (TCP_USER_TIMEOUT).
 void SetConnectionOptions(boost::asio::ip::tcp::socket& socket);
 
+/// Returns whether a socket has data to read, was closed by the other side or has failed.
+bool HasUnreadData(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace currantpost
