Don't close a connection whose request waits to be read

What callers saw: a request that had been sent in time is cut off without an answer at an entry that is short of processor time. Change: a session with data in its socket hasn't timed out. One that sends too slowly has nothing there when it is checked.

--- a/lib/transport/source/http_server.cc
+++ b/lib/transport/source/http_server.cc
@@ -235,6 +235,14 @@
   return now - *session.partial_since > limits.header_timeout;
 }
 
+/// Returns whether the session waits for its caller although more of the request has arrived. A
+/// process that is short of processor time reads it late.
+bool HasUnreadRequest(Session& session) {
+  const bool is_reading =
+      session.phase == SessionPhase::kReading || session.phase == SessionPhase::kIdle;
+  return is_reading && HasUnreadData(session.socket);
+}
+
 /// Periodically closes sessions that have timed out: idle connections, slow requests, and responses
 /// that the caller does not read.
 void Sweep(const std::shared_ptr<ServerState>& server) {
@@ -246,7 +254,9 @@
     std::vector<std::shared_ptr<Session>> timed_out;
 
     for (Session& session : server->sessions) {
-      if (HasTimedOut(session, now)) timed_out.push_back(session.shared_from_this());
+      if (!HasTimedOut(session, now) || HasUnreadRequest(session)) continue;
+
+      timed_out.push_back(session.shared_from_this());
     }
 
     for (const auto& session : timed_out) {
--- a/tests/transport/late_reader_test.cc
+++ b/tests/transport/late_reader_test.cc
@@ -1,4 +1,7 @@
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
@@ -14,9 +17,15 @@
 namespace {
 
 constexpr Millis kTimeout = Millis(200);
-/// The loop stands still until well after the timeout of a call.
+/// The loop stands still until well after the timeout of a call, and past the next check of the
+/// server's connections.
+/// @{
 constexpr Millis kLateForCall = Millis(300);
+constexpr Millis kLateForCheck = Millis(1'300);
+/// @}
 constexpr Millis kMaxWait = Millis(5'000);
+/// Longer than what one read takes, shorter than what the socket holds.
+constexpr size_t kLongBodyBytes = 100'000;
 
 /// A server with an event loop of its own, in a thread.
 class RemoteServer {
@@ -41,6 +50,39 @@
   std::thread thread_;
 };
 
+/// A blocking connection to a server.
+class RawCaller {
+ public:
+  explicit RawCaller(int port) : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    EXPECT_EQ(connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  }
+
+  ~RawCaller() { close(socket_); }
+
+  void Send(const std::string& bytes) const {
+    EXPECT_EQ(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+  /// Returns what the server has sent until it closed the connection.
+  [[nodiscard]] std::string Receive() const {
+    std::string received;
+    char buffer[4'096];
+    for (ssize_t count = 1; count > 0;) {
+      count = recv(socket_, buffer, sizeof(buffer), 0);
+      if (count > 0) received.append(buffer, static_cast<size_t>(count));
+    }
+    return received;
+  }
+
+ private:
+  int socket_;
+};
+
 void StandStill(Millis span) {
   std::this_thread::sleep_for(std::chrono::milliseconds(span.Count()));
 }
@@ -93,5 +135,40 @@
   EXPECT_EQ(reply.outcome, CallOutcome::kUnknown);
 }
 
+// Guards against requests that were cut off without an answer although they had arrived in time.
+TEST(LateReader, AnswersARequestThatArrivedInTime) {
+  EventLoop loop;
+  MonotonicClock clock;
+  const HttpServerLimits limits{.max_body_bytes = 1'000'000, .header_timeout = kTimeout};
+  HttpServer server(loop, clock, limits,
+                    [](const ReceivedRequest& request, const Respond& respond) {
+                      respond(HttpResponse{.body = std::to_string(request.body.size())});
+                    });
+  ASSERT_FALSE(server.Listen(Address{"127.0.0.1", 0}).code);
+
+  // The first part of the request has been read when the loop stands still.
+  const std::string body(kLongBodyBytes, 'x');
+  RawCaller caller(server.port());
+  caller.Send("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n");
+  bool has_stood_still = false;
+  std::function<void()> stand_still = [&] {
+    if (server.connections() == 0 && !has_stood_still) return loop.After(Millis(1), stand_still);
+
+    if (std::exchange(has_stood_still, true)) {
+      if (server.connections() == 0) return loop.Stop();
+    } else {
+      caller.Send(body);
+      StandStill(kLateForCheck);
+    }
+    loop.After(Millis(20), stand_still);
+  };
+  loop.After(Millis(20), stand_still);
+  loop.After(kMaxWait, [&] { loop.Stop(); });
+  loop.Run();
+
+  EXPECT_NE(caller.Receive().find("\r\n\r\n" + std::to_string(body.size())), std::string::npos);
+}
+
 }  // namespace
 }  // namespace currantpost
