Read a reply to its end however late the process is

What callers saw: a second run of a task that had ended as done (TWICE). Cause: reading on for one more timeout isn't enough for an owner whose events wait for seconds: what the worker had listed was still dropped. Evidence, in simulated time: LateOwner, two entries whose events wait for 0.8 s to 4 s, and replies dropped after a number of timeouts. Change: a call whose reply has begun to arrive is read on while data keeps arriving, counted in checks of the socket rather than in time; ten timeouts bound a reply that never ends. A reply that stops halfway is given up sooner than before (LateReader.GivesUpAReplyThatStopsHalfway).

--- a/lib/transport/source/http_client.cc
+++ b/lib/transport/source/http_client.cc
@@ -24,9 +24,12 @@
 constexpr uint64_t kMaxReadBytes = 65'536;
 
 /// Interval at which an overdue call whose reply has begun to arrive is checked again.
-constexpr std::chrono::milliseconds kArrivedReplyInterval(10);
-/// Such a call ends after this many times its timeout at the latest.
-constexpr int kMaxTimeouts = 2;
+constexpr std::chrono::milliseconds kArrivedReplyInterval(20);
+/// The rest of such a reply has stopped arriving after this many checks in a row without data.
+/// Checks are counted rather than time, as each follows a turn of the event loop that reads.
+constexpr int kMaxChecksWithoutData = 5;
+/// A call ends after this many times its timeout at the latest, if its reply never ends.
+constexpr int kMaxTimeouts = 10;
 
 }  // namespace
 
@@ -44,6 +47,7 @@
     const uint64_t this_call = ++call_sequence;
     const std::chrono::milliseconds duration(timeout.Count());
     latest_end = asio::steady_timer::clock_type::now() + kMaxTimeouts * duration;
+    checks_without_data = 0;
     SetTimeout(duration);
 
     message = {};
@@ -88,19 +92,18 @@
     });
   }
 
-  /// Ends the call unless its reply has begun to arrive: a process that is short of processor time
-  /// reads replies late, in several turns of the event loop.
+  /// Ends the call unless its reply has begun to arrive and still does: a process that is short of
+  /// processor time reads replies late, in several turns of the event loop.
   void HandleTimeout() {
-    const bool may_continue = asio::steady_timer::clock_type::now() < latest_end;
-    if (may_continue && HasPartOfReply()) return SetTimeout(kArrivedReplyInterval);
+    const bool has_data = HasUnreadData(socket);
+    checks_without_data = has_data ? 0 : checks_without_data + 1;
 
-    Finish({}, false);
-  }
+    const bool has_begun = parser->got_some() || buffer.size() > 0 || has_data;
+    const bool may_continue = checks_without_data <= kMaxChecksWithoutData &&
+                              asio::steady_timer::clock_type::now() < latest_end;
+    if (may_have_been_sent && has_begun && may_continue) return SetTimeout(kArrivedReplyInterval);
 
-  [[nodiscard]] bool HasPartOfReply() {
-    if (!may_have_been_sent) return false;
-
-    return parser->got_some() || buffer.size() > 0 || HasUnreadData(socket);
+    Finish({}, false);
   }
 
   void Write() {
@@ -190,6 +193,7 @@
   /// call has ended.
   uint64_t call_sequence = 0;
   asio::steady_timer::time_point latest_end;
+  int checks_without_data = 0;
   bool may_have_been_sent = false;
   Millis idle_since;
 };
--- a/tests/scheduler/sim_worker.cc
+++ b/tests/scheduler/sim_worker.cc
@@ -38,6 +38,7 @@
   }
 
   reply.ended = ended_;
+  if (on_list) std::ranges::for_each(ended_, on_list);
   return reply;
 }
 
--- a/tests/scheduler/sim_worker.h
+++ b/tests/scheduler/sim_worker.h
@@ -58,6 +58,8 @@
   std::function<void(const TaskName&, Run)> on_start;
   std::function<void(const TaskName&, RunEnd)> on_end;
   std::function<void(const EndedTask&, bool)> on_forget;
+  /// Called for each end in a reply to a poll.
+  std::function<void(const EndedTask&)> on_list;
   /// Called for each saved checkpoint.
   std::function<void(const TaskName&, const std::string&)> on_checkpoint;
   int32_t starts = 0;
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -99,6 +99,9 @@
   worker->on_checkpoint = [this](const TaskName& name, const std::string& checkpoint) {
     checkpoints[name].insert(checkpoint);
   };
+  worker->on_list = [this, id](const EndedTask& end) {
+    if (on_end_listed) on_end_listed(id, end);
+  };
   worker->on_forget = [this, id](const EndedTask& end, bool expired) {
     RecordForgottenEnd(id, end, expired);
   };
@@ -275,16 +278,18 @@
   return free_at - now_;
 }
 
-void World::Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body) {
+void World::Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body,
+                    std::optional<Millis> expires_at) {
   if (paused_.contains(entry)) {
-    held_actions_[entry].push_back(
-        [this, entry, incarnation, body] { Deliver(entry, incarnation, body); });
+    held_actions_[entry].push_back([this, entry, incarnation, body, expires_at] {
+      Deliver(entry, incarnation, body, expires_at);
+    });
     return;
   }
 
   if (!IsCurrentIncarnation(entry, incarnation)) return;
 
-  waiting_events_[entry].push_back(WaitingEvent{now_, std::move(body)});
+  waiting_events_[entry].push_back(WaitingEvent{now_, std::move(body), expires_at});
   if (busy_processors_.insert(entry).second) ProcessEvents(entry, incarnation);
 }
 
@@ -299,8 +304,10 @@
       return;
     }
 
-    const WaitingEvent event = std::move(waiting.front());
+    WaitingEvent event = std::move(waiting.front());
     waiting.pop_front();
+    auto* answer = std::get_if<WorkerAnswered>(&event.body);
+    if (answer != nullptr && event.expires_at && now_ > *event.expires_at) answer->reply = {};
     const Machine machine = EffectiveMachine(entry);
     max_wait = std::max(max_wait, now_ - event.arrived);
     const bool full = now_ - event.arrived > machine.max_wait;
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -67,6 +67,9 @@
   /// no processor time, and a transfer takes no longer.
   Millis max_wait;
   Millis max_transfer;
+  /// A worker's reply that is handled later than this many times the timeout of its call is
+  /// dropped, 0 for never.
+  int64_t reply_timeouts = 0;
 };
 
 /// Several entries with real reducers, simulated workers and a simulated store, in simulated time.
@@ -208,6 +211,8 @@
   std::function<void(const ObservedStart&)> on_start;
   /// Called for each run that ends, with its worker.
   std::function<void(const std::string&, const TaskName&, RunEnd)> on_run_end;
+  /// Called for each end in a worker's reply to a poll, with the worker.
+  std::function<void(const std::string&, const EndedTask&)> on_end_listed;
   /// Jobs that callers submitted, and the time of the first cancel request of each cancelled job.
   std::map<JobId, JobSpec> submitted;
   std::map<JobId, Millis> cancel_sent_at;
@@ -238,7 +243,8 @@
 
   void ScheduleAt(Millis when, Action action);
   /// Queues an event at an entry's processor.
-  void Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body);
+  void Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body,
+               std::optional<Millis> expires_at = std::nullopt);
   /// Processes the queued events, one after another.
   void ProcessEvents(const std::string& entry, uint64_t incarnation);
   void FinishEvent(const std::string& entry, uint64_t incarnation,
@@ -326,6 +332,7 @@
   struct WaitingEvent {
     Millis arrived;
     decltype(Event::body) body;
+    std::optional<Millis> expires_at;
   };
   /// Events queued at each entry's processor, and the entries whose processor is busy.
   std::map<std::string, std::deque<WaitingEvent>> waiting_events_;
--- a/tests/scheduler/world_network.cc
+++ b/tests/scheduler/world_network.cc
@@ -138,14 +138,19 @@
   const std::string id = call.worker.Text();
   const auto answered = std::make_shared<bool>(false);
 
+  const int64_t timeouts = EffectiveMachine(entry).reply_timeouts;
+  const auto expires_at =
+      timeouts == 0 ? std::nullopt : std::optional(now_ + call.timeout * timeouts);
+
   const auto answer = [this, entry, incarnation, id, request = call.request, answered,
-                       sent_at = now_](const WorkerReply& reply) {
-    ScheduleAt(now_ + kHopDelay, [this, entry, incarnation, id, request, answered, sent_at, reply] {
-      if (*answered || sent_at <= silenced_at_) return;
-      if (answers_lost_.contains(id) || IsCut(entry, id)) return;
-      *answered = true;
-      Deliver(entry, incarnation, WorkerAnswered{request, reply});
-    });
+                       sent_at = now_, expires_at](const WorkerReply& reply) {
+    ScheduleAt(now_ + kHopDelay,
+               [this, entry, incarnation, id, request, answered, sent_at, expires_at, reply] {
+                 if (*answered || sent_at <= silenced_at_) return;
+                 if (answers_lost_.contains(id) || IsCut(entry, id)) return;
+                 *answered = true;
+                 Deliver(entry, incarnation, WorkerAnswered{request, reply}, expires_at);
+               });
   };
 
   ScheduleAt(now_ + call.timeout, [this, entry, incarnation, request = call.request, answered] {
--- a/tests/transport/late_reader_test.cc
+++ b/tests/transport/late_reader_test.cc
@@ -83,6 +83,45 @@
   int socket_;
 };
 
+/// Accepts one connection and sends half a reply.
+class HalfwayServer {
+ public:
+  HalfwayServer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    socklen_t length = sizeof(address);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), length), 0);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    listen(listener_, 1);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Serve(); });
+  }
+
+  ~HalfwayServer() {
+    thread_.join();
+    close(listener_);
+  }
+
+  [[nodiscard]] int32_t port() const { return port_; }
+
+ private:
+  void Serve() const {
+    const int connection = accept(listener_, nullptr, nullptr);
+    char request[4'096];
+    EXPECT_GT(recv(connection, request, sizeof(request), 0), 0);
+    const std::string half = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
+    EXPECT_EQ(send(connection, half.data(), half.size(), 0), static_cast<ssize_t>(half.size()));
+    // Ends once the client has closed the connection.
+    EXPECT_EQ(recv(connection, request, sizeof(request), 0), 0);
+    close(connection);
+  }
+
+  int listener_;
+  int32_t port_ = 0;
+  std::thread thread_;
+};
+
 void StandStill(Millis span) {
   std::this_thread::sleep_for(std::chrono::milliseconds(span.Count()));
 }
@@ -135,6 +174,24 @@
   EXPECT_EQ(reply.outcome, CallOutcome::kUnknown);
 }
 
+// Guards against a call that stays open for as long as its reply is unfinished.
+TEST(LateReader, GivesUpAReplyThatStopsHalfway) {
+  HalfwayServer server;
+  EventLoop loop;
+  MonotonicClock clock;
+  HttpClient client(loop, clock, HttpClientLimits{});
+  std::optional<HttpReply> result;
+  client.Send(Address{"127.0.0.1", server.port()}, HttpRequest{}, kTimeout, [&](HttpReply reply) {
+    result = std::move(reply);
+    loop.Stop();
+  });
+  loop.After(kMaxWait, [&] { loop.Stop(); });
+  loop.Run();
+
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result->outcome, CallOutcome::kUnknown);
+}
+
 // Guards against requests that were cut off without an answer although they had arrived in time.
 TEST(LateReader, AnswersARequestThatArrivedInTime) {
   EventLoop loop;
