--- a/lib/scheduler/source/callers.h
+++ b/lib/scheduler/source/callers.h
@@ -13,6 +13,9 @@
 void Answer(Effects& effects, RequestId call, CallerOutcome outcome);
 void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome);
 
+/// Returns whether this entry's copy of the records has the job.
+bool IsKnown(const State& state, const JobId& id);
+
 void HandleJobStatus(State& state, Effects& effects, const CallerRequested& asked,
                      const JobStatusRequested& body);
 void HandleCancel(State& state, Effects& effects, const CallerRequested& asked,
--- a/lib/scheduler/source/cancels.cc
+++ b/lib/scheduler/source/cancels.cc
@@ -9,11 +9,6 @@
 /// caller may not retry. Outages and partitions of the store are shorter.
 constexpr Millis kCancelRetryPeriod = Millis(15'000);
 
-bool IsKnown(const State& state, const JobId& id) {
-  const auto job = state.view.jobs.find(id);
-  return job != state.view.jobs.end() && job->second.revision != 0;
-}
-
 /// Returns whether a job that the store did not have may be stored soon: it is known by now, or
 /// this entry still writes it.
 bool MayBeAccepted(const State& state, const JobId& id) {
--- a/lib/scheduler/source/job_status.cc
+++ b/lib/scheduler/source/job_status.cc
@@ -41,11 +41,10 @@
 
 /// Answers a request for the state of a job that the store did not have when it was read.
 void AnswerAbsentJob(State& state, Effects& effects, const JobRead& read) {
-  const auto job = state.view.jobs.find(read.job);
-  const bool known = job != state.view.jobs.end() && job->second.revision != 0;
-
   // The job was accepted while the read was in flight.
-  if (known && read.unrecorded.Empty()) return FindPhase(state, effects, read.call, read.job);
+  if (read.unrecorded.Empty() && IsKnown(state, read.job)) {
+    return FindPhase(state, effects, read.call, read.job);
+  }
 
   const bool may_be_stored = state.submits.contains(read.job);
   Answer(effects, read.call,
@@ -54,11 +53,14 @@
 
 }  // namespace
 
+bool IsKnown(const State& state, const JobId& id) {
+  const auto job = state.view.jobs.find(id);
+  return job != state.view.jobs.end() && job->second.revision != 0;
+}
+
 void HandleJobStatus(State& state, Effects& effects, const CallerRequested& asked,
                      const JobStatusRequested& body) {
-  const auto job = state.view.jobs.find(body.job);
-
-  if (job == state.view.jobs.end() || job->second.revision == 0) {
+  if (!IsKnown(state, body.job)) {
     return ReadJob(state, effects, JobRead{asked.call, body.job, CellId()});
   }
 
