--- a/tests/transport/late_reader_test.cc
+++ b/tests/transport/late_reader_test.cc
@@ -10,6 +10,7 @@
 
 #include "currantpost/transport/http_client.h"
 #include "currantpost/transport/http_server.h"
+#include "raw_server.h"
 
 /// Tests a process that is short of processor time: its event loop stands still while peers send.
 
@@ -83,44 +84,14 @@
   int socket_;
 };
 
-/// Accepts one connection and sends half a reply.
-class HalfwayServer {
- public:
-  HalfwayServer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    socklen_t length = sizeof(address);
-    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), length), 0);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-    listen(listener_, 1);
-    port_ = ntohs(address.sin_port);
-    thread_ = std::thread([this] { Serve(); });
-  }
-
-  ~HalfwayServer() {
-    thread_.join();
-    close(listener_);
-  }
-
-  [[nodiscard]] int32_t port() const { return port_; }
-
- private:
-  void Serve() const {
-    const int connection = accept(listener_, nullptr, nullptr);
-    char request[4'096];
-    EXPECT_GT(recv(connection, request, sizeof(request), 0), 0);
-    const std::string half = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
-    EXPECT_EQ(send(connection, half.data(), half.size(), 0), static_cast<ssize_t>(half.size()));
-    // Ends once the client has closed the connection.
-    EXPECT_EQ(recv(connection, request, sizeof(request), 0), 0);
-    close(connection);
-  }
-
-  int listener_;
-  int32_t port_ = 0;
-  std::thread thread_;
-};
+/// Sends half a reply, and ends once the client has closed the connection.
+void SendHalfAReply(int connection) {
+  char request[4'096];
+  EXPECT_GT(recv(connection, request, sizeof(request), 0), 0);
+  const std::string half = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
+  EXPECT_EQ(send(connection, half.data(), half.size(), 0), static_cast<ssize_t>(half.size()));
+  EXPECT_EQ(recv(connection, request, sizeof(request), 0), 0);
+}
 
 void StandStill(Millis span) {
   std::this_thread::sleep_for(std::chrono::milliseconds(span.Count()));
@@ -176,7 +147,7 @@
 
 // Guards against a call that stays open for as long as its reply is unfinished.
 TEST(LateReader, GivesUpAReplyThatStopsHalfway) {
-  HalfwayServer server;
+  RawServer server(SendHalfAReply);
   EventLoop loop;
   MonotonicClock clock;
   HttpClient client(loop, clock, HttpClientLimits{});
--- a/tests/transport/long_reply_test.cc
+++ b/tests/transport/long_reply_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "currantpost/transport/http_client.h"
+#include "raw_server.h"
 
 /// Tests how the HTTP client reads long replies.
 
@@ -21,34 +22,17 @@
 /// buffer holds.
 constexpr int32_t kMaxTurns = 60;
 
-/// Accepts one connection and sends a long reply once told to.
+/// Sends a long reply once told to.
 class LongReplyServer {
  public:
-  LongReplyServer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    socklen_t length = sizeof(address);
-    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), length), 0);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-    listen(listener_, 1);
-    port = ntohs(address.sin_port);
-    thread_ = std::thread([this] { Serve(); });
-  }
-
-  ~LongReplyServer() {
-    thread_.join();
-    close(listener_);
-  }
+  [[nodiscard]] int32_t port() const { return server_.port(); }
 
-  int32_t port = 0;
   std::atomic<bool> received = false;
   std::atomic<bool> may_send = false;
   std::atomic<bool> sent = false;
 
  private:
-  void Serve() {
-    const int connection = accept(listener_, nullptr, nullptr);
+  void Serve(int connection) {
     setsockopt(connection, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof(kSendBufferBytes));
     char request[4'096];
     EXPECT_GT(recv(connection, request, sizeof(request), 0), 0);
@@ -68,11 +52,9 @@
     sent = true;
     // Ends once the client has closed the connection.
     EXPECT_EQ(recv(connection, request, sizeof(request), 0), 0);
-    close(connection);
   }
 
-  int listener_;
-  std::thread thread_;
+  RawServer server_{[this](int connection) { Serve(connection); }};
 };
 
 // Guards against long replies that were never read in time: each turn of the event loop took 512
@@ -86,7 +68,7 @@
 
   {
     HttpClient client(loop, clock, HttpClientLimits{});
-    client.Send(Address{"127.0.0.1", server.port}, HttpRequest{}, Millis(5'000),
+    client.Send(Address{"127.0.0.1", server.port()}, HttpRequest{}, Millis(5'000),
                 [&](HttpReply reply) {
                   result = std::move(reply);
                   loop.Stop();
