Log which incarnation of a worker carried out a call

The logs could not tell whether a new incarnation had carried out a renewal, or a start, that was meant for the former one: neither the reply to a poll nor a listed run named the intended one.

Logs each poll that a later incarnation than the intended one has carried out, each listed run that was bound to a former incarnation, and with each restart what was on its way. No decision changes.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -71,8 +71,16 @@
   const bool is_first = worker.info.incarnation == 0;
 
   if (!is_first) {
+    const auto renewals = std::ranges::count_if(
+        worker.polls, [](const auto& poll) { return poll.grant.has_value(); });
     Log(effects, Severity::kInfo, "worker has restarted",
-        {{"worker", worker.info.id.Text()}, {"tasks", std::to_string(worker.tasks.size())}});
+        {{"worker", worker.info.id.Text()},
+         {"tasks", std::to_string(worker.tasks.size())},
+         {"former", std::to_string(worker.info.incarnation)},
+         {"incarnation", std::to_string(incarnation)},
+         {"renewals_in_flight", std::to_string(renewals)},
+         {"unanswered_renewal", worker.unanswered_grant ? "yes" : "no"},
+         {"order_in_flight", worker.order_request != 0 ? "yes" : "no"}});
   }
 
   worker.info.incarnation = incarnation;
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -44,6 +44,22 @@
        {"answered", std::to_string(answered)}});
 }
 
+/// Logs a renewal, or a permission to discard ended runs, that a later incarnation than the
+/// intended one has carried out.
+void LogMisdirectedPoll(Effects& effects, const WorkerState& worker, const PollInFlight& poll,
+                        const WorkerReply& reply) {
+  if (worker.info.incarnation == 0 || (!poll.grant && poll.forget_up_to == 0)) return;
+
+  const int64_t lease_until = poll.grant ? poll.grant->lease_until_ms : 0;
+  Log(effects, Severity::kWarning, "a later incarnation of the worker has carried out a poll",
+      {{"worker", worker.info.id.Text()},
+       {"intended", std::to_string(worker.info.incarnation)},
+       {"incarnation", std::to_string(reply.incarnation)},
+       {"lease_until_ms", std::to_string(lease_until)},
+       {"clock_ms", std::to_string(reply.clock_ms.value_or(0))},
+       {"forget_up_to", std::to_string(poll.forget_up_to)}});
+}
+
 /// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed
 /// nothing is followed soon by one that does.
 Millis EndsPollDelay(const PollInFlight& poll) {
@@ -118,6 +134,17 @@
     return;
   }
 
+  if (task->worker_incarnation < worker.info.incarnation) {
+    Log(effects, Severity::kWarning, "worker lists a run that was bound to its former incarnation",
+        {{"job", ref.job.Text()},
+         {"step", std::to_string(ref.step)},
+         {"task", std::to_string(ref.index)},
+         {"run", std::to_string(row.run)},
+         {"worker", worker.info.id.Text()},
+         {"bound_to", std::to_string(task->worker_incarnation)},
+         {"incarnation", std::to_string(worker.info.incarnation)}});
+  }
+
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   task->last_measurement = row.last_measurement;
   JobState& job = cell.jobs.at(ref.job);
@@ -262,6 +289,7 @@
       worker.next_poll = state.now + kRefusalBackoff;
       return;
     }
+    LogMisdirectedPoll(effects, worker, poll, reply);
     HandleNewIncarnation(state, effects, cell, worker, reply.incarnation);
     // Each incarnation numbers its ended runs from the start.
     forgotten = 0;
