Test workers that restart under their ids while calls are on the way

The simulated world hid the fault: calls in flight at a restart were dropped, failed calls were noticed only at their timeouts, by when the registry had told of the restart, and clocks went on.

--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -133,6 +133,7 @@
 
 void World::RecordForgottenEnd(const std::string& id, const EndedTask& end, bool expired) {
   Log(id, "forgets " + Text(end.task));
+  if (on_end_forgotten) on_end_forgotten(id, end);
   // An end counts only if the worker's lease did not expire before the store had recorded it.
   if (end.end != RunEnd::kDone || expired) return;
 
@@ -378,6 +379,7 @@
   RecordDisruption();
   permanently_down_.erase(id);
   worker.Restart(worker.info().incarnation + 1);
+  for (const Action& lose : std::exchange(lose_calls_[id], {})) lose();
   AnnounceIfConnected(id);
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -211,8 +211,10 @@
   std::function<void(const ObservedStart&)> on_start;
   /// Called for each run that ends, with its worker.
   std::function<void(const std::string&, const TaskName&, RunEnd)> on_run_end;
-  /// Called for each end in a worker's reply to a poll, with the worker.
+  /// Called for each end in a worker's reply to a poll, and for each end that a worker is told to
+  /// discard, with the worker.
   std::function<void(const std::string&, const EndedTask&)> on_end_listed;
+  std::function<void(const std::string&, const EndedTask&)> on_end_forgotten;
   /// Jobs that callers submitted, and the time of the first cancel request of each cancelled job.
   std::map<JobId, JobSpec> submitted;
   std::map<JobId, Millis> cancel_sent_at;
@@ -235,6 +237,14 @@
   /// @{
   std::function<bool(const WorkerCall&)> loses_order = [](const WorkerCall&) { return false; };
   std::function<bool(const WorkerCall&)> loses_reply = [](const WorkerCall&) { return false; };
+  /// How long the connection of an order takes to be established. Meanwhile the worker may restart:
+  /// then the order reaches the new incarnation. 0 for an order on an open connection, which ends
+  /// with the incarnation.
+  std::function<Millis(const WorkerCall&)> connect_time = [](const WorkerCall&) {
+    return Millis(0);
+  };
+  /// A worker that restarts resets its former connections, so that the calls on them fail at once.
+  bool resets_connections = false;
   /// @}
   std::vector<std::string> log;
 
@@ -313,6 +323,8 @@
   std::map<std::pair<std::string, TaskName>, scheduler::Run> run_at_;
   std::map<std::tuple<std::string, TaskName, scheduler::Run>, int32_t> starts_at_done_;
   std::map<std::string, Millis> start_delays_;
+  /// Ends the calls in flight to a worker as lost, if its connections are reset.
+  std::map<std::string, std::vector<Action>> lose_calls_;
   std::map<std::pair<std::string, std::string>, Millis> write_delays_;
   std::map<std::string, Millis> slow_lists_;
   std::map<std::string, Millis> slow_watches_;
--- a/tests/scheduler/world_network.cc
+++ b/tests/scheduler/world_network.cc
@@ -159,6 +159,10 @@
     Deliver(entry, incarnation, WorkerAnswered{request, WorkerReply{}});
   });
 
+  if (resets_connections) {
+    lose_calls_[id].push_back([answer] { answer(WorkerReply{}); });
+  }
+
   if (IsCut(entry, id)) return;
   if (std::holds_alternative<StopTask>(call.order) && stops_lost_.contains(id)) return;
   if (loses_order(call)) return;
@@ -170,15 +174,18 @@
   const bool lost = ShouldLoseAnswer() || delay > Millis(0) || loses_reply(call);
   const int64_t worker_incarnation =
       workers_.contains(id) ? workers_.at(id)->info().incarnation : 0;
-  const Millis transfer = LinkDelay(entry, kOrderBytes);
+  const Millis connect = connect_time(call);
+  const bool is_connected = connect == Millis(0);
+  const Millis transfer = LinkDelay(entry, kOrderBytes) + connect;
   const std::optional<ObservedStart> start = DescribeStart(entry, call, delay > Millis(0));
 
   ScheduleAt(now_ + kHopDelay + delay + transfer,
-             [this, id, call, answer, lost, worker_incarnation, start] {
+             [this, id, call, answer, lost, worker_incarnation, is_connected, start] {
                const auto worker = workers_.find(id);
                if (worker == workers_.end() || !worker->second->up) return;
                // Connections to an earlier incarnation are closed.
-               if (worker->second->info().incarnation != worker_incarnation) return;
+               const bool same = worker->second->info().incarnation == worker_incarnation;
+               if (is_connected && !same) return;
 
                if (start && on_start_order) on_start_order(*start);
                current_start_ = start ? &*start : nullptr;
