Send orders only to the incarnation of a worker that they are meant for

A lease end, a number of ended runs, a start, a stop and a speed all mean something else to the next incarnation, and nothing kept a call from reaching it: the expected instance is the id, which both share. The poll after a failed one repeats the unanswered lease end; the new incarnation, whose clock begins anew, shortens it to the longest lease that it grants, 10 s, while the owner counts 4.8 s.

Each order now names the only incarnation that may carry it out, and is sent only over a connection that this incarnation has accepted: a connection ends with the process that accepted it. The first call on a new connection is preceded by a probe that changes nothing and whose reply says who has accepted it. Polls that change nothing go to any incarnation.

So the guards by time go: runs bound to a former incarnation are lost at once, ends may be discarded after a failed poll, and no bound is extended to the longest lease. The first answered poll in each incarnation bounds what former owners may have granted there. Rejections don't name an incarnation: another worker may have taken the address. A reply of an incarnation before the known one counts as a failed poll.

--- a/lib/scheduler/include/currantpost/scheduler/effects.h
+++ b/lib/scheduler/include/currantpost/scheduler/effects.h
@@ -30,6 +30,9 @@
   RequestId request = 0;
   VmId worker;
   Address address;
+  /// The only incarnation that may carry out the order: it is sent over a connection that this
+  /// incarnation has accepted. 0 for any, if the order means the same to each.
+  int64_t incarnation = 0;
   FencingToken token = 0;
   WorkerOrder order;
   Millis timeout;
--- a/lib/scheduler/include/currantpost/scheduler/worker.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker.h
@@ -88,7 +88,8 @@
   kNoRoom,
   /// The ticket is missing or has expired; nothing was done.
   kNoTicket,
-  /// Another incarnation of the worker answered; nothing was done.
+  /// Another incarnation of the worker answered; nothing was done. The reply to a poll may still
+  /// contain the lists of the one that answered.
   kOtherIncarnation,
   /// The worker is unhealthy; nothing was done.
   kUnhealthy,
--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -91,6 +91,9 @@
   bool confirmed = false;
   /// It answered at least once under the current grant.
   bool contacted = false;
+  /// The last incarnation that answered under the current grant, 0 if none did. It rejects orders
+  /// of former owners.
+  int64_t fenced_incarnation = 0;
   std::vector<PollInFlight> polls;
   Millis next_poll;
   /// Polls up to this sequence number no longer count as failed: a later one was answered, or an
@@ -122,9 +125,6 @@
   /// Jobs that have runs bound to it according to the records, until the cell is opened and `tasks`
   /// names the runs.
   std::set<JobId> inherited_jobs;
-  /// Lowest incarnation that such a run was bound to which no poll has listed. Its start may still
-  /// reach a later incarnation.
-  std::optional<int64_t> unlisted_incarnation;
   /// Number of its tasks by step, without those for which capacity is reserved.
   std::map<StepName, int32_t> tasks_by_step;
   /// Upper bound on the number of its tasks whose start was not sent at the last count, and those
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -103,8 +103,8 @@
   }
 }
 
-/// Restores the state of a task from the progress that former owners recorded. A run that was
-/// listed in a former incarnation of its worker has ended, and the task starts again.
+/// Restores the state of a task from the progress that former owners recorded. A run that was bound
+/// to a former incarnation of its worker has ended or never starts, and the task starts again.
 void RestoreTask(const State& state, Effects& effects, OwnedCell& cell, JobState& job,
                  const TaskProgress& progress) {
   const TaskRef ref = RefOf(job.record.spec.job, progress);
@@ -131,7 +131,7 @@
     case TaskStatus::kBound: {
       WorkerState& worker = FindOrAddWorker(cell, progress.worker);
 
-      if (progress.listed && progress.worker_incarnation < worker.info.incarnation) {
+      if (WasBoundBefore(progress.worker_incarnation, worker.info.incarnation)) {
         LogLostRun(effects, ref, task.run, progress.worker, "its worker has restarted since");
         return;
       }
--- a/lib/scheduler/source/cell_opening.cc
+++ b/lib/scheduler/source/cell_opening.cc
@@ -55,10 +55,6 @@
 
       WorkerState& worker = FindOrAddWorker(cell, task.worker);
       worker.inherited_jobs.insert(id);
-      if (task.listed) continue;
-
-      worker.unlisted_incarnation = std::min(
-          worker.unlisted_incarnation.value_or(task.worker_incarnation), task.worker_incarnation);
     }
   }
 }
@@ -86,7 +82,6 @@
 void SettleInheritedRuns(State& state, OwnedCell& cell) {
   for (auto& [id, worker] : cell.workers) {
     worker.inherited_jobs.clear();
-    worker.unlisted_incarnation.reset();
     if (worker.contacted) RaiseFence(state, worker);
   }
 }
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -22,10 +22,6 @@
 /// Maximum time between two checks of a worker for which nothing has changed.
 constexpr Millis kMaxCheckInterval = Millis(1'000);
 
-bool IsOnWorker(TaskPhase phase) {
-  return phase == TaskPhase::kRunning || phase == TaskPhase::kStopping;
-}
-
 /// Returns whether the state of a worker can be dropped without losing anything.
 bool IsIdle(const WorkerState& worker) {
   const bool recorded =
@@ -36,12 +32,6 @@
 
 }  // namespace
 
-bool MayHaveReachedNewIncarnation(const TaskState& task) {
-  const bool started =
-      task.phase == TaskPhase::kStarting ? task.start_sent : IsOnWorker(task.phase);
-  return started && !task.listed;
-}
-
 FencingToken TokenOf(const OwnedCell& cell, const WorkerState& worker) {
   return cell.grant * kFencesPerGrant + worker.fence;
 }
@@ -98,19 +88,13 @@
   worker.forgotten = 0;
   worker.orphaned_runs.clear();
 
-  if (MayInheritLateStart(worker, incarnation)) ExtendLeaseBoundToMax(state, worker);
-
   const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
 
   for (const TaskRef& ref : refs) {
     const TaskState* task = FindTask(cell, ref);
-    if (task == nullptr || task->worker_incarnation >= incarnation) continue;
+    if (task == nullptr || !WasBoundBefore(task->worker_incarnation, incarnation)) continue;
 
-    if (MayHaveReachedNewIncarnation(*task)) {
-      ExtendLeaseBoundToMax(state, worker);
-    } else {
-      HandleLostRun(state, effects, cell, ref, "the worker has restarted");
-    }
+    HandleLostRun(state, effects, cell, ref, "the worker has restarted");
   }
 }
 
@@ -307,7 +291,10 @@
   const PollInFlight sent = *poll;
   worker.polls.erase(poll);
 
-  if (answered.reply.status == OrderStatus::kOk) {
+  const bool has_lists =
+      answered.reply.status == OrderStatus::kOk ||
+      (answered.reply.status == OrderStatus::kOtherIncarnation && answered.reply.incarnation != 0);
+  if (has_lists) {
     HandlePollReply(state, effects, cell->second, worker, sent, answered.reply);
   } else if (sent.token == TokenOf(cell->second, worker)) {
     // A poll under an earlier fence tells nothing of the one that replaced it.
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -25,10 +25,6 @@
 /// Extends the bound on the worker's lease, because an order with this grant is about to be sent.
 void ExtendLeaseBound(const State& state, WorkerState& worker, const LeaseGrant& grant);
 
-/// Extends the bound on the worker's lease to the longest lease that a worker grants. A restarted
-/// worker cuts a lease end computed for its former clock to that length.
-void ExtendLeaseBoundToMax(const State& state, WorkerState& worker);
-
 /// Logs how long a worker's leases may still last, and why.
 void LogLeaseState(const State& state, Effects& effects, const OwnedCell& cell,
                    const WorkerState& worker, std::string message);
@@ -49,15 +45,6 @@
   return !worker.tasks.empty() || !worker.inherited_jobs.empty();
 }
 
-/// Returns whether a start of an inherited run may still reach this incarnation of the worker.
-inline bool MayInheritLateStart(const WorkerState& worker, int64_t incarnation) {
-  return worker.unlisted_incarnation && *worker.unlisted_incarnation < incarnation;
-}
-
-/// Returns whether the start of a task may have reached a later incarnation of its worker than the
-/// one that the task was bound to: the start was sent, and no poll has listed the run yet.
-bool MayHaveReachedNewIncarnation(const TaskState& task);
-
 // Polls
 
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
@@ -102,8 +89,8 @@
 /// flight, which may be on a connection that is cut.
 void PollUncontactedWorkers(State& state, OwnedCell& cell);
 
-/// Handles a restart of a worker: no run of the former incarnation is left. Runs whose start may
-/// have reached the new incarnation are settled by the next poll.
+/// Handles a restart of a worker: no run of the former incarnation is left, and no order to that
+/// one reaches the new one.
 void HandleNewIncarnation(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                           int64_t incarnation);
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -456,6 +456,12 @@
 /// Returns a worker that the registry or a binding names, and adds it if necessary.
 WorkerState& FindOrAddWorker(OwnedCell& cell, const VmId& id);
 
+/// Returns whether a run that was bound to one incarnation of a worker, 0 if that was unknown,
+/// can't be on a later one.
+inline bool WasBoundBefore(int64_t bound_to, int64_t incarnation) {
+  return bound_to != 0 && bound_to < incarnation;
+}
+
 // Placement and load
 
 /// Returns the service whose workers run a job now: the last one to which a configuration sent its
--- a/lib/scheduler/source/poll_schedule.cc
+++ b/lib/scheduler/source/poll_schedule.cc
@@ -46,18 +46,6 @@
   return worker.failed_polls == 0 && poll.sequence <= worker.settled_polls;
 }
 
-/// Returns whether a start may still reach a later incarnation of the worker than the known one. A
-/// lease end by the clock of the known one would let that run last for the longest lease that a
-/// worker grants.
-bool MayStartInNewIncarnation(OwnedCell& cell, const WorkerState& worker) {
-  if (worker.unlisted_incarnation) return true;
-
-  return std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
-    const TaskState* task = FindTask(cell, ref);
-    return task != nullptr && MayHaveReachedNewIncarnation(*task);
-  });
-}
-
 }  // namespace
 
 std::optional<Millis> NextPollTime(const State& state, const OwnedCell& cell,
@@ -84,21 +72,18 @@
   return std::max(worker.next_poll, expected_at + RepeatDelay(worker, expected_at));
 }
 
-std::optional<LeaseGrant> GrantOfNextPoll(const State& state, OwnedCell& cell,
+std::optional<LeaseGrant> GrantOfNextPoll(const State& state, const OwnedCell& cell,
                                           const WorkerState& worker) {
   if (!NeedsLease(state, cell, worker)) return std::nullopt;
 
-  const bool is_fresh = IsIncarnationFresh(state, worker);
-
   // Repeating an end that was granted before cannot extend the bound on the lease. New ends would:
   // the tasks of a worker that is lost would never start elsewhere.
   if (worker.unanswered_grant) {
-    const bool may_repeat = !cell.maybe_released && cell.release_request == 0 &&
-                            (is_fresh || !MayStartInNewIncarnation(cell, worker));
+    const bool may_repeat = !cell.maybe_released && cell.release_request == 0;
     return may_repeat ? worker.unanswered_grant : std::nullopt;
   }
 
-  if (worker.failed_polls > 0 || !is_fresh) return std::nullopt;
+  if (worker.failed_polls > 0 || !IsIncarnationFresh(state, worker)) return std::nullopt;
 
   return NextLeaseGrant(state, cell, worker);
 }
--- a/lib/scheduler/source/poll_schedule.h
+++ b/lib/scheduler/source/poll_schedule.h
@@ -13,7 +13,7 @@
 
 /// Returns the lease end that the next poll grants, or nothing if it renews no lease. All polls
 /// between two replies of the worker grant the same end.
-std::optional<LeaseGrant> GrantOfNextPoll(const State& state, OwnedCell& cell,
+std::optional<LeaseGrant> GrantOfNextPoll(const State& state, const OwnedCell& cell,
                                           const WorkerState& worker);
 
 /// Returns whether the next poll repeats one that has failed or whose reply is overdue.
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -44,11 +44,6 @@
   worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(span));
 }
 
-void ExtendLeaseBoundToMax(const State& state, WorkerState& worker) {
-  const Millis expiry = state.now + MaxLeaseDuration(state.settings.max_worker_lease);
-  worker.lease.own = std::max(worker.lease.own, expiry);
-}
-
 void LogLeaseState(const State& state, Effects& effects, const OwnedCell& cell,
                    const WorkerState& worker, std::string message) {
   const Millis answered = worker.contacted ? state.now - worker.answered_at : Millis(-1);
--- a/lib/scheduler/source/worker_orders.cc
+++ b/lib/scheduler/source/worker_orders.cc
@@ -39,8 +39,7 @@
       if (task.start_sent || worker.info.draining || !HoldsLease(state)) return std::nullopt;
       if (!RunsJobsOf(state, worker, job.record)) return std::nullopt;
       if (!CancelsAreCurrent(state) || !IsRegistrationCurrent(state, worker)) return std::nullopt;
-      // A restarted worker cuts a lease end computed for its former clock only to the longest lease
-      // that it grants.
+      // A worker that hasn't answered for a while may not be able to run the task.
       if (!IsIncarnationFresh(state, worker)) return std::nullopt;
 
       const std::optional<LeaseGrant> grant = NextLeaseGrant(state, cell, worker);
@@ -112,6 +111,7 @@
   effects.emplace_back(WorkerCall{.request = request,
                                   .worker = worker.info.id,
                                   .address = worker.info.address,
+                                  .incarnation = worker.info.incarnation,
                                   .token = TokenOf(cell, worker),
                                   .order = std::move(order),
                                   .timeout = kOrderTimeout});
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -80,12 +80,7 @@
 }
 
 /// Returns the number up to which the worker may discard the ended runs that it lists, 0 for none.
-/// A number that was sent before is not repeated unless the worker still lists the ends: a new
-/// incarnation that this entry has not seen yet would apply it to its own ends.
-int64_t EndsToForget(const State& state, const WorkerState& worker) {
-  // The worker may have restarted, and each incarnation numbers its ended runs from the start.
-  if (worker.failed_polls > 0 || !IsIncarnationFresh(state, worker)) return 0;
-
+int64_t EndsToForget(const WorkerState& worker) {
   int64_t up_to = 0;
 
   for (const auto& [number, end] : worker.ends) {
@@ -93,9 +88,7 @@
     up_to = number;
   }
 
-  const bool sent = std::ranges::any_of(
-      worker.polls, [&](const PollInFlight& poll) { return poll.forget_up_to >= up_to; });
-  return sent ? 0 : up_to;
+  return up_to;
 }
 
 /// Adds up, for the log, the time that a best-effort task lost since the previous poll.
@@ -245,7 +238,7 @@
 
   PollWorker order;
   const std::optional<LeaseGrant> grant = GrantOfNextPoll(state, cell, worker);
-  order.forget_up_to = EndsToForget(state, worker);
+  order.forget_up_to = EndsToForget(worker);
   if (worker.confirmed && IsIncarnationFresh(state, worker) && !IsRepeat(cell, worker)) {
     order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
   }
@@ -261,6 +254,8 @@
   }
 
   const FencingToken token = TokenOf(cell, worker);
+  // The lease end is a time on the clock of the known incarnation, and it numbered the ended runs.
+  const bool changes_worker = order.lease_until_ms || order.forget_up_to > 0;
   PollInFlight poll;
   poll.request = NextRequest(state);
   poll.token = token;
@@ -274,6 +269,7 @@
   effects.emplace_back(WorkerCall{.request = poll.request,
                                   .worker = worker.info.id,
                                   .address = worker.info.address,
+                                  .incarnation = changes_worker ? worker.info.incarnation : 0,
                                   .token = token,
                                   .order = order,
                                   .timeout = order.wait + kOrderTimeout});
@@ -281,19 +277,19 @@
 
 void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const PollInFlight& poll, const WorkerReply& reply) {
-  int64_t forgotten = poll.forget_up_to;
+  const bool carried_out = reply.status == OrderStatus::kOk;
+  int64_t forgotten = carried_out ? poll.forget_up_to : 0;
 
   // The reply comes from another incarnation than the known one.
   if (reply.incarnation != 0 && reply.incarnation != worker.info.incarnation) {
     if (reply.incarnation < worker.info.incarnation) {
-      worker.next_poll = state.now + kRefusalBackoff;
-      return;
+      return HandleFailedPoll(state, effects, cell, worker, poll, OrderStatus::kOtherIncarnation);
     }
-    LogMisdirectedPoll(effects, worker, poll, reply);
+    if (carried_out) LogMisdirectedPoll(effects, worker, poll, reply);
     HandleNewIncarnation(state, effects, cell, worker, reply.incarnation);
     // Each incarnation numbers its ended runs from the start.
     forgotten = 0;
-  } else if (poll.grant) {
+  } else if (poll.grant && carried_out) {
     worker.lease.earliest = std::max(worker.lease.earliest, poll.grant->ends_at);
   }
 
@@ -314,18 +310,13 @@
     cell.placement_due = true;
   }
 
-  if (worker.confirmed && !worker.contacted) {
-    // The worker now rejects renewals by former owners; the leases that they granted expire within
-    // the time to live.
+  if (worker.confirmed && worker.fenced_incarnation != worker.info.incarnation) {
+    // This incarnation now rejects renewals by former owners; the leases that they granted expire
+    // within the time to live.
+    worker.fenced_incarnation = worker.info.incarnation;
     worker.contacted = true;
     worker.lease.inherited = InheritedBounds{};
     worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(kWorkerLeaseTtl));
-
-    const bool other_incarnation = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
-      return FindTask(cell, ref)->worker_incarnation < worker.info.incarnation;
-    });
-    const bool may_start_late = MayInheritLateStart(worker, worker.info.incarnation);
-    if (other_incarnation || may_start_late) ExtendLeaseBoundToMax(state, worker);
   }
 
   if (was_silent) PollSilentNeighbours(state, cell);
--- a/lib/transport/include/currantpost/transport/http_message.h
+++ b/lib/transport/include/currantpost/transport/http_message.h
@@ -33,9 +33,13 @@
   /// The request may have been sent at least in part, and no complete response was received. The
   /// server may have executed the request, or may still do so.
   kUnknown,
+  /// Another process than the expected one answered the probe of a new connection, or one that does
+  /// not say which it is. The request was not sent.
+  kOtherPeer,
 };
 
-/// The result of a call. `response` is valid only for `kAnswered`.
+/// The result of a call. `response` is valid only for `kAnswered`, and for `kOtherPeer`, where it
+/// answers the probe.
 struct HttpReply {
   CallOutcome outcome = CallOutcome::kUnknown;
   HttpResponse response;
--- a/lib/transport/source/http_client.cc
+++ b/lib/transport/source/http_client.cc
@@ -196,26 +196,114 @@
   int checks_without_data = 0;
   bool may_have_been_sent = false;
   Millis idle_since;
+  /// The process that has accepted the connection, 0 while it is not known.
+  PeerIdentity peer = 0;
 };
 
+namespace {
+
+/// A call to a particular process.
+struct CheckedCall {
+  Address to;
+  PeerCheck check;
+  HttpRequest request;
+  Millis timeout;
+  /// When a call times out whose timeout covers the probe.
+  Millis deadline;
+  HttpClient::Callback callback;
+};
+
+}  // namespace
+
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
   Impl(EventLoop& loop, const Clock& the_clock, HttpClientLimits the_limits)
       : context(loop.impl().context), clock(the_clock), limits(the_limits) {}
 
-  std::shared_ptr<ClientConnection> PopIdleConnection(const Address& to) {
+  /// Returns an idle connection to the expected process, or to one that is not known yet, or
+  /// nothing. Closes those to other processes.
+  std::shared_ptr<ClientConnection> PopIdleConnection(const Address& to, PeerIdentity expected) {
     auto& waiting = idle[to];
 
     while (!waiting.empty()) {
       std::shared_ptr<ClientConnection> connection = std::move(waiting.back());
       waiting.pop_back();
       const bool stale = clock.Now() - connection->idle_since > limits.max_idle_time;
+      const bool other = expected != 0 && connection->peer != 0 && connection->peer != expected;
       // Unsolicited data, or the end of the connection, makes it unusable.
-      if (!stale && !HasUnreadData(connection->socket)) return connection;
+      if (!stale && !other && !HasUnreadData(connection->socket)) return connection;
     }
 
     return nullptr;
   }
 
+  std::shared_ptr<ClientConnection> TakeConnection(const Address& to, PeerIdentity expected) {
+    std::shared_ptr<ClientConnection> connection = PopIdleConnection(to, expected);
+    return connection ? connection : std::make_shared<ClientConnection>(context);
+  }
+
+  /// Keeps a connection for later calls after a call on it has ended.
+  void ReturnConnection(const Address& to, const std::shared_ptr<ClientConnection>& used,
+                        bool reusable) {
+    if (!reusable) {
+      // A fault that broke this connection may have broken the idle ones too.
+      idle.erase(to);
+      return;
+    }
+
+    used->idle_since = clock.Now();
+    idle[to].push_back(used);
+  }
+
+  /// Sends the probe of a call, and the call itself if the expected process has answered.
+  void Probe(const std::shared_ptr<ClientConnection>& connection, CheckedCall call) {
+    const auto shared = std::make_shared<CheckedCall>(std::move(call));
+    const Millis timeout = shared->check.probe_timeout.value_or(shared->timeout);
+
+    connection->Start(
+        shared->to, shared->check.make_probe(), timeout, limits.max_body_bytes,
+        [weak = weak_from_this(), shared](const std::shared_ptr<ClientConnection>& used,
+                                          HttpReply reply, bool reusable) {
+          const std::shared_ptr<Impl> impl = weak.lock();
+          if (!impl) return;
+
+          const bool answered = reply.outcome == CallOutcome::kAnswered;
+          if (answered) used->peer = shared->check.identify(reply.response);
+          const bool expected = answered && used->peer == shared->check.expected;
+
+          const Millis left =
+              shared->check.probe_timeout ? shared->timeout : shared->deadline - impl->clock.Now();
+
+          if (expected && reusable && left > Millis(0)) {
+            impl->Forward(used, std::move(*shared), left);
+            return;
+          }
+
+          impl->ReturnConnection(shared->to, used, reusable);
+          // The call itself was not sent, whatever became of the probe.
+          reply.outcome = answered && !expected ? CallOutcome::kOtherPeer : CallOutcome::kNotSent;
+          shared->callback(std::move(reply));
+        });
+  }
+
+  /// Sends a call over a connection to the expected process, or to any if none is expected.
+  void Forward(const std::shared_ptr<ClientConnection>& connection, CheckedCall call,
+               Millis timeout) {
+    connection->Start(
+        call.to, call.request, timeout, limits.max_body_bytes,
+        [weak = weak_from_this(), to = call.to, identify = std::move(call.check.identify),
+         callback = std::move(call.callback)](const std::shared_ptr<ClientConnection>& used,
+                                              HttpReply reply, bool reusable) {
+          const std::shared_ptr<Impl> impl = weak.lock();
+          if (!impl) return;
+
+          if (used->peer == 0 && identify && reply.outcome == CallOutcome::kAnswered) {
+            used->peer = identify(reply.response);
+          }
+          impl->ReturnConnection(to, used, reusable);
+          callback(std::move(reply));
+        });
+  }
+
   asio::io_context& context;
   const Clock& clock;
   HttpClientLimits limits;
@@ -229,26 +317,25 @@
 
 void HttpClient::Send(const Address& to, const HttpRequest& request, Millis timeout,
                       Callback callback) {
-  std::shared_ptr<ClientConnection> connection = impl_->PopIdleConnection(to);
-  if (!connection) connection = std::make_shared<ClientConnection>(impl_->context);
-
-  connection->Start(
-      to, request, timeout, impl_->limits.max_body_bytes,
-      [weak = std::weak_ptr<Impl>(impl_), to, callback = std::move(callback)](
-          const std::shared_ptr<ClientConnection>& used, HttpReply reply, bool reusable) {
-        const std::shared_ptr<Impl> impl = weak.lock();
-        if (!impl) return;
-
-        if (reusable) {
-          used->idle_since = impl->clock.Now();
-          impl->idle[to].push_back(used);
-        } else {
-          // A fault that broke this connection may have broken the idle ones too.
-          impl->idle.erase(to);
-        }
-
-        callback(std::move(reply));
-      });
+  SendTo(to, PeerCheck{}, request, timeout, std::move(callback));
+}
+
+void HttpClient::SendTo(const Address& to, PeerCheck peer, const HttpRequest& request,
+                        Millis timeout, Callback callback) {
+  const PeerIdentity expected = peer.expected;
+  const std::shared_ptr<ClientConnection> connection = impl_->TakeConnection(to, expected);
+  CheckedCall call{.to = to,
+                   .check = std::move(peer),
+                   .request = request,
+                   .timeout = timeout,
+                   .deadline = impl_->clock.Now() + timeout,
+                   .callback = std::move(callback)};
+
+  if (expected == 0 || connection->peer == expected) {
+    impl_->Forward(connection, std::move(call), timeout);
+  } else {
+    impl_->Probe(connection, std::move(call));
+  }
 }
 
 }  // namespace currantpost
--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -251,6 +251,60 @@
   EXPECT_EQ(request.fields[1], (std::pair<std::string, std::string>("Expect-Instance", "i-1")));
 }
 
+// Guards against probes that renew a lease, let ended runs be discarded or start a task at a worker
+// that has restarted.
+TEST(Workers, ProbeOfTheIncarnationChangesNothing) {
+  scheduler::WorkerCall call;
+  call.worker = VmId("i-1");
+  call.incarnation = 5;
+  call.token = 7;
+  const std::vector<scheduler::WorkerOrder> orders = {
+      scheduler::StartTask{.lease_until_ms = 486'000},
+      scheduler::PollWorker{.lease_until_ms = 486'000, .forget_up_to = 4, .wait = Millis(900)}};
+
+  for (const scheduler::WorkerOrder& order : orders) {
+    call.order = order;
+    const HttpRequest probe = EncodeIncarnationProbe(call);
+    EXPECT_EQ(probe.target, "/hold");
+    EXPECT_EQ(probe.body, R"({"fencing_token":7,"last_seen":0})");
+    EXPECT_EQ(probe.fields[1], (std::pair<std::string, std::string>("Expect-Instance", "i-1")));
+  }
+}
+
+TEST(Workers, OrderThatMetAnotherIncarnationWasNotCarriedOut) {
+  const auto decode = [](int status, const std::string& body) {
+    HttpReply reply = Answered(status, body);
+    reply.outcome = CallOutcome::kOtherPeer;
+    return DecodeWorkerReply(reply);
+  };
+  const auto reply = decode(
+      200, R"({"clock_ms":3,"born":6,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",0]],"ended":[]})");
+
+  EXPECT_EQ(reply.status, OrderStatus::kOtherIncarnation);
+  EXPECT_EQ(reply.incarnation, 6);
+  EXPECT_EQ(reply.running.size(), 1U);
+  EXPECT_EQ(decode(409, R"({"reason":"fence"})").status, OrderStatus::kFenced);
+  EXPECT_EQ(decode(500, "").status, OrderStatus::kUnreachable);
+  // Another worker that has taken over the address names its own incarnation.
+  EXPECT_EQ(decode(421, R"({"born":9})").status, OrderStatus::kOtherIncarnation);
+  EXPECT_EQ(decode(421, R"({"born":9})").incarnation, 0);
+  EXPECT_EQ(DecodeWorkerReply(Answered(421, R"({"born":9})")).incarnation, 0);
+  EXPECT_EQ(DecodeIncarnation(HttpResponse{.status = 421, .body = R"({"born":9})"}), 0);
+  EXPECT_EQ(decode(200, R"({"born":6,"running":[[1]]})").status, OrderStatus::kUnreachable);
+}
+
+TEST(Workers, DecodesTheIncarnationOfAnyResponse) {
+  const auto decode = [](const std::string& body) {
+    return DecodeIncarnation(HttpResponse{.body = body});
+  };
+  EXPECT_EQ(decode(R"({"clock_ms":3,"born":1773952107877,"running":[],"ended":[]})"),
+            1'773'952'107'877);
+  for (const char* body : {R"({"clock_ms":3})", R"({"born":"6"})", R"({"born":null})",
+                           R"({"born":1.5})", "[6]", "6", "not JSON", ""}) {
+    EXPECT_EQ(decode(body), 0) << body;
+  }
+}
+
 TEST(Workers, DecodesRunningAndEndedTasks) {
   const auto reply = DecodeWorkerReply(Answered(
       200, R"({"clock_ms":482113,"born":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,37]],)"
--- a/tests/scheduler/world_network.cc
+++ b/tests/scheduler/world_network.cc
@@ -179,20 +179,34 @@
   const Millis transfer = LinkDelay(entry, kOrderBytes) + connect;
   const std::optional<ObservedStart> start = DescribeStart(entry, call, delay > Millis(0));
 
-  ScheduleAt(now_ + kHopDelay + delay + transfer,
-             [this, id, call, answer, lost, worker_incarnation, is_connected, start] {
-               const auto worker = workers_.find(id);
-               if (worker == workers_.end() || !worker->second->up) return;
-               // Connections to an earlier incarnation are closed.
-               const bool same = worker->second->info().incarnation == worker_incarnation;
-               if (is_connected && !same) return;
-
-               if (start && on_start_order) on_start_order(*start);
-               current_start_ = start ? &*start : nullptr;
-               worker->second->Handle(call.token, call.order, now_,
-                                      lost ? SimWorker::Reply([](const WorkerReply&) {}) : answer);
-               current_start_ = nullptr;
-             });
+  ScheduleAt(now_ + kHopDelay + delay + transfer, [this, id, call, answer, lost, worker_incarnation,
+                                                   is_connected, start] {
+    const auto worker = workers_.find(id);
+    if (worker == workers_.end() || !worker->second->up) return;
+    // Connections to an earlier incarnation are closed.
+    const bool same = worker->second->info().incarnation == worker_incarnation;
+    if (is_connected && !same) return;
+
+    // The probe of a new connection tells which incarnation has accepted it.
+    const int64_t incarnation = worker->second->info().incarnation;
+    if (call.incarnation != 0 && call.incarnation != incarnation) {
+      const auto refuse = [answer](WorkerReply reply) {
+        if (reply.status == OrderStatus::kOk) {
+          reply.status = OrderStatus::kOtherIncarnation;
+        }
+        answer(reply);
+      };
+      worker->second->Handle(call.token, PollWorker{}, now_,
+                             lost ? SimWorker::Reply([](const WorkerReply&) {}) : refuse);
+      return;
+    }
+
+    if (start && on_start_order) on_start_order(*start);
+    current_start_ = start ? &*start : nullptr;
+    worker->second->Handle(call.token, call.order, now_,
+                           lost ? SimWorker::Reply([](const WorkerReply&) {}) : answer);
+    current_start_ = nullptr;
+  });
 }
 
 std::optional<ObservedStart> World::DescribeStart(const std::string& entry, const WorkerCall& call,
