Record no more that a poll has listed a run

Each start of a long-running task cost its owner two writes of the job's progress: one that binds the run, and one once a poll had listed it, so that a successor need not wait for a run whose worker had restarted since.

A run never starts in another incarnation than the one that it was bound to, so that is known from the binding alone: BindTask sets the incarnation, the progress record has it before the start leaves, and RestoreTask treats a run as lost if its worker is known in a later incarnation. It doesn't ask whether a poll has listed the run. Nothing else used the mark since one bound holds for all runs.

The mark goes from the task, the record and the listing of a run.

The number of writes that are saved wasn't measured.

--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -83,8 +83,6 @@
   Millis began;
   /// When a poll last listed it as running.
   Millis last_seen_running_at;
-  /// A poll has listed the current run, in the incarnation `worker_incarnation`.
-  bool listed = false;
   /// Stress of a long-running task, derived from its tail latency: 0 when unloaded, towards 1 as
   /// the tail latency grows without bound.
   std::optional<double> stress;
--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -235,8 +235,6 @@
   JobId lent_to;
   /// The last worker on which it failed.
   VmId avoided_worker;
-  /// A poll has listed the run in the incarnation `worker_incarnation`.
-  bool listed = false;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -137,7 +137,6 @@
       }
 
       task.phase = TaskPhase::kStarting;
-      task.listed = progress.listed;
       task.start_sent = true;
       task.start_sequence = state.worker_event_sequence;
       task.worker_incarnation = progress.worker_incarnation;
@@ -403,7 +402,6 @@
   task.target_speed_percent = 100;
   task.last_measurement = 0;
   task.began = state.now;
-  task.listed = false;
   AttachToWorker(cell, job, ref, task, worker);
   ++worker.unstarted;
   MarkDirty(cell, job);
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -133,8 +133,6 @@
     const auto& steps = job.occurrences[number].steps;
 
     for (size_t step = 0; step < steps.size(); ++step) {
-      const StepSpec& spec = job.record.spec.steps[step];
-
       for (size_t index = 0; index < steps[step].tasks.size(); ++index) {
         const TaskState& task = steps[step].tasks[index];
         if (task.not_borrowed) continue;
@@ -150,9 +148,7 @@
                                             .worker_incarnation = task.worker_incarnation,
                                             .checkpoint = task.checkpoint,
                                             .lent_to = task.lent_to,
-                                            .avoided_worker = task.avoided_worker,
-                                            .listed = spec.is_long_running && task.listed &&
-                                                      MarkOf(task.phase) == TaskStatus::kBound});
+                                            .avoided_worker = task.avoided_worker});
       }
     }
   }
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -38,8 +38,8 @@
 }
 
 /// Encodes each task as a row: the common members, then the worker and its incarnation or the job
-/// that runs a lent task, then the checkpoint, then the worker to avoid and whether a poll has
-/// listed the run. Trailing members with default values are left out.
+/// that runs a lent task, then the checkpoint, then the worker to avoid. Trailing members with
+/// default values are left out.
 Json TasksJson(const std::vector<TaskProgress>& tasks) {
   Json rows = Json::array();
 
@@ -48,8 +48,7 @@
                             task.run, task.failures});
     const bool bound = task.status == TaskStatus::kBound;
     const bool lent = task.status == TaskStatus::kLent;
-    const bool has_history = task.listed || !task.avoided_worker.Empty();
-    const bool has_checkpoint = has_history || !task.checkpoint.empty();
+    const bool has_checkpoint = !task.avoided_worker.Empty() || !task.checkpoint.empty();
 
     if (bound || lent || has_checkpoint) {
       row.push_back(bound ? task.worker.Text() : task.lent_to.Text());
@@ -58,10 +57,7 @@
 
     if (has_checkpoint) row.push_back(task.checkpoint);
 
-    if (has_history) {
-      row.push_back(task.avoided_worker.Text());
-      row.push_back(task.listed ? 1 : 0);
-    }
+    if (!task.avoided_worker.Empty()) row.push_back(task.avoided_worker.Text());
 
     rows.push_back(std::move(row));
   }
@@ -90,10 +86,7 @@
 
     if (row.size() > 8) task.checkpoint = row.at(8).get<std::string>();
 
-    if (row.size() > 10) {
-      task.avoided_worker = VmId(row.at(9).get<std::string>());
-      task.listed = row.at(10).get<int>() != 0;
-    }
+    if (row.size() > 9) task.avoided_worker = VmId(row.at(9).get<std::string>());
 
     tasks.push_back(std::move(task));
   }
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -105,17 +105,6 @@
   job.starved_time = job.starved_time + std::max(span - throttled - used, Millis(0));
 }
 
-/// Notes that a poll has listed the current run of a task. For long-running tasks this is recorded,
-/// so that a successor does not wait for the lease of a run that ended with its worker's
-/// incarnation.
-void RecordListedRun(OwnedCell& cell, JobState& job, const TaskRef& ref, TaskState& task,
-                     const WorkerState& worker) {
-  task.worker_incarnation = worker.info.incarnation;
-  if (std::exchange(task.listed, true) || !SpecOf(job, ref).is_long_running) return;
-
-  MarkDirty(cell, job);
-}
-
 void HandleRunningTask(const State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                        const RunningTask& row) {
   const TaskRef ref = RefOf(cell, row.task);
@@ -142,7 +131,6 @@
   task->last_measurement = row.last_measurement;
   JobState& job = cell.jobs.at(ref.job);
   RecordRunStart(state, effects, cell, job, worker);
-  RecordListedRun(cell, job, ref, *task, worker);
   AccumulateLostTime(state, job, SpecOf(job, ref), *task);
   const bool must_stop = job.cancelled || job.attempts_exhausted;
 
