Name what the age of a worker's last answer says now

That a worker has hardly restarted since its last answer decides nothing any more, as no order reaches a later incarnation. What is left of that check is that the worker has answered lately: renamed, in comments too. The warning of a run in a later incarnation is logged once per run, and not where the bound incarnation is unknown. Two tests are renamed after what they play now: the start meets the new incarnation and is refused, and the task still runs once.

--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -14,8 +14,8 @@
 
 // Leases
 
-/// Returns whether the worker answered a poll so recently that it can hardly have restarted since.
-bool IsIncarnationFresh(const State& state, const WorkerState& worker);
+/// Returns whether the worker's clock is known from a poll that it answered lately.
+bool HasAnsweredRecently(const State& state, const WorkerState& worker);
 
 /// Returns the longest lease that this entry may grant to the worker now, or nothing if it may not
 /// renew the lease.
--- a/lib/scheduler/source/hand_over.cc
+++ b/lib/scheduler/source/hand_over.cc
@@ -14,7 +14,7 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// Returns the times by which all leases of a former owner have expired that is not known to have
+/// Returns the time by which all leases of a former owner have expired that is not known to have
 /// stopped. The store can delete the owner's keys right after confirming its lease, without the
 /// owner noticing. The owner then treats its lease as valid for up to `kStoreLeaseTtl`, and grants
 /// worker leases that end at most `kStoreOutageRenewalPeriod` after that, with renewals and starts
--- a/lib/scheduler/source/poll_schedule.cc
+++ b/lib/scheduler/source/poll_schedule.cc
@@ -83,7 +83,7 @@
     return may_repeat ? worker.unanswered_grant : std::nullopt;
   }
 
-  if (worker.failed_polls > 0 || !IsIncarnationFresh(state, worker)) return std::nullopt;
+  if (worker.failed_polls > 0 || !HasAnsweredRecently(state, worker)) return std::nullopt;
 
   return NextLeaseGrant(state, cell, worker);
 }
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -8,9 +8,9 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// A worker that answered its last poll longer ago than this may have restarted since. Longer than
-/// a poll and the pause after it.
-constexpr Millis kIncarnationFreshness = Millis(2'000);
+/// A worker that answered its last poll longer ago than this is taken for silent. Longer than a
+/// poll and the pause after it.
+constexpr Millis kMaxAnswerAge = Millis(2'000);
 
 /// Returns the lowest time that the worker's clock, which may be slow, can show now, in
 /// milliseconds.
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-bool IsIncarnationFresh(const State& state, const WorkerState& worker) {
-  return worker.clock_ms && state.now - worker.clock_at <= kIncarnationFreshness;
+bool HasAnsweredRecently(const State& state, const WorkerState& worker) {
+  return worker.clock_ms && state.now - worker.clock_at <= kMaxAnswerAge;
 }
 
 std::optional<LeaseGrant> NextLeaseGrant(const State& state, const OwnedCell& cell,
--- a/lib/scheduler/source/worker_orders.cc
+++ b/lib/scheduler/source/worker_orders.cc
@@ -40,7 +40,7 @@
       if (!RunsJobsOf(state, worker, job.record)) return std::nullopt;
       if (!CancelsAreCurrent(state) || !IsRegistrationCurrent(state, worker)) return std::nullopt;
       // A worker that hasn't answered for a while may not be able to run the task.
-      if (!IsIncarnationFresh(state, worker)) return std::nullopt;
+      if (!HasAnsweredRecently(state, worker)) return std::nullopt;
 
       const std::optional<LeaseGrant> grant = NextLeaseGrant(state, cell, worker);
       if (!grant) return std::nullopt;
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -116,7 +116,7 @@
     return;
   }
 
-  if (task->worker_incarnation < worker.info.incarnation) {
+  if (WasBoundBefore(task->worker_incarnation, worker.info.incarnation)) {
     Log(effects, Severity::kWarning, "worker lists a run that was bound to its former incarnation",
         {{"job", ref.job.Text()},
          {"step", std::to_string(ref.step)},
@@ -125,6 +125,7 @@
          {"worker", worker.info.id.Text()},
          {"bound_to", std::to_string(task->worker_incarnation)},
          {"incarnation", std::to_string(worker.info.incarnation)}});
+    task->worker_incarnation = worker.info.incarnation;
   }
 
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
@@ -227,7 +228,7 @@
   PollWorker order;
   const std::optional<LeaseGrant> grant = GrantOfNextPoll(state, cell, worker);
   order.forget_up_to = EndsToForget(worker);
-  if (worker.confirmed && IsIncarnationFresh(state, worker) && !IsRepeat(cell, worker)) {
+  if (worker.confirmed && HasAnsweredRecently(state, worker) && !IsRepeat(cell, worker)) {
     order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
   }
 
--- a/tests/scheduler/trouble_test.cc
+++ b/tests/scheduler/trouble_test.cc
@@ -79,9 +79,8 @@
   World world_{WorldShape{.racks = 1}};
 };
 
-// Guards against duplicate runs: tasks that the new incarnation had started counted as lost with
-// the former incarnation, and were started elsewhere while they ran.
-TEST_F(NewIncarnations, AStartThatReachesANewIncarnationRunsOnce) {
+// Guards against duplicate runs of tasks whose starts meet a new incarnation of their worker.
+TEST_F(NewIncarnations, AStartThatMeetsANewIncarnationRunsOnce) {
   RestartWorkers();
   world_.Submit("e0", MakeJob("a", 4));
   world_.Run(Millis(4'000));
--- a/tests/scheduler/worker_life_test.cc
+++ b/tests/scheduler/worker_life_test.cc
@@ -7,9 +7,9 @@
 namespace currantpost::scheduler {
 namespace {
 
-// Guards against duplicate starts: a start that was sent to the former incarnation and reached the
-// new one was treated as lost, and the task was started again.
-TEST(WorkerIncarnation, AStartThatReachedTheNewIncarnationIsNotLost) {
+// Guards against duplicate starts of tasks whose starts meet an incarnation that the registry has
+// not announced.
+TEST(WorkerIncarnation, AStartForTheFormerIncarnationRunsOnceInTheNewOne) {
   World world(WorldShape{.entries = 1, .racks = 1});
   world.planner = [](const TaskName&) {
     return RunPlan{.duration = Millis(5'000),
