Measure how late an entry handles what arrives

The event loop sends a marker through its own queue behind all that is ready; the time that it takes is how long what arrives waits. Each event carries it, and up to when everything that had arrived was handled. The simulated world does the same with its queue. Nothing decides by either yet.

--- a/lib/entry/source/entry.cc
+++ b/lib/entry/source/entry.cc
@@ -6,6 +6,7 @@
 #include "currantpost/base/logging.h"
 #include "currantpost/scheduler/scheduler.h"
 #include "currantpost/transport/http_server.h"
+#include "currantpost/transport/loop_lag.h"
 #include "peer_protocol.h"
 
 namespace currantpost {
@@ -61,6 +62,7 @@
         state(scheduler::MakeState(std::move(settings))),
         peers(loop, clock, HttpClientLimits{}),
         wake_timer(loop),
+        loop_lag(loop, clock),
         caller_server(loop, clock, HttpServerLimits{},
                       [this](const ReceivedRequest& request, Respond respond) {
                         HandleCallerRequest(request, std::move(respond));
@@ -80,9 +82,12 @@
   void Dispatch(Body body) {
     const Millis began = clock.Now();
     const bool has_run = state->wake_at > Millis(0);
-    const Millis late = has_run ? std::max(began - state->wake_at, Millis(0)) : Millis(0);
+    const Millis overdue = has_run ? std::max(began - state->wake_at, Millis(0)) : Millis(0);
+    const Millis late = std::max(overdue, loop_lag.Lateness());
+    loop_lag.Measure();
     scheduler::Effects effects;
-    scheduler::Event event{began, UnixMillis(), std::move(body)};
+    scheduler::Event event{
+        began, UnixMillis(), std::move(body), {late, loop_lag.HandledUpTo().value_or(Millis(0))}};
     const size_t kind = event.body.index();
     scheduler::Reduce(*state, event, effects);
     const size_t effect_count = effects.size();
@@ -260,6 +265,7 @@
   std::unique_ptr<scheduler::State> state;
   HttpClient peers;
   Timer wake_timer;
+  LoopLag loop_lag;
   HttpServer caller_server;
   HttpServer readiness_server;
   HttpServer peer_server;
--- a/lib/scheduler/include/currantpost/scheduler/events.h
+++ b/lib/scheduler/include/currantpost/scheduler/events.h
@@ -89,6 +89,15 @@
     "tick",           "store_answer", "worker_answer", "caller_request",
     "pushed_records", "peer_query",   "peer_answer",   "stop_request"};
 
+/// How far a process is behind with what arrives.
+struct Backlog {
+  /// How long events wait at present before they are handled.
+  Millis lateness;
+  /// Everything that had arrived by then has been handled, or is the present event. Empty if
+  /// nothing waits.
+  std::optional<Millis> handled_up_to;
+};
+
 /// One event, with the time at which the process started to handle it.
 struct Event {
   Millis now;
@@ -98,6 +107,7 @@
   std::variant<Tick, StoreAnswered, WorkerAnswered, CallerRequested, RecordsPushed, PeerQueried,
                PeerAnswered, StopRequested>
       body;
+  Backlog backlog = {};
 };
 
 static_assert(std::variant_size_v<decltype(Event::body)> == kEventKindNames.size());
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -273,6 +273,10 @@
   Settings settings;
   Millis now;
   int64_t unix_ms = 0;
+  /// How long events wait at present before this entry handles them.
+  Millis lateness;
+  /// Everything that had arrived by then has been handled.
+  Millis handled_up_to;
   RequestId last_request = 0;
   /// Sequence number of the orders sent to workers and the answers received from them.
   uint64_t worker_event_sequence = 0;
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -189,6 +189,8 @@
 void Reduce(State& state, const Event& event, Effects& effects) {
   state.now = event.now;
   state.unix_ms = event.unix_ms;
+  state.lateness = event.backlog.lateness;
+  state.handled_up_to = event.backlog.handled_up_to.value_or(event.now);
   state.wake_at = state.now + kMaxTickInterval;
 
   std::visit(EventHandler{state, effects}, event.body);
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -316,7 +316,9 @@
 
     if (std::holds_alternative<Tick>(event.body)) tick_pending_.erase(entry);
     const auto effects = std::make_shared<Effects>();
-    Reduce(state(entry), Event{now_, now_.Count(), event.body}, *effects);
+    Backlog backlog{.lateness = now_ - event.arrived};
+    if (!waiting.empty()) backlog.handled_up_to = waiting.front().arrived;
+    Reduce(state(entry), Event{now_, now_.Count(), event.body, backlog}, *effects);
 
     if (cost > Millis(0)) {
       ScheduleAt(now_ + cost,
