Count the wait of a task that is passed on from its beginning

Holds went to whoever had waited longer.

The wait travels with the task, in the loan and in the move. A task relies on a kept worker for as long as it had waited before, 2.5 s at least, so it is passed on ever more rarely. A worker that is kept for a task stays kept for it; only interrupted tasks take the place of new ones, as before.

TheWaitOfATaskThatIsPassedOnGoesOn fails without the change (5.4 s of 6.0 s counted).

--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -112,8 +112,6 @@
   VmId worker;
   /// The task has run before.
   bool is_interrupted = false;
-  /// Since when the task has waited.
-  Millis waiting_since;
   /// It ends then unless it is asked for again.
   Millis expires_at;
 };
--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -65,8 +65,12 @@
   std::string checkpoint;
   /// Earliest time of the next placement.
   Millis not_before;
-  /// Since when it has been in the phase `kWaiting`.
+  /// Since when it has been in the phase `kWaiting`, in this cell and those that passed it on.
   Millis waiting_since;
+  /// Since when it has been in that phase in this cell.
+  Millis queued_at;
+  /// How long it had waited before in cells that passed it on, until it waits here.
+  Millis waited_before;
   /// The start order was sent to the worker.
   bool start_sent = false;
   /// Value of `worker_event_sequence` when the start was last sent or answered. A poll that was
--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -239,6 +239,8 @@
   JobId lent_to;
   /// The last worker on which it failed.
   VmId avoided_worker;
+  /// How long it had waited for a worker when this was written, 0 if it was not waiting.
+  Millis waited;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -101,6 +101,7 @@
     task.run = lent.run;
     task.failures = lent.failures;
     task.checkpoint = lent.checkpoint;
+    task.waited_before = lent.waited;
     --job.occurrences[static_cast<size_t>(ref.occurrence)]
           .steps[static_cast<size_t>(ref.step)]
           .done;
@@ -124,6 +125,7 @@
 
   switch (progress.status) {
     case TaskStatus::kWaiting:
+      task.waited_before = progress.waited;
       return;
     case TaskStatus::kDone:
       task.phase = TaskPhase::kDone;
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -430,7 +430,7 @@
 // Writes of progress
 
 /// Returns the progress record of a job.
-ProgressRecord ProgressOf(const JobState& job);
+ProgressRecord ProgressOf(const State& state, const JobState& job);
 
 /// Updates a job after the store has recorded a version of it.
 void MarkRecorded(State& state, Effects& effects, OwnedCell& cell, JobState& job, uint64_t version,
--- a/lib/scheduler/source/job_tasks.cc
+++ b/lib/scheduler/source/job_tasks.cc
@@ -67,7 +67,8 @@
 void SetWaiting(const State& state, OwnedCell& cell, JobState& job, const TaskRef& ref,
                 TaskState& task) {
   task.phase = TaskPhase::kWaiting;
-  task.waiting_since = state.now;
+  task.queued_at = state.now;
+  task.waiting_since = state.now - std::exchange(task.waited_before, Millis(0));
   cell.waiting.insert(WaitingKeyOf(job, ref));
   cell.placement_due = true;
 }
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -102,13 +102,15 @@
     cell.waiting.erase(WaitingKeyOf(job, ref));
     task.phase = TaskPhase::kLent;
     task.lent_to = borrowed_job.spec.job;
+    task.waited_before = state.now - task.waiting_since;
     ++job.lent;
     borrowed_job.lent.push_back(TaskProgress{.occurrence = ref.occurrence,
                                              .step = ref.step,
                                              .index = ref.index,
                                              .run = task.run,
                                              .failures = task.failures,
-                                             .checkpoint = task.checkpoint});
+                                             .checkpoint = task.checkpoint,
+                                             .waited = task.waited_before});
   }
 
   ++job.version;
@@ -116,7 +118,7 @@
   job.loan = JobState::PendingLoan{.to = to,
                                    .borrowed_job = borrowed_job.spec.job,
                                    .borrowed_job_value = Encode(borrowed_job),
-                                   .progress_value = Encode(ProgressOf(job)),
+                                   .progress_value = Encode(ProgressOf(state, job)),
                                    .version = job.version};
   Log(effects, Severity::kInfo, "lending tasks to a cell with free capacity",
       {{"job", borrowed_job.parent.Text()},
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -90,7 +90,7 @@
   moved.cell = to;
   moved.service = ServiceOf(state, job.record);
   ++moved.moves;
-  moved.carried_progress = ProgressOf(job);
+  moved.carried_progress = ProgressOf(state, job);
   job.move = JobState::PendingMove{.to = to, .value = Encode(moved)};
   Log(effects, Severity::kInfo, "moving job to a cell with free capacity",
       {{"job", job.record.spec.job.Text()}, {"from", cell.cell.Text()}, {"to", to.Text()}});
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -206,8 +206,7 @@
 
   HoldRequest request{.placement = RequestFor(state, cell, first),
                       .job = first.job,
-                      .is_interrupted = IsInterrupted(job, first),
-                      .waiting_since = state.now};
+                      .is_interrupted = IsInterrupted(job, first)};
 
   int32_t waiting = 0;
 
@@ -217,10 +216,7 @@
 
     ++waiting;
     const Millis since = TaskOf(job, ref).waiting_since;
-    if (state.now < since + HoldDelay(request.is_interrupted)) continue;
-
-    ++request.tasks;
-    request.waiting_since = std::min(request.waiting_since, since);
+    if (state.now >= since + HoldDelay(request.is_interrupted)) ++request.tasks;
   }
 
   // A task that was passed on to this cell has its hold already.
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -90,7 +90,7 @@
     write.puts.push_back(RecordPut{JobKey(id), EncodeEnded(job.record, job.phase), 0});
   }
 
-  const ProgressRecord progress = ProgressOf(job);
+  const ProgressRecord progress = ProgressOf(state, job);
   job.next_record =
       state.now + Millis(static_cast<int64_t>(progress.tasks.size()) / kTasksPerMilli);
   std::string value = Encode(progress);
@@ -127,7 +127,7 @@
 
 }  // namespace
 
-ProgressRecord ProgressOf(const JobState& job) {
+ProgressRecord ProgressOf(const State& state, const JobState& job) {
   ProgressRecord record;
   record.phase = job.phase;
   if (IsTerminal(job.phase)) return record;
@@ -139,19 +139,24 @@
       for (size_t index = 0; index < steps[step].tasks.size(); ++index) {
         const TaskState& task = steps[step].tasks[index];
         if (task.not_borrowed) continue;
-        if (task.run == 0 && MarkOf(task.phase) == TaskStatus::kWaiting) continue;
-
-        record.tasks.push_back(TaskProgress{.occurrence = static_cast<int32_t>(number),
-                                            .step = static_cast<int32_t>(step),
-                                            .index = static_cast<int32_t>(index),
-                                            .status = MarkOf(task.phase),
-                                            .run = task.run,
-                                            .failures = task.failures,
-                                            .worker = task.worker,
-                                            .worker_incarnation = task.worker_incarnation,
-                                            .checkpoint = task.checkpoint,
-                                            .lent_to = task.lent_to,
-                                            .avoided_worker = task.avoided_worker});
+        const bool is_waiting = task.phase == TaskPhase::kWaiting;
+        // How long others have waited is of no use to the next owner.
+        const bool has_wait = is_waiting && job.record.spec.steps[step].is_long_running;
+        if (task.run == 0 && !has_wait && MarkOf(task.phase) == TaskStatus::kWaiting) continue;
+
+        record.tasks.push_back(
+            TaskProgress{.occurrence = static_cast<int32_t>(number),
+                         .step = static_cast<int32_t>(step),
+                         .index = static_cast<int32_t>(index),
+                         .status = MarkOf(task.phase),
+                         .run = task.run,
+                         .failures = task.failures,
+                         .worker = task.worker,
+                         .worker_incarnation = task.worker_incarnation,
+                         .checkpoint = task.checkpoint,
+                         .lent_to = task.lent_to,
+                         .avoided_worker = task.avoided_worker,
+                         .waited = has_wait ? state.now - task.waiting_since : Millis(0)});
       }
     }
   }
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -42,8 +42,8 @@
 }
 
 /// Encodes each task as a row: the common members, then the worker and its incarnation or the job
-/// that runs a lent task, then the checkpoint, then the worker to avoid. Trailing members with
-/// default values are left out.
+/// that runs a lent task, then the checkpoint, then the worker to avoid, then how long it has
+/// waited. Trailing members with default values are left out.
 Json TasksJson(const std::vector<TaskProgress>& tasks) {
   Json rows = Json::array();
 
@@ -52,7 +52,9 @@
                             task.run, task.failures});
     const bool bound = task.status == TaskStatus::kBound;
     const bool lent = task.status == TaskStatus::kLent;
-    const bool has_checkpoint = !task.avoided_worker.Empty() || !task.checkpoint.empty();
+    const bool has_waited = task.waited > Millis(0);
+    const bool has_avoided_worker = has_waited || !task.avoided_worker.Empty();
+    const bool has_checkpoint = has_avoided_worker || !task.checkpoint.empty();
 
     if (bound || lent || has_checkpoint) {
       row.push_back(bound ? task.worker.Text() : task.lent_to.Text());
@@ -61,7 +63,8 @@
 
     if (has_checkpoint) row.push_back(task.checkpoint);
 
-    if (!task.avoided_worker.Empty()) row.push_back(task.avoided_worker.Text());
+    if (has_avoided_worker) row.push_back(task.avoided_worker.Text());
+    if (has_waited) row.push_back(task.waited.Count());
 
     rows.push_back(std::move(row));
   }
@@ -98,6 +101,7 @@
     if (row.size() > 8) task.checkpoint = row.at(8).get<std::string>();
 
     if (row.size() > 9) task.avoided_worker = VmId(row.at(9).get<std::string>());
+    if (row.size() > 10) task.waited = ReadDuration(row.at(10));
 
     tasks.push_back(std::move(task));
   }
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -28,8 +28,9 @@
 constexpr int32_t kMaxDeclinedDoublings = 2;
 /// How long after the pause a refusal still counts as the one before the next.
 constexpr Millis kDeclinedNeedsMemory = Millis(5'000);
-/// How long a long-running task waits before it no longer relies on a worker that its own cell
-/// keeps for it: the short tasks there should have ended by then.
+/// How long a long-running task waits in a cell before it no longer relies on a worker that is kept
+/// for it there: the short tasks there should have ended by then. One that has waited longer in
+/// former cells stays as long again, as the wait for the short tasks begins anew with each cell.
 constexpr Millis kMaxHoldWait = Millis(2'500);
 
 PlacementRequest PlacementOf(const ReservationRequest& request, Millis now) {
@@ -103,8 +104,7 @@
   const HoldRequest hold{.placement = PlacementOf(request, state.now),
                          .job = request.job,
                          .tasks = 1,
-                         .is_interrupted = request.is_interrupted,
-                         .waiting_since = state.now - request.waited};
+                         .is_interrupted = request.is_interrupted};
   return KeepWorkers(state, cell, hold) > 0;
 }
 
@@ -264,8 +264,10 @@
   if (!batch.spec->is_long_running || batch.spec->best_effort) return Millis(0);
 
   const TaskRef& ref = batch.tasks.front();
-  const Millis waited = state.now - FindTask(cell, ref)->waiting_since;
-  if (waited >= kMaxHoldWait) return waited;
+  const TaskState& task = *FindTask(cell, ref);
+  const Millis waited = state.now - task.waiting_since;
+  const Millis waited_before = task.queued_at - task.waiting_since;
+  if (state.now - task.queued_at >= std::max(kMaxHoldWait, waited_before)) return waited;
 
   const bool is_interrupted = IsInterrupted(job, ref);
   const auto waiting = std::ranges::count_if(WaitingTasksOf(cell, job), [&](const TaskRef& each) {
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -10,10 +10,6 @@
 /// short tasks that start there meanwhile.
 constexpr int64_t kMaxHoldsPercent = 50;
 
-/// How much longer a task must have waited than another one to take its place. Each change of the
-/// task makes the wait for the short tasks begin anew.
-constexpr Millis kMinWaitDifference = Millis(2'000);
-
 /// Returns the sum of the matching holds on a worker.
 template <typename Matches>
 Resources HeldOn(const OwnedCell& cell, const VmId& worker, Matches matches) {
@@ -30,10 +26,10 @@
   return HeldOn(cell, worker, [](const WorkerHold&) { return true; });
 }
 
-/// Returns whether the tasks of a request take the place of the task of a hold.
+/// Returns whether the tasks of a request take the place of the task of a hold. Tasks of one kind
+/// don't: a task that was passed on for the hold would wait in vain.
 bool TakesPlaceOf(const HoldRequest& request, const WorkerHold& hold) {
-  if (request.is_interrupted != hold.is_interrupted) return request.is_interrupted;
-  return request.waiting_since + kMinWaitDifference < hold.waiting_since;
+  return request.is_interrupted && !hold.is_interrupted;
 }
 
 /// Returns whether an amount fits on a worker once the short tasks there have ended.
@@ -169,7 +165,6 @@
                                     .need = placement.spec.need,
                                     .worker = worker->info.id,
                                     .is_interrupted = request.is_interrupted,
-                                    .waiting_since = request.waiting_since,
                                     .expires_at = state.now + kHoldTime});
   }
 
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -33,12 +33,10 @@
   int32_t tasks = 0;
   /// They have run before.
   bool is_interrupted = false;
-  Millis waiting_since;
 };
 
-/// Keeps workers for tasks that fit on none now, or goes on keeping them. Interrupted tasks, and
-/// then those that have waited longer, take the place of others. Returns for how many of the tasks
-/// a worker is kept.
+/// Keeps workers for tasks that fit on none now, or goes on keeping them. Interrupted tasks
+/// take the place of new ones. Returns for how many of the tasks a worker is kept.
 int32_t KeepWorkers(const State& state, OwnedCell& cell, const HoldRequest& request);
 
 /// Returns for how many interrupted or new tasks of one step of a job a worker is kept.
--- a/tests/scheduler/waiting_order_test.cc
+++ b/tests/scheduler/waiting_order_test.cc
@@ -65,6 +65,19 @@
         world_.now(), [](const StoreReply&) {});
   }
 
+  /// Records a job with one long-running task of `kLargeNeed` that has run before, and has waited
+  /// since in the cell that passed it on.
+  void RecordInterrupted(const std::string& id, int32_t centre, Millis waited) {
+    JobRecord record{
+        .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId(CellOf(centre))};
+    record.spec = MakeJob(id, 1, kLargeNeed);
+    record.spec.steps[0].is_long_running = true;
+    record.carried_progress.tasks = {TaskProgress{.run = 1, .waited = waited}};
+    world_.store.Handle(
+        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
+        world_.now(), [](const StoreReply&) {});
+  }
+
   /// Fills whole workers of a cell with long-running jobs of one task.
   void Fill(int32_t centre, int32_t workers) {
     for (int32_t number = 0; number < workers; ++number) {
@@ -225,6 +238,44 @@
   EXPECT_EQ(Running("long"), 1U);
 }
 
+// Guards against waits that began anew in each cell to which a task was passed on.
+TEST_F(WaitingOrderInTwoCells, TheWaitOfATaskThatIsPassedOnGoesOn) {
+  constexpr Millis kMaxDelay = Millis(500);
+  Fill(0, kWorkers);
+  Record("short-slow", 1, kWorkers * 8, kSmallNeed);
+  world_.Run(Millis(1'000));
+
+  const Millis recorded_at = world_.now();
+  Millis waited;
+  Millis expected;
+  on_request_ = [&](const ReservationRequest& request) {
+    if (request.from != CellId(CellOf(1)) || request.waited == Millis(0)) return;
+
+    waited = request.waited;
+    expected = world_.now() - recorded_at;
+  };
+  Record("long-passed-on", 0, 1, kLargeNeed);
+  world_.Run(Millis(6'000));
+
+  EXPECT_GT(waited, Millis(0));
+  EXPECT_GE(waited + kMaxDelay, expected);
+}
+
+// Guards against a worker that was kept for a task, and given to one that came later.
+TEST_F(WaitingOrderInTwoCells, AWorkerStaysKeptForItsTaskWhenOneThatHasWaitedLongerAsks) {
+  Fill(0, kWorkers);
+  Fill(1, kWorkers - 1);
+  short_duration_ = Millis(4'000);
+  Record("short", 1, 8, kSmallNeed);
+  world_.Run(Millis(500));
+  RecordInterrupted("long-first", 1, Millis(0));
+  world_.Run(Millis(1'000));
+  RecordInterrupted("long-second", 0, Millis(8'000));
+  world_.Run(Millis(4'500));
+
+  EXPECT_EQ(Running("long-first"), 1U);
+}
+
 // Guards against short tasks that broke up the largest pieces of capacity while smaller ones had
 // room for them.
 TEST_F(WaitingOrderInOneCell, ShortTasksLeaveLargePiecesWhileSmallerOnesFit) {
