Count what the scheduler does

The reducer counts renewals by what was left of the lease, visits of the search, requests to peers by outcome, events of holds, refusals and lost runs by reason, and calls to the store by kind, outcome and time. The counts are plain numbers in the state, without look-ups by name or allocation; no decision reads them. The reasons of refusals and lost runs are enums now, with the texts of the log as names.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -18,6 +18,7 @@
 #include "currantpost/base/time.h"
 #include "currantpost/policy/interference_model.h"
 #include "currantpost/scheduler/cell_state.h"
+#include "currantpost/scheduler/counts.h"
 #include "currantpost/scheduler/events.h"
 #include "currantpost/scheduler/outage.h"
 #include "currantpost/scheduler/records.h"
@@ -350,6 +351,8 @@
   /// A stale copy of the records was logged.
   bool stale_records_logged = false;
   Millis next_removal;
+  /// Mutable, as choices by a constant state are counted too.
+  mutable Counts counts;
 };
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -123,7 +123,7 @@
     if (here && job.head.ended) continue;
 
     // No task of the job runs: a job is moved only then.
-    if (cell.jobs.contains(id)) RemoveJob(cell, id);
+    if (cell.jobs.contains(id)) RemoveJob(state, cell, id);
     if (here && cell.open) AddJob(state, effects, cell, id);
   }
 }
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -16,21 +16,23 @@
 /// Maximum age of a count of pending jobs, on top of the time until an accepted job is visible.
 constexpr Millis kMaxCountAge = Millis(2'000);
 
-void Refuse(Effects& effects, RequestId call, const JobId& job, std::string_view reason) {
+void Refuse(const State& state, Effects& effects, RequestId call, const JobId& job,
+            Refusal reason) {
+  state.counts.refusals.Add(reason);
   Log(effects, Severity::kInfo, "refused job",
-      {{"job", job.Text()}, {"reason", std::string(reason)}});
+      {{"job", job.Text()}, {"reason", std::string(kRefusalNames.Name(reason))}});
   Answer(effects, call, CallerOutcome::kRefused);
 }
 
-/// Returns why a job is not supported yet, or an empty text if it is.
-std::string_view UnservedFeature(const Queue& queue, const JobSpec& spec) {
-  if (queue.needs_advice) return "the queue needs the advice service";
+/// Returns why a job is not supported yet, or nothing if it is.
+std::optional<Refusal> UnservedFeature(const Queue& queue, const JobSpec& spec) {
+  if (queue.needs_advice) return Refusal::kNeedsAdvice;
 
   for (const StepSpec& step : spec.steps) {
-    if (step.gang) return "gangs are not served yet";
+    if (step.gang) return Refusal::kHasGang;
   }
 
-  return {};
+  return std::nullopt;
 }
 
 /// Returns the latency objective of a job from its estimates, or 0 if it has none.
@@ -99,19 +101,19 @@
   const Queue* queue = state.queues.Find(submitted.queue);
   if (queue == nullptr) return Answer(effects, asked.call, CallerOutcome::kNoSuchQueue);
 
-  const std::string_view unserved = UnservedFeature(*queue, submitted.spec);
-  if (!unserved.empty()) return Refuse(effects, asked.call, id, unserved);
+  const std::optional<Refusal> unserved = UnservedFeature(*queue, submitted.spec);
+  if (unserved) return Refuse(state, effects, asked.call, id, *unserved);
 
   if (state.stopping && state.exit_announced) {
-    return Refuse(effects, asked.call, id, "the entry is stopping");
+    return Refuse(state, effects, asked.call, id, Refusal::kStopping);
   }
 
   if (!state.feeds[Feed::kRecords].synced) {
-    return Refuse(effects, asked.call, id, "the records are not known yet");
+    return Refuse(state, effects, asked.call, id, Refusal::kRecordsUnknown);
   }
 
   const std::optional<CellId> cell = ChooseCell(state, queue->service, submitted.spec);
-  if (!cell) return Refuse(effects, asked.call, id, "no worker is known yet");
+  if (!cell) return Refuse(state, effects, asked.call, id, Refusal::kNoWorkerKnown);
 
   AddSentDemand(state, *cell, InitialDemand(submitted.spec));
 
@@ -259,7 +261,7 @@
     if (found->second.maybe_applied) {
       Answer(effects, call, CallerOutcome::kUnknown);
     } else {
-      Refuse(effects, call, id, "the job was withdrawn");
+      Refuse(state, effects, call, id, Refusal::kWithdrawn);
     }
   }
 
@@ -340,7 +342,7 @@
     case StoreStatus::kUnavailable:
       if (!submit.maybe_applied && state.now + kStoreRetryDelay >= submit.retry_deadline) {
         for (const RequestId call : submit.calls) {
-          Refuse(effects, call, id, "the store does not answer");
+          Refuse(state, effects, call, id, Refusal::kStoreSilent);
         }
         state.submits.erase(found);
         return;
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -86,6 +86,7 @@
 std::vector<Candidate> Candidates(const State& state, const std::string& service,
                                   const Demand& demand) {
   std::vector<Candidate> candidates;
+  state.counts.search.Add(SearchVisit::kCell, state.view.loads.size());
 
   for (const auto& [id, load] : state.view.loads) {
     const std::optional<CellRoom> room = RoomOf(state, id, service, demand.image);
@@ -185,6 +186,7 @@
                                                Matches matches) {
   const std::string& service = ServiceOf(state, job.record);
   const std::string draw = DrawKey(state, job);
+  state.counts.search.Add(SearchVisit::kCell, state.view.loads.size());
   std::optional<CellId> best;
   std::pair<Millis, uint64_t> best_rank;
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -139,7 +139,8 @@
       WorkerState& worker = FindOrAddWorker(cell, progress.worker);
 
       if (WasBoundBefore(progress.worker_incarnation, worker.info.incarnation)) {
-        LogLostRun(effects, ref, task.run, progress.worker, "its worker has restarted since");
+        RecordLostRun(state, effects, ref, task.run, progress.worker,
+                      LossReason::kWorkerRestartedEarlier);
         return;
       }
 
@@ -244,7 +245,7 @@
 
 }  // namespace
 
-void RemoveJob(OwnedCell& cell, const JobId& id) {
+void RemoveJob(const State& state, OwnedCell& cell, const JobId& id) {
   const JobState& job = cell.jobs.at(id);
   cell.worker_update_due = true;
 
@@ -268,7 +269,7 @@
 
   std::erase_if(cell.waiting, [&](const WaitingKey& key) { return std::get<3>(key).job == id; });
   std::erase_if(cell.borrowed_tasks, [&](const auto& row) { return row.second.job == id; });
-  EndHoldsOf(cell, id);
+  EndHoldsOf(state, cell, id);
   cell.dirty.erase(id);
   cell.jobs.erase(id);
 }
@@ -349,7 +350,7 @@
   StartOccurrences(state, cell, job);
   HandleEndedLoans(state, effects, job);
   ClaimReservations(state, cell, job);
-  ClaimHolds(cell, job);
+  ClaimHolds(state, cell, job);
   FinalizeJobIfDone(state, effects, cell, id);
 }
 
@@ -467,7 +468,7 @@
     return;
   }
 
-  if (job.recorded_version == job.version) RemoveJob(cell, id);
+  if (job.recorded_version == job.version) RemoveJob(state, cell, id);
 }
 
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell) {
@@ -477,6 +478,8 @@
   }
 
   cell.next_job_update = state.now + kJobsUpdateInterval;
+  state.counts.search.Add(SearchVisit::kPass);
+  state.counts.search.Add(SearchVisit::kJob, cell.jobs.size());
   for (auto& [id, job] : cell.jobs) {
     if (job.record.spec.occurrences > 0 && !job.cancelled && !job.attempts_exhausted) {
       StartOccurrences(state, cell, job);
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -94,7 +94,7 @@
     const TaskState* task = FindTask(cell, ref);
     if (task == nullptr || !WasBoundBefore(task->worker_incarnation, incarnation)) continue;
 
-    HandleLostRun(state, effects, cell, ref, "the worker has restarted");
+    HandleLostRun(state, effects, cell, ref, LossReason::kWorkerRestarted);
   }
 }
 
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -353,7 +353,7 @@
                 TaskState& task);
 
 /// Removes a job from the cell and its tasks from the workers.
-void RemoveJob(OwnedCell& cell, const JobId& id);
+void RemoveJob(const State& state, OwnedCell& cell, const JobId& id);
 
 /// Binds a waiting task to a worker.
 void BindTask(State& state, OwnedCell& cell, JobState& job, const TaskRef& ref,
@@ -378,13 +378,13 @@
 bool HandleEndOfLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
                         const EndedTask& row);
 
-/// Logs the end of a run whose result is unknown.
-void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
-                std::string_view reason);
+/// Logs and counts the end of a run whose result is unknown.
+void RecordLostRun(const State& state, Effects& effects, const TaskRef& ref, Run run,
+                   const VmId& worker, LossReason reason);
 
 /// Handles the end of the current run of a task whose result is unknown.
 void HandleLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
-                   std::string_view reason);
+                   LossReason reason);
 
 /// Queues the tasks of steps whose preceding steps have ended, and of occurrences that are due.
 void UnblockTasks(State& state, OwnedCell& cell, JobState& job);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -59,6 +59,7 @@
 
   const std::string& service = ServiceOf(state, job.record);
   std::optional<std::pair<CellId, int64_t>> best;
+  state.counts.search.Add(SearchVisit::kCell, state.view.loads.size());
 
   for (const auto& [id, load] : state.view.loads) {
     if (id == cell.cell) continue;
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -295,7 +295,7 @@
       continue;
     }
 
-    EndHold(cell, StepNameOf(job, ref), ref.job, worker->info.id);
+    EndHold(state, cell, StepNameOf(job, ref), ref.job, worker->info.id);
     BindTask(state, cell, job, ref, *worker);
     LogEndOfLongWait(state, effects, job, ref, *FindTask(cell, ref));
     ++placement.bound;
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -120,7 +120,7 @@
   Log(effects, Severity::kWarning, "taking a job over again: its recorded progress is newer",
       {{"job", id.Text()}, {"revision", std::to_string(item.revision)}});
 
-  RemoveJob(cell, id);
+  RemoveJob(state, cell, id);
   ApplyRecord(state, effects, item);
   AddJob(state, effects, cell, id);
 }
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -85,7 +85,7 @@
   }
 
   const auto tasks = static_cast<int32_t>(held.workers.size());
-  for (const VmId& worker : held.workers) EndHold(cell, request.name, request.job, worker);
+  for (const VmId& worker : held.workers) EndHold(state, cell, request.name, request.job, worker);
   if (tasks == 0) cell.reservations.erase(key);
   return tasks;
 }
@@ -125,6 +125,11 @@
   return reply;
 }
 
+CapacityOutcome OutcomeOf(const ReservationReply& reply) {
+  if (reply.tasks > 0) return CapacityOutcome::kGranted;
+  return reply.keeps ? CapacityOutcome::kWorkerKept : CapacityOutcome::kDeclined;
+}
+
 /// Replaces the free capacity that a cell last reported by what its owner has just replied.
 void UpdateReportedRoom(State& state, const CellId& id, const ReservationReply& reply) {
   const auto load = state.view.loads.find(id);
@@ -331,6 +336,7 @@
   declined_until = std::max(declined_until, state.now);
   ++job.unanswered_reservations;
   ++job.search.unanswered;
+  state.counts.capacity_requests.Add(CapacityOutcome::kUnanswered);
   Log(effects, Severity::kInfo, "no reply to a request for capacity in another cell",
       {{"job", job.record.spec.job.Text()}, {"to", to.Text()}});
   return false;
@@ -391,6 +397,7 @@
   const Result<ReservationReply> reply = DecodeReservationReply(item.value);
   if (!reply) return LogUnreadable(effects, item, reply.error());
 
+  state.counts.capacity_requests.Add(OutcomeOf(*reply));
   HandleReply(state, effects, to, *reply);
 
   // Asks the next cell at once if this one had no capacity.
--- a/lib/scheduler/source/run_ends.cc
+++ b/lib/scheduler/source/run_ends.cc
@@ -41,15 +41,16 @@
 
 }  // namespace
 
-void LogLostRun(Effects& effects, const TaskRef& ref, Run run, const VmId& worker,
-                std::string_view reason) {
+void RecordLostRun(const State& state, Effects& effects, const TaskRef& ref, Run run,
+                   const VmId& worker, LossReason reason) {
+  state.counts.lost_runs.Add(reason);
   Log(effects, Severity::kInfo, "run was lost",
       {{"job", ref.job.Text()},
        {"step", std::to_string(ref.step)},
        {"task", std::to_string(ref.index)},
        {"run", std::to_string(run)},
        {"worker", worker.Text()},
-       {"reason", std::string(reason)}});
+       {"reason", std::string(kLossReasonNames.Name(reason))}});
 }
 
 void HandleRunEnd(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref, RunEnd end,
@@ -100,6 +101,7 @@
   if (!IsLastStartedRun(job, task, row.run)) return false;
 
   if (row.end == RunEnd::kDone && !SpecOf(job, ref).is_long_running) {
+    ++state.counts.completed_lost_runs;
     Log(effects, Severity::kInfo, "a run that was treated as lost has completed its task",
         {{"job", ref.job.Text()},
          {"step", std::to_string(ref.step)},
@@ -120,10 +122,10 @@
 }
 
 void HandleLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
-                   std::string_view reason) {
+                   LossReason reason) {
   JobState& job = cell.jobs.at(ref.job);
   const TaskState& task = *FindTask(cell, ref);
-  LogLostRun(effects, ref, task.run, task.worker, reason);
+  RecordLostRun(state, effects, ref, task.run, task.worker, reason);
   RequeueTask(state, cell, job, ref, state.now);
   FinalizeJobIfDone(state, effects, cell, ref.job);
 }
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -97,6 +97,15 @@
                              [&](std::string_view prefix) { return item.key.starts_with(prefix); });
 }
 
+StoreCallKind KindOf(const StorePurpose& purpose) {
+  if (const auto* feed = std::get_if<FeedCalled>(&purpose)) {
+    return feed->list ? StoreCallKind::kList : StoreCallKind::kWatch;
+  }
+  const bool is_lease = std::holds_alternative<LeaseGranted>(purpose) ||
+                        std::holds_alternative<LeaseRenewed>(purpose);
+  return is_lease ? StoreCallKind::kLease : StoreCallKind::kOther;
+}
+
 void HandleStoreAnswered(State& state, Effects& effects, const StoreAnswered& answered) {
   const auto found = state.store_calls.find(answered.request);
   if (found == state.store_calls.end()) return;
@@ -105,6 +114,7 @@
   state.store_calls.erase(found);
 
   const StoreStatus status = answered.reply.status;
+  state.counts.AddStoreCall(KindOf(call.purpose), status, state.now - call.sent_at);
   if (status != StoreStatus::kUnavailable && status != StoreStatus::kUnknown) {
     state.store_answered_at = state.now;
   }
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -87,7 +87,8 @@
 }
 
 /// Ends holds whose place the tasks of a request take, until one of them fits on a worker.
-void MakeRoom(OwnedCell& cell, const HoldRequest& request, const WorkerState& worker) {
+void MakeRoom(const State& state, OwnedCell& cell, const HoldRequest& request,
+              const WorkerState& worker) {
   const VmId& id = worker.info.id;
 
   while (!FitsBesideLongRunning(cell, worker, HeldOn(cell, id) + request.placement.spec.need)) {
@@ -97,6 +98,7 @@
     if (hold == cell.holds.end()) return;
 
     cell.holds.erase(hold);
+    state.counts.holds.Add(HoldEvent::kDisplaced);
   }
 }
 
@@ -109,12 +111,15 @@
 }
 
 /// Ends a hold whose place the tasks of a request take if the cell has as many as it may have.
-void MakePlace(OwnedCell& cell, const HoldRequest& request) {
+void MakePlace(const State& state, OwnedCell& cell, const HoldRequest& request) {
   if (cell.holds.size() < MaxHolds(cell)) return;
 
   const auto hold = std::ranges::find_if(
       cell.holds, [&](const WorkerHold& each) { return TakesPlaceOf(request, each); });
-  if (hold != cell.holds.end()) cell.holds.erase(hold);
+  if (hold == cell.holds.end()) return;
+
+  cell.holds.erase(hold);
+  state.counts.holds.Add(HoldEvent::kDisplaced);
 }
 
 }  // namespace
@@ -146,6 +151,7 @@
 
     if (kept == request.tasks || !IsUsable(state, cell, placement, *hold)) {
       hold = cell.holds.erase(hold);
+      state.counts.holds.Add(HoldEvent::kDropped);
       continue;
     }
 
@@ -158,8 +164,9 @@
     const WorkerState* worker = ChooseWorkerToKeep(state, cell, request);
     if (worker == nullptr) break;
 
-    MakeRoom(cell, request, *worker);
-    MakePlace(cell, request);
+    MakeRoom(state, cell, request, *worker);
+    MakePlace(state, cell, request);
+    state.counts.holds.Add(HoldEvent::kGranted);
     cell.holds.push_back(WorkerHold{.name = placement.name,
                                     .job = request.job,
                                     .need = placement.spec.need,
@@ -184,7 +191,8 @@
   return static_cast<size_t>(taken) < MaxHolds(cell);
 }
 
-void EndHold(OwnedCell& cell, const StepName& name, const JobId& job, const VmId& worker) {
+void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
+             const VmId& worker) {
   const auto is_for_step = [&](const WorkerHold& hold) {
     return hold.name == name && hold.job == job;
   };
@@ -192,14 +200,19 @@
     return is_for_step(hold) && hold.worker == worker;
   });
   if (ended == cell.holds.end()) ended = std::ranges::find_if(cell.holds, is_for_step);
-  if (ended != cell.holds.end()) cell.holds.erase(ended);
+  if (ended == cell.holds.end()) return;
+
+  cell.holds.erase(ended);
+  state.counts.holds.Add(HoldEvent::kUsed);
 }
 
-void EndHoldsOf(OwnedCell& cell, const JobId& job) {
-  std::erase_if(cell.holds, [&](const WorkerHold& hold) { return hold.job == job; });
+void EndHoldsOf(const State& state, OwnedCell& cell, const JobId& job) {
+  const size_t ended =
+      std::erase_if(cell.holds, [&](const WorkerHold& hold) { return hold.job == job; });
+  state.counts.holds.Add(HoldEvent::kJobLeft, ended);
 }
 
-void ClaimHolds(OwnedCell& cell, const JobState& job) {
+void ClaimHolds(const State& state, OwnedCell& cell, const JobState& job) {
   const JobRecord& record = job.record;
   // The parent has holds of its own if its tasks wait in this cell too.
   if (record.parent.Empty() || cell.jobs.contains(record.parent)) return;
@@ -213,6 +226,7 @@
     if (hold.job != record.parent) continue;
 
     hold.job = record.spec.job;
+    state.counts.holds.Add(HoldEvent::kPassedOn);
     --unclaimed;
   }
 }
@@ -220,6 +234,7 @@
 void ExpireHolds(State& state, OwnedCell& cell) {
   const size_t expired = std::erase_if(
       cell.holds, [&](const WorkerHold& hold) { return state.now >= hold.expires_at; });
+  state.counts.holds.Add(HoldEvent::kExpired, expired);
   if (expired > 0) cell.placement_due = true;
 
   for (const WorkerHold& hold : cell.holds) WakeAt(state, hold.expires_at);
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -48,13 +48,14 @@
 
 /// Ends a hold for a step of a job once a worker was found for one of the tasks: the hold on that
 /// worker, or else any of them.
-void EndHold(OwnedCell& cell, const StepName& name, const JobId& job, const VmId& worker);
+void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
+             const VmId& worker);
 
 /// Ends all holds for tasks of a job that has left the cell.
-void EndHoldsOf(OwnedCell& cell, const JobId& job);
+void EndHoldsOf(const State& state, OwnedCell& cell, const JobId& job);
 
 /// Makes the holds that another cell asked for those of a job that it has passed on.
-void ClaimHolds(OwnedCell& cell, const JobState& job);
+void ClaimHolds(const State& state, OwnedCell& cell, const JobState& job);
 
 /// Ends holds that nobody has asked for again.
 void ExpireHolds(State& state, OwnedCell& cell);
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -94,7 +94,7 @@
       LogLeaseState(state, effects, cell, worker,
                     "lease of a worker has expired; its runs are treated as lost");
     }
-    HandleLostRun(state, effects, cell, ref, "the worker's lease has expired");
+    HandleLostRun(state, effects, cell, ref, LossReason::kLeaseExpired);
     lost = true;
   }
 
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -60,6 +60,17 @@
        {"forget_up_to", std::to_string(poll.forget_up_to)}});
 }
 
+/// Counts what was left of a lease when its renewal was confirmed. Only counted if an earlier reply
+/// has listed a run, as nothing depends on the lease of an idle worker.
+void CountRenewal(const State& state, OwnedCell& cell, const WorkerState& worker) {
+  const bool had_runs = std::ranges::any_of(worker.tasks, [&](const TaskRef& ref) {
+    return FindTask(cell, ref)->phase == TaskPhase::kRunning;
+  });
+  if (!had_runs) return;
+
+  state.counts.lease_rests.Add(std::max(worker.lease.earliest - state.now, Millis(0)));
+}
+
 /// Returns the delay of the next poll of a worker that lists ended runs. A poll that renewed
 /// nothing is followed soon by one that does.
 Millis EndsPollDelay(const PollInFlight& poll) {
@@ -245,7 +256,7 @@
     const auto* start = std::get_if<StartTask>(&worker.order);
     if (worker.order_request != 0 && start != nullptr && start->task == NameOf(job, ref)) continue;
 
-    HandleLostRun(state, effects, cell, ref, "the worker does not list the run");
+    HandleLostRun(state, effects, cell, ref, LossReason::kNotListed);
   }
 }
 
@@ -319,6 +330,7 @@
     // Each incarnation numbers its ended runs from the start.
     forgotten = 0;
   } else if (poll.grant && carried_out) {
+    CountRenewal(state, cell, worker);
     worker.lease.earliest = std::max(worker.lease.earliest, poll.grant->ends_at);
   }
 
@@ -373,6 +385,7 @@
     return row.end == RunEnd::kLeaseExpired && row.number > worker.forgotten &&
            !worker.ends.contains(row.number);
   });
+  state.counts.lapsed_replies += lapsed ? 1 : 0;
   if (lapsed) LogLeaseState(state, effects, cell, worker, "runs have lapsed at a worker");
 
   for (const EndedTask& row : reply.ended) HandleEndedTask(state, effects, cell, worker, row);
