Serve an entry's metrics

An entry serves GET /metrics on the second port of port_range, with its own HTTP server on its one event loop. The Prometheus objects are made for the first reader and filled when they are read; until then an event costs two additions. Beside the scheduler's counts: lateness and length of turns by kind of event, answers, rejected requests, dropped log lines, and gauges of the owned cells and of the reported capacity.

--- a/lib/base/include/currantpost/base/logging.h
+++ b/lib/base/include/currantpost/base/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,4 +33,8 @@
 void WriteLog(Severity severity, std::string_view component, std::string_view message,
               const std::vector<LogField>& fields = {});
 
+/// Returns the number of lines dropped so far because the reader of standard output was too slow, 0
+/// before `SetUpLogging`.
+uint64_t DroppedLogLines();
+
 }  // namespace currantpost
--- a/lib/base/source/logging.cc
+++ b/lib/base/source/logging.cc
@@ -41,6 +41,8 @@
  public:
   Sink() : output_(STDOUT_FILENO, kMaxBufferedBytes) {}
 
+  [[nodiscard]] uint64_t dropped() const { return output_.dropped(); }
+
  protected:
   void handle(const el::LogDispatchData* data) override {
     const el::LogMessage* message = data->logMessage();
@@ -91,4 +93,9 @@
   }
 }
 
+uint64_t DroppedLogLines() {
+  const Sink* sink = el::Helpers::logDispatchCallback<Sink>(kSinkName);
+  return sink == nullptr ? 0 : sink->dropped();
+}
+
 }  // namespace currantpost
--- a/lib/entry/source/entry.cc
+++ b/lib/entry/source/entry.cc
@@ -2,11 +2,14 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 
 #include "currantpost/base/logging.h"
 #include "currantpost/scheduler/scheduler.h"
 #include "currantpost/transport/http_server.h"
 #include "currantpost/transport/loop_lag.h"
+#include "entry_metrics.h"
+#include "metrics_server.h"
 #include "peer_protocol.h"
 
 namespace currantpost {
@@ -74,7 +77,8 @@
         peer_server(loop, clock, PeerLimits(),
                     [this](const ReceivedRequest& request, Respond respond) {
                       HandlePeerRequest(request, std::move(respond));
-                    }) {}
+                    }),
+        metrics_server(loop, clock, addresses.metrics_path, [this] { return MetricsText(); }) {}
 
   /// Passes an event to the scheduler, carries out the resulting effects and sets the timer for the
   /// scheduler's next wake-up.
@@ -92,7 +96,10 @@
     scheduler::Reduce(*state, event, effects);
     const size_t effect_count = effects.size();
     for (scheduler::Effect& effect : effects) std::visit(*this, effect);
-    LogSlowTurn(kind, late, clock.Now() - began, effect_count);
+    const Millis took = clock.Now() - began;
+    counts.lateness[kind].Add(late);
+    counts.turns[kind].Add(took);
+    LogSlowTurn(kind, late, took, effect_count);
 
     const Millis pause = std::max(state->wake_at - clock.Now(), Millis(1));
     wake_timer.Set(pause, [this] { Dispatch(scheduler::Tick{}); });
@@ -147,6 +154,7 @@
   }
 
   void operator()(const scheduler::AnswerCaller& answer) {
+    counts.answers.Add(answer.outcome);
     SendResponse(answer.call, callers.Encode(answer));
   }
 
@@ -189,6 +197,7 @@
 
   void HandleCallerRequest(const ReceivedRequest& request, Respond respond) {
     if (!state->routing) {
+      counts.rejections.Add(Rejection::kConfigurationUnknown);
       scheduler::AnswerCaller refusal{.outcome = scheduler::CallerOutcome::kRefused,
                                       .retry_after = Millis(1'000)};
       respond(callers.Encode(refusal));
@@ -198,6 +207,8 @@
     Result<CallerRequest> decoded = callers.Decode(request, state->queues);
 
     if (!decoded) {
+      const bool is_unknown = decoded.error().code == ErrorCode::kNotFound;
+      counts.rejections.Add(is_unknown ? Rejection::kUnknownQueue : Rejection::kMalformed);
       respond(callers.Encode(decoded.error()));
       return;
     }
@@ -242,6 +253,27 @@
     respond(HttpResponse{.status = 404});
   }
 
+  /// Creates the metrics for the first reader: most processes have none.
+  std::string MetricsText() {
+    if (!metrics) metrics.emplace(*state, counts);
+    return metrics->Text();
+  }
+
+  /// Serves the metrics if they have an address. The entry does its work without them.
+  void ListenForMetrics() {
+    if (!addresses.metrics) return;
+
+    if (const Error error = metrics_server.Listen(*addresses.metrics); error.code) {
+      WriteLog(Severity::kWarning, "entry", "metrics are not served", {{"error", error.detail}});
+      return;
+    }
+
+    WriteLog(Severity::kInfo, "entry", "serving metrics",
+             {{"host", addresses.metrics->host},
+              {"port", std::to_string(metrics_server.port())},
+              {"path", addresses.metrics_path}});
+  }
+
   void FinishWhenIdle(Millis deadline) {
     const bool idle = caller_server.open_requests() == 0;
 
@@ -269,6 +301,9 @@
   HttpServer caller_server;
   HttpServer readiness_server;
   HttpServer peer_server;
+  EntryCounts counts;
+  std::optional<EntryMetrics> metrics;
+  MetricsServer metrics_server;
   std::map<RequestId, Respond> pending_responses;
   RequestId last_request_id = 0;
   bool ready = false;
@@ -290,10 +325,13 @@
   }
   if (Error error = impl_->caller_server.Listen(impl_->addresses.callers); error.code) return error;
 
+  impl_->ListenForMetrics();
   impl_->Dispatch(scheduler::Tick{});
   return Error{};
 }
 
+int Entry::metrics_port() const { return impl_->metrics_server.port(); }
+
 void Entry::Stop(std::function<void()> done) {
   impl_->done = std::move(done);
   impl_->Dispatch(scheduler::StopRequested{});
--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -39,11 +39,24 @@
   EXPECT_EQ(settings->scheduler.entry.Text(), "front-a-1");
   EXPECT_EQ(settings->addresses.callers, (Address{"10.1.0.13", 8161}));
   EXPECT_EQ(settings->scheduler.peer_address, (Address{"10.1.0.13", 7720}));
+  EXPECT_EQ(settings->addresses.metrics, (Address{"10.1.0.13", 7721}));
   EXPECT_EQ(settings->scheduler.max_worker_lease, Millis(9'000));
   EXPECT_EQ(settings->scheduler.ended_job_retention, Millis(1'500));
   EXPECT_EQ(settings->scheduler.visibility_limit, Millis(2'500));
 }
 
+TEST(NodeSettings, MetricsNeedASecondPort) {
+  const auto with_ports = [](const std::string& ports) {
+    return ParseNodeSettings(std::string(kSettings) + "port_range=" + ports + "\n");
+  };
+
+  EXPECT_FALSE(with_ports("7720,7720")->addresses.metrics);
+  EXPECT_FALSE(with_ports("7720")->addresses.metrics);
+  EXPECT_EQ(with_ports("7720,7721")->addresses.metrics->port, 7721);
+  EXPECT_EQ(with_ports("7720,7719").error().code, ErrorCode::kMalformed);
+  EXPECT_EQ(with_ports("7720,x").error().code, ErrorCode::kMalformed);
+}
+
 TEST(NodeSettings, ErrorNamesAMissingKey) {
   const auto settings = ParseNodeSettings("node_name=a\n");
 
