--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -110,6 +110,7 @@
   JobId job;
   Resources need;
   VmId worker;
+  Millis since;
   /// The task has run before.
   bool is_interrupted = false;
   /// It ends then unless it is asked for again.
--- a/lib/scheduler/source/wait_log.cc
+++ b/lib/scheduler/source/wait_log.cc
@@ -21,6 +21,14 @@
   });
 }
 
+/// Returns the worker that is kept for a waiting task of a step, or null.
+const WorkerHold* FindHold(const OwnedCell& cell, const JobState& job, const TaskRef& ref) {
+  const auto hold = std::ranges::find_if(cell.holds, [&](const WorkerHold& each) {
+    return each.name == StepNameOf(job, ref) && each.job == ref.job;
+  });
+  return hold == cell.holds.end() ? nullptr : &*hold;
+}
+
 }  // namespace
 
 void LogLongWait(State& state, Effects& effects, const OwnedCell& cell, JobState& job,
@@ -34,6 +42,7 @@
 
   job.next_wait_log = state.now + kWaitLogInterval;
   const SearchCounts search = std::exchange(job.search, {});
+  const WorkerHold* hold = FindHold(cell, job, ref);
   Log(effects, Severity::kInfo, "long-running task waits for capacity",
       {{"job", ref.job.Text()},
        {"task", std::to_string(ref.index)},
@@ -52,6 +61,9 @@
        {"holds",
         std::to_string(CountHolds(cell, StepNameOf(job, ref), ref.job, IsInterrupted(job, ref)))},
        {"holds_of_cell", std::to_string(cell.holds.size())},
+       {"kept_worker", hold == nullptr ? std::string() : hold->worker.Text()},
+       {"kept_ms",
+        std::to_string((state.now - (hold == nullptr ? state.now : hold->since)).Count())},
        {"run", std::to_string(task.run)}});
 }
 
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -164,6 +164,7 @@
                                     .job = request.job,
                                     .need = placement.spec.need,
                                     .worker = worker->info.id,
+                                    .since = state.now,
                                     .is_interrupted = request.is_interrupted,
                                     .expires_at = state.now + kHoldTime});
   }
