Keep what cells can give in a table for the choice of cells

A table per service holds what each cell last reported, with upper bounds over all cells, updated by load reports, replies and sent demand. A task that fits nowhere is decided by the bounds; contact with owners and refusals are looked up only for cells that fit. The share of capacity that best-effort work of an image can use is computed once per report and image, when first needed. Waiting tasks are visited without copies of them.

Decisions are the same except for that share: it was computed from the present interference model for each search, and now is as old as the cell's report.

--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -116,14 +116,6 @@
   Millis expires_at;
 };
 
-/// Demand sent to a cell since its last load report, in thousandths of a core.
-struct SentDemand {
-  int64_t reserved = 0;
-  int64_t best_effort = 0;
-  /// When demand was last added.
-  Millis sent_at;
-};
-
 /// A pause that doubles each time it is extended.
 struct DoublingPause {
   Millis until;
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -23,6 +23,7 @@
 #include "currantpost/scheduler/records.h"
 #include "currantpost/scheduler/replica.h"
 #include "currantpost/scheduler/reservation.h"
+#include "currantpost/scheduler/room_table.h"
 #include "currantpost/scheduler/routing.h"
 #include "currantpost/scheduler/settings.h"
 #include "currantpost/scheduler/store.h"
@@ -332,12 +333,13 @@
   RequestId withdrawal_removal = 0;
   Millis next_withdrawal_removal;
   absl::flat_hash_map<RequestId, PendingPeerQuery> peer_queries;
-  std::map<CellId, SentDemand> sent_demand;
+  /// The load reports as the choice of cells needs them.
+  RoomTable rooms;
   /// How the owners of other cells reply to requests for capacity.
   std::map<CellId, OwnerContact> owner_contacts;
   /// Cells that had no capacity for best-effort tasks, by the requirements of these, and for how
   /// long they are not asked again for such tasks.
-  std::map<std::pair<CellId, BestEffortNeeds>, DoublingPause> declined_needs;
+  std::map<BestEffortNeeds, std::map<CellId, DoublingPause>> declined_needs;
   OutageState outage;
 
   /// When the store last answered any call.
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -100,6 +100,7 @@
   if (item.removed) {
     if (RememberRemoval(state.view, item.key, known_revision, item.revision)) {
       state.view.loads.erase(id);
+      state.rooms.RemoveReport(id);
     }
     return;
   }
@@ -111,7 +112,7 @@
 
   state.view.loads[id] = LoadView{*record, item.revision};
   state.view.waiting[id] = record->waiting;
-  state.sent_demand.erase(id);
+  state.rooms.SetReport(id, *record);
 }
 
 /// Adds a new or moved job to its cell if this entry owns it, and removes the job from owned cells
--- a/lib/scheduler/source/cell_choice.cc
+++ b/lib/scheduler/source/cell_choice.cc
@@ -32,10 +32,6 @@
 /// Exponent of the spare capacity in a cell's weight, so that nearly full cells are rarely chosen.
 constexpr double kSpareExponent = 2.0;
 
-/// Time after which demand sent to a cell is no longer subtracted from its free capacity. A cell
-/// whose load has hardly changed makes no new report.
-constexpr Millis kMaxUnreportedTime = Millis(1'500);
-
 uint64_t Hash(std::string_view text, const CellId& cell) {
   return XXH64(text.data(), text.size(), XXH64(cell.Text().data(), cell.Text().size(), 0));
 }
@@ -47,14 +43,6 @@
   return (static_cast<double>(Hash(text, cell) >> kDropped) + 0.5) / kSteps;
 }
 
-/// Returns the demand sent to a cell that its load report may not contain yet.
-SentDemand UnreportedDemand(const State& state, const CellId& cell) {
-  const auto sent = state.sent_demand.find(cell);
-  const bool is_recent =
-      sent != state.sent_demand.end() && state.now - sent->second.sent_at < kMaxUnreportedTime;
-  return is_recent ? sent->second : SentDemand{};
-}
-
 /// Returns the share of a cell's capacity that best-effort work of an image can use without adding
 /// much stress. That is the capacity beside long-running tasks of images that it does not slow
 /// down, as long-running tasks of one image share workers.
@@ -74,37 +62,91 @@
   return std::max(usable / static_cast<double>(total_long_running), kMinRoomShare);
 }
 
-/// A cell that can be chosen.
+/// A cell that can be chosen, as its capacity is enough for the demand.
 struct Candidate {
   CellId cell;
-  /// Capacity beyond the demand, as a share of the cell's capacity; negative if it does not fit.
+  /// Capacity beyond the demand, as a share of the cell's capacity; negative if it fits only
+  /// without the demand that waits in the cell.
   double spare = 0.0;
-  bool fits = false;
   bool local = false;
 };
 
-std::vector<Candidate> Candidates(const State& state, const std::string& service,
-                                  const Demand& demand) {
-  std::vector<Candidate> candidates;
+bool IsLocal(const State& state, const CellId& cell) {
+  return DataCentreOf(cell) == state.settings.data_centre.Text();
+}
+
+/// The free capacity of cells for one service, as far as it matters for a demand.
+class RoomSearch {
+ public:
+  RoomSearch(const State& state, const std::string& service, const Demand& demand)
+      : state_(state), service_(service), demand_(demand), rooms_(state.rooms.Find(service)) {}
 
-  for (const auto& [id, load] : state.view.loads) {
-    const std::optional<CellRoom> room = RoomOf(state, id, service, demand.image);
-    if (!room) continue;
+  [[nodiscard]] size_t Size() const { return rooms_ == nullptr ? 0 : rooms_->Rows().size(); }
+  [[nodiscard]] const RoomRow& Row(size_t number) const { return rooms_->Rows()[number]; }
+
+  /// Returns whether a cell may have enough, by what all cells report together.
+  [[nodiscard]] bool MayFitAnywhere() const {
+    if (rooms_ == nullptr) return false;
+
+    const RoomMaxima& maxima = rooms_->Maxima();
+    return (demand_.reserved == 0 || maxima.free >= demand_.reserved) &&
+           (demand_.best_effort == 0 || maxima.best_effort >= demand_.best_effort) &&
+           maxima.largest_free >= demand_.largest;
+  }
+
+  [[nodiscard]] bool Fits(size_t number) const {
+    const RoomRow& row = Row(number);
+    if (row.largest_free < demand_.largest) return false;
 
-    const double capacity = static_cast<double>(std::max<int64_t>(room->capacity, 1));
-    const bool fills = demand.reserved == 0 && demand.best_effort > 0;
-    Candidate candidate{.cell = id};
-    candidate.spare = static_cast<double>(fills ? room->best_effort - demand.best_effort
-                                                : room->free_after_waiting - demand.reserved) /
-                      capacity;
     // Waiting tasks do not fit into the cell, so they do not compete with a long-running task that
     // does.
-    const int64_t free = demand.is_long_running ? room->free : room->free_after_waiting;
-    candidate.fits = (demand.reserved == 0 || free >= demand.reserved) &&
-                     (demand.best_effort == 0 || room->best_effort >= demand.best_effort) &&
-                     room->largest >= demand.largest;
-    candidate.local = DataCentreOf(id) == state.settings.data_centre.Text();
-    candidates.push_back(std::move(candidate));
+    const int64_t free =
+        demand_.is_long_running ? row.Free(state_.now) : row.FreeAfterWaiting(state_.now);
+    if (demand_.reserved > 0 && free < demand_.reserved) return false;
+    if (demand_.best_effort == 0) return true;
+
+    return row.MaxBestEffort(state_.now) >= demand_.best_effort &&
+           BestEffort(number) >= demand_.best_effort;
+  }
+
+  [[nodiscard]] int64_t BestEffort(size_t number) const {
+    return BestEffortRoom(state_, service_, *rooms_, number, demand_.image);
+  }
+
+  /// Returns the capacity beyond the demand, as a share of the cell's capacity.
+  [[nodiscard]] double SpareOf(size_t number) const {
+    const RoomRow& row = Row(number);
+    const bool fills = demand_.reserved == 0 && demand_.best_effort > 0;
+    const int64_t spare = fills ? BestEffort(number) - demand_.best_effort
+                                : row.FreeAfterWaiting(state_.now) - demand_.reserved;
+    return static_cast<double>(spare) / static_cast<double>(std::max<int64_t>(row.capacity, 1));
+  }
+
+  [[nodiscard]] Candidate CandidateOf(size_t number) const {
+    const CellId& cell = Row(number).cell;
+    return Candidate{.cell = cell, .spare = SpareOf(number), .local = IsLocal(state_, cell)};
+  }
+
+ private:
+  const State& state_;
+  const std::string& service_;
+  const Demand& demand_;
+  const ServiceRooms* rooms_;
+};
+
+/// Returns the cells that fit the demand of a search and match.
+template <typename Matches>
+std::vector<Candidate> FittingCells(const State& state, const RoomSearch& search, Matches matches) {
+  std::vector<Candidate> candidates;
+  if (!search.MayFitAnywhere()) return candidates;
+
+  for (size_t number = 0; number < search.Size(); ++number) {
+    if (!search.Fits(number)) continue;
+
+    const CellId& cell = search.Row(number).cell;
+    if (!state.view.cells.contains(cell) || !matches(cell)) continue;
+
+    candidates.push_back(search.CandidateOf(number));
   }
 
   return candidates;
@@ -118,8 +160,6 @@
   std::pair<bool, uint64_t> best_rank;
 
   for (const Candidate& candidate : candidates) {
-    if (!candidate.fits) continue;
-
     const bool reserve = candidate.spare * 100.0 >= kLongRunningReservePercent;
     const std::pair<bool, uint64_t> rank(reserve, Hash(image, candidate.cell));
     if (best && rank <= best_rank) continue;
@@ -137,8 +177,6 @@
   double best_rank = 0.0;
 
   for (const Candidate& candidate : candidates) {
-    if (!candidate.fits) continue;
-
     constexpr double kMinSpare = 0.001;
     const double weight = std::pow(std::max(candidate.spare, kMinSpare), kSpareExponent) *
                           (candidate.local ? kLocalFactor : 1.0);
@@ -155,14 +193,21 @@
 
 /// Returns for how many tasks of a step a cell reports room beside the tasks that wait there, and
 /// for how many if those do not fit.
-std::pair<int64_t, int64_t> ReportedFit(const CellRoom& room, const StepSpec& spec, int64_t tasks) {
-  const auto fit = [&](int64_t free) {
-    return std::clamp<int64_t>(free / std::max<int64_t>(spec.need.millicores, 1), 0, tasks);
-  };
-  if (spec.best_effort) return {fit(room.best_effort), fit(room.best_effort)};
-  if (room.largest < spec.need.millicores) return {0, 0};
+std::pair<int64_t, int64_t> ReportedFit(const State& state, const RoomSearch& search, size_t number,
+                                        const StepSpec& spec, int64_t tasks) {
+  const RoomRow& row = search.Row(number);
+  const int64_t need = std::max<int64_t>(spec.need.millicores, 1);
+  const auto fit = [&](int64_t free) { return std::clamp<int64_t>(free / need, 0, tasks); };
 
-  return {fit(room.free_after_waiting), fit(room.free)};
+  if (spec.best_effort) {
+    if (row.MaxBestEffort(state.now) < need) return {0, 0};
+
+    const int64_t fitting = fit(search.BestEffort(number));
+    return {fitting, fitting};
+  }
+  if (row.largest_free < spec.need.millicores) return {0, 0};
+
+  return {fit(row.FreeAfterWaiting(state.now)), fit(row.Free(state.now))};
 }
 
 /// Returns a key for a random draw that differs between the attempts for a job.
@@ -170,35 +215,75 @@
   return job.record.spec.job.Text() + "@" + std::to_string(state.now.Count());
 }
 
-std::optional<CellId> CellWithMostRoom(const std::vector<Candidate>& candidates) {
-  const auto most = std::ranges::max_element(candidates, {}, &Candidate::spare);
-  if (most == candidates.end()) return std::nullopt;
+std::optional<CellId> CellWithMostRoom(const State& state, const RoomSearch& search) {
+  std::optional<CellId> most;
+  double most_spare = 0.0;
+
+  for (size_t number = 0; number < search.Size(); ++number) {
+    const double spare = search.SpareOf(number);
+    if (most && spare <= most_spare) continue;
+
+    const CellId& cell = search.Row(number).cell;
+    if (!state.view.cells.contains(cell)) continue;
+
+    most = cell;
+    most_spare = spare;
+  }
 
-  return most->cell;
+  return most;
 }
 
+/// Decides whether the owners of cells may be asked for capacity for tasks of a step.
+class AskFilter {
+ public:
+  AskFilter(const State& state, const JobState& job, const StepSpec& spec)
+      : state_(state), job_(job) {
+    if (!spec.best_effort || state.declined_needs.empty()) return;
+
+    const auto needs = state.declined_needs.find(NeedsOf(state, job.record, spec));
+    if (needs != state.declined_needs.end()) declined_needs_ = &needs->second;
+  }
+
+  [[nodiscard]] bool MayAsk(const CellId& cell) const {
+    const auto declined = job_.declined_until.find(cell);
+    if (declined != job_.declined_until.end() && state_.now < declined->second) return false;
+
+    if (declined_needs_ != nullptr) {
+      const auto needs = declined_needs_->find(cell);
+      if (needs != declined_needs_->end() && state_.now < needs->second.until) return false;
+    }
+
+    return !IsOwnerPaused(state_, cell) && CanReachOwner(state_, cell);
+  }
+
+ private:
+  const State& state_;
+  const JobState& job_;
+  /// Cells that declined tasks with the requirements of the step, or null.
+  const std::map<CellId, DoublingPause>* declined_needs_ = nullptr;
+};
+
 /// Returns a cell of those that have workers of the job's service, may be asked and match: the one
 /// that declined the job's tasks longest ago, or a random one of those that never did.
 template <typename Matches>
 std::optional<CellId> ChooseLeastRecentlyAsked(const State& state, const CellId& except,
                                                const JobState& job, const StepSpec& spec,
-                                               Matches matches) {
-  const std::string& service = ServiceOf(state, job.record);
+                                               const ServiceRooms& rooms, Matches matches) {
+  const AskFilter filter(state, job, spec);
   const std::string draw = DrawKey(state, job);
   std::optional<CellId> best;
   std::pair<Millis, uint64_t> best_rank;
 
-  for (const auto& [id, load] : state.view.loads) {
-    if (id == except || !load.record.services.contains(service)) continue;
-    if (!MayAsk(state, job, spec, id) || !matches(id)) continue;
+  for (const RoomRow& row : rooms.Rows()) {
+    if (!matches(row) || row.cell == except || !filter.MayAsk(row.cell)) continue;
 
-    const auto declined = job.declined_until.find(id);
+    const auto declined = job.declined_until.find(row.cell);
     const Millis declined_until =
         declined == job.declined_until.end() ? Millis(0) : declined->second;
-    const std::pair<Millis, uint64_t> rank(declined_until, Hash(draw, id));
+    const std::pair<Millis, uint64_t> rank(declined_until, Hash(draw, row.cell));
     if (best && rank >= best_rank) continue;
 
-    best = id;
+    best = row.cell;
     best_rank = rank;
   }
 
@@ -208,16 +293,7 @@
 }  // namespace
 
 bool MayAsk(const State& state, const JobState& job, const StepSpec& spec, const CellId& cell) {
-  if (!CanReachOwner(state, cell) || IsOwnerPaused(state, cell)) return false;
-
-  if (spec.best_effort) {
-    const auto needs =
-        state.declined_needs.find(std::make_pair(cell, NeedsOf(state, job.record, spec)));
-    if (needs != state.declined_needs.end() && state.now < needs->second.until) return false;
-  }
-
-  const auto declined = job.declined_until.find(cell);
-  return declined == job.declined_until.end() || state.now >= declined->second;
+  return AskFilter(state, job, spec).MayAsk(cell);
 }
 
 void AddDemand(Demand& demand, const StepSpec& spec, int64_t tasks) {
@@ -237,34 +313,21 @@
   return demand;
 }
 
-std::optional<CellRoom> RoomOf(const State& state, const CellId& cell, const std::string& service,
-                               const std::string& image) {
-  const auto load = state.view.loads.find(cell);
-  if (load == state.view.loads.end() || !state.view.cells.contains(cell)) return std::nullopt;
-
-  const auto found = load->second.record.services.find(service);
-  if (found == load->second.record.services.end()) return std::nullopt;
-
-  const ServiceLoad& report = found->second;
-  CellRoom room;
-  room.capacity = report.capacity;
-  room.largest = report.largest_free;
-  room.largest_long_running = report.largest_long_running;
-  const SentDemand sent = UnreportedDemand(state, cell);
-  room.free = report.free - sent.reserved;
-  room.free_after_waiting = room.free - report.waiting;
-  const auto usable =
-      static_cast<double>(report.free_best_effort) * UsableBestEffortShare(state, report, image);
-  room.best_effort = static_cast<int64_t>(usable) - report.waiting_best_effort - sent.best_effort;
-  return room;
+int64_t BestEffortRoom(const State& state, std::string_view service, const ServiceRooms& rooms,
+                       size_t row, const std::string& image) {
+  const RoomRow& reported = rooms.Rows()[row];
+  std::optional<double>& share = rooms.ShareOf(image, row);
+  if (!share) {
+    share = UsableBestEffortShare(
+        state, state.view.loads.at(reported.cell).record.services.at(std::string(service)), image);
+  }
+
+  const auto usable = static_cast<int64_t>(static_cast<double>(reported.free_best_effort) * *share);
+  return usable - reported.waiting_best_effort - reported.UnreportedDemand(state.now).best_effort;
 }
 
 void AddSentDemand(State& state, const CellId& cell, const Demand& demand) {
-  SentDemand& sent = state.sent_demand[cell];
-  sent = UnreportedDemand(state, cell);
-  sent.reserved += demand.reserved;
-  sent.best_effort += demand.best_effort;
-  sent.sent_at = state.now;
+  state.rooms.AddSentDemand(cell, demand.reserved, demand.best_effort, state.now);
 }
 
 BestEffortNeeds NeedsOf(const State& state, const JobRecord& record, const StepSpec& spec) {
@@ -279,11 +342,13 @@
 std::optional<CellId> ChooseCell(const State& state, const std::string& service,
                                  const JobSpec& spec) {
   const Demand demand = InitialDemand(spec);
-  const std::vector<Candidate> candidates = Candidates(state, service, demand);
+  const RoomSearch search(state, service, demand);
+  const std::vector<Candidate> candidates =
+      FittingCells(state, search, [](const CellId&) { return true; });
 
   std::optional<CellId> chosen = demand.is_long_running ? PackByImage(candidates, demand.image)
                                                         : SpreadByRoom(candidates, spec.job);
-  if (!chosen) chosen = CellWithMostRoom(candidates);
+  if (!chosen) chosen = CellWithMostRoom(state, search);
   if (chosen) return chosen;
 
   // No owner has reported workers of this service yet.
@@ -295,8 +360,9 @@
 
 std::optional<CellId> ChooseOtherCell(const State& state, const CellId& except,
                                       const JobRecord& record, const Demand& demand) {
-  std::vector<Candidate> candidates = Candidates(state, ServiceOf(state, record), demand);
-  std::erase_if(candidates, [&](const Candidate& each) { return each.cell == except; });
+  const RoomSearch search(state, ServiceOf(state, record), demand);
+  const std::vector<Candidate> candidates =
+      FittingCells(state, search, [&](const CellId& cell) { return cell != except; });
 
   // Each move of a job uses a new random draw.
   const JobId& job = record.spec.job;
@@ -307,27 +373,29 @@
 
 std::optional<CellId> ChooseCellForTasks(const State& state, const CellId& except,
                                          const JobState& job, const StepSpec& spec, int64_t tasks) {
-  const std::string& service = ServiceOf(state, job.record);
   Demand demand;
   AddDemand(demand, spec, 1);
-  std::vector<Candidate> candidates = Candidates(state, service, demand);
-  std::erase_if(candidates, [&](const Candidate& each) {
-    return each.cell == except || !MayAsk(state, job, spec, each.cell);
-  });
-  if (spec.is_long_running) return PackByImage(candidates, spec.image);
+  const RoomSearch search(state, ServiceOf(state, job.record), demand);
+  if (!search.MayFitAnywhere()) return std::nullopt;
+
+  const AskFilter filter(state, job, spec);
+  const auto may_choose = [&](const CellId& cell) {
+    return cell != except && state.view.cells.contains(cell) && filter.MayAsk(cell);
+  };
+  if (spec.is_long_running) {
+    return PackByImage(FittingCells(state, search, may_choose), spec.image);
+  }
 
   std::pair<int64_t, int64_t> most;
   std::vector<Candidate> best;
 
-  for (Candidate& candidate : candidates) {
-    const CellRoom room = *RoomOf(state, candidate.cell, service, spec.image);
-    const std::pair<int64_t, int64_t> fit = ReportedFit(room, spec, tasks);
-    if (fit.second == 0 || fit < most) continue;
+  for (size_t number = 0; number < search.Size(); ++number) {
+    const std::pair<int64_t, int64_t> fit = ReportedFit(state, search, number, spec, tasks);
+    if (fit.second == 0 || fit < most || !may_choose(search.Row(number).cell)) continue;
     if (fit > most) best.clear();
 
     most = fit;
-    candidate.fits = true;
-    best.push_back(std::move(candidate));
+    best.push_back(search.CandidateOf(number));
   }
 
   return SpreadByRoom(best, JobId(DrawKey(state, job)));
@@ -335,16 +403,22 @@
 
 std::optional<CellId> ChooseCellToKeepWorker(const State& state, const CellId& except,
                                              const JobState& job, const StepSpec& spec) {
-  const std::string& service = ServiceOf(state, job.record);
-  return ChooseLeastRecentlyAsked(state, except, job, spec, [&](const CellId& id) {
-    const std::optional<CellRoom> room = RoomOf(state, id, service, spec.image);
-    return room && room->largest_long_running >= spec.need.millicores;
+  const int64_t need = spec.need.millicores;
+  const ServiceRooms* rooms = state.rooms.Find(ServiceOf(state, job.record));
+  if (rooms == nullptr || rooms->Maxima().largest_long_running < need) return std::nullopt;
+
+  return ChooseLeastRecentlyAsked(state, except, job, spec, *rooms, [&](const RoomRow& row) {
+    return row.largest_long_running >= need && state.view.cells.contains(row.cell);
   });
 }
 
 std::optional<CellId> ChooseAnyOtherCell(const State& state, const CellId& except,
                                          const JobState& job, const StepSpec& spec) {
-  return ChooseLeastRecentlyAsked(state, except, job, spec, [](const CellId&) { return true; });
+  const ServiceRooms* rooms = state.rooms.Find(ServiceOf(state, job.record));
+  if (rooms == nullptr) return std::nullopt;
+
+  return ChooseLeastRecentlyAsked(state, except, job, spec, *rooms,
+                                  [](const RoomRow&) { return true; });
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/functional/function_ref.h>
+
 #include <algorithm>
 #include <string>
 #include <string_view>
@@ -348,6 +350,13 @@
 /// Returns the waiting tasks of a job, long-running ones first.
 std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job);
 
+/// Calls a function for each of them in this order, until it returns false. The function must not
+/// change the waiting tasks.
+void VisitWaitingTasks(const OwnedCell& cell, const JobState& job,
+                       absl::FunctionRef<bool(const TaskRef&)> visit);
+
+size_t CountWaitingTasks(const OwnedCell& cell, const JobState& job);
+
 /// Adds a task to those that wait for a worker.
 void SetWaiting(const State& state, OwnedCell& cell, JobState& job, const TaskRef& ref,
                 TaskState& task);
@@ -516,30 +525,16 @@
   std::string image;
 };
 
-/// Free capacity of a cell, in thousandths of a core, after subtracting the demand that waits there
-/// and the demand sent there since its last load report.
-struct CellRoom {
-  int64_t capacity = 0;
-  /// Without subtracting the waiting demand.
-  int64_t free = 0;
-  int64_t free_after_waiting = 0;
-  /// The largest free capacity of a single worker, as last reported.
-  int64_t largest = 0;
-  /// The same once the short tasks there have ended.
-  int64_t largest_long_running = 0;
-  /// For best-effort tasks of the requested image.
-  int64_t best_effort = 0;
-};
-
 /// Adds the demand of a number of tasks of a step.
 void AddDemand(Demand& demand, const StepSpec& spec, int64_t tasks);
 
 /// Returns the demand of a job's first steps.
 Demand InitialDemand(const JobSpec& spec);
 
-/// Returns the free capacity of a cell for a service, or nothing without a load report.
-std::optional<CellRoom> RoomOf(const State& state, const CellId& cell, const std::string& service,
-                               const std::string& image);
+/// Returns the free capacity of a cell for best-effort tasks of an image, after subtracting the
+/// demand that waits there and the demand sent there since its last load report.
+int64_t BestEffortRoom(const State& state, std::string_view service, const ServiceRooms& rooms,
+                       size_t row, const std::string& image);
 
 /// Counts demand that was sent to a cell, until the cell's next load report.
 void AddSentDemand(State& state, const CellId& cell, const Demand& demand);
--- a/lib/scheduler/source/job_tasks.cc
+++ b/lib/scheduler/source/job_tasks.cc
@@ -44,23 +44,43 @@
   return ExpectedRecord{CancelKey(record.parent.Empty() ? record.spec.job : record.parent), 0};
 }
 
-std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
+void VisitWaitingTasks(const OwnedCell& cell, const JobState& job,
+                       absl::FunctionRef<bool(const TaskRef&)> visit) {
   const JobId& id = job.record.spec.job;
-  std::vector<TaskRef> tasks;
+  const std::vector<StepSpec>& steps = job.record.spec.steps;
+  const bool has_long_running = std::ranges::any_of(steps, &StepSpec::is_long_running);
+  const bool has_other = !std::ranges::all_of(steps, &StepSpec::is_long_running);
+  WaitingKey first{job.record.priority, kOtherRank, JobObjectiveOf(job.record).DueAt(),
+                   TaskRef{.job = id}};
 
   // The tasks of one job are adjacent within each rank.
   for (const int32_t class_rank : {kInterruptedRank, kLongRunningRank, kOtherRank}) {
-    const WaitingKey first{job.record.priority, class_rank, JobObjectiveOf(job.record).DueAt(),
-                           TaskRef{.job = id}};
+    if (class_rank == kOtherRank ? !has_other : !has_long_running) continue;
 
+    std::get<1>(first) = class_rank;
     for (auto key = cell.waiting.lower_bound(first); key != cell.waiting.end(); ++key) {
       const TaskRef& ref = std::get<3>(*key);
       if (ref.job != id || std::get<1>(*key) != class_rank) break;
-
-      tasks.push_back(ref);
+      if (!visit(ref)) return;
     }
   }
+}
+
+std::vector<TaskRef> WaitingTasksOf(const OwnedCell& cell, const JobState& job) {
+  std::vector<TaskRef> tasks;
+  VisitWaitingTasks(cell, job, [&](const TaskRef& ref) {
+    tasks.push_back(ref);
+    return true;
+  });
+  return tasks;
+}
 
+size_t CountWaitingTasks(const OwnedCell& cell, const JobState& job) {
+  size_t tasks = 0;
+  VisitWaitingTasks(cell, job, [&](const TaskRef&) {
+    ++tasks;
+    return true;
+  });
   return tasks;
 }
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -35,13 +35,8 @@
 constexpr Millis kLoanPollInterval = Millis(3'000);
 constexpr Millis kLoanPollTimeout = Millis(500);
 
-/// Returns how many tasks of a step a cell reports capacity for.
-int64_t TasksThatFit(const State& state, const CellId& id, const std::string& service,
-                     const StepSpec& spec) {
-  const std::optional<CellRoom> room = RoomOf(state, id, service, spec.image);
-  if (!room || (!spec.best_effort && room->largest < spec.need.millicores)) return 0;
-
-  const int64_t free = spec.best_effort ? room->best_effort : room->free_after_waiting;
+/// Returns for how many tasks of a step some free capacity is enough, with the margin.
+int64_t TasksThatFit(int64_t free, const StepSpec& spec) {
   return free * 100 / (std::max<int64_t>(spec.need.millicores, 1) * kLendRoomPercent);
 }
 
@@ -58,13 +53,31 @@
   }
 
   const std::string& service = ServiceOf(state, job.record);
+  const ServiceRooms* rooms = state.rooms.Find(service);
+  if (rooms == nullptr) return std::nullopt;
+
+  const RoomMaxima& maxima = rooms->Maxima();
+  if (!spec.best_effort && maxima.largest_free < spec.need.millicores) return std::nullopt;
+  if (TasksThatFit(spec.best_effort ? maxima.best_effort : maxima.free, spec) <= 0)
+    return std::nullopt;
+
   std::optional<std::pair<CellId, int64_t>> best;
 
-  for (const auto& [id, load] : state.view.loads) {
-    if (id == cell.cell) continue;
+  for (size_t number = 0; number < rooms->Rows().size(); ++number) {
+    const RoomRow& row = rooms->Rows()[number];
+    if (!spec.best_effort && row.largest_free < spec.need.millicores) continue;
 
-    const int64_t fit = TasksThatFit(state, id, service, spec);
-    if (fit > 0 && (!best || fit > best->second)) best = std::make_pair(id, fit);
+    const int64_t most =
+        spec.best_effort ? row.MaxBestEffort(state.now) : row.FreeAfterWaiting(state.now);
+    if (TasksThatFit(most, spec) <= (best ? best->second : 0)) continue;
+
+    const int64_t free =
+        spec.best_effort ? BestEffortRoom(state, service, *rooms, number, spec.image) : most;
+    const int64_t fit = TasksThatFit(free, spec);
+    if (fit <= 0 || (best && fit <= best->second)) continue;
+
+    const bool is_other = row.cell != cell.cell && state.view.cells.contains(row.cell);
+    if (is_other) best = std::make_pair(row.cell, fit);
   }
 
   return best;
@@ -185,28 +198,28 @@
 WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job) {
   WaitingBatch batch;
 
-  for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
-    if (FindTask(cell, ref)->not_before > state.now) continue;
+  VisitWaitingTasks(cell, job, [&](const TaskRef& ref) {
+    const TaskState& task = TaskOf(job, ref);
+    if (task.not_before > state.now) return true;
 
     const StepSpec& spec = SpecOf(job, ref);
     if (batch.tasks.empty()) batch.spec = &spec;
     const TaskRef& first = batch.tasks.empty() ? ref : batch.tasks.front();
-    if (ref.step != first.step || ref.occurrence != first.occurrence) break;
+    if (ref.step != first.step || ref.occurrence != first.occurrence) return false;
 
     if (!spec.is_long_running) {
       batch.tasks.push_back(ref);
-      if (batch.tasks.size() == kMaxTasksPerLoan) break;
-      continue;
+      return batch.tasks.size() < kMaxTasksPerLoan;
     }
 
     // Long-running tasks are lent one by one, so that each can be moved separately.
     if (batch.tasks.empty()) batch.tasks.push_back(ref);
     const TaskRef& front = batch.tasks.front();
-    const bool goes_first =
-        IsInterrupted(job, ref) == IsInterrupted(job, front) &&
-        FindTask(cell, ref)->waiting_since < FindTask(cell, front)->waiting_since;
+    const bool goes_first = IsInterrupted(job, ref) == IsInterrupted(job, front) &&
+                            task.waiting_since < TaskOf(job, front).waiting_since;
     if (goes_first) batch.tasks = {ref};
-  }
+    return true;
+  });
 
   return batch;
 }
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -20,8 +20,10 @@
 /// Returns the demand of the waiting tasks of a job.
 Demand WaitingDemand(const OwnedCell& cell, const JobState& job) {
   Demand demand;
-  for (const TaskRef& ref : WaitingTasksOf(cell, job)) AddDemand(demand, SpecOf(job, ref), 1);
-
+  VisitWaitingTasks(cell, job, [&](const TaskRef& ref) {
+    AddDemand(demand, SpecOf(job, ref), 1);
+    return true;
+  });
   return demand;
 }
 
--- a/lib/scheduler/source/owner_contact.cc
+++ b/lib/scheduler/source/owner_contact.cc
@@ -23,15 +23,19 @@
 }  // namespace
 
 bool CanReachOwner(const State& state, const CellId& cell) {
-  return state.cells.contains(cell) || OwnerAddress(state, cell).has_value();
+  if (state.cells.contains(cell)) return true;
+
+  const auto view = state.view.cells.find(cell);
+  if (view == state.view.cells.end()) return false;
+
+  const EntryId& owner = view->second.record.owner;
+  return owner != state.settings.entry && state.view.entries.contains(owner);
 }
 
 bool IsOwnerPaused(const State& state, const CellId& cell) {
-  if (state.cells.contains(cell)) return false;
-
   const auto contact = state.owner_contacts.find(cell);
   return contact != state.owner_contacts.end() && state.now < contact->second.paused_until &&
-         contact->second.owner == OwnerOf(state, cell);
+         !state.cells.contains(cell) && contact->second.owner == OwnerOf(state, cell);
 }
 
 void NoteOwnerAsked(State& state, const CellId& cell) {
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -138,7 +138,7 @@
   service->second.largest_long_running = reply.largest_long_running;
   service->second.free_best_effort = reply.free_best_effort;
   service->second.waiting = 0;
-  state.sent_demand.erase(id);
+  state.rooms.SetReply(id, reply.service, service->second);
 }
 
 /// Passes waiting tasks on to a cell that holds capacity for a number of them: the job is moved if
@@ -164,17 +164,21 @@
   // Whether a task finds a worker below the limit per worker depends on the other tasks of its job.
   if (spec == nullptr || !spec->best_effort || spec->max_per_worker > 0) return;
 
-  const auto key = std::make_pair(to, NeedsOf(state, job.record, *spec));
+  const BestEffortNeeds needs = NeedsOf(state, job.record, *spec);
 
   if (tasks > 0) {
-    state.declined_needs.erase(key);
+    const auto cells = state.declined_needs.find(needs);
+    if (cells != state.declined_needs.end()) cells->second.erase(to);
     return;
   }
 
-  std::erase_if(state.declined_needs, [&](const auto& row) {
-    return state.now - row.second.until > kDeclinedNeedsMemory;
-  });
-  state.declined_needs[key].Extend(state.now, kDeclinedNeedsPause, kMaxDeclinedDoublings);
+  for (auto& [known, cells] : state.declined_needs) {
+    std::erase_if(cells, [&](const auto& row) {
+      return state.now - row.second.until > kDeclinedNeedsMemory;
+    });
+  }
+  std::erase_if(state.declined_needs, [](const auto& row) { return row.second.empty(); });
+  state.declined_needs[needs][to].Extend(state.now, kDeclinedNeedsPause, kMaxDeclinedDoublings);
 }
 
 /// Returns whether a reply may be used: it is awaited, or it is late and the capacity is still
--- /dev/null
+++ b/lib/scheduler/source/room_table.cc
@@ -0,0 +1,136 @@
+#include "currantpost/scheduler/room_table.h"
+
+#include <algorithm>
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Time after which demand sent to a cell is no longer subtracted from its free capacity. A cell
+/// whose load has hardly changed makes no new report.
+constexpr Millis kMaxUnreportedTime = Millis(1'500);
+/// Maximum number of images with known shares per service. Far more than wait at a time.
+constexpr size_t kMaxImages = 1'000;
+
+RoomRow RowOf(const CellId& cell, const ServiceLoad& load) {
+  return RoomRow{.cell = cell,
+                 .capacity = load.capacity,
+                 .free = load.free,
+                 .waiting = load.waiting,
+                 .largest_free = load.largest_free,
+                 .largest_long_running = load.largest_long_running,
+                 .free_best_effort = load.free_best_effort,
+                 .waiting_best_effort = load.waiting_best_effort,
+                 .waiting_interrupted = load.waiting_interrupted,
+                 .sent = {}};
+}
+
+}  // namespace
+
+SentDemand RoomRow::UnreportedDemand(Millis now) const {
+  return now - sent.sent_at < kMaxUnreportedTime ? sent : SentDemand{};
+}
+
+std::optional<double>& ServiceRooms::ShareOf(std::string_view image, size_t row) const {
+  auto found = shares_.find(image);
+
+  if (found == shares_.end()) {
+    if (shares_.size() >= kMaxImages) shares_.clear();
+    found = shares_.try_emplace(std::string(image), rows_.size()).first;
+  }
+
+  return found->second[row];
+}
+
+std::vector<RoomRow>::iterator ServiceRooms::LowerBound(const CellId& cell) {
+  return std::ranges::lower_bound(rows_, cell, {}, &RoomRow::cell);
+}
+
+RoomRow* ServiceRooms::Find(const CellId& cell) {
+  const auto row = LowerBound(cell);
+  return row == rows_.end() || row->cell != cell ? nullptr : &*row;
+}
+
+void ServiceRooms::Put(const CellId& cell, const ServiceLoad& load) {
+  const auto row = LowerBound(cell);
+
+  if (row == rows_.end() || row->cell != cell) {
+    rows_.insert(row, RowOf(cell, load));
+    shares_.clear();
+  } else {
+    *row = RowOf(cell, load);
+    const auto number = static_cast<size_t>(row - rows_.begin());
+    for (auto& [image, shares] : shares_) shares[number].reset();
+  }
+
+  UpdateMaxima();
+}
+
+void ServiceRooms::Remove(const CellId& cell) {
+  const auto row = LowerBound(cell);
+  if (row == rows_.end() || row->cell != cell) return;
+
+  rows_.erase(row);
+  shares_.clear();
+  UpdateMaxima();
+}
+
+void ServiceRooms::UpdateMaxima() {
+  maxima_ = {};
+
+  for (const RoomRow& row : rows_) {
+    maxima_.free = std::max(maxima_.free, row.free);
+    maxima_.largest_free = std::max(maxima_.largest_free, row.largest_free);
+    maxima_.largest_long_running = std::max(maxima_.largest_long_running, row.largest_long_running);
+    maxima_.best_effort =
+        std::max(maxima_.best_effort, row.free_best_effort - row.waiting_best_effort);
+    maxima_.waiting_interrupted = std::max(maxima_.waiting_interrupted, row.waiting_interrupted);
+  }
+}
+
+void RoomTable::SetReport(const CellId& cell, const LoadRecord& report) {
+  for (auto& [service, rooms] : services_) {
+    if (!report.services.contains(service)) rooms.Remove(cell);
+  }
+
+  for (const auto& [service, load] : report.services) services_[service].Put(cell, load);
+}
+
+void RoomTable::RemoveReport(const CellId& cell) {
+  for (auto& [service, rooms] : services_) rooms.Remove(cell);
+}
+
+void RoomTable::SetReply(const CellId& cell, const std::string& service, const ServiceLoad& load) {
+  const auto rooms = services_.find(service);
+  RoomRow* row = rooms == services_.end() ? nullptr : rooms->second.Find(cell);
+  if (row == nullptr) return;
+
+  *row = RowOf(cell, load);
+  rooms->second.UpdateMaxima();
+  ClearSentDemand(cell);
+}
+
+void RoomTable::AddSentDemand(const CellId& cell, int64_t reserved, int64_t best_effort,
+                              Millis now) {
+  for (auto& [service, rooms] : services_) {
+    RoomRow* row = rooms.Find(cell);
+    if (row == nullptr) continue;
+
+    row->sent = row->UnreportedDemand(now);
+    row->sent.reserved += reserved;
+    row->sent.best_effort += best_effort;
+    row->sent.sent_at = now;
+  }
+}
+
+void RoomTable::ClearSentDemand(const CellId& cell) {
+  for (auto& [service, rooms] : services_) {
+    if (RoomRow* row = rooms.Find(cell)) row->sent = {};
+  }
+}
+
+const ServiceRooms* RoomTable::Find(std::string_view service) const {
+  const auto rooms = services_.find(service);
+  return rooms == services_.end() ? nullptr : &rooms->second;
+}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/wait_log.cc
+++ b/lib/scheduler/source/wait_log.cc
@@ -13,11 +13,13 @@
 /// Returns the number of other cells that report free capacity for one task of a step.
 int64_t CountCellsWithCapacity(const State& state, const OwnedCell& cell, const JobState& job,
                                const StepSpec& spec) {
-  return std::ranges::count_if(state.view.loads, [&](const auto& row) {
-    if (row.first == cell.cell) return false;
+  const ServiceRooms* rooms = state.rooms.Find(ServiceOf(state, job.record));
+  if (rooms == nullptr) return 0;
 
-    const auto room = RoomOf(state, row.first, ServiceOf(state, job.record), spec.image);
-    return room && room->largest >= spec.need.millicores && room->free >= spec.need.millicores;
+  return std::ranges::count_if(rooms->Rows(), [&](const RoomRow& row) {
+    return row.largest_free >= spec.need.millicores &&
+           row.Free(state.now) >= spec.need.millicores && row.cell != cell.cell &&
+           state.view.cells.contains(row.cell);
   });
 }
 
@@ -40,7 +42,7 @@
        {"cell", cell.cell.Text()},
        {"waited_ms", std::to_string(waited.Count())},
        {"need", std::to_string(batch.spec->need.millicores)},
-       {"waiting", std::to_string(WaitingTasksOf(cell, job).size())},
+       {"waiting", std::to_string(CountWaitingTasks(cell, job))},
        {"cells_with_capacity",
         std::to_string(CountCellsWithCapacity(state, cell, job, *batch.spec))},
        {"asked_own_cells", std::to_string(search.asked_own_cells)},
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -124,12 +124,8 @@
   if (!spec.is_long_running || spec.best_effort || is_interrupted) return false;
   if (waited >= kMaxYieldTime) return false;
 
-  const std::string name(service);
-  return std::ranges::any_of(state.view.loads, [&](const auto& row) {
-    const auto& services = row.second.record.services;
-    const auto load = services.find(name);
-    return load != services.end() && load->second.waiting_interrupted > 0;
-  });
+  const ServiceRooms* rooms = state.rooms.Find(service);
+  return rooms != nullptr && rooms->Maxima().waiting_interrupted > 0;
 }
 
 int32_t KeepWorkers(const State& state, OwnedCell& cell, const HoldRequest& request) {
