--- a/bench/scheduler_cost.cc
+++ b/bench/scheduler_cost.cc
@@ -240,7 +240,7 @@
   /// Adds long-running, short and best-effort jobs of one task in equal numbers.
   void AddJobs() {
     constexpr int kKinds = 3;
-    constexpr int kSizes = 4;
+    constexpr int64_t kSizes = 4;
 
     for (int number = 0; number < surroundings_.jobs; ++number) {
       const int kind = number % kKinds;
