Treat runs as lost only after what arrived is read, and the worker asked

The expiry of a lease decided at once, by the time at which the turn began. Answers that had arrived waited unread, and an owner that had been away or behind had no poll out that could have been answered.

A lease now counts as expired once everything that had arrived by its bound has been handled, and only if the worker left a poll without an answer that this entry would have read. If the entry was away or behind, it asks once more, with the timeout of an order; that poll's failure counts in any case, so an entry that is behind for long decides too. An owner that wasn't away waits no longer than before.

In simulated time a paused entry's queue now keeps the times at which events arrived, and an event after a pause sees what waits behind it.

--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -99,6 +99,9 @@
   bool wait_logged = false;
   Millis answered_at;
   int32_t failed_polls = 0;
+  /// By when the last poll should have been answered that failed since the worker's last reply.
+  /// Empty too if this entry was away or behind, so that it would have read no reply in time.
+  std::optional<Millis> unanswered_at;
   /// The order in flight: a start, a speed limit, or the stop of an orphaned run. 0 if there is
   /// none.
   RequestId order_request = 0;
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -242,6 +242,7 @@
     }
 
     worker.needs_update = false;
+    ForgetSilenceIfAway(state, worker);
     state.wake_at = state.now + kMaxCheckInterval;
     RequeueUnsentStarts(state, cell, worker);
     RequeueExpiredTasks(state, effects, cell, worker);
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -32,7 +32,10 @@
 /// Returns whether a worker does not answer, or cannot be polled because its address is unknown.
 bool HasFailedPollsOrNoAddress(const WorkerState& worker);
 
-/// Requeues the tasks of a worker once its lease has surely expired.
+/// Forgets that a worker did not answer if this entry was away or behind since its last update.
+void ForgetSilenceIfAway(const State& state, WorkerState& worker);
+
+/// Requeues the tasks of a worker once its lease has surely expired and the worker doesn't answer.
 void RequeueExpiredTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
 
 /// Returns whether the worker needs a lease renewal: it has a run that is still needed, or an ended
@@ -45,8 +48,14 @@
   return !worker.tasks.empty() || !worker.inherited_jobs.empty();
 }
 
+/// Returns whether an entry that handles now what was due at a time was away or behind meanwhile.
+bool WasAway(const State& state, Millis due);
+
 // Polls
 
+/// Returns by when a poll should have been answered.
+inline Millis DueOf(const PollInFlight& poll) { return poll.sent_at + poll.wait + kOrderTimeout; }
+
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
 
 void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -11,6 +11,11 @@
 /// A worker that answered its last poll longer ago than this is taken for silent. Longer than a
 /// poll and the pause after it.
 constexpr Millis kMaxAnswerAge = Millis(2'000);
+/// An entry that handles what was due later than this was away or behind: a poll then had less than
+/// half of its time for an answer.
+constexpr Millis kMaxPunctualDelay = kOrderTimeout / 2;
+/// Interval between checks whether everything is handled that arrived before a lease expired.
+constexpr Millis kBacklogCheckInterval = Millis(10);
 
 /// Returns the lowest time that the worker's clock, which may be slow, can show now, in
 /// milliseconds.
@@ -19,8 +24,53 @@
   return *worker.clock_ms + passed - passed * kClockDriftPercent / 100;
 }
 
+/// Returns whether the worker has left a poll without an answer beyond the expiry of its lease.
+bool WasSilentAfterExpiry(const WorkerState& worker) {
+  return worker.unanswered_at && *worker.unanswered_at >= worker.lease.Expiry();
+}
+
+/// Returns whether a poll is in flight whose failure would show that the worker was silent beyond
+/// the expiry of its lease.
+bool IsAskedAfterExpiry(const State& state, const OwnedCell& cell, const WorkerState& worker) {
+  const Millis expiry = worker.lease.Expiry();
+  const bool was_away = WasAway(state, expiry);
+  const FencingToken token = TokenOf(cell, worker);
+  return std::ranges::any_of(worker.polls, [&](const PollInFlight& poll) {
+    return poll.token == token && (was_away ? poll.sent_at : DueOf(poll)) >= expiry;
+  });
+}
+
+/// Returns whether the expired lease of a worker decides about its runs: all that arrived before
+/// the expiry has been handled, and the worker has left a poll without an answer that this entry
+/// would have read. Otherwise asks the worker once more.
+bool IsExpiryConfirmed(State& state, const OwnedCell& cell, WorkerState& worker) {
+  const Millis expiry = worker.lease.Expiry();
+  const Millis decided_at = std::max(expiry, worker.unanswered_at.value_or(expiry));
+
+  if (state.handled_up_to < decided_at) {
+    WakeAt(state, state.now + kBacklogCheckInterval);
+    return false;
+  }
+
+  if (worker.info.address.port == 0 || WasSilentAfterExpiry(worker)) return true;
+  if (worker.unanswered_at && !WasAway(state, expiry)) return true;
+
+  // A worker that has answered since is polled as usual.
+  const bool is_asked = IsAskedAfterExpiry(state, cell, worker) || worker.answered_at >= expiry;
+  if (!is_asked) RaiseFence(state, worker);
+  return false;
+}
+
+/// Returns whether a run of the task may be on its worker.
+bool MayRun(const TaskState& task) {
+  return task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kStopping ||
+         (task.phase == TaskPhase::kStarting && task.start_sent);
+}
+
 }  // namespace
 
+bool WasAway(const State& state, Millis due) { return state.now - due > kMaxPunctualDelay; }
+
 bool HasAnsweredRecently(const State& state, const WorkerState& worker) {
   return worker.clock_ms && state.now - worker.clock_at <= kMaxAnswerAge;
 }
@@ -68,6 +118,11 @@
   return worker.failed_polls > 0 || worker.info.address.port == 0;
 }
 
+void ForgetSilenceIfAway(const State& state, WorkerState& worker) {
+  const bool was_away = worker.due_at > Millis(0) && WasAway(state, worker.due_at);
+  if (was_away && !WasSilentAfterExpiry(worker)) worker.unanswered_at.reset();
+}
+
 void RequeueExpiredTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   if (worker.tasks.empty()) return;
 
@@ -81,24 +136,18 @@
     return;
   }
 
-  const std::vector<TaskRef> refs(worker.tasks.begin(), worker.tasks.end());
-  bool lost = false;
-
-  for (const TaskRef& ref : refs) {
-    const TaskState& task = *FindTask(cell, ref);
-    const bool may_run = task.phase == TaskPhase::kRunning || task.phase == TaskPhase::kStopping ||
-                         (task.phase == TaskPhase::kStarting && task.start_sent);
-    if (!may_run) continue;
+  std::vector<TaskRef> runs;
+  for (const TaskRef& ref : worker.tasks) {
+    if (MayRun(*FindTask(cell, ref))) runs.push_back(ref);
+  }
+  if (runs.empty() || !IsExpiryConfirmed(state, cell, worker)) return;
 
-    if (!lost) {
-      LogLeaseState(state, effects, cell, worker,
-                    "lease of a worker has expired; its runs are treated as lost");
-    }
+  LogLeaseState(state, effects, cell, worker,
+                "lease of a worker has expired; its runs are treated as lost");
+  for (const TaskRef& ref : runs) {
     HandleLostRun(state, effects, cell, ref, "the worker's lease has expired");
-    lost = true;
   }
-
-  if (lost) RaiseFence(state, worker);
+  RaiseFence(state, worker);
 }
 
 bool NeedsLease(const State& state, const OwnedCell& cell, const WorkerState& worker) {
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -249,6 +249,14 @@
   }
 }
 
+/// Notes that a poll has failed. One that was sent after the lease had expired counts in any case,
+/// so that an entry that is behind for long comes to a decision.
+void NoteUnanswered(const State& state, WorkerState& worker, const PollInFlight& poll) {
+  const Millis due = std::min(DueOf(poll), state.now);
+  const bool counts = poll.sent_at >= worker.lease.Expiry() || !WasAway(state, due);
+  worker.unanswered_at = counts ? std::optional(due) : std::nullopt;
+}
+
 }  // namespace
 
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
@@ -327,6 +335,7 @@
   }
 
   worker.unanswered_grant.reset();
+  worker.unanswered_at.reset();
   worker.settled_polls = std::max(worker.settled_polls, poll.sequence);
   const bool was_silent = std::exchange(worker.failed_polls, 0) > 0;
   worker.answered_at = state.now;
@@ -398,6 +407,7 @@
   if (refused) worker.confirmed = false;
   if (!refused && poll.sequence <= worker.settled_polls) return;
 
+  NoteUnanswered(state, worker, poll);
   ++worker.failed_polls;
   worker.settled_polls = state.worker_event_sequence;
   LogTasksOverTarget(state, effects, cell, worker);
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -230,6 +230,7 @@
 
 void World::Resume(const std::string& entry) {
   paused_.erase(entry);
+  resumed_at_[entry] = now_;
   std::vector<Action> held = std::move(held_actions_[entry]);
   held_actions_.erase(entry);
   for (const Action& action : held) action();
@@ -281,13 +282,6 @@
 
 void World::Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body,
                     std::optional<Millis> expires_at) {
-  if (paused_.contains(entry)) {
-    held_actions_[entry].push_back([this, entry, incarnation, body, expires_at] {
-      Deliver(entry, incarnation, body, expires_at);
-    });
-    return;
-  }
-
   if (!IsCurrentIncarnation(entry, incarnation)) return;
 
   waiting_events_[entry].push_back(WaitingEvent{now_, std::move(body), expires_at});
@@ -310,8 +304,9 @@
     auto* answer = std::get_if<WorkerAnswered>(&event.body);
     if (answer != nullptr && event.expires_at && now_ > *event.expires_at) answer->reply = {};
     const Machine machine = EffectiveMachine(entry);
-    max_wait = std::max(max_wait, now_ - event.arrived);
-    const bool full = now_ - event.arrived > machine.max_wait;
+    const Millis waited = now_ - std::max(event.arrived, resumed_at_[entry]);
+    max_wait = std::max(max_wait, waited);
+    const bool full = waited > machine.max_wait;
     const Millis cost = full ? Millis(0) : CostOf(machine, event.body);
 
     if (std::holds_alternative<Tick>(event.body)) tick_pending_.erase(entry);
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -320,6 +320,7 @@
   std::map<std::string, std::unique_ptr<SimWorker>> workers_;
   std::set<std::string> paused_;
   std::map<std::string, std::vector<Action>> held_actions_;
+  std::map<std::string, Millis> resumed_at_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> answers_lost_;
   std::set<std::string> stops_lost_;
