Ask a worker whose registry entry names a later incarnation

A later incarnation in the registry now makes the owner ask the worker at once: a poll under a raised fence that is meant for the named incarnation, so it leaves on a connection that this one has accepted, or else the probe's reply brings the word of another one. The worker's word decides, also for an earlier incarnation, and the registry isn't asked about again for the one that was refuted. A new owner knows before it reads the registry which workers have inherited runs, and asks these too.

--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -82,6 +82,13 @@
   /// The last incarnation that answered under the current grant, 0 if none did. It rejects orders
   /// of former owners.
   int64_t fenced_incarnation = 0;
+  /// A later incarnation that the registry names, while the worker is asked about it, and since
+  /// when it is asked. 0 if there is none.
+  int64_t announced_incarnation = 0;
+  Millis announced_at;
+  /// An incarnation that the registry named although the worker has answered since as an earlier
+  /// one, 0 if there is none.
+  int64_t refuted_incarnation = 0;
   std::vector<PollInFlight> polls;
   Millis next_poll;
   /// Polls up to this sequence number no longer count as failed: a later one was answered, or an
--- a/lib/scheduler/source/cell_opening.cc
+++ b/lib/scheduler/source/cell_opening.cc
@@ -123,6 +123,8 @@
     }
 
     cell.open = true;
+    // A worker with runs is asked whether it is the incarnation that the registry names.
+    if (!cell.polled_since) AddInheritedRuns(state, effects, cell);
     if (!cell.hand_over.written) cell.polled_since = state.now;
     ApplyRegistry(state, effects);
 
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -74,6 +74,7 @@
   }
 
   worker.info.incarnation = incarnation;
+  worker.announced_incarnation = 0;
   ++worker.fence;
   worker.confirmed = false;
   worker.polls.clear();
@@ -98,6 +99,22 @@
   }
 }
 
+void HandleAnnouncedIncarnation(State& state, Effects& effects, OwnedCell& cell,
+                                WorkerState& worker, int64_t incarnation) {
+  if (incarnation == worker.refuted_incarnation || incarnation == worker.announced_incarnation)
+    return;
+
+  const bool is_unknown = worker.info.incarnation == 0 && !MayHaveRuns(worker);
+  if (is_unknown || worker.info.address.port == 0) {
+    return HandleNewIncarnation(state, effects, cell, worker, incarnation);
+  }
+
+  worker.announced_incarnation = incarnation;
+  worker.announced_at = state.now;
+  RaiseFence(state, worker);
+  worker.needs_update = true;
+}
+
 void RecordWorkerFailure(State& state, Effects& effects, WorkerState& worker) {
   ++worker.failures_in_row;
   if (worker.failures_in_row < kFailuresToQuarantine) return;
@@ -217,7 +234,7 @@
     if (returned && !worker.contacted) RaiseFence(state, worker);
 
     if (info.incarnation > known_incarnation) {
-      HandleNewIncarnation(state, effects, cell->second, worker, info.incarnation);
+      HandleAnnouncedIncarnation(state, effects, cell->second, worker, info.incarnation);
     }
 
     if (began_draining) {
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -103,6 +103,11 @@
 void HandleNewIncarnation(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                           int64_t incarnation);
 
+/// Handles that the registry names a later incarnation of a worker than the known one. The registry
+/// may be wrong, so the worker is asked; only if it doesn't answer does the registry count.
+void HandleAnnouncedIncarnation(State& state, Effects& effects, OwnedCell& cell,
+                                WorkerState& worker, int64_t incarnation);
+
 /// Counts a failure of a worker, and quarantines the worker after several in a row.
 void RecordWorkerFailure(State& state, Effects& effects, WorkerState& worker);
 
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -249,6 +249,23 @@
   }
 }
 
+/// Takes the worker's word on whether it is the incarnation that the registry names.
+void SettleAnnouncedIncarnation(Effects& effects, const OwnedCell& cell, WorkerState& worker,
+                                const PollInFlight& poll, const WorkerReply& reply) {
+  // An earlier poll may have been answered before a restart.
+  if (poll.token != TokenOf(cell, worker)) return;
+
+  const int64_t named = std::max(worker.announced_incarnation, worker.info.incarnation);
+  worker.announced_incarnation = 0;
+  if (reply.incarnation >= named) return;
+
+  worker.refuted_incarnation = named;
+  Log(effects, Severity::kWarning, "worker is an earlier incarnation than was announced",
+      {{"worker", worker.info.id.Text()},
+       {"announced", std::to_string(named)},
+       {"incarnation", std::to_string(reply.incarnation)}});
+}
+
 /// Notes that a poll has failed. One that was sent after the lease had expired counts in any case,
 /// so that an entry that is behind for long comes to a decision.
 void NoteUnanswered(const State& state, WorkerState& worker, const PollInFlight& poll) {
@@ -274,8 +291,12 @@
   }
 
   PollWorker order;
-  const std::optional<LeaseGrant> grant = GrantOfNextPoll(state, cell, worker);
-  order.forget_up_to = EndsToForget(worker);
+  // Meant for the incarnation that the registry names, a poll leaves on a connection that this one
+  // has accepted, or else brings the word of another one.
+  const bool asks_incarnation = worker.announced_incarnation != 0;
+  const std::optional<LeaseGrant> grant =
+      asks_incarnation ? std::nullopt : GrantOfNextPoll(state, cell, worker);
+  order.forget_up_to = asks_incarnation ? 0 : EndsToForget(worker);
   if (worker.confirmed && HasAnsweredRecently(state, worker) && !IsRepeat(cell, worker)) {
     order.wait = HasMixedLoad(worker) ? kMixedLoadPollWait : kPollWait;
   }
@@ -293,6 +314,7 @@
   const FencingToken token = TokenOf(cell, worker);
   // The lease end is a time on the clock of the known incarnation, and it numbered the ended runs.
   const bool changes_worker = order.lease_until_ms || order.forget_up_to > 0;
+  const int64_t known = changes_worker ? worker.info.incarnation : 0;
   PollInFlight poll;
   poll.request = NextRequest(state);
   poll.token = token;
@@ -303,27 +325,32 @@
   poll.grant = grant;
   worker.polls.push_back(poll);
   state.worker_calls[poll.request] = WorkerCallInFlight{cell.cell, worker.info.id, true};
-  effects.emplace_back(WorkerCall{.request = poll.request,
-                                  .worker = worker.info.id,
-                                  .address = worker.info.address,
-                                  .incarnation = changes_worker ? worker.info.incarnation : 0,
-                                  .token = token,
-                                  .order = order,
-                                  .timeout = order.wait + kOrderTimeout});
+  effects.emplace_back(
+      WorkerCall{.request = poll.request,
+                 .worker = worker.info.id,
+                 .address = worker.info.address,
+                 .incarnation = asks_incarnation ? worker.announced_incarnation : known,
+                 .token = token,
+                 .order = order,
+                 .timeout = order.wait + kOrderTimeout});
 }
 
 void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                      const PollInFlight& poll, const WorkerReply& reply) {
   const bool carried_out = reply.status == OrderStatus::kOk;
   int64_t forgotten = carried_out ? poll.forget_up_to : 0;
+  const bool was_asked = worker.announced_incarnation != 0 && poll.token == TokenOf(cell, worker) &&
+                         reply.incarnation == worker.announced_incarnation;
+  if (reply.incarnation != 0) SettleAnnouncedIncarnation(effects, cell, worker, poll, reply);
 
-  // The reply comes from another incarnation than the known one.
+  // The reply comes from another incarnation than the known one. The worker's own word counts, also
+  // for an earlier one: the registry may have been wrong, or the worker's clock was set back. All
+  // polls in flight were sent since the known one was learned.
   if (reply.incarnation != 0 && reply.incarnation != worker.info.incarnation) {
-    if (reply.incarnation < worker.info.incarnation) {
-      return HandleFailedPoll(state, effects, cell, worker, poll, OrderStatus::kOtherIncarnation);
-    }
     if (carried_out) LogMisdirectedPoll(effects, worker, poll, reply);
     HandleNewIncarnation(state, effects, cell, worker, reply.incarnation);
+    // The question has raised the fence, and no order has left since.
+    if (was_asked) --worker.fence;
     // Each incarnation numbers its ended runs from the start.
     forgotten = 0;
   } else if (poll.grant && carried_out) {
@@ -412,6 +439,13 @@
   worker.settled_polls = state.worker_event_sequence;
   LogTasksOverTarget(state, effects, cell, worker);
 
+  // The first question may have had no chance of an answer; after the second one the registry
+  // counts in any case.
+  const bool counts = !WasAway(state, DueOf(poll)) || poll.sent_at > worker.announced_at;
+  if (worker.announced_incarnation != 0 && counts && status != OrderStatus::kFenced) {
+    HandleNewIncarnation(state, effects, cell, worker, worker.announced_incarnation);
+  }
+
   if (worker.failed_polls == 1) {
     Log(effects, Severity::kInfo, "poll of the worker failed",
         {{"worker", worker.info.id.Text()},
--- a/tests/scheduler/false_incarnation_test.cc
+++ b/tests/scheduler/false_incarnation_test.cc
@@ -14,6 +14,9 @@
 constexpr Millis kLong = Millis(12'000);
 constexpr Millis kRound = Millis(100);
 constexpr int64_t kTooHigh = 1'000'000;
+constexpr int64_t kClockStep = 100;
+/// The longest absence of a task whose worker has restarted out of its owner's reach.
+constexpr Millis kMaxQuestionTime = Millis(2'500);
 
 class FalseIncarnation : public testing::Test {
  protected:
@@ -84,5 +87,30 @@
   EXPECT_EQ(world_.WorkersOf("b").size(), 4U);
 }
 
+// Guards against a worker that is refused for good: it restarted after its clock was set back.
+TEST_F(FalseIncarnation, AWorkerWhoseClockWasSetBackBeforeItsRestartIsUsed) {
+  for (const int64_t step : {kClockStep, -kClockStep / 2}) {
+    for (const std::string& worker : world_.Workers()) {
+      world_.worker(worker).info().incarnation += step;
+      world_.RestartWorker(worker);
+    }
+    world_.Run(kLong);
+  }
+
+  EXPECT_EQ(world_.violations, std::vector<std::string>());
+  EXPECT_EQ(world_.WorkersOf("a").size(), 4U);
+}
+
+// Guards against a longer absence of tasks: a worker that does not tell of its restart.
+TEST_F(FalseIncarnation, TheRegistryCountsSoonIfTheWorkerDoesNotAnswer) {
+  ASSERT_EQ(named_.size(), 1U);
+  world_.Cut(world_.OwnerOf("a"), named_.front());
+  world_.RestartWorker(named_.front());
+  world_.Run(kMaxQuestionTime);
+
+  EXPECT_EQ(world_.violations, std::vector<std::string>());
+  EXPECT_EQ(world_.WorkersOf("a").size(), 4U);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
