--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -82,6 +82,13 @@
   /// The last incarnation that answered under the current grant, 0 if none did. It rejects orders
   /// of former owners.
   int64_t fenced_incarnation = 0;
+  /// A later incarnation that the registry names, while the worker is asked about it, and since
+  /// when it is asked. 0 if there is none.
+  int64_t announced_incarnation = 0;
+  Millis announced_at;
+  /// An incarnation that the registry named although the worker has answered since as an earlier
+  /// one, 0 if there is none.
+  int64_t refuted_incarnation = 0;
   std::vector<PollInFlight> polls;
   Millis next_poll;
   /// Polls up to this sequence number no longer count as failed: a later one was answered, or an
@@ -99,6 +106,9 @@
   bool wait_logged = false;
   Millis answered_at;
   int32_t failed_polls = 0;
+  /// By when the last poll should have been answered that failed since the worker's last reply.
+  /// Empty too if this entry was away or behind, so that it would have read no reply in time.
+  std::optional<Millis> unanswered_at;
   /// The order in flight: a start, a speed limit, or the stop of an orphaned run. 0 if there is
   /// none.
   RequestId order_request = 0;
