Miss the store only once it was asked in vain

A witness that had been away itself confirmed an outage of the store on its return, as the store's last answer was old: it had asked nobody meanwhile, or the answers waited unread. An entry that has confirmed can't deny for 15 s, so tasks of an owner that is gone wait longer.

The store now counts as missed only if the last answer is 1.4 s old by the time up to which everything that arrived is handled, and a renewal that was sent since has had 0.4 s for its answer.

Witness.ConfirmsNoOutageOnItsReturnWhileTheStoreAnswers fails before, for both witnesses at one of 20 offsets of the pause, and passes. HandOverAudit 1 to 60: none fails; the Outage and Witness tests as before.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -38,6 +38,8 @@
   Millis valid_until;
   RequestId request = 0;
   Millis sent_at;
+  /// When the first request was sent since the store last answered any call.
+  Millis unanswered_since;
   Millis next_at;
   /// Number of the last answered renewals that all took too long to start tasks by replies that
   /// take as long.
--- a/lib/scheduler/source/membership.cc
+++ b/lib/scheduler/source/membership.cc
@@ -146,6 +146,9 @@
   }
 
   lease.sent_at = state.now;
+  const bool is_first =
+      !state.store_answered_at || lease.unanswered_since <= *state.store_answered_at;
+  if (is_first) lease.unanswered_since = state.now;
 
   if (lease.lease == 0) {
     if (state.stopping) return;
--- a/lib/scheduler/source/witnesses.cc
+++ b/lib/scheduler/source/witnesses.cc
@@ -13,6 +13,8 @@
 /// An entry that the store has not answered for this long misses it: longer than a renewal interval
 /// and the reply of a slow store.
 constexpr Millis kMissedAfter = Millis(1'400);
+/// Time that the store has for the answer to a renewal before it is missed.
+constexpr Millis kMinAnswerTime = Millis(400);
 /// How long a confirmation counts from its question.
 constexpr Millis kConfirmationTime = Millis(1'000);
 constexpr Millis kQuestionInterval = Millis(300);
@@ -28,8 +30,15 @@
   return EntryInstance{state.settings.entry, state.settings.incarnation};
 }
 
+/// Returns whether the store has not answered for long. An answer that waits unread counts, and an
+/// entry that has just returned has to ask first.
 bool MissesStore(const State& state) {
-  return !state.store_answered_at || state.now - *state.store_answered_at >= kMissedAfter;
+  if (!state.store_answered_at) return true;
+
+  const Millis answered_at = *state.store_answered_at;
+  const Millis asked_at = state.lease.unanswered_since;
+  const bool has_asked = asked_at > answered_at && state.handled_up_to - asked_at >= kMinAnswerTime;
+  return has_asked && state.handled_up_to - answered_at >= kMissedAfter;
 }
 
 /// Returns the witnesses that the record of a cell names or may name.
--- a/tests/scheduler/witness_test.cc
+++ b/tests/scheduler/witness_test.cc
@@ -7,6 +7,13 @@
 namespace currantpost::scheduler {
 namespace {
 
+constexpr int64_t kMaxOffset = 2'000;
+constexpr int64_t kOffsetStep = 100;
+/// An entry that the store has not answered for 1.4 s misses it. An owner asks by then.
+constexpr Millis kUntilAway = Millis(200);
+constexpr Millis kAway = Millis(1'600);
+constexpr Millis kAnswerTime = Millis(100);
+
 /// Ends all entries of the owner's data centre for good.
 void KillDataCentreForGood(OutageWorld& outage) {
   for (const std::string& entry : outage.OtherEntries(true)) outage.world.KillForGood(entry);
@@ -208,5 +215,25 @@
   EXPECT_EQ(outage.world.violations, Names());
 }
 
+// Guards against witnesses that confirm an outage because they were away themselves.
+TEST(Witness, ConfirmsNoOutageOnItsReturnWhileTheStoreAnswers) {
+  for (int64_t offset = 0; offset < kMaxOffset; offset += kOffsetStep) {
+    OutageWorld outage(3, 1);
+    World& world = outage.world;
+    world.Run(Millis(offset));
+    world.Cut(outage.owner, "store");
+    world.Run(kUntilAway);
+    const Names witnesses = outage.OtherEntries(true);
+    for (const std::string& entry : witnesses) world.Pause(entry);
+    world.Run(kAway);
+    for (const std::string& entry : witnesses) world.Resume(entry);
+    world.Run(kAnswerTime);
+
+    for (const std::string& entry : witnesses) {
+      EXPECT_TRUE(world.state(entry).outage.last_confirmation.empty()) << entry << " " << offset;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
