Count what the search looks at, and let it take time in the simulated world

In simulated time a turn cost nothing but its event, so no test could show an entry whose search for capacity takes the processor.

State counts the jobs that a turn checked, its choices of a cell, and the cells that these compared; the simulated machine charges microseconds for each, in whole steps of the world. All costs are 0 by default, so no test changes.

--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -26,6 +26,7 @@
 #include "currantpost/scheduler/routing.h"
 #include "currantpost/scheduler/settings.h"
 #include "currantpost/scheduler/store.h"
+#include "currantpost/scheduler/work_counts.h"
 #include "currantpost/scheduler/worker.h"
 
 namespace currantpost::scheduler {
@@ -277,6 +278,8 @@
   Millis lateness;
   /// Everything that had arrived by then has been handled.
   Millis handled_up_to;
+  /// Work of the present event.
+  WorkCounts work;
   RequestId last_request = 0;
   /// Sequence number of the orders sent to workers and the answers received from them.
   uint64_t worker_event_sequence = 0;
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -470,6 +470,11 @@
   if (job.recorded_version == job.version) RemoveJob(cell, id);
 }
 
+void CountChoice(State& state) {
+  ++state.work.choices;
+  state.work.cells += static_cast<int64_t>(state.view.loads.size());
+}
+
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell) {
   if (state.now < cell.next_job_update) {
     WakeAt(state, cell.next_job_update);
@@ -478,6 +483,7 @@
 
   cell.next_job_update = state.now + kJobsUpdateInterval;
   for (auto& [id, job] : cell.jobs) {
+    ++state.work.jobs;
     if (job.record.spec.occurrences > 0 && !job.cancelled && !job.attempts_exhausted) {
       StartOccurrences(state, cell, job);
     }
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -392,6 +392,9 @@
 /// Ends a job whose tasks have all ended, and removes a job whose end is recorded.
 void FinalizeJobIfDone(State& state, Effects& effects, OwnedCell& cell, const JobId& id);
 
+/// Counts a choice of another cell for waiting tasks.
+void CountChoice(State& state);
+
 /// Starts due occurrences of scheduled jobs, polls borrowers, and moves or lends what waits.
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell);
 void HandleJobMoved(State& state, Effects& effects, const JobMoved& moved, const StoreReply& reply);
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -165,6 +165,7 @@
 /// Lends tasks to the cell that reports most capacity for them. Returns false if there is none.
 bool LendByReports(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                    WaitingBatch batch) {
+  CountChoice(state);
   const auto borrower = ChooseBorrower(state, cell, job, *batch.spec);
   if (!borrower) return false;
 
--- a/lib/scheduler/source/moving.cc
+++ b/lib/scheduler/source/moving.cc
@@ -77,6 +77,7 @@
   // While peers reply, tasks are passed on to a cell that has reserved capacity for them.
   if (job.unanswered_reservations == 0) return;
 
+  CountChoice(state);
   const Demand demand = WaitingDemand(cell, job);
   const std::optional<CellId> to = ChooseMoveTarget(state, cell, job, demand);
   if (!to) return;
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -243,6 +243,7 @@
 
   if (job.record.spec.job <= cell.last_probe) return std::nullopt;
 
+  CountChoice(state);
   const std::optional<CellId> to = ChooseAnyOtherCell(state, cell.cell, job, spec);
   if (!to) return std::nullopt;
 
@@ -283,11 +284,15 @@
                                       const WaitingBatch& batch, Millis unserved_wait) {
   const StepSpec& spec = *batch.spec;
   const auto tasks = static_cast<int64_t>(batch.tasks.size());
+  CountChoice(state);
   std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, spec, tasks);
   if (to) return to;
 
   const Millis hold_delay = HoldDelay(IsInterrupted(job, batch.tasks.front()));
-  if (unserved_wait >= hold_delay) to = ChooseCellToKeepWorker(state, cell.cell, job, spec);
+  if (unserved_wait >= hold_delay) {
+    CountChoice(state);
+    to = ChooseCellToKeepWorker(state, cell.cell, job, spec);
+  }
   if (to) return to;
 
   return ChooseProbe(state, cell, job, spec);
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -192,6 +192,7 @@
   state.lateness = event.backlog.lateness;
   state.handled_up_to = event.backlog.handled_up_to.value_or(event.now);
   state.wake_at = state.now + kMaxTickInterval;
+  state.work = {};
 
   std::visit(EventHandler{state, effects}, event.body);
 
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -269,6 +269,16 @@
   return cost + machine.per_item * static_cast<int64_t>(answer->reply.items.size());
 }
 
+Millis World::CostOfTurn(const std::string& entry, const Machine& machine) {
+  constexpr int64_t kStepUs = kStep.Count() * 1'000;
+  const WorkCounts& work = state(entry).work;
+  int64_t& unpaid = unpaid_us_[entry];
+  unpaid += machine.event_us + work.jobs * machine.job_us + work.cells * machine.cell_us;
+  const int64_t steps = unpaid / kStepUs;
+  unpaid -= steps * kStepUs;
+  return kStep * steps;
+}
+
 Millis World::LinkDelay(const std::string& entry, int64_t bytes) {
   const Machine machine = EffectiveMachine(entry);
   Millis& free_at = link_free_at_[entry];
@@ -312,13 +322,15 @@
     const Machine machine = EffectiveMachine(entry);
     max_wait = std::max(max_wait, now_ - event.arrived);
     const bool full = now_ - event.arrived > machine.max_wait;
-    const Millis cost = full ? Millis(0) : CostOf(machine, event.body);
+    last_wait[entry] = now_ - event.arrived;
+    Millis cost = full ? Millis(0) : CostOf(machine, event.body);
 
     if (std::holds_alternative<Tick>(event.body)) tick_pending_.erase(entry);
     const auto effects = std::make_shared<Effects>();
     Backlog backlog{.lateness = now_ - event.arrived};
     if (!waiting.empty()) backlog.handled_up_to = waiting.front().arrived;
     Reduce(state(entry), Event{now_, now_.Count(), event.body, backlog}, *effects);
+    cost = cost + CostOfTurn(entry, machine);
 
     if (cost > Millis(0)) {
       ScheduleAt(now_ + cost,
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -70,6 +70,12 @@
   /// A worker's reply that is handled later than this many times the timeout of its call is
   /// dropped, 0 for never.
   int64_t reply_timeouts = 0;
+  /// Processor time of a turn in microseconds: of each event, and of each job and each cell that
+  /// the search for capacity looks at, see `WorkCounts`. It is taken however long the event has
+  /// waited.
+  int64_t event_us = 0;
+  int64_t job_us = 0;
+  int64_t cell_us = 0;
 };
 
 /// Several entries with real reducers, simulated workers and a simulated store, in simulated time.
@@ -227,6 +233,8 @@
   std::map<JobId, Millis> cancel_sent_at;
   /// Longest time that an event waited for the processor of an entry that was up and not paused.
   Millis max_wait;
+  /// How long the last event that an entry handled had waited.
+  std::map<std::string, Millis> last_wait;
   /// Checkpoints saved by the runs of each task.
   std::map<TaskName, std::set<std::string>> checkpoints;
   /// Violated invariants, with their times.
@@ -271,6 +279,8 @@
   [[nodiscard]] bool IsCurrentIncarnation(const std::string& entry, uint64_t incarnation) const;
   [[nodiscard]] Machine EffectiveMachine(const std::string& entry) const;
   [[nodiscard]] Millis CostOf(const Machine& machine, const decltype(Event::body)& body);
+  /// Adds the processor time of an entry's turn, and returns the whole steps of it that are due.
+  [[nodiscard]] Millis CostOfTurn(const std::string& entry, const Machine& machine);
   /// Adds bytes to an entry's link and returns how long their transfer takes from now.
   Millis LinkDelay(const std::string& entry, int64_t bytes);
   [[nodiscard]] bool IsDisrupted() const;
@@ -349,6 +359,8 @@
   Millis silenced_at_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Machine> slowed_;
+  /// Processor time of an entry's turns that was not waited for yet, less than a step.
+  std::map<std::string, int64_t> unpaid_us_;
   /// When an entry's link becomes free.
   std::map<std::string, Millis> link_free_at_;
   struct WaitingEvent {
