Drop requests of peers that are handled too late to count

An owner that was seconds behind still handled each request for capacity and held capacity for askers that could no longer use the reply.

A request for capacity carries for how long its reply counts: 0.8 s, as long as the capacity is held, since late replies within that are used. A query for a job's phase carries its timeout in a header field. If events wait longer than that at the receiver, the request is dropped, or the query answered without a look, and counted in State::overdue_requests. Earlier versions, which send neither, are answered as before.

Tests: LateRequests (new).

--- a/lib/entry/source/entry.cc
+++ b/lib/entry/source/entry.cc
@@ -131,7 +131,9 @@
   }
 
   void operator()(const scheduler::QueryPeer& query) {
-    const HttpRequest request{.target = std::string(kJobPhasePath) + query.job.Text()};
+    const HttpRequest request{
+        .target = std::string(kJobPhasePath) + query.job.Text(),
+        .fields = {{std::string(kTimeoutField), std::to_string(query.timeout.Count())}}};
     peers.Send(query.peer, request, query.timeout,
                [this, id = query.request](const HttpReply& reply) {
                  scheduler::PeerAnswered answered{.request = id};
@@ -235,7 +237,8 @@
 
     if (request.target.starts_with(kJobPhasePath)) {
       const RequestId call = AddPendingResponse(std::move(respond));
-      Dispatch(scheduler::PeerQueried{call, JobId(request.target.substr(kJobPhasePath.size()))});
+      Dispatch(scheduler::PeerQueried{call, JobId(request.target.substr(kJobPhasePath.size())),
+                                      DecodeTimeout(request.Field(kTimeoutField))});
       return;
     }
 
--- a/lib/entry/source/peer_protocol.cc
+++ b/lib/entry/source/peer_protocol.cc
@@ -1,5 +1,6 @@
 #include "peer_protocol.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "currantpost/model/json_integer.h"
@@ -9,6 +10,8 @@
 
 using Json = nlohmann::json;
 
+constexpr int64_t kMaxTimeoutMs = 86'400'000;
+
 }  // namespace
 
 std::string EncodeItems(const std::vector<scheduler::StoreItem>& items) {
@@ -42,6 +45,17 @@
   return items;
 }
 
+Millis DecodeTimeout(std::optional<std::string_view> text) {
+  if (!text) return Millis(0);
+
+  int64_t timeout = 0;
+  const char* end = text->data() + text->size();
+  const auto [last, error] = std::from_chars(text->data(), end, timeout);
+  const bool is_valid =
+      error == std::errc() && last == end && timeout > 0 && timeout <= kMaxTimeoutMs;
+  return is_valid ? Millis(timeout) : Millis(0);
+}
+
 std::string EncodePhase(const std::optional<scheduler::JobPhase>& phase) {
   return phase ? std::string(scheduler::kJobPhaseNames.Name(*phase)) : std::string();
 }
--- a/lib/scheduler/include/currantpost/scheduler/events.h
+++ b/lib/scheduler/include/currantpost/scheduler/events.h
@@ -72,6 +72,8 @@
   /// Identifies this question in the `AnswerPeer` effect.
   RequestId call = 0;
   JobId job;
+  /// How long the peer waits for the answer, 0 if it is an earlier version.
+  Millis timeout = Millis(0);
 };
 
 /// A peer's answer about the phase of a job, or its loss.
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -43,6 +43,8 @@
   JobId job;
   /// When it was sent, by the sender's clock.
   Millis asked_at;
+  /// How long the sender waits for the reply, 0 if it is an earlier version.
+  Millis reply_timeout;
   /// How long the tasks have waited.
   Millis waited;
   /// They are long-running tasks that have run before.
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -294,6 +294,8 @@
   /// Work of the present event.
   WorkCounts work;
   BackgroundWork background;
+  /// Number of requests of peers that were dropped because their senders no longer waited.
+  int64_t overdue_requests = 0;
   RequestId last_request = 0;
   /// Sequence number of the orders sent to workers and the answers received from them.
   uint64_t worker_event_sequence = 0;
--- a/lib/scheduler/source/job_status.cc
+++ b/lib/scheduler/source/job_status.cc
@@ -1,4 +1,5 @@
 #include "callers.h"
+#include "overdue_request.h"
 
 /// Requests for the state of a job, by callers and by peers.
 
@@ -113,6 +114,11 @@
 }
 
 void HandlePeerQuery(State& state, Effects& effects, const PeerQueried& asked) {
+  if (IsOverdue(state, asked.timeout)) {
+    effects.emplace_back(AnswerPeer{.call = asked.call});
+    return;
+  }
+
   const auto job = state.view.jobs.find(asked.job);
   const bool known = job != state.view.jobs.end() && job->second.revision != 0;
   const OwnedCell* cell = known ? FindOpenCell(state, job->second.head.cell) : nullptr;
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -20,6 +20,7 @@
                    {"from", request.from.Text()},
                    {"waiting", request.job.Text()},
                    {"asked", request.asked_at.Count()},
+                   {"timeout", request.reply_timeout.Count()},
                    {"waited", request.waited.Count()},
                    {"interrupted", request.is_interrupted},
                    {"peer", AddressJson(request.reply_to)}});
@@ -36,6 +37,7 @@
                                   .from = CellId(json.at("from").get<std::string>()),
                                   .job = JobId(json.at("waiting").get<std::string>()),
                                   .asked_at = Millis(json.value("asked", int64_t{0})),
+                                  .reply_timeout = ReadDurationOr(json, "timeout", Millis(0)),
                                   .waited = Millis(json.value("waited", int64_t{0})),
                                   .is_interrupted = json.value("interrupted", false),
                                   .reply_to = AddressOf(json.at("peer"))};
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -1,6 +1,7 @@
 #include "reservations.h"
 
 #include "background_work.h"
+#include "overdue_request.h"
 #include "owner_contact.h"
 #include "worker_hold.h"
 
@@ -356,6 +357,7 @@
                              .from = cell.cell,
                              .job = job.record.spec.job,
                              .asked_at = state.now,
+                             .reply_timeout = kReservationTime,
                              .waited = unserved_wait,
                              .is_interrupted = IsInterrupted(job, batch.tasks.front()),
                              .reply_to = state.settings.peer_address};
@@ -414,6 +416,8 @@
   const Result<ReservationRequest> request = DecodeReservationRequest(item.value);
   if (!request) return LogUnreadable(effects, item, request.error());
 
+  if (IsOverdue(state, request->reply_timeout)) return;
+
   const ReservationReply reply = MakeReply(state, FindOpenCell(state, id), *request);
   PushMessage(effects, request->reply_to, kReservationReplyPrefix, id.Text(), Encode(reply));
 }
--- a/tests/scheduler/reservation_test.cc
+++ b/tests/scheduler/reservation_test.cc
@@ -111,5 +111,76 @@
   EXPECT_EQ(ReservedMillicores(), 0);
 }
 
+/// A request that its receiver handles late, as other events came first.
+class LateRequests : public Reservations {
+ protected:
+  void Handle(Millis reply_timeout, Millis lateness) {
+    ReservationRequest request{.name = StepName{.job = JobId("a")},
+                               .service = "service",
+                               .from = CellId("elsewhere/0"),
+                               .job = JobId("a"),
+                               .reply_timeout = reply_timeout,
+                               .reply_to = Address{"nowhere", 1}};
+    request.step.need = Resources{.millicores = 1'000, .memory_mib = 100};
+    request.step.task_count = 8;
+    const StoreItem item{.key = std::string(kReservationRequestPrefix) + "dc0/0",
+                         .value = Encode(request)};
+    const Millis now = world_.now();
+    Effects effects;
+    Reduce(world_.state("e0"),
+           Event{now, now.Count(), RecordsPushed{{item}}, Backlog{.lateness = lateness}}, effects);
+  }
+
+  /// Returns the answer to a query for the phase of job "b".
+  std::optional<JobPhase> AnswerTo(Millis timeout, Millis lateness) {
+    const Millis now = world_.now();
+    Effects effects;
+    Reduce(
+        world_.state("e0"),
+        Event{now, now.Count(), PeerQueried{1, JobId("b"), timeout}, Backlog{.lateness = lateness}},
+        effects);
+
+    for (const Effect& effect : effects) {
+      if (const auto* answer = std::get_if<AnswerPeer>(&effect)) return answer->phase;
+    }
+    ADD_FAILURE() << "no answer";
+    return std::nullopt;
+  }
+};
+
+// Guards against capacity held for an owner that no longer waits for the reply.
+TEST_F(LateRequests, AnOverdueRequestHoldsNoCapacity) {
+  Handle(Millis(800), Millis(800));
+
+  EXPECT_EQ(ReservedMillicores(), 0);
+  EXPECT_EQ(world_.state("e0").overdue_requests, 1);
+}
+
+TEST_F(LateRequests, ALateRequestWhoseReplyStillCountsHoldsCapacity) {
+  Handle(Millis(800), Millis(799));
+
+  EXPECT_EQ(ReservedMillicores(), 8'000);
+  EXPECT_EQ(world_.state("e0").overdue_requests, 0);
+}
+
+// Guards against work for a peer that no longer waits for the answer.
+TEST_F(LateRequests, AnOverdueQueryIsAnsweredWithoutALook) {
+  world_.Submit("e0", MakeJob("b", 1));
+  world_.Run(Millis(1'500));
+
+  EXPECT_EQ(AnswerTo(Millis(250), Millis(249)), JobPhase::kCompleted);
+  EXPECT_EQ(AnswerTo(Millis(0), Millis(5'000)), JobPhase::kCompleted);
+  EXPECT_EQ(world_.state("e0").overdue_requests, 0);
+
+  EXPECT_EQ(AnswerTo(Millis(250), Millis(250)), std::nullopt);
+  EXPECT_EQ(world_.state("e0").overdue_requests, 1);
+}
+
+TEST_F(LateRequests, ARequestOfAnEarlierVersionIsAnsweredHoweverLate) {
+  Handle(Millis(0), Millis(5'000));
+
+  EXPECT_EQ(ReservedMillicores(), 8'000);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -279,16 +279,6 @@
   return kStep * steps;
 }
 
-Millis World::LinkDelay(const std::string& entry, int64_t bytes) {
-  const Machine machine = EffectiveMachine(entry);
-  Millis& free_at = link_free_at_[entry];
-  free_at = std::max(free_at, now_);
-  if (machine.link_bytes == 0) return free_at - now_;
-
-  free_at = std::min(free_at + Millis(bytes / machine.link_bytes), now_ + machine.max_transfer);
-  return free_at - now_;
-}
-
 void World::Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body,
                     std::optional<Millis> expires_at) {
   if (paused_.contains(entry)) {
--- a/tests/scheduler/world_network.cc
+++ b/tests/scheduler/world_network.cc
@@ -251,11 +251,21 @@
     if (sent_at <= silenced_at_) return;
     if (!IsCut(entry, peer)) ScheduleAt(now_ + kHopDelay, [settle, phase] { settle(phase); });
   };
-  ScheduleAt(now_ + kHopDelay, [this, peer, call, job = query.job] {
-    if (IsUp(peer)) Deliver(peer, incarnation_of_.at(peer), PeerQueried{call, job});
+  ScheduleAt(now_ + kHopDelay, [this, peer, call, job = query.job, timeout = query.timeout] {
+    if (IsUp(peer)) Deliver(peer, incarnation_of_.at(peer), PeerQueried{call, job, timeout});
   });
 }
 
+Millis World::LinkDelay(const std::string& entry, int64_t bytes) {
+  const Machine machine = EffectiveMachine(entry);
+  Millis& free_at = link_free_at_[entry];
+  free_at = std::max(free_at, now_);
+  if (machine.link_bytes == 0) return free_at - now_;
+
+  free_at = std::min(free_at + Millis(bytes / machine.link_bytes), now_ + machine.max_transfer);
+  return free_at - now_;
+}
+
 bool World::IsCut(const std::string& one, const std::string& other) const {
   return cuts_.contains({one, other}) || cuts_.contains({other, one});
 }
