--- a/lib/entry/source/entry_metrics.cc
+++ b/lib/entry/source/entry_metrics.cc
@@ -74,6 +74,9 @@
   AddCounter("currantpost_lost_runs_completed_total",
              "Runs that were treated as lost and had completed their tasks.",
              [&scheduled] { return scheduled.completed_lost_runs; });
+  AddCounter("currantpost_overdue_requests_total",
+             "Requests of peers that were dropped because their senders no longer waited.",
+             [&scheduled] { return scheduled.overdue_requests; });
   AddCounter("currantpost_lapsed_replies_total",
              "Replies of workers that list runs whose lease was not renewed in time.",
              [&scheduled] { return scheduled.lapsed_replies; });
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -151,14 +151,19 @@
   kJob,
   /// Other cells that were looked at for a job.
   kCell,
+  /// Cells of this entry that were asked for capacity.
+  kOwnCell,
 };
 
 inline constexpr EnumNames kSearchVisitNames(std::to_array<EnumName<SearchVisit>>({
     {SearchVisit::kPass, "pass"},
     {SearchVisit::kJob, "job"},
     {SearchVisit::kCell, "cell"},
+    {SearchVisit::kOwnCell, "own_cell"},
 }));
 
+using SearchVisits = CountsBy<SearchVisit, SearchVisit::kOwnCell>;
+
 /// Kinds of calls to the store.
 enum class StoreCallKind {
   /// Ends when something changes, or after a while.
@@ -186,8 +191,10 @@
   /// Replies of workers that list runs whose lease was not renewed in time.
   uint64_t lapsed_replies = 0;
   CountsBy<CapacityOutcome, CapacityOutcome::kUnanswered> capacity_requests;
+  /// Requests of peers that were dropped because their senders no longer waited.
+  uint64_t overdue_requests = 0;
   CountsBy<HoldEvent, HoldEvent::kPassedOn> holds;
-  CountsBy<SearchVisit, SearchVisit::kCell> search;
+  SearchVisits search;
   /// What was left of a worker's lease when its renewal was confirmed.
   LeaseRests lease_rests;
   /// Times of calls to the store, answered or not, by `StoreCallKind` and `StoreStatus`.
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -54,6 +54,8 @@
 inline constexpr Millis kMaxRequestDelay = Millis(15'000);
 /// Consecutive failed polls after which a worker is treated as unresponsive.
 inline constexpr int32_t kFailedPollsUntilUnresponsive = 2;
+/// Interval between checks whether everything is handled that had arrived by a time.
+inline constexpr Millis kBacklogCheckInterval = Millis(10);
 /// Timeout of an order to a worker. Orders are answered in a few milliseconds unless they are lost.
 inline constexpr Millis kOrderTimeout = Millis(800);
 
@@ -401,15 +403,22 @@
 /// Ends a job whose tasks have all ended, and removes a job whose end is recorded.
 void FinalizeJobIfDone(State& state, Effects& effects, OwnedCell& cell, const JobId& id);
 
-/// Starts due occurrences of scheduled jobs, polls borrowers, and moves or lends what waits.
+/// Starts due occurrences of scheduled jobs, polls borrowers, and repeats failed writes of moves
+/// and loans.
 void UpdateJobs(State& state, Effects& effects, OwnedCell& cell);
 void HandleJobMoved(State& state, Effects& effects, const JobMoved& moved, const StoreReply& reply);
 
+/// Repeats the write of a job's move if it has failed.
+void RetryMove(State& state, Effects& effects, OwnedCell& cell, JobState& job);
+
 /// Moves a job that finds no capacity here and has no bound task to a cell with capacity.
 void TryMoveJob(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 
 // Lending of tasks to other cells
 
+/// Repeats the write of a job's loan if it has failed.
+void RetryLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job);
+
 /// Lends tasks that find no capacity here to a cell with capacity.
 void TryLendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job);
 void HandleTasksLent(State& state, Effects& effects, const TasksLent& lent,
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -62,7 +62,7 @@
     return std::nullopt;
 
   std::optional<std::pair<CellId, int64_t>> best;
-  state.counts.search.Add(SearchVisit::kCell, state.view.loads.size());
+  state.counts.search.Add(SearchVisit::kCell, rooms->Rows().size());
 
   for (size_t number = 0; number < rooms->Rows().size(); ++number) {
     const RoomRow& row = rooms->Rows()[number];
@@ -263,20 +263,17 @@
   for (const CellId& borrower : borrowers) PushToOwner(state, effects, borrower, cancel);
 }
 
-void TryLendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
-  if (job.loan) {
-    if (job.loan->request != 0) return;
-    if (state.now >= job.loan->retry_at) return WriteLoan(state, effects, cell, job);
+void RetryLoan(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
+  if (!job.loan || job.loan->request != 0) return;
+  if (state.now >= job.loan->retry_at) return WriteLoan(state, effects, cell, job);
 
-    WakeAt(state, job.loan->retry_at);
-    return;
-  }
+  WakeAt(state, job.loan->retry_at);
+}
 
-  if (job.cancelled || job.attempts_exhausted || cell.releasing) {
-    job.reservation.reset();
-    return;
-  }
+void TryLendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
+  if (job.loan) return;
 
+  if (job.cancelled || job.attempts_exhausted || cell.releasing) return;
   if (AwaitsReservation(state, effects, job)) return;
   if (!job.waits_since || job.move || cell.write.versions.contains(job.record.spec.job)) return;
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -1,5 +1,7 @@
 #include "reservations.h"
 
+#include "background_work.h"
+#include "overdue_request.h"
 #include "owner_contact.h"
 #include "worker_hold.h"
 
@@ -31,7 +33,8 @@
 /// How long a long-running task waits in a cell before it no longer relies on a worker that is kept
 /// for it there: the short tasks there should have ended by then. One that has waited longer in
 /// former cells stays as long again, as the wait for the short tasks begins anew with each cell.
-constexpr Millis kMaxHoldWait = Millis(2'500);
+constexpr Millis kMinHoldWait = Millis(2'500);
+constexpr Millis kMaxHoldWait = Millis(5'000);
 
 PlacementRequest PlacementOf(const ReservationRequest& request, Millis now) {
   return PlacementRequest{.name = request.name,
@@ -276,7 +279,8 @@
   const TaskState& task = *FindTask(cell, ref);
   const Millis waited = state.now - task.waiting_since;
   const Millis waited_before = task.queued_at - task.waiting_since;
-  if (state.now - task.queued_at >= std::max(kMaxHoldWait, waited_before)) return waited;
+  if (state.now - task.queued_at >= std::clamp(waited_before, kMinHoldWait, kMaxHoldWait))
+    return waited;
 
   const bool is_interrupted = IsInterrupted(job, ref);
   const auto waiting = std::ranges::count_if(WaitingTasksOf(cell, job), [&](const TaskRef& each) {
@@ -327,8 +331,15 @@
 bool AwaitsReservation(State& state, Effects& effects, JobState& job) {
   if (!job.reservation) return false;
 
-  if (state.now < job.reservation->expires_at) {
-    WakeAt(state, job.reservation->expires_at);
+  const Millis expires_at = job.reservation->expires_at;
+  if (state.now < expires_at) {
+    WakeAt(state, expires_at);
+    return true;
+  }
+
+  // The reply may have arrived. Capacity is not held for it for longer.
+  if (state.handled_up_to < expires_at && state.now < expires_at + kReservationTime) {
+    WakeAt(state, state.now + kBacklogCheckInterval);
     return true;
   }
 
@@ -346,6 +357,15 @@
   return false;
 }
 
+void ExpireRequest(State& state, Effects& effects, const OwnedCell& cell, JobState& job) {
+  if (job.cancelled || job.attempts_exhausted || cell.releasing) {
+    job.reservation.reset();
+    return;
+  }
+
+  AwaitsReservation(state, effects, job);
+}
+
 bool RequestCapacity(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                      const WaitingBatch& batch) {
   if (batch.spec->best_effort && state.now < cell.next_best_effort_request) {
@@ -360,6 +380,7 @@
                              .from = cell.cell,
                              .job = job.record.spec.job,
                              .asked_at = state.now,
+                             .reply_timeout = kReservationTime,
                              .waited = unserved_wait,
                              .is_interrupted = IsInterrupted(job, batch.tasks.front()),
                              .reply_to = state.settings.peer_address};
@@ -387,6 +408,7 @@
     }
 
     ++job.search.asked_own_cells;
+    state.counts.search.Add(SearchVisit::kOwnCell);
     const ReservationReply reply = MakeReply(state, FindOpenCell(state, *to), request);
     HandleReply(state, effects, *to, reply);
     const bool is_declined = !MayAsk(state, job, *batch.spec, *to);
@@ -405,6 +427,8 @@
   HandleReply(state, effects, to, *reply);
 
   // Asks the next cell at once if this one had no capacity.
+  if (!MaySearchAtOnce(state)) return;
+
   OwnedCell* cell = FindOpenCell(state, reply->from);
   if (cell == nullptr) return;
 
@@ -417,6 +441,8 @@
   const Result<ReservationRequest> request = DecodeReservationRequest(item.value);
   if (!request) return LogUnreadable(effects, item, request.error());
 
+  if (IsOverdue(state, request->reply_timeout)) return;
+
   const ReservationReply reply = MakeReply(state, FindOpenCell(state, id), *request);
   PushMessage(effects, request->reply_to, kReservationReplyPrefix, id.Text(), Encode(reply));
 }
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -62,6 +62,10 @@
 /// overdue.
 bool AwaitsReservation(State& state, Effects& effects, JobState& job);
 
+/// Ends the wait for the reply to a reservation request that is overdue or no longer needed. The
+/// progress of the job is not recorded meanwhile.
+void ExpireRequest(State& state, Effects& effects, const OwnedCell& cell, JobState& job);
+
 /// Returns whether so many requests of the job had no reply that the load reports go first.
 bool HasUnresponsivePeers(const JobState& job);
 
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -14,8 +14,6 @@
 /// An entry that handles what was due later than this was away or behind: a poll then had less than
 /// half of its time for an answer.
 constexpr Millis kMaxPunctualDelay = kOrderTimeout / 2;
-/// Interval between checks whether everything is handled that arrived before a lease expired.
-constexpr Millis kBacklogCheckInterval = Millis(10);
 
 /// Returns the lowest time that the worker's clock, which may be slow, can show now, in
 /// milliseconds.
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -270,14 +270,19 @@
   return cost + machine.per_item * static_cast<int64_t>(answer->reply.items.size());
 }
 
-Millis World::LinkDelay(const std::string& entry, int64_t bytes) {
-  const Machine machine = EffectiveMachine(entry);
-  Millis& free_at = link_free_at_[entry];
-  free_at = std::max(free_at, now_);
-  if (machine.link_bytes == 0) return free_at - now_;
-
-  free_at = std::min(free_at + Millis(bytes / machine.link_bytes), now_ + machine.max_transfer);
-  return free_at - now_;
+Millis World::CostOfTurn(const std::string& entry, const Machine& machine,
+                         const SearchVisits& before) {
+  constexpr int64_t kStepUs = kStep.Count() * 1'000;
+  const SearchVisits& search = state(entry).counts.search;
+  const auto visited = [&](SearchVisit what) {
+    return static_cast<int64_t>(search.Get(what) - before.Get(what));
+  };
+  int64_t& unpaid = unpaid_us_[entry];
+  unpaid += machine.event_us + visited(SearchVisit::kJob) * machine.job_us +
+            visited(SearchVisit::kCell) * machine.cell_us;
+  const int64_t steps = unpaid / kStepUs;
+  unpaid -= steps * kStepUs;
+  return kStep * steps;
 }
 
 void World::Deliver(const std::string& entry, uint64_t incarnation, decltype(Event::body) body,
@@ -307,13 +312,16 @@
     const Millis waited = now_ - std::max(event.arrived, resumed_at_[entry]);
     max_wait = std::max(max_wait, waited);
     const bool full = waited > machine.max_wait;
-    const Millis cost = full ? Millis(0) : CostOf(machine, event.body);
+    last_wait[entry] = waited;
+    Millis cost = full ? Millis(0) : CostOf(machine, event.body);
 
     if (std::holds_alternative<Tick>(event.body)) tick_pending_.erase(entry);
     const auto effects = std::make_shared<Effects>();
     Backlog backlog{.lateness = now_ - event.arrived};
     if (!waiting.empty()) backlog.handled_up_to = waiting.front().arrived;
+    const SearchVisits visits_before = state(entry).counts.search;
     Reduce(state(entry), Event{now_, now_.Count(), event.body, backlog}, *effects);
+    cost = cost + CostOfTurn(entry, machine, visits_before);
 
     if (cost > Millis(0)) {
       ScheduleAt(now_ + cost,
