Take the registry's word on a restart only after a worker was asked for long

The worker is asked again until the timeout of an order has passed since the first question. RunsGoOnIfTheFirstQuestionsFailAtOnce failed before.

A failed poll under an earlier fence now counts as silence of its worker too: other reasons to raise the fence could put off the end of a lease's runs again and again.

--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -323,8 +323,10 @@
   if (has_lists) {
     HandlePollReply(state, effects, cell->second, worker, sent, answered.reply);
   } else if (sent.token == TokenOf(cell->second, worker)) {
-    // A poll under an earlier fence tells nothing of the one that replaced it.
     HandleFailedPoll(state, effects, cell->second, worker, sent, answered.reply.status);
+  } else {
+    // A poll under an earlier fence tells nothing of the one that replaced it, but of its worker.
+    NoteUnanswered(state, cell->second, worker, sent);
   }
 }
 
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -56,6 +56,11 @@
 /// Returns by when a poll should have been answered.
 inline Millis DueOf(const PollInFlight& poll) { return poll.sent_at + poll.wait + kOrderTimeout; }
 
+/// Notes that a poll has failed. One that was sent after the lease had expired counts in any case,
+/// so that an entry that is behind for long comes to a decision.
+void NoteUnanswered(const State& state, const OwnedCell& cell, WorkerState& worker,
+                    const PollInFlight& poll);
+
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker);
 
 void HandlePollReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -277,15 +277,19 @@
        {"incarnation", std::to_string(reply.incarnation)}});
 }
 
-/// Notes that a poll has failed. One that was sent after the lease had expired counts in any case,
-/// so that an entry that is behind for long comes to a decision.
-void NoteUnanswered(const State& state, WorkerState& worker, const PollInFlight& poll) {
+}  // namespace
+
+void NoteUnanswered(const State& state, const OwnedCell& cell, WorkerState& worker,
+                    const PollInFlight& poll) {
   const Millis due = std::min(DueOf(poll), state.now);
   const bool counts = poll.sent_at >= worker.lease.Expiry() || !WasAway(state, due);
-  worker.unanswered_at = counts ? std::optional(due) : std::nullopt;
-}
 
-}  // namespace
+  if (counts) {
+    worker.unanswered_at = std::max(worker.unanswered_at.value_or(due), due);
+  } else if (poll.token == TokenOf(cell, worker)) {
+    worker.unanswered_at.reset();
+  }
+}
 
 void SendDuePoll(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   const bool listed_without_answer = worker.listed && worker.failed_polls > 0;
@@ -447,14 +451,17 @@
   if (refused) worker.confirmed = false;
   if (!refused && poll.sequence <= worker.settled_polls) return;
 
-  NoteUnanswered(state, worker, poll);
+  NoteUnanswered(state, cell, worker, poll);
   ++worker.failed_polls;
   worker.settled_polls = state.worker_event_sequence;
   LogTasksOverTarget(state, effects, cell, worker);
 
-  // The first question may have had no chance of an answer; after the second one the registry
-  // counts in any case.
-  const bool counts = !WasAway(state, DueOf(poll)) || poll.sent_at > worker.announced_at;
+  // A poll that fails early tells nothing of a worker that is reached again at once. The first
+  // question may have had no chance of an answer; after the second one the registry counts in any
+  // case.
+  const bool was_asked_for_long = state.now >= worker.announced_at + kOrderTimeout;
+  const bool counts =
+      was_asked_for_long && (!WasAway(state, DueOf(poll)) || poll.sent_at > worker.announced_at);
   if (worker.announced_incarnation != 0 && counts && status != OrderStatus::kFenced) {
     HandleNewIncarnation(state, effects, cell, worker, worker.announced_incarnation);
   }
--- a/tests/scheduler/false_incarnation_test.cc
+++ b/tests/scheduler/false_incarnation_test.cc
@@ -87,6 +87,20 @@
   EXPECT_EQ(world_.WorkersOf("b").size(), 4U);
 }
 
+// Guards against tasks that run twice: the question to the worker was lost with its connection, and
+// the owner took the registry's word.
+TEST_F(FalseIncarnation, RunsGoOnIfTheFirstQuestionsFailAtOnce) {
+  constexpr Millis kResetTime = Millis(400);
+  AnnounceFalsely(named_);
+  const Millis end = world_.now() + kResetTime;
+  world_.resets_order = [&](const WorkerCall& call) {
+    return world_.now() < end && call.worker.Text() == named_.front();
+  };
+  world_.Run(kLong);
+
+  ExpectRunsContinue();
+}
+
 // Guards against a worker that is refused for good: it restarted after its clock was set back.
 TEST_F(FalseIncarnation, AWorkerWhoseClockWasSetBackBeforeItsRestartIsUsed) {
   for (const int64_t step : {kClockStep, -kClockStep / 2}) {
--- a/tests/scheduler/world_network.cc
+++ b/tests/scheduler/world_network.cc
@@ -175,6 +175,7 @@
   if (IsCut(entry, id)) return;
   if (std::holds_alternative<StopTask>(call.order) && stops_lost_.contains(id)) return;
   if (loses_order(call)) return;
+  if (resets_order(call)) return answer(WorkerReply{});
 
   const bool is_start = std::holds_alternative<StartTask>(call.order);
   const auto start_delay = start_delays_.find(id);
