Don't count an entry as behind once nothing is left to do

From the review: the lateness of the last measurement held until the next one was complete, so a request that came in a quiet moment after a freeze was dropped as overdue. A measurement whose last pass found nothing to do ends with a lateness of 0.

--- a/lib/transport/source/loop_lag.cc
+++ b/lib/transport/source/loop_lag.cc
@@ -20,8 +20,12 @@
       : context(the_context), clock(the_clock) {}
 
   void Pass() {
+    const Millis now = clock.Now();
+    const bool is_idle = now == std::exchange(last_pass, now);
+
     if (--passes_left == 0) {
-      lateness = clock.Now() - *began;
+      // Once nothing was left to do in the last pass, what arrives is handled at once.
+      lateness = is_idle ? Millis(0) : now - *began;
       handled_up_to = std::exchange(began, std::nullopt);
       return;
     }
@@ -36,6 +40,7 @@
   /// When the measurement under way began.
   std::optional<Millis> began;
   int passes_left = 0;
+  Millis last_pass;
   Millis lateness;
   std::optional<Millis> handled_up_to;
 };
