--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -2,15 +2,11 @@
 
 #include <array>
 #include <atomic>
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <functional>
 
 namespace currantpost::soak {
@@ -18,36 +14,49 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using boost::system::error_code;
 
-constexpr Millis kPathPollInterval = Millis(20);
-
-asio::awaitable<void> Sleep(Millis span) {
-  asio::steady_timer timer(co_await asio::this_coro::executor,
-                           std::chrono::milliseconds(span.Count()));
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
-auto WithError(boost::system::error_code& error) {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
+constexpr auto kPathPollInterval = std::chrono::milliseconds(20);
 
 /// Closes with a reset.
 void Reset(tcp::socket& socket) {
-  boost::system::error_code ignored;
+  error_code ignored;
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
   socket.close(ignored);
 }
 
+/// One direction of a connection.
+struct Direction {
+  Direction(tcp::socket& the_from, tcp::socket& the_to, bool is_to_target)
+      : from(the_from), to(the_to), to_target(is_to_target), timer(the_from.get_executor()) {}
+
+  tcp::socket& from;
+  tcp::socket& to;
+  const bool to_target;
+  asio::steady_timer timer;
+  std::array<char, 16'384> buffer{};
+  /// What the last read gave.
+  error_code error;
+  size_t size = 0;
+};
+
 /// A client's connection and the one to the target.
 struct Connection {
   explicit Connection(tcp::socket the_client)
-      : client(std::move(the_client)), target(client.get_executor()) {}
+      : client(std::move(the_client)),
+        target(client.get_executor()),
+        to_target(client, target, true),
+        to_client(target, client, false) {}
 
   tcp::socket client;
   tcp::socket target;
+  Direction to_target;
+  Direction to_client;
   bool silent = false;
 };
 
+using ConnectionPtr = std::shared_ptr<Connection>;
+
 }  // namespace
 
 struct Proxy::Impl {
@@ -59,10 +68,12 @@
         target_host(std::move(the_target_host)),
         target_port(the_target_port) {}
 
-  asio::awaitable<void> Accept();
-  asio::awaitable<void> Open(std::shared_ptr<Connection> connection);
-  asio::awaitable<void> Pass(std::shared_ptr<Connection> connection, bool to_target);
-  asio::awaitable<void> WaitForPath(const Connection& connection, bool to_target) const;
+  void Accept();
+  void Open(tcp::socket client);
+  void Read(const ConnectionPtr& connection, Direction& direction);
+  void Deliver(const ConnectionPtr& connection, Direction& direction);
+  void DeliverAfter(std::chrono::milliseconds span, const ConnectionPtr& connection,
+                    Direction& direction);
   void ForEachPresent(const std::function<void(Connection&)>& action);
   [[nodiscard]] bool IsCut(bool to_target) const;
 
@@ -79,7 +90,7 @@
 Proxy::Proxy(asio::io_context& context, const Address& listen, std::string target_host,
              int target_port)
     : impl_(std::make_unique<Impl>(context, listen, std::move(target_host), target_port)) {
-  asio::co_spawn(context, impl_->Accept(), asio::detached);
+  impl_->Accept();
 }
 
 Proxy::~Proxy() = default;
@@ -114,41 +125,32 @@
   });
 }
 
-asio::awaitable<void> Proxy::Impl::Accept() {
-  while (acceptor.is_open()) {
-    boost::system::error_code error;
-    tcp::socket socket = co_await acceptor.async_accept(WithError(error));
-    if (error == asio::error::operation_aborted) co_return;
-    if (error) continue;
+void Proxy::Impl::Accept() {
+  acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) Open(std::move(socket));
+    Accept();
+  });
+}
 
-    if (fault == PathFault::kReset || target_port == 0) {
-      Reset(socket);
-      continue;
-    }
+void Proxy::Impl::Open(tcp::socket client) {
+  if (fault == PathFault::kReset || target_port == 0) return Reset(client);
 
-    auto connection = std::make_shared<Connection>(std::move(socket));
-    std::erase_if(connections, [](const auto& weak) { return weak.expired(); });
-    connections.push_back(connection);
-    asio::co_spawn(context, Open(connection), asio::detached);
-  }
-}
+  const auto connection = std::make_shared<Connection>(std::move(client));
+  std::erase_if(connections, [](const auto& weak) { return weak.expired(); });
+  connections.push_back(connection);
 
-asio::awaitable<void> Proxy::Impl::Open(std::shared_ptr<Connection> connection) {
   const tcp::endpoint target(asio::ip::make_address(target_host),
                              static_cast<uint16_t>(target_port.load()));
-  boost::system::error_code error;
-  co_await connection->target.async_connect(target, WithError(error));
-
-  if (error || !connection->client.is_open()) {
-    Reset(connection->client);
-    co_return;
-  }
-
-  boost::system::error_code ignored;
-  connection->client.set_option(tcp::no_delay(true), ignored);
-  connection->target.set_option(tcp::no_delay(true), ignored);
-  asio::co_spawn(context, Pass(connection, true), asio::detached);
-  asio::co_spawn(context, Pass(connection, false), asio::detached);
+  connection->target.async_connect(target, [this, connection](const error_code& error) {
+    if (error || !connection->client.is_open()) return Reset(connection->client);
+
+    error_code ignored;
+    connection->client.set_option(tcp::no_delay(true), ignored);
+    connection->target.set_option(tcp::no_delay(true), ignored);
+    Read(connection, connection->to_target);
+    Read(connection, connection->to_client);
+  });
 }
 
 bool Proxy::Impl::IsCut(bool to_target) const {
@@ -157,42 +159,48 @@
          present == (to_target ? PathFault::kCutToTarget : PathFault::kCutToClient);
 }
 
-asio::awaitable<void> Proxy::Impl::WaitForPath(const Connection& connection, bool to_target) const {
-  if (fault == PathFault::kDelayed) co_await Sleep(Millis(delay_ms));
-  while (IsCut(to_target) && !connection.silent) co_await Sleep(kPathPollInterval);
+void Proxy::Impl::Read(const ConnectionPtr& connection, Direction& direction) {
+  direction.from.async_read_some(
+      asio::buffer(direction.buffer),
+      [this, connection, &direction](const error_code& error, size_t size) {
+        direction.error = error;
+        direction.size = size;
+        const bool delayed = fault == PathFault::kDelayed;
+        const auto delay = std::chrono::milliseconds(delayed ? delay_ms.load() : 0);
+        DeliverAfter(delay, connection, direction);
+      });
 }
 
-asio::awaitable<void> Proxy::Impl::Pass(std::shared_ptr<Connection> connection, bool to_target) {
-  tcp::socket& from = to_target ? connection->client : connection->target;
-  tcp::socket& to = to_target ? connection->target : connection->client;
-  std::array<char, 16'384> buffer{};
+void Proxy::Impl::DeliverAfter(std::chrono::milliseconds span, const ConnectionPtr& connection,
+                               Direction& direction) {
+  if (span.count() == 0) return Deliver(connection, direction);
 
-  while (true) {
-    boost::system::error_code error;
-    const size_t size = co_await from.async_read_some(asio::buffer(buffer), WithError(error));
-    co_await WaitForPath(*connection, to_target);
+  direction.timer.expires_after(span);
+  direction.timer.async_wait([this, connection, &direction](const error_code& error) {
+    if (!error) Deliver(connection, direction);
+  });
+}
 
-    // Neither bytes nor the end get through a silent connection.
-    if (connection->silent && error) co_return;
-    if (connection->silent) continue;
+void Proxy::Impl::Deliver(const ConnectionPtr& connection, Direction& direction) {
+  // Neither bytes nor the end get through a silent connection.
+  if (connection->silent && direction.error) return;
+  if (connection->silent) return Read(connection, direction);
 
-    if (error == asio::error::eof) {
-      boost::system::error_code ignored;
-      to.shutdown(tcp::socket::shutdown_send, ignored);
-      co_return;
-    }
+  if (IsCut(direction.to_target)) return DeliverAfter(kPathPollInterval, connection, direction);
 
-    if (error) {
-      Reset(to);
-      co_return;
-    }
+  if (direction.error == asio::error::eof) {
+    error_code ignored;
+    direction.to.shutdown(tcp::socket::shutdown_send, ignored);
+    return;
+  }
 
-    co_await asio::async_write(to, asio::buffer(buffer, size), WithError(error));
-    if (!error) continue;
+  if (direction.error) return Reset(direction.to);
 
-    Reset(from);
-    co_return;
-  }
+  asio::async_write(direction.to, asio::buffer(direction.buffer, direction.size),
+                    [this, connection, &direction](const error_code& error, size_t /*size*/) {
+                      if (error) return Reset(direction.from);
+                      Read(connection, direction);
+                    });
 }
 
 ProxyThread::ProxyThread()
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -9,7 +9,7 @@
 
 constexpr auto kFirstFault = Millis(2'000);
 /// A series for each so much of the span.
-constexpr auto kSpanPerSeries = Millis(3'000);
+constexpr auto kSpanPerSeries = Millis(1'000);
 constexpr int64_t kLongestSeries = 4;
 constexpr int64_t kMostBusyLoops = 4;
 constexpr Millis kLeavePollInterval = Millis(200);
