--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -5,7 +5,7 @@
 
 #include "checker.h"
 #include "currantpost/base/time.h"
-#include "fleet_under_test.h"
+#include "entry_fleet.h"
 
 namespace currantpost::soak {
 
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -9,6 +9,7 @@
 
 #include "currantpost/transport/http_server.h"
 #include "job_plan.h"
+#include "unanswered.h"
 
 namespace currantpost::soak {
 
@@ -106,6 +107,7 @@
   std::map<int64_t, Lease> leases_;
   std::map<std::string, Millis> registered_at_;
   std::vector<Watch> watches_;
+  Unanswered unanswered_;
 };
 
 }  // namespace currantpost::soak
--- a/tests/soak/worker_standin.h
+++ b/tests/soak/worker_standin.h
@@ -11,6 +11,7 @@
 #include "job_plan.h"
 #include "observer.h"
 #include "store_standin.h"
+#include "unanswered.h"
 
 namespace currantpost::soak {
 
@@ -127,6 +128,7 @@
   std::shared_ptr<Life> life_;
   /// Servers of former lives: their connections may still be ending.
   std::vector<std::unique_ptr<HttpServer>> former_servers_;
+  Unanswered unanswered_;
   int64_t lives_ = 0;
   int64_t sequence_ = 0;
   Millis reported_at_;
