--- a/tests/soak/entry_fleet.cc
+++ b/tests/soak/entry_fleet.cc
@@ -13,6 +13,8 @@
 constexpr int kWorkersPort = 8'170;
 constexpr int kMostZones = 3;
 constexpr int kRacksPerZone = 2;
+/// At most one of so many entries leaves for good.
+constexpr size_t kEntriesPerRemoval = 3;
 
 /// The networks of a run, the third byte of an address.
 constexpr int kEntries = 1;
@@ -84,7 +86,18 @@
 }
 
 void EntryFleet::StartEntry(size_t entry) {
-  if (!entries_[entry]->Running()) entries_[entry]->Start();
+  if (!entries_[entry]->Running() && !IsRemoved(entry)) entries_[entry]->Start();
+}
+
+void EntryFleet::RemoveEntry(size_t entry, bool with_notice) {
+  const size_t most = entries_.size() / kEntriesPerRemoval;
+  if (removed_.size() >= most || !removed_.insert(entry).second) return;
+
+  if (with_notice) {
+    entries_[entry]->Terminate(clock_.Now());
+  } else {
+    entries_[entry]->Kill();
+  }
 }
 
 void EntryFleet::StartWorker(size_t worker) {
--- a/tests/soak/entry_fleet.h
+++ b/tests/soak/entry_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,11 @@
   EntryFleet(EventLoop& loop, const Clock& clock, const JobBook& jobs, Checker& checker,
              FleetSize size, uint64_t seed, const std::string& log_folder);
 
+  /// Starts the process of an entry, unless it runs or the entry is removed.
   void StartEntry(size_t entry);
+  /// Ends the entry for good, if enough others stay.
+  void RemoveEntry(size_t entry, bool with_notice);
+  [[nodiscard]] bool IsRemoved(size_t entry) const { return removed_.contains(entry); }
   /// Begins a life of the worker, if it has none.
   void StartWorker(size_t worker);
 
@@ -54,6 +59,7 @@
   StoreStandin store_;
   std::vector<std::unique_ptr<WorkerStandin>> workers_;
   std::vector<std::unique_ptr<EntryProcess>> entries_;
+  std::set<size_t> removed_;
   std::vector<Proxy*> store_paths_;
   std::vector<Proxy*> worker_paths_;
   std::vector<Proxy*> caller_paths_;
--- a/tests/soak/readiness_prober.cc
+++ b/tests/soak/readiness_prober.cc
@@ -1,7 +1,5 @@
 #include "readiness_prober.h"
 
-#include <algorithm>
-
 namespace currantpost::soak {
 namespace {
 
@@ -44,14 +42,12 @@
   return fleet_.CallerAddress(rotation[Draw(random, 0, ready - 1)]);
 }
 
-bool ReadinessProber::AllReady() const {
-  return std::ranges::all_of(misses_, [](int misses) { return misses == 0; });
-}
+bool ReadinessProber::AllReady() const { return NotReady().empty(); }
 
 std::string ReadinessProber::NotReady() const {
   std::string names;
   for (size_t i = 0; i < misses_.size(); ++i) {
-    if (misses_[i] > 0) names += fleet_.entries()[i]->profile().name + " ";
+    if (misses_[i] > 0 && !fleet_.IsRemoved(i)) names += fleet_.entries()[i]->profile().name + " ";
   }
   return names;
 }
--- a/tests/soak/readiness_prober.h
+++ b/tests/soak/readiness_prober.h
@@ -15,7 +15,7 @@
 
   /// Returns the address of an entry in rotation; if fewer than half are, of any entry.
   [[nodiscard]] Address ChooseEntry(Random& random) const;
-  /// Returns whether the last probes of all entries found them ready.
+  /// Returns whether the last probes of all entries that are not removed found them ready.
   [[nodiscard]] bool AllReady() const;
   /// Returns the names of the entries that are not.
   [[nodiscard]] std::string NotReady() const;
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -24,16 +24,16 @@
 
 /// How long faults of each kind last.
 constexpr KindLimits kKinds[] = {
-    {FaultKind::kPauseEntry, 200, 7'000},        {FaultKind::kKillEntry, 300, 4'000},
-    {FaultKind::kStopEntry, kStopMs, kStopMs},   {FaultKind::kStorePath, 300, 6'000},
-    {FaultKind::kWorkerPath, 300, 14'000},       {FaultKind::kCallerPath, 300, 5'000},
-    {FaultKind::kSilentConnections, 1, 1},       {FaultKind::kStoreRejects, 300, 5'000},
-    {FaultKind::kStoreDown, 500, 8'000},         {FaultKind::kStoreSlow, 500, 5'000},
-    {FaultKind::kStoreLosesAnswers, 500, 5'000}, {FaultKind::kStoreLate, 500, 5'000},
-    {FaultKind::kHistoryDropped, 1, 1},          {FaultKind::kStoreLeaseEnds, 1, 1},
-    {FaultKind::kCrashWorker, 50, 9'000},        {FaultKind::kDrainWorker, 6'000, 8'000},
-    {FaultKind::kLateOrders, 500, 5'000},        {FaultKind::kUnhealthyWorker, 500, 5'000},
-    {FaultKind::kBusyLoops, 1'000, 5'000},
+    {FaultKind::kRemoveEntry, kStopMs, kStopMs}, {FaultKind::kPauseEntry, 200, 7'000},
+    {FaultKind::kKillEntry, 300, 4'000},         {FaultKind::kStopEntry, kStopMs, kStopMs},
+    {FaultKind::kStorePath, 300, 6'000},         {FaultKind::kWorkerPath, 300, 14'000},
+    {FaultKind::kCallerPath, 300, 5'000},        {FaultKind::kSilentConnections, 1, 1},
+    {FaultKind::kStoreRejects, 300, 5'000},      {FaultKind::kStoreDown, 500, 8'000},
+    {FaultKind::kStoreSlow, 500, 5'000},         {FaultKind::kStoreLosesAnswers, 500, 5'000},
+    {FaultKind::kStoreLate, 500, 5'000},         {FaultKind::kHistoryDropped, 1, 1},
+    {FaultKind::kStoreLeaseEnds, 1, 1},          {FaultKind::kCrashWorker, 50, 9'000},
+    {FaultKind::kDrainWorker, 6'000, 8'000},     {FaultKind::kLateOrders, 500, 5'000},
+    {FaultKind::kUnhealthyWorker, 500, 5'000},   {FaultKind::kBusyLoops, 1'000, 5'000},
 };
 
 template <typename Element>
@@ -118,6 +118,8 @@
       return EntryOf(fault).Kill();
     case FaultKind::kStopEntry:
       return EntryOf(fault).Terminate(clock_.Now());
+    case FaultKind::kRemoveEntry:
+      return fleet_.RemoveEntry(fault.target % fleet_.entries().size(), fault.variant % 2 == 0);
     case FaultKind::kStorePath:
       return BeginPathFault(*Choose(fleet_.store_paths(), fault.target), fault.variant);
     case FaultKind::kWorkerPath:
@@ -194,6 +196,7 @@
     case FaultKind::kBusyLoops:
       busy_loops_.clear();
       break;
+    case FaultKind::kRemoveEntry:
     case FaultKind::kSilentConnections:
     case FaultKind::kHistoryDropped:
     case FaultKind::kStoreLeaseEnds:
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -13,6 +13,8 @@
   kPauseEntry,
   kKillEntry,
   kStopEntry,
+  /// Gone for good, with or without SIGTERM.
+  kRemoveEntry,
   kStorePath,
   kWorkerPath,
   kCallerPath,
@@ -35,6 +37,7 @@
     {FaultKind::kPauseEntry, "pause_entry"},
     {FaultKind::kKillEntry, "kill_entry"},
     {FaultKind::kStopEntry, "stop_entry"},
+    {FaultKind::kRemoveEntry, "remove_entry"},
     {FaultKind::kStorePath, "store_path"},
     {FaultKind::kWorkerPath, "worker_path"},
     {FaultKind::kCallerPath, "caller_path"},
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -74,13 +74,15 @@
   }
 
   SoakReport Play() {
-    if (options_.faults) injector_.Plan(DrawSchedule(options_.seed, options_.span));
+    const std::vector<PlannedFault> faults = DrawSchedule(options_.seed, options_.span);
+    if (options_.faults) injector_.Plan(faults);
     Tick();
     Check();
     loop_.After(kBounds.contact, [this] { BeginTraffic(); });
     loop_.Run();
 
     SoakReport report{.findings = checker_.findings(), .counts = checker_.counts()};
+    report.faults = options_.faults ? faults.size() : 0;
     report.own_lateness = own_lateness_;
     for (size_t i = 0; i < log_sizes_.size(); ++i) {
       const std::string path = fleet_.entries()[i]->LogPath();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,7 @@
 struct SoakReport {
   std::vector<Finding> findings;
   CheckCounts counts;
+  size_t faults = 0;
   /// How late the soak's own loop was at most, and the entries after the last fault, by their logs.
   /// @{
   Millis own_lateness;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -42,11 +42,13 @@
   const char* verdict = report.findings.empty() ? "passed" : "BROKEN";
 
   std::printf(
-      "seed %llu: %s: %d jobs, %d accepted, %d refused, %d cancelled, %d completed, %d starts, "
+      "seed %llu: %s: %zu faults, %d jobs, %d accepted, %d refused, %d cancelled, %d completed, %d "
+      "starts, "
       "%d lapsed; lateness: soak %lld ms, entries in calm %lld ms\n",
       static_cast<unsigned long long>(options.seed), busy ? "TOO BUSY to judge bounds" : verdict,
-      counts.submitted, counts.accepted, counts.refused, counts.cancelled, counts.completed,
-      counts.starts, counts.lapsed, static_cast<long long>(report.own_lateness.Count()),
+      report.faults, counts.submitted, counts.accepted, counts.refused, counts.cancelled,
+      counts.completed, counts.starts, counts.lapsed,
+      static_cast<long long>(report.own_lateness.Count()),
       static_cast<long long>(report.entry_lateness.Count()));
 
   for (const soak::Finding& finding : report.findings) {
