--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -22,18 +22,31 @@
 
 constexpr int64_t kStopMs = kBounds.grace.Count() + 1'000;
 
+constexpr int64_t kIsolationMs = kBounds.max_worker_lease.Count() + 500;
+
 /// How long faults of each kind last.
 constexpr KindLimits kKinds[] = {
-    {FaultKind::kRemoveEntry, kStopMs, kStopMs}, {FaultKind::kPauseEntry, 200, 7'000},
-    {FaultKind::kKillEntry, 300, 4'000},         {FaultKind::kStopEntry, kStopMs, kStopMs},
-    {FaultKind::kStorePath, 300, 6'000},         {FaultKind::kWorkerPath, 300, 14'000},
-    {FaultKind::kCallerPath, 300, 5'000},        {FaultKind::kSilentConnections, 1, 1},
-    {FaultKind::kStoreRejects, 300, 5'000},      {FaultKind::kStoreDown, 500, 8'000},
-    {FaultKind::kStoreSlow, 500, 5'000},         {FaultKind::kStoreLosesAnswers, 500, 5'000},
-    {FaultKind::kStoreLate, 500, 5'000},         {FaultKind::kHistoryDropped, 1, 1},
-    {FaultKind::kStoreLeaseEnds, 1, 1},          {FaultKind::kCrashWorker, 50, 9'000},
-    {FaultKind::kDrainWorker, 6'000, 8'000},     {FaultKind::kLateOrders, 500, 5'000},
-    {FaultKind::kUnhealthyWorker, 500, 5'000},   {FaultKind::kBusyLoops, 1'000, 5'000},
+    {FaultKind::kIsolateWorker, kIsolationMs, kIsolationMs + 3'000},
+    {FaultKind::kRemoveEntry, kStopMs, kStopMs},
+    {FaultKind::kPauseEntry, 200, 7'000},
+    {FaultKind::kKillEntry, 300, 4'000},
+    {FaultKind::kStopEntry, kStopMs, kStopMs},
+    {FaultKind::kStorePath, 300, 6'000},
+    {FaultKind::kWorkerPath, 300, 14'000},
+    {FaultKind::kCallerPath, 300, 5'000},
+    {FaultKind::kSilentConnections, 1, 1},
+    {FaultKind::kStoreRejects, 300, 5'000},
+    {FaultKind::kStoreDown, 500, 8'000},
+    {FaultKind::kStoreSlow, 500, 5'000},
+    {FaultKind::kStoreLosesAnswers, 500, 5'000},
+    {FaultKind::kStoreLate, 500, 5'000},
+    {FaultKind::kHistoryDropped, 1, 1},
+    {FaultKind::kStoreLeaseEnds, 1, 1},
+    {FaultKind::kCrashWorker, 50, 9'000},
+    {FaultKind::kDrainWorker, 6'000, 8'000},
+    {FaultKind::kLateOrders, 500, 5'000},
+    {FaultKind::kUnhealthyWorker, 500, 5'000},
+    {FaultKind::kBusyLoops, 1'000, 5'000},
 };
 
 template <typename Element>
@@ -124,6 +137,8 @@
       return BeginPathFault(*Choose(fleet_.store_paths(), fault.target), fault.variant);
     case FaultKind::kWorkerPath:
       return BeginPathFault(*Choose(fleet_.worker_paths(), fault.target), fault.variant);
+    case FaultKind::kIsolateWorker:
+      return Choose(fleet_.worker_paths(), fault.target)->SetFault(PathFault::kCutBoth);
     case FaultKind::kCallerPath:
       return BeginPathFault(*Choose(fleet_.caller_paths(), fault.target), fault.variant);
     case FaultKind::kSilentConnections:
@@ -171,6 +186,7 @@
       Choose(fleet_.store_paths(), fault.target)->SetFault(PathFault::kNone);
       break;
     case FaultKind::kWorkerPath:
+    case FaultKind::kIsolateWorker:
       Choose(fleet_.worker_paths(), fault.target)->SetFault(PathFault::kNone);
       break;
     case FaultKind::kCallerPath:
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -17,6 +17,8 @@
   kRemoveEntry,
   kStorePath,
   kWorkerPath,
+  /// A worker is cut off for longer than any lease.
+  kIsolateWorker,
   kCallerPath,
   kSilentConnections,
   kStoreRejects,
@@ -40,6 +42,7 @@
     {FaultKind::kRemoveEntry, "remove_entry"},
     {FaultKind::kStorePath, "store_path"},
     {FaultKind::kWorkerPath, "worker_path"},
+    {FaultKind::kIsolateWorker, "isolate_worker"},
     {FaultKind::kCallerPath, "caller_path"},
     {FaultKind::kSilentConnections, "silent_connections"},
     {FaultKind::kStoreRejects, "store_rejects"},
