--- a/lib/scheduler/source/background_pace.cc
+++ b/lib/scheduler/source/background_pace.cc
@@ -15,7 +15,13 @@
 
 void BackgroundPace::Observe(Millis lateness) { lateness_ = std::max(lateness_, lateness); }
 
-Millis BackgroundPace::Pause() const { return std::min(lateness_ * kPauseFactor, kMaxPause); }
+Millis BackgroundPace::Pause() const {
+  // Events that wait for less than the interval of passes don't show that the entry is behind: on
+  // a small share of a core each of them takes milliseconds.
+  if (lateness_ <= kPassInterval) return Millis(0);
+
+  return std::min(lateness_ * kPauseFactor, kMaxPause);
+}
 
 void BackgroundPace::BeginSlice(Millis now) {
   slice_began_ = now;
--- a/tests/scheduler/background_pace_test.cc
+++ b/tests/scheduler/background_pace_test.cc
@@ -32,6 +32,16 @@
   EXPECT_FALSE(pace.IsBehind());
 }
 
+// Guards against fewer searches on calm days of entries with a small share of a core.
+TEST(BackgroundPace, DoesNotPauseWhileEventsWaitLessThanBetweenPasses) {
+  BackgroundPace pace;
+  pace.BeginSlice(kStart);
+  pace.Observe(BackgroundPace::kPassInterval);
+
+  EXPECT_EQ(pace.Pause(), Millis(0));
+  EXPECT_FALSE(pace.IsBehind());
+}
+
 TEST(BackgroundPace, LeavesMostOfTheTimeToEventsThatWait) {
   BackgroundPace pace;
   pace.BeginSlice(kStart);
