--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -32,7 +32,8 @@
 constexpr Millis kDeclinedNeedsMemory = Millis(5'000);
 /// How long a long-running task waits in a cell before it no longer relies on a worker that is kept
 /// for it there: the short tasks there should have ended by then. One that has waited longer in
-/// former cells stays as long again, as the wait for the short tasks begins anew with each cell.
+/// former cells stays as long again, up to the second limit, as the wait for the short tasks begins
+/// anew with each cell.
 constexpr Millis kMinHoldWait = Millis(2'500);
 constexpr Millis kMaxHoldWait = Millis(5'000);
 
