Stop short tasks of lower priority on workers kept for interrupted tasks

Cause: a hold kept new tasks off the worker and did nothing about those that ran there, whatever their priority.

The owner now stops them 0.5 s after the worker was kept, if the interrupted task then fits: only tasks of queues with a lower priority, only as many as are in the way, those with checkpoints first. They resume elsewhere. Requests to other cells name the priority; one without it displaces nothing.

--- a/lib/entry/source/entry_metrics.cc
+++ b/lib/entry/source/entry_metrics.cc
@@ -62,6 +62,9 @@
   AddCounters("currantpost_holds_total",
               "What happened to workers that are kept for long-running tasks.", "event",
               scheduler::kHoldEventNames, scheduled.holds);
+  AddCounter("currantpost_evictions_total",
+             "Tasks stopped to make room for interrupted long-running ones.",
+             [&scheduled] { return scheduled.evictions; });
   AddCounters("currantpost_jobs_refused_total", "Jobs that were not accepted, by reason.", "reason",
               scheduler::kRefusalNames, scheduled.refusals);
   AddCounters("currantpost_requests_rejected_total",
--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -113,6 +113,8 @@
   Millis since;
   /// The task has run before.
   bool is_interrupted = false;
+  /// Priority of the task's queue.
+  int32_t priority = 0;
   /// It ends then unless it is asked for again.
   Millis expires_at;
 };
@@ -254,6 +256,8 @@
   bool maybe_released = false;
   /// Earliest time of the next search for long-running tasks on draining workers.
   Millis next_evacuation;
+  /// Earliest time of the next check whether short tasks are to be stopped on kept workers.
+  Millis next_eviction;
 };
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -194,6 +194,8 @@
   /// Requests of peers that were dropped because their senders no longer waited.
   uint64_t overdue_requests = 0;
   CountsBy<HoldEvent, HoldEvent::kPassedOn> holds;
+  /// Tasks that were stopped to make room for interrupted long-running ones.
+  uint64_t evictions = 0;
   SearchVisits search;
   /// What was left of a worker's lease when its renewal was confirmed.
   LeaseRests lease_rests;
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -49,6 +49,8 @@
   Millis waited;
   /// They are long-running tasks that have run before.
   bool is_interrupted = false;
+  /// Priority of their queue.
+  int32_t priority = 0;
   Address reply_to;
 };
 
--- /dev/null
+++ b/lib/scheduler/source/eviction.cc
@@ -0,0 +1,170 @@
+#include "eviction.h"
+
+namespace currantpost::scheduler {
+namespace {
+
+/// How long a worker is kept before its short tasks are stopped. Many of them end by themselves in
+/// that time, and a task that is passed on to the cell arrives.
+constexpr Millis kEvictionDelay = Millis(500);
+/// Time between two checks of the kept workers of a cell.
+constexpr Millis kEvictionInterval = Millis(100);
+
+/// Returns what a task reserves of its worker.
+Resources ReservedBy(const StepSpec& spec) {
+  Resources reserved = spec.need;
+  if (spec.best_effort) reserved.millicores = 0;
+  return reserved;
+}
+
+bool IsEvictable(const JobState& job, const TaskRef& ref, int32_t priority) {
+  return TaskOf(job, ref).phase == TaskPhase::kRunning && !SpecOf(job, ref).is_long_running &&
+         job.record.priority > priority;
+}
+
+/// Returns whether the task that a worker is kept for waits in this cell.
+bool IsAwaited(const OwnedCell& cell, const WorkerHold& hold) {
+  const auto job = cell.jobs.find(hold.job);
+  if (job == cell.jobs.end()) return false;
+
+  // Its tasks may be on their way to another cell.
+  return !job->second.move && !job->second.loan;
+}
+
+/// What has to become free on a worker.
+struct Shortage {
+  Resources missing;
+  /// The lowest priority number of the tasks that wait for it.
+  int32_t priority = 0;
+  /// One of the jobs that wait. For the log.
+  JobId job;
+};
+
+/// Returns what the interrupted tasks that have waited for their kept worker lack there.
+Shortage ShortageOn(const State& state, const OwnedCell& cell, const WorkerState& worker) {
+  Shortage shortage;
+  bool is_first = true;
+
+  for (const WorkerHold& hold : cell.holds) {
+    const bool is_due = hold.is_interrupted && state.now >= hold.since + kEvictionDelay;
+    if (hold.worker != worker.info.id || !is_due || !IsAwaited(cell, hold)) continue;
+
+    shortage.missing += hold.need;
+    if (is_first || hold.priority < shortage.priority) {
+      shortage.priority = hold.priority;
+      shortage.job = hold.job;
+    }
+    is_first = false;
+  }
+
+  if (is_first) return shortage;
+
+  shortage.missing -= worker.info.capacity;
+  shortage.missing += worker.reserved;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = cell.jobs.at(ref.job);
+    if (TaskOf(job, ref).phase == TaskPhase::kStopping) {
+      shortage.missing -= ReservedBy(SpecOf(job, ref));
+    }
+  }
+
+  return shortage;
+}
+
+bool HelpsWith(const Resources& missing, const Resources& freed) {
+  return (missing.millicores > 0 && freed.millicores > 0) ||
+         (missing.memory_mib > 0 && freed.memory_mib > 0) ||
+         (missing.accelerators > 0 && freed.accelerators > 0);
+}
+
+/// Returns the tasks to stop: the least urgent queues first, then tasks that resume from a
+/// checkpoint, then those that have run for the shortest time. Nothing if all of them together are
+/// not enough.
+std::vector<TaskRef> ChooseEvicted(const OwnedCell& cell, const WorkerState& worker,
+                                   const Shortage& shortage) {
+  using Rank = std::tuple<int32_t, bool, Millis>;
+  std::vector<std::pair<Rank, TaskRef>> candidates;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = cell.jobs.at(ref.job);
+    if (!IsEvictable(job, ref, shortage.priority)) continue;
+
+    candidates.emplace_back(
+        Rank{job.record.priority, SpecOf(job, ref).checkpointing, TaskOf(job, ref).began}, ref);
+  }
+
+  std::ranges::sort(candidates, std::greater<>());
+  Resources missing = shortage.missing;
+  std::vector<TaskRef> evicted;
+
+  for (const auto& [rank, ref] : candidates) {
+    const Resources freed = ReservedBy(SpecOf(cell.jobs.at(ref.job), ref));
+    if (!HelpsWith(missing, freed)) continue;
+
+    missing -= freed;
+    evicted.push_back(ref);
+  }
+
+  if (!FitsWithin(missing, Resources())) evicted.clear();
+  return evicted;
+}
+
+void Evict(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
+  const Shortage shortage = ShortageOn(state, cell, worker);
+  if (FitsWithin(shortage.missing, Resources())) return;
+
+  for (const TaskRef& ref : ChooseEvicted(cell, worker, shortage)) {
+    TaskState& task = *FindTask(cell, ref);
+    SetStopping(worker, task);
+    worker.needs_update = true;
+    cell.worker_update_due = true;
+    ++state.counts.evictions;
+    Log(effects, Severity::kInfo, "stopping a task to make room for an interrupted one",
+        {{"job", ref.job.Text()},
+         {"step", std::to_string(ref.step)},
+         {"task", std::to_string(ref.index)},
+         {"run", std::to_string(task.run)},
+         {"worker", worker.info.id.Text()},
+         {"for", shortage.job.Text()}});
+  }
+}
+
+}  // namespace
+
+Resources EvictableOn(const OwnedCell& cell, const WorkerState& worker, int32_t priority) {
+  Resources evictable;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = cell.jobs.at(ref.job);
+    if (IsEvictable(job, ref, priority)) evictable += ReservedBy(SpecOf(job, ref));
+  }
+
+  return evictable;
+}
+
+void EvictForInterrupted(State& state, Effects& effects, OwnedCell& cell) {
+  // A stopped task must be started elsewhere, so this owner must be able to start tasks.
+  const bool can_start = HoldsLease(state) && CancelsAreCurrent(state) && cell.hand_over.written;
+  if (cell.releasing || !can_start) return;
+  if (std::ranges::none_of(cell.holds, &WorkerHold::is_interrupted)) return;
+
+  if (state.now < cell.next_eviction) {
+    WakeAt(state, cell.next_eviction);
+    return;
+  }
+
+  cell.next_eviction = state.now + kEvictionInterval;
+  WakeAt(state, cell.next_eviction);
+  std::set<VmId> kept;
+  for (const WorkerHold& hold : cell.holds) kept.insert(hold.worker);
+
+  for (const VmId& id : kept) {
+    const auto worker = cell.workers.find(id);
+    if (worker == cell.workers.end()) continue;
+
+    const bool answers = worker->second.confirmed && worker->second.failed_polls == 0;
+    if (answers && !worker->second.info.draining) Evict(state, effects, cell, worker->second);
+  }
+}
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -206,7 +206,8 @@
 
   HoldRequest request{.placement = RequestFor(state, cell, first),
                       .job = first.job,
-                      .is_interrupted = IsInterrupted(job, first)};
+                      .is_interrupted = IsInterrupted(job, first),
+                      .priority = job.record.priority};
 
   int32_t waiting = 0;
 
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -1,5 +1,8 @@
 #include "currantpost/scheduler/reservation.h"
 
+#include <limits>
+
+#include "currantpost/model/json_integer.h"
 #include "currantpost/scheduler/limits.h"
 #include "record_json.h"
 
@@ -8,6 +11,8 @@
 
 /// Upper bound of the wait in a request. Sums with it do not overflow.
 constexpr Millis kMaxWaited = Millis(86'400'000);
+/// Priority of a request without one. Nothing is stopped for it.
+constexpr int32_t kLastPriority = std::numeric_limits<int32_t>::max();
 
 }  // namespace
 
@@ -23,6 +28,7 @@
                    {"timeout", request.reply_timeout.Count()},
                    {"waited", request.waited.Count()},
                    {"interrupted", request.is_interrupted},
+                   {"priority", request.priority},
                    {"peer", AddressJson(request.reply_to)}});
 }
 
@@ -40,6 +46,7 @@
                                   .reply_timeout = ReadDurationOr(json, "timeout", Millis(0)),
                                   .waited = Millis(json.value("waited", int64_t{0})),
                                   .is_interrupted = json.value("interrupted", false),
+                                  .priority = ReadIntegerOr(json, "priority", kLastPriority),
                                   .reply_to = AddressOf(json.at("peer"))};
       });
   if (!request) return request;
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -108,7 +108,8 @@
   const HoldRequest hold{.placement = PlacementOf(request, state.now),
                          .job = request.job,
                          .tasks = 1,
-                         .is_interrupted = request.is_interrupted};
+                         .is_interrupted = request.is_interrupted,
+                         .priority = request.priority};
   return KeepWorkers(state, cell, hold) > 0;
 }
 
@@ -384,6 +385,7 @@
                              .reply_timeout = kReservationTime,
                              .waited = unserved_wait,
                              .is_interrupted = IsInterrupted(job, batch.tasks.front()),
+                             .priority = job.record.priority,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = static_cast<int32_t>(batch.tasks.size());
 
--- a/lib/scheduler/source/scheduler.cc
+++ b/lib/scheduler/source/scheduler.cc
@@ -3,6 +3,7 @@
 #include "background_work.h"
 #include "callers.h"
 #include "cell_acceptance.h"
+#include "eviction.h"
 #include "reservations.h"
 #include "worker_hold.h"
 
@@ -223,6 +224,7 @@
     ExpireReservations(state, cell);
     ExpireHolds(state, cell);
     UpdateJobs(state, effects, cell);
+    EvictForInterrupted(state, effects, cell);
     UpdateWorkers(state, effects, cell);
     EvacuateDraining(state, effects, cell);
     PlaceTasks(state, effects, cell);
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -1,5 +1,7 @@
 #include "worker_hold.h"
 
+#include "eviction.h"
+
 namespace currantpost::scheduler {
 namespace {
 
@@ -49,11 +51,21 @@
   return FitsWithin(amount, left);
 }
 
-/// Returns the worker that needs fewest short tasks to end, or null.
+/// Returns whether an amount beside what is held fits on a worker once its short tasks have been
+/// stopped, as far as tasks of the request may displace them.
+bool FitsWithEviction(const OwnedCell& cell, const WorkerState& worker, const HoldRequest& request,
+                      const Resources& amount) {
+  return request.is_interrupted &&
+         FitsWithin(amount + worker.reserved,
+                    worker.info.capacity + EvictableOn(cell, worker, request.priority));
+}
+
+/// Returns the worker that needs fewest short tasks to end, or null. Those come first on which the
+/// short tasks can be stopped.
 WorkerState* ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request) {
   const StepSpec& spec = request.placement.spec;
   WorkerState* best = nullptr;
-  int64_t best_free = 0;
+  std::pair<bool, int64_t> best_rank;
 
   for (auto& [id, worker] : cell.workers) {
     const Resources held =
@@ -65,10 +77,12 @@
 
     const int64_t free =
         worker.info.capacity.millicores - worker.reserved.millicores - HeldOn(cell, id).millicores;
-    if (best != nullptr && free <= best_free) continue;
+    const std::pair<bool, int64_t> rank(FitsWithEviction(cell, worker, request, held + spec.need),
+                                        free);
+    if (best != nullptr && rank <= best_rank) continue;
 
     best = &worker;
-    best_free = free;
+    best_rank = rank;
   }
 
   return best;
@@ -169,6 +183,7 @@
                                     .worker = worker->info.id,
                                     .since = state.now,
                                     .is_interrupted = request.is_interrupted,
+                                    .priority = request.priority,
                                     .expires_at = state.now + kHoldTime});
   }
 
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -33,6 +33,8 @@
   int32_t tasks = 0;
   /// They have run before.
   bool is_interrupted = false;
+  /// Priority of their queue.
+  int32_t priority = 0;
 };
 
 /// Keeps workers for tasks that fit on none now, or goes on keeping them. Interrupted tasks
