Give scarce capacity to interrupted long-running tasks, and only scarce one

Now new tasks yield as long as there are interrupted ones and less than 12 % of the service's capacity is left beside all of them; tasks on workers that drain, have left the registry or don't answer count as interrupted. Where there is enough they don't yield at all. Holds for interrupted tasks have no limit but the capacity.

The sums of RoomTotals are tested in place of the maximum that they replace.

--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -161,7 +161,8 @@
   int64_t waiting_best_effort = 0;
   /// The largest long-running task that fits on a worker once the short tasks there have ended.
   int64_t largest_long_running = 0;
-  /// Demand of the interrupted long-running tasks that have waited long for placement.
+  /// Demand of the interrupted long-running tasks that have waited long for placement, and of those
+  /// on workers that are about to leave or do not answer.
   int64_t waiting_interrupted = 0;
   /// Reservations of long-running tasks, by image.
   std::map<std::string, int64_t> long_running_by_image;
--- a/lib/scheduler/include/currantpost/scheduler/room_table.h
+++ b/lib/scheduler/include/currantpost/scheduler/room_table.h
@@ -36,6 +36,8 @@
   int64_t free_best_effort = 0;
   int64_t waiting_best_effort = 0;
   int64_t waiting_interrupted = 0;
+  /// Reservations of long-running tasks.
+  int64_t long_running = 0;
   SentDemand sent;
 
   /// Returns the demand sent to the cell that its report may not contain yet.
@@ -61,6 +63,12 @@
   int64_t largest_long_running = 0;
   /// Free capacity for best-effort tasks without the demand that waits.
   int64_t best_effort = 0;
+};
+
+/// What all cells report for a service together, in thousandths of a core.
+struct RoomTotals {
+  int64_t capacity = 0;
+  int64_t long_running = 0;
   int64_t waiting_interrupted = 0;
 };
 
@@ -70,6 +78,7 @@
   /// Returns the cells that report workers of the service, in ascending order.
   [[nodiscard]] std::span<const RoomRow> Rows() const { return rows_; }
   [[nodiscard]] const RoomMaxima& Maxima() const { return maxima_; }
+  [[nodiscard]] const RoomTotals& Totals() const { return totals_; }
 
   /// Returns the share of a cell's capacity that best-effort work of an image can use. Empty until
   /// it is set, and again after each load report of the cell.
@@ -83,10 +92,11 @@
   [[nodiscard]] RoomRow* Find(const CellId& cell);
   void Put(const CellId& cell, const ServiceLoad& load);
   void Remove(const CellId& cell);
-  void UpdateMaxima();
+  void UpdateSums();
 
   std::vector<RoomRow> rows_;
   RoomMaxima maxima_;
+  RoomTotals totals_;
   /// By image, then by row. Computed when a search first needs them.
   mutable std::map<std::string, std::vector<std::optional<double>>, std::less<>> shares_;
 };
--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -113,6 +113,13 @@
 void HandleAnnouncedIncarnation(State& state, Effects& effects, OwnedCell& cell,
                                 WorkerState& worker, int64_t incarnation);
 
+/// Returns whether a worker's tasks will probably have to run elsewhere: it drains, the registry
+/// doesn't list it, or it doesn't answer.
+inline bool IsLeavingOrSilent(const WorkerState& worker) {
+  return worker.info.draining || !worker.listed ||
+         worker.failed_polls >= kFailedPollsUntilUnresponsive;
+}
+
 /// Counts a failure of a worker, and quarantines the worker after several in a row.
 void RecordWorkerFailure(State& state, Effects& effects, WorkerState& worker);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -299,9 +299,8 @@
     return;
   }
 
-  const Millis waited = state.now - FindTask(cell, batch.tasks.front())->waiting_since;
   if (YieldsToInterrupted(state, *batch.spec, ServiceOf(state, job.record),
-                          IsInterrupted(job, batch.tasks.front()), waited))
+                          IsInterrupted(job, batch.tasks.front())))
     return;
 
   const bool is_borrowed = !job.record.parent.Empty();
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -1,5 +1,6 @@
 #include <limits>
 
+#include "cell_workers.h"
 #include "wait_log.h"
 #include "worker_hold.h"
 
@@ -226,14 +227,6 @@
   if (request.tasks > 0) KeepWorkers(state, cell, request);
 }
 
-/// Returns whether a waiting task leaves free capacity to interrupted tasks of other cells. One for
-/// which a worker is kept had its turn already.
-bool Yields(const State& state, const OwnedCell& cell, const JobState& job, const TaskRef& ref) {
-  return YieldsToInterrupted(state, SpecOf(job, ref), ServiceOf(state, job.record),
-                             IsInterrupted(job, ref), state.now - TaskOf(job, ref).waiting_since) &&
-         CountHolds(cell, StepNameOf(job, ref), ref.job, false) == 0;
-}
-
 /// Adds the capacity of a worker to that of its service.
 void AddFree(const OwnedCell& cell, const WorkerState& worker, ServiceLoad& load) {
   const int64_t kept = KeptFrom(cell, StepName(), worker).millicores;
@@ -244,12 +237,21 @@
   const int64_t short_running = worker.reserved.millicores - worker.long_running_millicores;
   const int64_t long_running =
       FreeMillicores(worker) + short_running - KeptForInterrupted(cell, worker).millicores;
-  if (MayKeepForInterrupted(cell)) {
-    load.largest_long_running = std::max(load.largest_long_running, long_running);
-  }
+  load.largest_long_running = std::max(load.largest_long_running, long_running);
   load.free_best_effort += std::max<int64_t>(FreeBestEffort(worker), 0);
 }
 
+/// Adds the demand of the long-running tasks on a worker that will probably be interrupted.
+void AddInterruptedSoon(const OwnedCell& cell, const WorkerState& worker, LoadRecord& record) {
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = cell.jobs.at(ref.job);
+    const StepSpec& spec = SpecOf(job, ref);
+    if (!spec.is_long_running || spec.best_effort || job.cancelled) continue;
+
+    record.services[worker.info.service].waiting_interrupted += spec.need.millicores;
+  }
+}
+
 /// Outcome of a placement round for one job and rank.
 struct JobPlacement {
   int32_t bound = 0;
@@ -284,7 +286,7 @@
       break;
     }
 
-    const bool yields = Yields(state, cell, job, ref);
+    const bool yields = Yields(state, cell, ref);
     WorkerState* worker =
         yields ? nullptr : ChooseWorker(state, cell, RequestFor(state, cell, ref));
 
@@ -324,6 +326,13 @@
   return service == state.service_of_queue.end() ? record.service : service->second;
 }
 
+bool Yields(const State& state, const OwnedCell& cell, const TaskRef& ref) {
+  const JobState& job = cell.jobs.at(ref.job);
+  return YieldsToInterrupted(state, SpecOf(job, ref), ServiceOf(state, job.record),
+                             IsInterrupted(job, ref)) &&
+         CountHolds(cell, StepNameOf(job, ref), ref.job, false) == 0;
+}
+
 StepName StepNameOf(const JobState& job, const TaskRef& ref) {
   const TaskName name = NameOf(job, ref);
   return StepName{name.job, name.occurrence, name.step};
@@ -442,6 +451,7 @@
   LoadRecord record;
 
   for (const auto& [id, worker] : cell.workers) {
+    if (IsLeavingOrSilent(worker)) AddInterruptedSoon(cell, worker, record);
     if (!AcceptsTasks(state, worker)) continue;
 
     ServiceLoad& load = record.services[worker.info.service];
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -66,9 +66,7 @@
     cell.reservations.erase(former);
   }
 
-  if (YieldsToInterrupted(state, request.step, request.service, request.is_interrupted,
-                          request.waited))
-    return 0;
+  if (YieldsToInterrupted(state, request.step, request.service, request.is_interrupted)) return 0;
 
   // Without its hand-over record and its lease this owner could not start the tasks.
   if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return 0;
@@ -99,10 +97,10 @@
 bool KeepWorkerFor(const State& state, OwnedCell& cell, const ReservationRequest& request) {
   if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return false;
 
-  const bool is_overdue = request.step.is_long_running && !request.step.best_effort &&
-                          request.waited >= HoldDelay(request.is_interrupted) &&
-                          !YieldsToInterrupted(state, request.step, request.service,
-                                               request.is_interrupted, request.waited);
+  const bool is_overdue =
+      request.step.is_long_running && !request.step.best_effort &&
+      request.waited >= HoldDelay(request.is_interrupted) &&
+      !YieldsToInterrupted(state, request.step, request.service, request.is_interrupted);
   if (!is_overdue) return false;
 
   const HoldRequest hold{.placement = PlacementOf(request, state.now),
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -28,6 +28,10 @@
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
                   WorkerState& worker);
 
+/// Returns whether a waiting task leaves free capacity to interrupted tasks of any cell. One for
+/// which a worker is kept had its turn already.
+bool Yields(const State& state, const OwnedCell& cell, const TaskRef& ref);
+
 /// Returns the capacity of a service in a cell and what of it is free.
 ServiceLoad CountFree(const State& state, const OwnedCell& cell, const std::string& service);
 
--- a/lib/scheduler/source/room_table.cc
+++ b/lib/scheduler/source/room_table.cc
@@ -12,6 +12,9 @@
 constexpr size_t kMaxImages = 1'000;
 
 RoomRow RowOf(const CellId& cell, const ServiceLoad& load) {
+  int64_t long_running = 0;
+  for (const auto& [image, millicores] : load.long_running_by_image) long_running += millicores;
+
   return RoomRow{.cell = cell,
                  .capacity = load.capacity,
                  .free = load.free,
@@ -21,6 +24,7 @@
                  .free_best_effort = load.free_best_effort,
                  .waiting_best_effort = load.waiting_best_effort,
                  .waiting_interrupted = load.waiting_interrupted,
+                 .long_running = long_running,
                  .sent = {}};
 }
 
@@ -62,7 +66,7 @@
     for (auto& [image, shares] : shares_) shares[number].reset();
   }
 
-  UpdateMaxima();
+  UpdateSums();
 }
 
 void ServiceRooms::Remove(const CellId& cell) {
@@ -71,11 +75,12 @@
 
   rows_.erase(row);
   shares_.clear();
-  UpdateMaxima();
+  UpdateSums();
 }
 
-void ServiceRooms::UpdateMaxima() {
+void ServiceRooms::UpdateSums() {
   maxima_ = {};
+  totals_ = {};
 
   for (const RoomRow& row : rows_) {
     maxima_.free = std::max(maxima_.free, row.free);
@@ -83,7 +88,9 @@
     maxima_.largest_long_running = std::max(maxima_.largest_long_running, row.largest_long_running);
     maxima_.best_effort =
         std::max(maxima_.best_effort, row.free_best_effort - row.waiting_best_effort);
-    maxima_.waiting_interrupted = std::max(maxima_.waiting_interrupted, row.waiting_interrupted);
+    totals_.capacity += row.capacity;
+    totals_.long_running += row.long_running;
+    totals_.waiting_interrupted += row.waiting_interrupted;
   }
 }
 
@@ -105,7 +112,7 @@
   if (row == nullptr) return;
 
   *row = RowOf(cell, load);
-  rooms->second.UpdateMaxima();
+  rooms->second.UpdateSums();
   ClearSentDemand(cell);
 }
 
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -8,9 +8,12 @@
 /// How long a worker is kept without another request for it. A task that is passed on to the cell
 /// arrives in half of it.
 constexpr Millis kHoldTime = Millis(1'500);
-/// Most holds of a cell, as a share of its workers in percent. More would leave too little for the
-/// short tasks that start there meanwhile.
+/// Most holds of a cell for new tasks, as a share of its workers in percent. More would leave too
+/// little for the short tasks that start there meanwhile.
 constexpr int64_t kMaxHoldsPercent = 50;
+/// Share of a service's capacity beside its long-running tasks, in percent, below which it is
+/// scarce: most of what is left are pieces that are too small for further ones.
+constexpr int64_t kScarcePercent = 12;
 
 /// Returns the sum of the matching holds on a worker.
 template <typename Matches>
@@ -116,35 +119,23 @@
   }
 }
 
-/// Returns whether the cell may have one more hold, or one whose place the tasks of the request
-/// take.
+/// Returns whether the cell may have one more hold.
 bool MayAddHold(const OwnedCell& cell, const HoldRequest& request) {
-  return cell.holds.size() < MaxHolds(cell) ||
-         std::ranges::any_of(cell.holds,
-                             [&](const WorkerHold& each) { return TakesPlaceOf(request, each); });
-}
-
-/// Ends a hold whose place the tasks of a request take if the cell has as many as it may have.
-void MakePlace(const State& state, OwnedCell& cell, const HoldRequest& request) {
-  if (cell.holds.size() < MaxHolds(cell)) return;
-
-  const auto hold = std::ranges::find_if(
-      cell.holds, [&](const WorkerHold& each) { return TakesPlaceOf(request, each); });
-  if (hold == cell.holds.end()) return;
-
-  cell.holds.erase(hold);
-  state.counts.holds.Add(HoldEvent::kDisplaced);
+  return request.is_interrupted || cell.holds.size() < MaxHolds(cell);
 }
 
 }  // namespace
 
 bool YieldsToInterrupted(const State& state, const StepSpec& spec, std::string_view service,
-                         bool is_interrupted, Millis waited) {
+                         bool is_interrupted) {
   if (!spec.is_long_running || spec.best_effort || is_interrupted) return false;
-  if (waited >= kMaxYieldTime) return false;
 
   const ServiceRooms* rooms = state.rooms.Find(service);
-  return rooms != nullptr && rooms->Maxima().waiting_interrupted > 0;
+  if (rooms == nullptr || rooms->Totals().waiting_interrupted == 0) return false;
+
+  const RoomTotals& totals = rooms->Totals();
+  const int64_t left = totals.capacity - totals.long_running - totals.waiting_interrupted;
+  return left * 100 < totals.capacity * kScarcePercent;
 }
 
 int32_t KeepWorkers(const State& state, OwnedCell& cell, const HoldRequest& request) {
@@ -175,7 +166,6 @@
     if (worker == nullptr) break;
 
     MakeRoom(state, cell, request, *worker);
-    MakePlace(state, cell, request);
     state.counts.holds.Add(HoldEvent::kGranted);
     cell.holds.push_back(WorkerHold{.name = placement.name,
                                     .job = request.job,
@@ -197,12 +187,6 @@
   }));
 }
 
-bool MayKeepForInterrupted(const OwnedCell& cell) {
-  const auto taken =
-      std::ranges::count_if(cell.holds, [](const WorkerHold& hold) { return hold.is_interrupted; });
-  return static_cast<size_t>(taken) < MaxHolds(cell);
-}
-
 void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
              const VmId& worker) {
   const auto is_for_step = [&](const WorkerHold& hold) {
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -17,14 +17,14 @@
   return is_interrupted ? kInterruptedHoldDelay : kHoldDelay;
 }
 
-/// How long a new long-running task leaves capacity to interrupted ones that wait anywhere, and how
-/// long these count as waiting. They may have requirements that no worker meets.
-inline constexpr Millis kMaxYieldTime = Millis(10'000);
+/// How long new long-running tasks leave capacity to an interrupted one. It may have requirements
+/// that no worker meets.
+inline constexpr Millis kMaxYieldTime = Millis(30'000);
 
 /// Returns whether a long-running task that has never run leaves capacity to interrupted tasks of
-/// its service that wait in any cell.
+/// its service that wait in any cell: not while there is enough for both.
 bool YieldsToInterrupted(const State& state, const StepSpec& spec, std::string_view service,
-                         bool is_interrupted, Millis waited);
+                         bool is_interrupted);
 
 /// Long-running tasks of one step of a job that wait for workers to be kept.
 struct HoldRequest {
@@ -45,9 +45,6 @@
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
                    bool is_interrupted);
 
-/// Returns whether the cell can keep another worker for an interrupted task.
-bool MayKeepForInterrupted(const OwnedCell& cell);
-
 /// Ends a hold for a step of a job once a worker was found for one of the tasks: the hold on that
 /// worker, or else any of them.
 void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
--- a/lib/scheduler/source/worker_orders.cc
+++ b/lib/scheduler/source/worker_orders.cc
@@ -117,12 +117,6 @@
                                   .timeout = kOrderTimeout});
 }
 
-/// Returns whether starts that were not sent to the worker yet should be sent to another worker.
-bool IsClosedToStarts(const WorkerState& worker) {
-  return worker.info.draining || !worker.listed ||
-         worker.failed_polls >= kFailedPollsUntilUnresponsive;
-}
-
 void HandleStartReply(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
                       const StartTask& start, OrderStatus status) {
   const TaskRef ref = RefOf(cell, start.task);
@@ -252,7 +246,7 @@
 }
 
 void RequeueUnsentStarts(State& state, OwnedCell& cell, WorkerState& worker) {
-  const bool all = cell.releasing || IsClosedToStarts(worker);
+  const bool all = cell.releasing || IsLeavingOrSilent(worker);
   std::vector<TaskRef> refs;
 
   for (const TaskRef& ref : worker.tasks) {
--- a/tests/scheduler/room_table_test.cc
+++ b/tests/scheduler/room_table_test.cc
@@ -103,14 +103,15 @@
   EXPECT_EQ(rooms.Maxima().largest_free, 16'000);
   EXPECT_EQ(rooms.Maxima().largest_long_running, 8'000);
   EXPECT_EQ(rooms.Maxima().best_effort, 5'000);
-  EXPECT_EQ(rooms.Maxima().waiting_interrupted, 2'000);
+  EXPECT_EQ(rooms.Totals().waiting_interrupted, 4'000);
 
   RemoveReport(kOtherCell);
   EXPECT_EQ(rooms.Maxima().free, 10'000);
   EXPECT_EQ(rooms.Maxima().largest_free, 4'000);
+  EXPECT_EQ(rooms.Totals().waiting_interrupted, 2'000);
   RemoveReport(kCell);
   EXPECT_EQ(rooms.Maxima().free, 0);
-  EXPECT_EQ(rooms.Maxima().waiting_interrupted, 0);
+  EXPECT_EQ(rooms.Totals().waiting_interrupted, 0);
 }
 
 TEST_F(RoomTableOfEntry, FollowsReplies) {
