Move tasks off leaving workers before new ones start

Callers saw long-running tasks lose their workers, and 5 s of their leases with them, though there was room to move them to while the workers drained. Cause: waiting new tasks had that room reserved in each check, although they yield, and any that found none kept all moves to other cells from being made.

New tasks that yield no longer count.

--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "reservations.h"
 
 /// Moves long-running tasks off a draining worker before it goes away. Runs still there when it
 /// goes are lost, and the cell may have another owner by then.
@@ -88,10 +88,12 @@
   Reservations room(state, cell);
   bool has_unplaced = false;
 
-  // Waiting tasks and tasks that are already being moved get room first.
+  // Waiting tasks and tasks that are already being moved get room first, but not new tasks that
+  // leave it to interrupted ones: the tasks on draining workers are about to be interrupted.
   for (const WaitingKey& key : cell.waiting) {
     const TaskRef& ref = std::get<3>(key);
-    if (IsLongRunning(cell, ref) && !room.Reserve(ref)) has_unplaced = true;
+    if (!IsLongRunning(cell, ref) || Yields(state, cell, ref)) continue;
+    if (!room.Reserve(ref)) has_unplaced = true;
   }
 
   for (const TaskRef& ref : LongRunningOnDraining(cell, TaskPhase::kStopping)) {
--- a/tests/scheduler/scarce_capacity_test.cc
+++ b/tests/scheduler/scarce_capacity_test.cc
@@ -84,6 +84,25 @@
   EXPECT_EQ(Running("long-new"), 2U);
 }
 
+// Guards against a new task that took the room to which a task on a leaving worker could have
+// moved.
+TEST_F(ScarceCapacity, ATaskOnALeavingWorkerMovesBeforeANewTaskStarts) {
+  Fill(kWorkers - 1);
+  Record("long-leaving", 1, kWorkerNeed);
+  ASSERT_EQ(Running("long-leaving"), 1U);
+  const std::string leaving = world_.WorkersOf("long-leaving")[0];
+  world_.DrainWorker(leaving);
+  world_.Run(Millis(1'000));
+  Record("long-new", 1, kWorkerNeed);
+  world_.Cancel("e0", "long-fills0");
+  world_.Run(Millis(2'000));
+
+  const std::vector<std::string> workers = world_.WorkersOf("long-leaving");
+  ASSERT_EQ(workers.size(), 1U);
+  EXPECT_NE(workers[0], leaving);
+  EXPECT_EQ(Running("long-new"), 0U);
+}
+
 // Guards against interrupted tasks that waited until a worker was kept for them, as the cell kept
 // workers for a few tasks at a time.
 TEST_F(ScarceCapacity, WorkersAreKeptForAllInterruptedTasksAtOnce) {
