--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -242,13 +242,14 @@
 }
 
 /// Adds the demand of the long-running tasks on a worker that will probably be interrupted.
-void AddInterruptedSoon(const OwnedCell& cell, const WorkerState& worker, LoadRecord& record) {
+void AddInterruptedSoon(const State& state, const OwnedCell& cell, const WorkerState& worker,
+                        LoadRecord& record) {
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = cell.jobs.at(ref.job);
     const StepSpec& spec = SpecOf(job, ref);
     if (!spec.is_long_running || spec.best_effort || job.cancelled) continue;
 
-    record.services[worker.info.service].waiting_interrupted += spec.need.millicores;
+    record.services[ServiceOf(state, job.record)].waiting_interrupted += spec.need.millicores;
   }
 }
 
@@ -451,7 +452,7 @@
   LoadRecord record;
 
   for (const auto& [id, worker] : cell.workers) {
-    if (IsLeavingOrSilent(worker)) AddInterruptedSoon(cell, worker, record);
+    if (IsLeavingOrSilent(worker)) AddInterruptedSoon(state, cell, worker, record);
     if (!AcceptsTasks(state, worker)) continue;
 
     ServiceLoad& load = record.services[worker.info.service];
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -75,6 +75,7 @@
     if (HasChanged(load.free, old.free, load.capacity)) return true;
     if (HasChanged(load.free_best_effort, old.free_best_effort, load.capacity)) return true;
     if (HasChanged(load.waiting, old.waiting, load.capacity)) return true;
+    if (HasChanged(load.waiting_interrupted, old.waiting_interrupted, load.capacity)) return true;
     if (HasChanged(load.waiting_best_effort, old.waiting_best_effort, load.capacity)) return true;
   }
 
