--- a/lib/scheduler/source/cell_workers.h
+++ b/lib/scheduler/source/cell_workers.h
@@ -120,6 +120,12 @@
          worker.failed_polls >= kFailedPollsUntilUnresponsive;
 }
 
+/// Returns whether this owner may stop tasks to start them on other workers: it must be able to
+/// start tasks.
+inline bool MayMoveTasks(const State& state, const OwnedCell& cell) {
+  return !cell.releasing && HoldsLease(state) && CancelsAreCurrent(state) && cell.hand_over.written;
+}
+
 /// Counts a failure of a worker, and quarantines the worker after several in a row.
 void RecordWorkerFailure(State& state, Effects& effects, WorkerState& worker);
 
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -1,3 +1,4 @@
+#include "cell_workers.h"
 #include "reservations.h"
 
 /// Moves long-running tasks off a draining worker before it goes away. Runs still there when it
@@ -68,9 +69,7 @@
 }  // namespace
 
 void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell) {
-  // A stopped task must be started elsewhere, so this owner must be able to start tasks.
-  const bool can_start = HoldsLease(state) && CancelsAreCurrent(state) && cell.hand_over.written;
-  if (cell.releasing || !can_start) return;
+  if (!MayMoveTasks(state, cell)) return;
 
   const bool any_draining = std::ranges::any_of(cell.workers, [](const auto& row) {
     return row.second.info.draining && row.second.long_running_millicores > 0;
--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -1,5 +1,7 @@
 #include "eviction.h"
 
+#include "cell_workers.h"
+
 namespace currantpost::scheduler {
 namespace {
 
@@ -143,10 +145,8 @@
 }
 
 void EvictForInterrupted(State& state, Effects& effects, OwnedCell& cell) {
-  // A stopped task must be started elsewhere, so this owner must be able to start tasks.
-  const bool can_start = HoldsLease(state) && CancelsAreCurrent(state) && cell.hand_over.written;
-  if (cell.releasing || !can_start) return;
   if (std::ranges::none_of(cell.holds, &WorkerHold::is_interrupted)) return;
+  if (!MayMoveTasks(state, cell)) return;
 
   if (state.now < cell.next_eviction) {
     WakeAt(state, cell.next_eviction);
