--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -30,6 +30,7 @@
   std::map<JobId, uint64_t> versions;
   /// The load report that it contains.
   std::optional<LoadRecord> load;
+  Millis load_counted_at;
 };
 
 /// Handover of the leases of a cell's workers between its successive owners.
@@ -111,10 +112,16 @@
   Resources need;
   VmId worker;
   Millis since;
-  /// The task has run before.
+  /// The task has run before, and since when it is without a run.
+  /// @{
   bool is_interrupted = false;
+  Millis absent_since;
+  /// @}
   /// Priority of the task's queue.
   int32_t priority = 0;
+  /// The cell in which the task waits, if its owner was offered the worker and has not asked for it
+  /// yet.
+  CellId offered_to;
   /// It ends then unless it is asked for again.
   Millis expires_at;
 };
@@ -239,6 +246,7 @@
   Millis next_write;
   /// The last load report that is in the store.
   LoadRecord load;
+  Millis load_counted_at;
   Millis next_load;
   Millis taken_over_at;
   bool releasing = false;
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -131,6 +131,10 @@
   kJobLeft,
   /// The task that it was granted to arrived from another cell.
   kPassedOn,
+  /// It was offered to a task that waits in another cell.
+  kOffered,
+  /// The owner of that cell has refused the offer.
+  kRefused,
 };
 
 inline constexpr EnumNames kHoldEventNames(std::to_array<EnumName<HoldEvent>>({
@@ -141,6 +145,8 @@
     {HoldEvent::kDropped, "dropped"},
     {HoldEvent::kJobLeft, "job_left"},
     {HoldEvent::kPassedOn, "passed_on"},
+    {HoldEvent::kOffered, "offered"},
+    {HoldEvent::kRefused, "refused"},
 }));
 
 /// What a search for capacity visits.
@@ -193,7 +199,7 @@
   CountsBy<CapacityOutcome, CapacityOutcome::kUnanswered> capacity_requests;
   /// Requests of peers that were dropped because their senders no longer waited.
   uint64_t overdue_requests = 0;
-  CountsBy<HoldEvent, HoldEvent::kPassedOn> holds;
+  CountsBy<HoldEvent, HoldEvent::kRefused> holds;
   /// Tasks that were stopped to make room for interrupted long-running ones.
   uint64_t evictions = 0;
   SearchVisits search;
--- a/lib/scheduler/include/currantpost/scheduler/job_spec.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_spec.h
@@ -74,6 +74,15 @@
   auto operator<=>(const TaskName&) const = default;
 };
 
+/// Identifies one step in one occurrence of a job, as the workers know it.
+struct StepName {
+  JobId job;
+  int32_t occurrence = 0;
+  int32_t step = 0;
+
+  auto operator<=>(const StepName&) const = default;
+};
+
 /// Phase of a job, as its caller sees it.
 enum class JobPhase { kQueued, kActive, kCompleted, kFailed, kCancelled };
 
--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -136,6 +136,8 @@
   int32_t kept = 0;
   int32_t declined = 0;
   int32_t unanswered = 0;
+  /// Workers that were offered to the tasks.
+  int32_t offered = 0;
 };
 
 /// A job that this entry runs.
@@ -179,8 +181,17 @@
   struct PendingReservation {
     CellId to;
     Millis expires_at;
+    /// The owner had offered a worker.
+    bool is_offered = false;
   };
   std::optional<PendingReservation> reservation;
+  /// A cell whose owner keeps a worker for an interrupted task of the job, and has not been asked
+  /// for it yet.
+  struct OfferedWorker {
+    CellId cell;
+    Millis expires_at;
+  };
+  std::vector<OfferedWorker> offers;
   /// Consecutive such requests without a reply.
   int32_t unanswered_reservations = 0;
   /// Earliest time of the next search for a cell to ask.
--- a/lib/scheduler/include/currantpost/scheduler/records.h
+++ b/lib/scheduler/include/currantpost/scheduler/records.h
@@ -148,6 +148,26 @@
   bool read_too_long = false;
 };
 
+/// An interrupted long-running task that waits for a worker, in a load report.
+struct InterruptedWait {
+  /// Its step, and the job in which it waits. The job differs from that of the step if the task is
+  /// borrowed.
+  StepName name;
+  JobId job;
+  Resources need;
+  std::string worker_label;
+  int32_t max_per_worker = 0;
+  /// Priority of its queue.
+  int32_t priority = 0;
+  /// How long it had been without a run when this was written.
+  Millis absent;
+
+  bool operator==(const InterruptedWait&) const = default;
+};
+
+/// Maximum number of such tasks that a load report names for a service.
+inline constexpr size_t kMaxReportedWaits = 24;
+
 /// Capacity and load of the workers of one service in one cell, in thousandths of a core.
 struct ServiceLoad {
   int64_t capacity = 0;
@@ -166,6 +186,8 @@
   int64_t waiting_interrupted = 0;
   /// Reservations of long-running tasks, by image.
   std::map<std::string, int64_t> long_running_by_image;
+  /// The interrupted tasks for which the cell keeps no worker, longest absence first.
+  std::vector<InterruptedWait> interrupted_waits;
 
   bool operator==(const ServiceLoad&) const = default;
 };
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -20,16 +19,10 @@
 /// @{
 inline constexpr std::string_view kReservationRequestPrefix = "reservation-request/";
 inline constexpr std::string_view kReservationReplyPrefix = "reservation-reply/";
+inline constexpr std::string_view kOfferRefusalPrefix = "offer-refusal/";
 /// @}
-
-/// Identifies one step in one occurrence of a job, as the workers know it.
-struct StepName {
-  JobId job;
-  int32_t occurrence = 0;
-  int32_t step = 0;
-
-  auto operator<=>(const StepName&) const = default;
-};
+/// The same, followed by the cell in which the task waits.
+inline constexpr std::string_view kCapacityOfferPrefix = "capacity-offer/";
 
 /// Asks the owner of a cell to hold capacity for tasks of a step for a short time.
 struct ReservationRequest {
@@ -45,10 +38,14 @@
   Millis asked_at;
   /// How long the sender waits for the reply, 0 if it is an earlier version.
   Millis reply_timeout;
-  /// How long the tasks have waited.
+  /// How long the tasks have waited without a worker that is kept for them.
   Millis waited;
-  /// They are long-running tasks that have run before.
+  /// They are long-running tasks that have run before, and how long the first one has been without
+  /// a run.
+  /// @{
   bool is_interrupted = false;
+  Millis absent;
+  /// @}
   /// Priority of their queue.
   int32_t priority = 0;
   Address reply_to;
@@ -73,13 +70,33 @@
   int64_t free_best_effort = 0;
 };
 
+/// Tells the owner of a cell that a worker of another one is kept for an interrupted task that
+/// waits there. The task gets it if its owner asks that other cell for capacity.
+struct CapacityOffer {
+  /// The cell of the worker.
+  CellId from;
+  /// The job in which the task waits.
+  JobId job;
+  Address reply_to;
+};
+
+/// Says that the task of an offer doesn't need the worker.
+struct OfferRefusal {
+  CellId waits_in;
+  JobId job;
+};
+
 std::string Encode(const ReservationRequest& request);
 std::string Encode(const ReservationReply& reply);
+std::string Encode(const CapacityOffer& offer);
+std::string Encode(const OfferRefusal& refusal);
 
 /// Each fails with `kMalformed` if the value is not a message of that type.
 /// @{
 Result<ReservationRequest> DecodeReservationRequest(std::string_view value);
 Result<ReservationReply> DecodeReservationReply(std::string_view value);
+Result<CapacityOffer> DecodeCapacityOffer(std::string_view value);
+Result<OfferRefusal> DecodeOfferRefusal(std::string_view value);
 /// @}
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/include/currantpost/scheduler/room_table.h
+++ b/lib/scheduler/include/currantpost/scheduler/room_table.h
@@ -25,6 +25,16 @@
   Millis sent_at;
 };
 
+/// An interrupted task that waits in a cell, by the cell's last report.
+struct ReportedWait {
+  InterruptedWait task;
+  /// Since when it is without a run, by this entry's clock. Later than in truth by the time that
+  /// the report took.
+  Millis absent_since;
+  /// Earliest time of the next offer of a worker.
+  Millis next_offer;
+};
+
 /// What a cell last reported for a service, in thousandths of a core, see `ServiceLoad`.
 struct RoomRow {
   CellId cell;
@@ -38,6 +48,7 @@
   int64_t waiting_interrupted = 0;
   /// Reservations of long-running tasks.
   int64_t long_running = 0;
+  std::vector<ReportedWait> interrupted_waits;
   SentDemand sent;
 
   /// Returns the demand sent to the cell that its report may not contain yet.
@@ -70,6 +81,8 @@
   int64_t capacity = 0;
   int64_t long_running = 0;
   int64_t waiting_interrupted = 0;
+  /// Number of the interrupted tasks that they name.
+  size_t interrupted_waits = 0;
 };
 
 /// The free capacity of all cells for one service.
@@ -90,7 +103,7 @@
   /// Returns the row of a cell, or the place for it.
   [[nodiscard]] std::vector<RoomRow>::iterator LowerBound(const CellId& cell);
   [[nodiscard]] RoomRow* Find(const CellId& cell);
-  void Put(const CellId& cell, const ServiceLoad& load);
+  void Put(const CellId& cell, const ServiceLoad& load, Millis now);
   void Remove(const CellId& cell);
   void UpdateSums();
 
@@ -105,7 +118,7 @@
 class RoomTable {
  public:
   /// Replaces what is known of a cell by its load report.
-  void SetReport(const CellId& cell, const LoadRecord& report);
+  void SetReport(const CellId& cell, const LoadRecord& report, Millis now);
 
   /// Removes a cell that has no load report any more.
   void RemoveReport(const CellId& cell);
@@ -113,9 +126,15 @@
   /// Replaces the free capacity of a cell by what its owner has just replied.
   void SetReply(const CellId& cell, const std::string& service, const ServiceLoad& load);
 
+  /// Offers no worker to the first interrupted task of a job in a cell's report before a time.
+  void DeferOffers(const CellId& cell, const JobId& job, Millis now, Millis until);
+
   /// Counts demand that was sent to a cell, until its next load report or reply.
   void AddSentDemand(const CellId& cell, int64_t reserved, int64_t best_effort, Millis now);
 
+  /// Returns whether some cell reports an interrupted task that waits.
+  [[nodiscard]] bool HasInterruptedWaits() const;
+
   /// Returns the free capacity for a service, or null if no cell has ever reported workers of it.
   [[nodiscard]] const ServiceRooms* Find(std::string_view service) const;
 
--- a/lib/scheduler/source/apply_records.cc
+++ b/lib/scheduler/source/apply_records.cc
@@ -1,5 +1,5 @@
+#include "capacity_offers.h"
 #include "cell_acceptance.h"
-#include "reservations.h"
 
 /// Applies records from any source to the local replica, and messages of peers to the state that
 /// they concern. An older revision than the known one changes nothing.
@@ -112,7 +112,14 @@
 
   state.view.loads[id] = LoadView{*record, item.revision};
   state.view.waiting[id] = record->waiting;
-  state.rooms.SetReport(id, *record);
+  state.rooms.SetReport(id, *record, state.now);
+
+  const bool has_waits = std::ranges::any_of(
+      record->services, [](const auto& row) { return !row.second.interrupted_waits.empty(); });
+  if (!has_waits) return;
+
+  // Capacity that is free here may be for one of them.
+  for (auto& [cell_id, cell] : state.cells) cell.placement_due = true;
 }
 
 /// Adds a new or moved job to its cell if this entry owns it, and removes the job from owned cells
@@ -245,6 +252,8 @@
                                              {kLoadPrefix, ApplyLoad},
                                              {kReservationRequestPrefix, ApplyReservationRequest},
                                              {kReservationReplyPrefix, ApplyReservationReply},
+                                             {kCapacityOfferPrefix, ApplyCapacityOffer},
+                                             {kOfferRefusalPrefix, ApplyOfferRefusal},
                                              {kHandOverQuestionPrefix, ApplyHandOverQuestion},
                                              {kHandOverAnswerPrefix, ApplyHandOverAnswer},
                                              {kTransferOfferPrefix, ApplyTransferOffer},
--- /dev/null
+++ b/lib/scheduler/source/capacity_offers.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "interrupted_order.h"
+
+/// Offers of workers to interrupted tasks that wait in other cells. An owner that has capacity
+/// finds by the load reports which task has been without a run for longest, keeps a worker for it,
+/// and asks the owner of its cell to pass it on. Otherwise the tasks that search most often would
+/// get what becomes free.
+
+namespace currantpost::scheduler {
+
+/// How long the owner of the waiting task may use an offer.
+inline constexpr Millis kOfferUsableTime = Millis(350);
+
+/// An offer of a worker of an owned cell.
+struct OfferedTask {
+  CellId waits_in;
+  JobId job;
+};
+
+/// Keeps a worker of the cell for a task of another cell. Returns the offer to send, or nothing if
+/// no worker can be kept or the task has as many offers of this cell as it needs. `rank` is the
+/// number of the task among those of its step and job, from 1.
+std::optional<OfferedTask> MakeOffer(const State& state, OwnedCell& cell,
+                                     const InterruptedTask& task, int32_t rank);
+
+/// Sends offers to the owners of the cells in which the tasks wait.
+void SendOffers(State& state, Effects& effects, const CellId& from,
+                const std::vector<OfferedTask>& offers);
+
+void ApplyCapacityOffer(State& state, Effects& effects, const CellId& id, const StoreItem& item);
+void ApplyOfferRefusal(State& state, Effects& effects, const CellId& id, const StoreItem& item);
+
+/// Takes the next usable offer to a job for one of its tasks, if there is one.
+std::optional<CellId> TakeOffer(const State& state, JobState& job, bool is_interrupted);
+
+/// Notes that the owner of a cell has been granted what it asked for an interrupted task.
+void NoteServed(State& state, const ReservationRequest& request, const ReservationReply& reply);
+
+}  // namespace currantpost::scheduler
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -346,6 +346,11 @@
 /// before.
 bool IsInterrupted(const JobState& job, const TaskRef& ref);
 
+/// Rank of interrupted tasks, the first one: of the waiting tasks of one priority, long-running
+/// ones are placed first, and of these those that have run before, as somebody relies on them
+/// already.
+inline constexpr int32_t kInterruptedRank = 0;
+
 /// Returns the sort key of a task among the waiting tasks.
 WaitingKey WaitingKeyOf(const JobState& job, const TaskRef& ref);
 
@@ -421,6 +426,8 @@
 
 /// Lends tasks that find no capacity here to a cell with capacity.
 void TryLendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job);
+/// Lets a job search for capacity for its waiting tasks at once.
+void SearchWithoutDelay(const State& state, JobState& job);
 void HandleTasksLent(State& state, Effects& effects, const TasksLent& lent,
                      const StoreReply& reply);
 
--- a/lib/scheduler/source/job_tasks.cc
+++ b/lib/scheduler/source/job_tasks.cc
@@ -5,9 +5,7 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// Ranks of waiting tasks within one priority: long-running ones are placed first, and of these
-/// those that were interrupted, as somebody relies on them already.
-constexpr int32_t kInterruptedRank = 0;
+/// Ranks of the other waiting tasks within one priority, see `kInterruptedRank`.
 constexpr int32_t kLongRunningRank = 1;
 constexpr int32_t kOtherRank = 2;
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -172,8 +172,7 @@
   const std::vector<TaskRef> waiting = WaitingTasksOf(cell, job->second);
   if (waiting.empty() || SpecOf(job->second, waiting.front()).best_effort) return;
 
-  job->second.waits_since = state.now - kLendDelay;
-  job->second.next_search = state.now;
+  SearchWithoutDelay(state, job->second);
 }
 
 /// Lends tasks to the cell that reports most capacity for them. Returns false if there is none.
@@ -225,6 +224,12 @@
   return batch;
 }
 
+void SearchWithoutDelay(const State& state, JobState& job) {
+  const Millis due = state.now - kLendDelay;
+  job.waits_since = std::min(job.waits_since.value_or(due), due);
+  job.next_search = state.now;
+}
+
 void LendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                const std::vector<TaskRef>& tasks, const CellId& to) {
   PrepareLoan(state, effects, cell, job, tasks, to);
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -1,18 +1,18 @@
 #include <limits>
 
+#include "capacity_offers.h"
+#include "cell_load.h"
 #include "cell_workers.h"
 #include "wait_log.h"
 #include "worker_hold.h"
 
-/// Chooses the worker for each waiting task, and reports the load of a cell. Designed for a load in
-/// which long-running tasks hold most of the capacity, short jobs need room at once, and
-/// best-effort tasks use what the others leave unused.
+/// Chooses the worker for each waiting task. Designed for a load in which long-running tasks hold
+/// most of the capacity, short jobs need room at once, and best-effort tasks use what the others
+/// leave unused.
 
 namespace currantpost::scheduler {
 namespace {
 
-/// A worker that has not answered for this long gets no new tasks: two polls have failed by then.
-constexpr Millis kUnresponsiveAfter = Millis(2'600);
 /// Average share of the reserved processor time that long-running tasks use, in percent.
 constexpr int64_t kLongRunningUsePercent = 40;
 /// Minimum time between two placement rounds in a cell: half of the delay of progress writes.
@@ -20,6 +20,8 @@
 /// Maximum number of tasks that one round binds. The rest waits for the next round, so that a large
 /// job does not delay the renewal of the entry's lease.
 constexpr int32_t kMaxBindingsPerRound = 200;
+/// Maximum number of workers that one round offers to tasks of other cells.
+constexpr size_t kMaxOffersPerRound = 8;
 /// Number of tasks of a worker whose start was not sent yet above which the worker gets no more
 /// tasks of a step that has many there. Orders leave one by one, and each event of a worker looks
 /// at all its tasks.
@@ -49,13 +51,6 @@
 constexpr double kFullHeadroom = 0.3;
 constexpr double kHeadroomScore = 100'000.0;
 
-bool AcceptsTasks(const State& state, const WorkerState& worker) {
-  if (!worker.listed || worker.info.draining || !worker.confirmed) return false;
-  if (state.now < worker.quarantined_until) return false;
-
-  return worker.failed_polls == 0 || state.now - worker.answered_at < kUnresponsiveAfter;
-}
-
 /// Returns whether a task fits on a worker beside what is kept for another one.
 bool HasRoom(const WorkerState& worker, const StepSpec& spec, const Resources& kept) {
   const Resources& capacity = worker.info.capacity;
@@ -116,7 +111,7 @@
 std::optional<int64_t> ScoreWorker(const State& state, OwnedCell& cell,
                                    const PlacementRequest& request, WorkerState& worker) {
   const StepSpec& spec = request.spec;
-  if (!HasRoom(worker, spec, KeptFrom(cell, request.name, worker))) return std::nullopt;
+  if (!HasRoom(worker, spec, KeptFrom(cell, request, worker))) return std::nullopt;
   if (!MayUseWorker(state, cell, request, worker)) return std::nullopt;
 
   const int32_t same = CountTasksOfStep(cell, worker, request.name);
@@ -169,13 +164,16 @@
 }
 
 /// Returns the key of the first waiting task of each job and rank in order of placement: by
-/// priority, rank and urgency, then by when the jobs should be done.
+/// priority, rank and urgency, then by when the jobs should be done. Interrupted tasks have an
+/// order of their own.
 std::vector<WaitingKey> JobsByUrgency(const State& state, const OwnedCell& cell) {
   using Rank = std::tuple<int32_t, int32_t, Urgency>;
   std::vector<std::pair<Rank, WaitingKey>> ranked;
 
   for (auto key = cell.waiting.begin(); key != cell.waiting.end();
        key = cell.waiting.upper_bound(EndOfJob(*key))) {
+    if (std::get<1>(*key) == kInterruptedRank) continue;
+
     const JobState& job = cell.jobs.at(std::get<3>(*key).job);
     const Urgency urgency = UrgencyOf(JobObjectiveOf(job.record), state.unix_ms);
     ranked.emplace_back(Rank{std::get<0>(*key), std::get<1>(*key), urgency}, *key);
@@ -188,18 +186,8 @@
   return first_keys;
 }
 
-PlacementRequest RequestFor(const State& state, OwnedCell& cell, const TaskRef& ref) {
-  const JobState& job = cell.jobs.at(ref.job);
-  const TaskState& task = *FindTask(cell, ref);
-  return PlacementRequest{.name = StepNameOf(job, ref),
-                          .spec = SpecOf(job, ref),
-                          .service = ServiceOf(state, job.record),
-                          .avoided_worker = task.avoided_worker,
-                          .ready_at = task.not_before};
-}
-
-/// Keeps workers for the tasks of a step that have found none, if they are long-running and have
-/// waited long. `first` is the first of them.
+/// Keeps workers for the tasks of a step that have found none, if they are long-running ones that
+/// have never run and have waited long. `first` is the first of them.
 void KeepWorkersIfOverdue(const State& state, OwnedCell& cell, const JobState& job,
                           const TaskRef& first) {
   const StepSpec& spec = SpecOf(job, first);
@@ -207,52 +195,25 @@
 
   HoldRequest request{.placement = RequestFor(state, cell, first),
                       .job = first.job,
-                      .is_interrupted = IsInterrupted(job, first),
                       .priority = job.record.priority};
 
   int32_t waiting = 0;
 
   for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
     const bool is_of_step = ref.step == first.step && ref.occurrence == first.occurrence;
-    if (!is_of_step || IsInterrupted(job, ref) != request.is_interrupted) continue;
+    if (!is_of_step || IsInterrupted(job, ref)) continue;
 
     ++waiting;
     const Millis since = TaskOf(job, ref).waiting_since;
-    if (state.now >= since + HoldDelay(request.is_interrupted)) ++request.tasks;
+    if (state.now >= since + HoldDelay(false)) ++request.tasks;
   }
 
   // A task that was passed on to this cell has its hold already.
-  const int32_t held = CountHolds(cell, request.placement.name, first.job, request.is_interrupted);
+  const int32_t held = CountHolds(cell, request.placement.name, first.job, false);
   request.tasks = std::max(request.tasks, std::min(held, waiting));
   if (request.tasks > 0) KeepWorkers(state, cell, request);
 }
 
-/// Adds the capacity of a worker to that of its service.
-void AddFree(const OwnedCell& cell, const WorkerState& worker, ServiceLoad& load) {
-  const int64_t kept = KeptFrom(cell, StepName(), worker).millicores;
-  const int64_t free = std::max<int64_t>(FreeMillicores(worker) - kept, 0);
-  load.capacity += worker.info.capacity.millicores;
-  load.free += free;
-  load.largest_free = std::max(load.largest_free, free);
-  const int64_t short_running = worker.reserved.millicores - worker.long_running_millicores;
-  const int64_t long_running =
-      FreeMillicores(worker) + short_running - KeptForInterrupted(cell, worker).millicores;
-  load.largest_long_running = std::max(load.largest_long_running, long_running);
-  load.free_best_effort += std::max<int64_t>(FreeBestEffort(worker), 0);
-}
-
-/// Adds the demand of the long-running tasks on a worker that will probably be interrupted.
-void AddInterruptedSoon(const State& state, const OwnedCell& cell, const WorkerState& worker,
-                        LoadRecord& record) {
-  for (const TaskRef& ref : worker.tasks) {
-    const JobState& job = cell.jobs.at(ref.job);
-    const StepSpec& spec = SpecOf(job, ref);
-    if (!spec.is_long_running || spec.best_effort || job.cancelled) continue;
-
-    record.services[ServiceOf(state, job.record)].waiting_interrupted += spec.need.millicores;
-  }
-}
-
 /// Outcome of a placement round for one job and rank.
 struct JobPlacement {
   int32_t bound = 0;
@@ -260,6 +221,24 @@
   bool has_unplaced = false;
 };
 
+/// Returns whether a task may be bound to a worker now. Schedules the round in which it may.
+bool IsReady(State& state, OwnedCell& cell, const TaskRef& ref) {
+  const Millis ready_at = FindTask(cell, ref)->not_before;
+  if (state.now >= ready_at) return true;
+
+  cell.placement_due = true;
+  cell.next_placement = std::max(state.now, std::min(cell.next_placement, ready_at));
+  WakeAt(state, ready_at);
+  return false;
+}
+
+void Bind(State& state, Effects& effects, OwnedCell& cell, JobState& job, const TaskRef& ref,
+          WorkerState& worker) {
+  EndHold(state, cell, StepNameOf(job, ref), ref.job, worker.info.id);
+  BindTask(state, cell, job, ref, worker);
+  LogEndOfLongWait(state, effects, job, ref, *FindTask(cell, ref));
+}
+
 /// Binds the waiting tasks of a job and rank to workers, at most `limit`. `key` is that of the
 /// first of them.
 JobPlacement PlaceJob(State& state, Effects& effects, OwnedCell& cell, WaitingKey key,
@@ -272,14 +251,7 @@
        next = cell.waiting.upper_bound(key)) {
     key = *next;
     const TaskRef& ref = std::get<3>(key);
-    const Millis ready_at = FindTask(cell, ref)->not_before;
-
-    if (state.now < ready_at) {
-      cell.placement_due = true;
-      cell.next_placement = std::max(state.now, std::min(cell.next_placement, ready_at));
-      WakeAt(state, ready_at);
-      continue;
-    }
+    if (!IsReady(state, cell, ref)) continue;
 
     if (placement.bound == limit) {
       cell.placement_due = true;
@@ -299,15 +271,91 @@
       continue;
     }
 
-    EndHold(state, cell, StepNameOf(job, ref), ref.job, worker->info.id);
-    BindTask(state, cell, job, ref, *worker);
-    LogEndOfLongWait(state, effects, job, ref, *FindTask(cell, ref));
+    Bind(state, effects, cell, job, ref, *worker);
     ++placement.bound;
   }
 
   return placement;
 }
 
+/// What a placement round has done.
+struct RoundOutcome {
+  int32_t bindings = 0;
+  /// Jobs of which a task was bound, and jobs of which one found no worker.
+  std::set<JobId> bound;
+  std::set<JobId> unplaced;
+  std::vector<OfferedTask> offers;
+};
+
+/// Gives workers of a cell to interrupted tasks, its own and those of other cells, in one order.
+class InterruptedRound {
+ public:
+  InterruptedRound(State& state, Effects& effects, OwnedCell& cell)
+      : state_(state),
+        effects_(effects),
+        cell_(cell),
+        may_offer_(cell.hand_over.written && HoldsLease(state)),
+        tasks_(InterruptedTasksFor(state, cell)) {}
+
+  /// Handles the tasks whose turn is before the other tasks of a priority.
+  void PlaceUpTo(int32_t priority, RoundOutcome& outcome) {
+    for (; next_ < tasks_.size() && tasks_[next_].priority <= priority; ++next_) {
+      const InterruptedTask& task = tasks_[next_];
+
+      if (task.own) {
+        Place(*task.own, outcome);
+      } else if (may_offer_ && outcome.offers.size() < kMaxOffersPerRound) {
+        const InterruptedWait& wait = task.reported->task;
+        const auto offer = MakeOffer(state_, cell_, task, ++seen_[{wait.name, wait.job}]);
+        if (offer) outcome.offers.push_back(*offer);
+      }
+    }
+  }
+
+ private:
+  void Place(const TaskRef& ref, RoundOutcome& outcome) {
+    JobState& job = cell_.jobs.at(ref.job);
+    if (job.move || job.loan || !IsReady(state_, cell_, ref)) return;
+
+    if (outcome.bindings == kMaxBindingsPerRound) {
+      cell_.placement_due = true;
+      WakeAt(state_, cell_.next_placement);
+      return;
+    }
+
+    const PlacementRequest request = RequestFor(state_, cell_, ref);
+    WorkerState* worker = ChooseWorker(state_, cell_, request);
+
+    if (worker != nullptr) {
+      DisplaceHolds(state_, cell_, request, *worker);
+      Bind(state_, effects_, cell_, job, ref, *worker);
+      ++outcome.bindings;
+      outcome.bound.insert(ref.job);
+      return;
+    }
+
+    outcome.unplaced.insert(ref.job);
+    const int32_t rank = ++seen_[{request.name, ref.job}];
+    const bool is_overdue = state_.now >= *request.absent_since + HoldDelay(true);
+    // A task that was passed on to this cell has its hold already.
+    if (!is_overdue && rank > CountHolds(cell_, request.name, ref.job, true)) return;
+
+    KeepWorkers(
+        state_, cell_,
+        HoldRequest{
+            .placement = request, .job = ref.job, .tasks = rank, .priority = job.record.priority});
+  }
+
+  State& state_;
+  Effects& effects_;
+  OwnedCell& cell_;
+  bool may_offer_;
+  std::vector<InterruptedTask> tasks_;
+  size_t next_ = 0;
+  /// Number of the tasks of each step and job that have found no worker so far.
+  std::map<std::pair<StepName, JobId>, int32_t> seen_;
+};
+
 }  // namespace
 
 int64_t FreeMillicores(const WorkerState& worker) {
@@ -339,6 +387,19 @@
   return StepName{name.job, name.occurrence, name.step};
 }
 
+PlacementRequest RequestFor(const State& state, const OwnedCell& cell, const TaskRef& ref) {
+  const JobState& job = cell.jobs.at(ref.job);
+  const TaskState& task = TaskOf(job, ref);
+  const bool is_absent = task.phase == TaskPhase::kWaiting && IsInterrupted(job, ref);
+  return PlacementRequest{
+      .name = StepNameOf(job, ref),
+      .spec = SpecOf(job, ref),
+      .service = ServiceOf(state, job.record),
+      .avoided_worker = task.avoided_worker,
+      .ready_at = task.not_before,
+      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
+}
+
 WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const PlacementRequest& request) {
   WorkerState* best = nullptr;
   int64_t best_score = 0;
@@ -375,7 +436,8 @@
 }
 
 void PlaceTasks(State& state, Effects& effects, OwnedCell& cell) {
-  if (cell.releasing || cell.waiting.empty() || !cell.placement_due) return;
+  if (cell.releasing || !cell.placement_due) return;
+  if (cell.waiting.empty() && !state.rooms.HasInterruptedWaits()) return;
 
   if (state.now < cell.next_placement) {
     WakeAt(state, cell.next_placement);
@@ -385,26 +447,32 @@
   cell.placement_due = false;
   cell.next_placement = state.now + kPlacementInterval;
   CountUnstartedTasks(cell);
-  int32_t left = kMaxBindingsPerRound;
-  std::set<JobId> bound;
-  std::set<JobId> unplaced;
+  DropUselessHolds(state, cell);
+  RoundOutcome outcome;
+  InterruptedRound interrupted(state, effects, cell);
 
   for (const WaitingKey& key : JobsByUrgency(state, cell)) {
     const JobId& id = std::get<3>(key).job;
     JobState& job = cell.jobs.at(id);
+    interrupted.PlaceUpTo(std::get<0>(key), outcome);
     if (job.move || job.loan) continue;
 
-    const JobPlacement placement = PlaceJob(state, effects, cell, key, left);
-    left -= placement.bound;
-    if (placement.bound > 0) bound.insert(id);
-    if (!placement.has_unplaced) continue;
+    const JobPlacement placement =
+        PlaceJob(state, effects, cell, key, kMaxBindingsPerRound - outcome.bindings);
+    outcome.bindings += placement.bound;
+    if (placement.bound > 0) outcome.bound.insert(id);
+    if (placement.has_unplaced) outcome.unplaced.insert(id);
+  }
 
-    unplaced.insert(id);
+  interrupted.PlaceUpTo(std::numeric_limits<int32_t>::max(), outcome);
+  SendOffers(state, effects, cell.cell, outcome.offers);
+
+  for (const JobId& id : outcome.unplaced) {
+    JobState& job = cell.jobs.at(id);
     if (!job.waits_since) job.waits_since = state.now;
   }
-
-  for (const JobId& id : bound) {
-    if (!unplaced.contains(id)) cell.jobs.at(id).waits_since.reset();
+  for (const JobId& id : outcome.bound) {
+    if (!outcome.unplaced.contains(id)) cell.jobs.at(id).waits_since.reset();
   }
 }
 
@@ -422,70 +490,4 @@
   }
 }
 
-PendingJobs CountCellPendingJobs(const State& state, const OwnedCell& cell, KvRevision up_to) {
-  PendingJobs waiting{.up_to = up_to};
-
-  for (const auto& [id, job] : cell.jobs) {
-    const bool immediate = job.record.spec.occurrences == 0 && job.record.parent.Empty();
-    if (!immediate || job.phase != JobPhase::kQueued || job.cancelled) continue;
-
-    const auto view = state.view.jobs.find(id);
-    if (view != state.view.jobs.end() && view->second.revision > up_to) continue;
-
-    ++waiting.by_queue[job.record.queue];
-  }
-
-  return waiting;
-}
-
-ServiceLoad CountFree(const State& state, const OwnedCell& cell, const std::string& service) {
-  ServiceLoad load;
-
-  for (const auto& [id, worker] : cell.workers) {
-    if (worker.info.service == service && AcceptsTasks(state, worker)) AddFree(cell, worker, load);
-  }
-
-  return load;
-}
-
-LoadRecord CountLoad(const State& state, const OwnedCell& cell) {
-  LoadRecord record;
-
-  for (const auto& [id, worker] : cell.workers) {
-    if (IsLeavingOrSilent(worker)) AddInterruptedSoon(state, cell, worker, record);
-    if (!AcceptsTasks(state, worker)) continue;
-
-    ServiceLoad& load = record.services[worker.info.service];
-    AddFree(cell, worker, load);
-
-    for (const TaskRef& ref : worker.tasks) {
-      const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
-      if (spec.is_long_running) load.long_running_by_image[spec.image] += spec.need.millicores;
-    }
-  }
-
-  record.waiting = CountCellPendingJobs(state, cell, state.feeds.at(Feed::kRecords).revision);
-
-  const JobState* job = nullptr;
-  ServiceLoad* load = nullptr;
-
-  // The tasks of one job are adjacent within each rank.
-  for (const WaitingKey& key : cell.waiting) {
-    const TaskRef& ref = std::get<3>(key);
-
-    if (job == nullptr || job->record.spec.job != ref.job) {
-      job = &cell.jobs.at(ref.job);
-      load = &record.services[ServiceOf(state, job->record)];
-    }
-
-    const StepSpec& spec = SpecOf(*job, ref);
-    (spec.best_effort ? load->waiting_best_effort : load->waiting) += spec.need.millicores;
-    const Millis waited = state.now - TaskOf(*job, ref).waiting_since;
-    const bool is_overdue = waited >= kInterruptedHoldDelay && waited < kMaxYieldTime;
-    if (IsInterrupted(*job, ref) && is_overdue) load->waiting_interrupted += spec.need.millicores;
-  }
-
-  return record;
-}
-
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/progress.cc
+++ b/lib/scheduler/source/progress.cc
@@ -29,6 +29,8 @@
 /// A load is also reported again if the largest task that fits has changed by more than this many
 /// thousandths of a core.
 constexpr int64_t kLargestFreeChange = 500;
+/// The same for the time since when a task is without a run.
+constexpr Millis kAbsenceChange = Millis(300);
 
 TaskStatus MarkOf(TaskPhase phase) {
   switch (phase) {
@@ -55,7 +57,17 @@
   return std::abs(left - right) * 100 > capacity * kLoadChangePercent;
 }
 
-bool IsLoadChanged(const OwnedCell& cell, const LoadRecord& present) {
+/// Returns whether other interrupted tasks wait than were reported `age` ago.
+bool HaveWaitsChanged(const std::vector<InterruptedWait>& reported,
+                      const std::vector<InterruptedWait>& present, Millis age) {
+  return !std::ranges::equal(
+      reported, present, [&](const InterruptedWait& before, const InterruptedWait& now) {
+        return before.name == now.name && before.job == now.job &&
+               std::abs((now.absent - before.absent - age).Count()) <= kAbsenceChange.Count();
+      });
+}
+
+bool IsLoadChanged(const OwnedCell& cell, const LoadRecord& present, Millis now) {
   const LoadRecord& reported = cell.load;
   if (reported.services.size() != present.services.size()) return true;
   if (reported.waiting.by_queue != present.waiting.by_queue) return true;
@@ -77,6 +89,8 @@
     if (HasChanged(load.waiting, old.waiting, load.capacity)) return true;
     if (HasChanged(load.waiting_interrupted, old.waiting_interrupted, load.capacity)) return true;
     if (HasChanged(load.waiting_best_effort, old.waiting_best_effort, load.capacity)) return true;
+    if (HaveWaitsChanged(old.interrupted_waits, load.interrupted_waits, now - cell.load_counted_at))
+      return true;
   }
 
   return false;
@@ -219,7 +233,8 @@
 
   if (load_due) {
     LoadRecord load = CountLoad(state, cell);
-    if (IsLoadChanged(cell, load)) cell.write.load = std::move(load);
+    if (IsLoadChanged(cell, load, state.now)) cell.write.load = std::move(load);
+    cell.write.load_counted_at = state.now;
     cell.next_load = state.now + kLoadInterval;
   }
 
@@ -270,7 +285,10 @@
 
   switch (reply.status) {
     case StoreStatus::kOk:
-      if (cell.write.load) cell.load = *std::move(cell.write.load);
+      if (cell.write.load) {
+        cell.load = *std::move(cell.write.load);
+        cell.load_counted_at = cell.write.load_counted_at;
+      }
 
       for (const auto& [job_id, version] : versions) {
         const auto job = cell.jobs.find(job_id);
--- a/lib/scheduler/source/records.cc
+++ b/lib/scheduler/source/records.cc
@@ -318,47 +318,6 @@
   });
 }
 
-std::string Encode(const LoadRecord& record) {
-  Json json = Json::object();
-
-  for (const auto& [service, load] : record.services) {
-    json[service] = Json::array({load.capacity, load.free, load.largest_free, load.free_best_effort,
-                                 load.waiting, load.waiting_best_effort, load.long_running_by_image,
-                                 load.largest_long_running, load.waiting_interrupted});
-  }
-
-  return Dump(Json{{"services", std::move(json)},
-                   {"pending", record.waiting.by_queue},
-                   {"up_to", record.waiting.up_to}});
-}
-
-Result<LoadRecord> DecodeLoad(std::string_view value) {
-  return Decode<LoadRecord>(value, "load record", [](const Json& json) {
-    LoadRecord record;
-
-    record.waiting.by_queue = json.at("pending").get<std::map<std::string, int64_t>>();
-    record.waiting.up_to = json.value("up_to", KvRevision{0});
-
-    for (const auto& [service, row] : json.at("services").items()) {
-      // Earlier versions do not report what fits beside the long-running tasks.
-      const Json& largest_long_running = row.at(row.size() > 7 ? 7 : 2);
-      const int64_t waiting_interrupted = row.size() > 8 ? row.at(8).get<int64_t>() : 0;
-      record.services[service] =
-          ServiceLoad{.capacity = row.at(0).get<int64_t>(),
-                      .free = row.at(1).get<int64_t>(),
-                      .largest_free = row.at(2).get<int64_t>(),
-                      .free_best_effort = row.at(3).get<int64_t>(),
-                      .waiting = row.at(4).get<int64_t>(),
-                      .waiting_best_effort = row.at(5).get<int64_t>(),
-                      .largest_long_running = largest_long_running.get<int64_t>(),
-                      .waiting_interrupted = waiting_interrupted,
-                      .long_running_by_image = row.at(6).get<std::map<std::string, int64_t>>()};
-    }
-
-    return record;
-  });
-}
-
 std::string Encode(const EvidenceRecord& record) {
   Json pairs = Json::array();
 
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -28,6 +28,7 @@
                    {"timeout", request.reply_timeout.Count()},
                    {"waited", request.waited.Count()},
                    {"interrupted", request.is_interrupted},
+                   {"absent", request.absent.Count()},
                    {"priority", request.priority},
                    {"peer", AddressJson(request.reply_to)}});
 }
@@ -46,6 +47,7 @@
                                   .reply_timeout = ReadDurationOr(json, "timeout", Millis(0)),
                                   .waited = Millis(json.value("waited", int64_t{0})),
                                   .is_interrupted = json.value("interrupted", false),
+                                  .absent = ReadDurationOr(json, "absent", Millis(0)),
                                   .priority = ReadIntegerOr(json, "priority", kLastPriority),
                                   .reply_to = AddressOf(json.at("peer"))};
       });
@@ -88,4 +90,29 @@
   });
 }
 
+std::string Encode(const CapacityOffer& offer) {
+  return Dump(Json{{"from", offer.from.Text()},
+                   {"waiting", offer.job.Text()},
+                   {"peer", AddressJson(offer.reply_to)}});
+}
+
+Result<CapacityOffer> DecodeCapacityOffer(std::string_view value) {
+  return Decode<CapacityOffer>(value, "capacity offer", [](const Json& json) {
+    return CapacityOffer{.from = CellId(json.at("from").get<std::string>()),
+                         .job = JobId(json.at("waiting").get<std::string>()),
+                         .reply_to = AddressOf(json.at("peer"))};
+  });
+}
+
+std::string Encode(const OfferRefusal& refusal) {
+  return Dump(Json{{"from", refusal.waits_in.Text()}, {"waiting", refusal.job.Text()}});
+}
+
+Result<OfferRefusal> DecodeOfferRefusal(std::string_view value) {
+  return Decode<OfferRefusal>(value, "refusal of a capacity offer", [](const Json& json) {
+    return OfferRefusal{.waits_in = CellId(json.at("from").get<std::string>()),
+                        .job = JobId(json.at("waiting").get<std::string>())};
+  });
+}
+
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -1,6 +1,8 @@
 #include "reservations.h"
 
 #include "background_work.h"
+#include "capacity_offers.h"
+#include "cell_load.h"
 #include "overdue_request.h"
 #include "owner_contact.h"
 #include "worker_hold.h"
@@ -38,11 +40,13 @@
 constexpr Millis kMaxHoldWait = Millis(5'000);
 
 PlacementRequest PlacementOf(const ReservationRequest& request, Millis now) {
-  return PlacementRequest{.name = request.name,
-                          .spec = request.step,
-                          .service = request.service,
-                          .avoided_worker = VmId(),
-                          .ready_at = now};
+  return PlacementRequest{
+      .name = request.name,
+      .spec = request.step,
+      .service = request.service,
+      .avoided_worker = VmId(),
+      .ready_at = now,
+      .absent_since = request.is_interrupted ? std::optional(now - request.absent) : std::nullopt};
 }
 
 void ReleaseWorkers(OwnedCell& cell, const Reservation& held) {
@@ -78,9 +82,17 @@
   CountUnstartedTasks(cell);
 
   for (int32_t task = 0; task < request.step.task_count; ++task) {
-    WorkerState* worker = ChooseWorker(state, cell, PlacementOf(request, state.now));
+    const PlacementRequest placement = PlacementOf(request, state.now);
+    WorkerState* worker = ChooseWorker(state, cell, placement);
     if (worker == nullptr) break;
 
+    const bool is_kept = CountHolds(cell, request.name, request.job, request.is_interrupted) > 0;
+    if (placement.absent_since && !is_kept &&
+        IsDueToOlderTask(state, cell, *worker, *placement.absent_since))
+      break;
+
+    DisplaceHolds(state, cell, placement, *worker);
+
     AdjustReservedResources(*worker, held.step, 1);
     ++worker->reservations;
     held.workers.push_back(worker->info.id);
@@ -106,12 +118,11 @@
   const HoldRequest hold{.placement = PlacementOf(request, state.now),
                          .job = request.job,
                          .tasks = 1,
-                         .is_interrupted = request.is_interrupted,
                          .priority = request.priority};
   return KeepWorkers(state, cell, hold) > 0;
 }
 
-ReservationReply MakeReply(const State& state, OwnedCell* cell, const ReservationRequest& request) {
+ReservationReply MakeReply(State& state, OwnedCell* cell, const ReservationRequest& request) {
   ReservationReply reply{.from = request.from,
                          .job = request.job,
                          .asked_at = request.asked_at,
@@ -120,6 +131,7 @@
 
   reply.tasks = ReserveCapacity(state, *cell, request);
   reply.keeps = reply.tasks == 0 && KeepWorkerFor(state, *cell, request);
+  NoteServed(state, request, reply);
   const ServiceLoad load = CountFree(state, *cell, request.service);
   reply.free = load.free;
   reply.largest_free = load.largest_free;
@@ -383,6 +395,7 @@
                              .reply_timeout = kReservationTime,
                              .waited = unserved_wait,
                              .is_interrupted = IsInterrupted(job, batch.tasks.front()),
+                             .absent = state.now - TaskOf(job, batch.tasks.front()).waiting_since,
                              .priority = job.record.priority,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = static_cast<int32_t>(batch.tasks.size());
@@ -390,7 +403,9 @@
   // A cell of this entry replies at once. If it declines, the next one is asked in the same turn,
   // so that an entry with several cells asks the other entries too.
   for (size_t asked = 0; asked <= state.cells.size(); ++asked) {
-    const std::optional<CellId> to = ChooseCellToAsk(state, cell, job, batch, unserved_wait);
+    const std::optional<CellId> offering = TakeOffer(state, job, request.is_interrupted);
+    const std::optional<CellId> to =
+        offering ? offering : ChooseCellToAsk(state, cell, job, batch, unserved_wait);
 
     if (!to) {
       if (asked == 0) ++job.search.without_cell;
@@ -400,7 +415,8 @@
     if (batch.spec->best_effort) {
       cell.next_best_effort_request = state.now + kBestEffortRequestInterval;
     }
-    job.reservation = JobState::PendingReservation{*to, state.now + kReplyTimeout};
+    job.reservation =
+        JobState::PendingReservation{*to, state.now + kReplyTimeout, offering.has_value()};
 
     if (!state.cells.contains(*to)) {
       ++job.search.asked_other_cells;
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "internal.h"
 
 /// Reservations of capacity in another cell, and the placement that both sides use.
@@ -15,6 +17,8 @@
   VmId avoided_worker;
   /// When the task became ready to start.
   Millis ready_at;
+  /// Since when it is without a run, if it is an interrupted long-running one.
+  std::optional<Millis> absent_since;
 };
 
 /// Returns the best worker for a task, or null if none has capacity.
@@ -28,13 +32,13 @@
 bool FitsOnWorker(const State& state, OwnedCell& cell, const PlacementRequest& request,
                   WorkerState& worker);
 
+/// Returns what a waiting task asks of a worker.
+PlacementRequest RequestFor(const State& state, const OwnedCell& cell, const TaskRef& ref);
+
 /// Returns whether a waiting task leaves free capacity to interrupted tasks of any cell. One for
 /// which a worker is kept had its turn already.
 bool Yields(const State& state, const OwnedCell& cell, const TaskRef& ref);
 
-/// Returns the capacity of a service in a cell and what of it is free.
-ServiceLoad CountFree(const State& state, const OwnedCell& cell, const std::string& service);
-
 /// Returns the step of a task as the workers know it.
 StepName StepNameOf(const JobState& job, const TaskRef& ref);
 
--- a/lib/scheduler/source/room_table.cc
+++ b/lib/scheduler/source/room_table.cc
@@ -1,6 +1,7 @@
 #include "currantpost/scheduler/room_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace currantpost::scheduler {
 namespace {
@@ -25,9 +26,19 @@
                  .waiting_best_effort = load.waiting_best_effort,
                  .waiting_interrupted = load.waiting_interrupted,
                  .long_running = long_running,
+                 .interrupted_waits = {},
                  .sent = {}};
 }
 
+std::vector<ReportedWait> WaitsOf(const ServiceLoad& load, Millis now) {
+  std::vector<ReportedWait> waits;
+  for (const InterruptedWait& task : load.interrupted_waits) {
+    waits.push_back(
+        ReportedWait{.task = task, .absent_since = now - task.absent, .next_offer = now});
+  }
+  return waits;
+}
+
 }  // namespace
 
 SentDemand RoomRow::UnreportedDemand(Millis now) const {
@@ -54,11 +65,11 @@
   return row == rows_.end() || row->cell != cell ? nullptr : &*row;
 }
 
-void ServiceRooms::Put(const CellId& cell, const ServiceLoad& load) {
-  const auto row = LowerBound(cell);
+void ServiceRooms::Put(const CellId& cell, const ServiceLoad& load, Millis now) {
+  auto row = LowerBound(cell);
 
   if (row == rows_.end() || row->cell != cell) {
-    rows_.insert(row, RowOf(cell, load));
+    row = rows_.insert(row, RowOf(cell, load));
     shares_.clear();
   } else {
     *row = RowOf(cell, load);
@@ -66,6 +77,7 @@
     for (auto& [image, shares] : shares_) shares[number].reset();
   }
 
+  row->interrupted_waits = WaitsOf(load, now);
   UpdateSums();
 }
 
@@ -91,15 +103,16 @@
     totals_.capacity += row.capacity;
     totals_.long_running += row.long_running;
     totals_.waiting_interrupted += row.waiting_interrupted;
+    totals_.interrupted_waits += row.interrupted_waits.size();
   }
 }
 
-void RoomTable::SetReport(const CellId& cell, const LoadRecord& report) {
+void RoomTable::SetReport(const CellId& cell, const LoadRecord& report, Millis now) {
   for (auto& [service, rooms] : services_) {
     if (!report.services.contains(service)) rooms.Remove(cell);
   }
 
-  for (const auto& [service, load] : report.services) services_[service].Put(cell, load);
+  for (const auto& [service, load] : report.services) services_[service].Put(cell, load, now);
 }
 
 void RoomTable::RemoveReport(const CellId& cell) {
@@ -111,11 +124,25 @@
   RoomRow* row = rooms == services_.end() ? nullptr : rooms->second.Find(cell);
   if (row == nullptr) return;
 
+  std::vector<ReportedWait> waits = std::move(row->interrupted_waits);
   *row = RowOf(cell, load);
+  row->interrupted_waits = std::move(waits);
   rooms->second.UpdateSums();
   ClearSentDemand(cell);
 }
 
+void RoomTable::DeferOffers(const CellId& cell, const JobId& job, Millis now, Millis until) {
+  for (auto& [service, rooms] : services_) {
+    RoomRow* row = rooms.Find(cell);
+    if (row == nullptr) continue;
+
+    const auto wait = std::ranges::find_if(row->interrupted_waits, [&](const ReportedWait& each) {
+      return each.task.job == job && each.next_offer <= now;
+    });
+    if (wait != row->interrupted_waits.end()) wait->next_offer = until;
+  }
+}
+
 void RoomTable::AddSentDemand(const CellId& cell, int64_t reserved, int64_t best_effort,
                               Millis now) {
   for (auto& [service, rooms] : services_) {
@@ -135,6 +162,11 @@
   }
 }
 
+bool RoomTable::HasInterruptedWaits() const {
+  return std::ranges::any_of(
+      services_, [](const auto& row) { return row.second.Totals().interrupted_waits > 0; });
+}
+
 const ServiceRooms* RoomTable::Find(std::string_view service) const {
   const auto rooms = services_.find(service);
   return rooms == services_.end() ? nullptr : &rooms->second;
--- a/lib/scheduler/source/run_ends.cc
+++ b/lib/scheduler/source/run_ends.cc
@@ -22,6 +22,18 @@
   FinalizeJobIfDone(state, effects, cell, ref.job);
 }
 
+/// Counts the wait of a long-running task whose run was lost from when the run was last known.
+void CountAbsence(const State& state, const OwnedCell& cell, const StepSpec& spec,
+                  TaskState& task) {
+  if (!spec.is_long_running) return;
+
+  // A run that no poll has listed doesn't end the absence before it.
+  const bool was_seen =
+      task.last_seen_running_at > Millis(0) && task.last_seen_running_at >= task.began;
+  const Millis before = task.waiting_since > Millis(0) ? task.waiting_since : cell.taken_over_at;
+  task.waited_before = state.now - (was_seen ? task.last_seen_running_at : before);
+}
+
 /// Returns whether a run that was treated as lost is still the last one of its task: no later run
 /// was sent to a worker or passed on to another cell.
 bool IsLastStartedRun(const JobState& job, const TaskState& task, Run run) {
@@ -88,6 +100,7 @@
     return;
   }
 
+  if (end == RunEnd::kLeaseExpired) CountAbsence(state, cell, spec, task);
   const Millis delay =
       end == RunEnd::kFailed && !spec.is_long_running ? kFailedRunRetryDelay : Millis(0);
   RequeueTask(state, cell, job, ref, state.now + delay);
@@ -124,8 +137,9 @@
 void HandleLostRun(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref,
                    LossReason reason) {
   JobState& job = cell.jobs.at(ref.job);
-  const TaskState& task = *FindTask(cell, ref);
+  TaskState& task = *FindTask(cell, ref);
   RecordLostRun(state, effects, ref, task.run, task.worker, reason);
+  CountAbsence(state, cell, SpecOf(job, ref), task);
   RequeueTask(state, cell, job, ref, state.now);
   FinalizeJobIfDone(state, effects, cell, ref.job);
 }
--- a/lib/scheduler/source/wait_log.cc
+++ b/lib/scheduler/source/wait_log.cc
@@ -60,6 +60,7 @@
        {"kept", std::to_string(search.kept)},
        {"declined", std::to_string(search.declined)},
        {"unanswered", std::to_string(search.unanswered)},
+       {"offered", std::to_string(search.offered)},
        {"holds",
         std::to_string(CountHolds(cell, StepNameOf(job, ref), ref.job, IsInterrupted(job, ref)))},
        {"holds_of_cell", std::to_string(cell.holds.size())},
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -1,5 +1,6 @@
 #include "worker_hold.h"
 
+#include "cell_load.h"
 #include "eviction.h"
 
 namespace currantpost::scheduler {
@@ -31,10 +32,22 @@
   return HeldOn(cell, worker, [](const WorkerHold&) { return true; });
 }
 
-/// Returns whether the tasks of a request take the place of the task of a hold. Tasks of one kind
-/// don't: a task that was passed on for the hold would wait in vain.
-bool TakesPlaceOf(const HoldRequest& request, const WorkerHold& hold) {
-  return request.is_interrupted && !hold.is_interrupted;
+/// How long a worker is kept for a task of another cell whose owner has not asked for it yet.
+constexpr Millis kOfferTime = Millis(400);
+/// How long a task that needs no worker, or whose owner does not reply, gets no further offer.
+/// Others have their turn, and a report that is on its way may show why.
+constexpr Millis kOfferPause = Millis(600);
+
+/// Returns whether a task takes the place of the task of a hold.
+bool TakesPlaceOf(const PlacementRequest& request, const WorkerHold& hold) {
+  if (!request.absent_since) return false;
+  if (!hold.is_interrupted) return true;
+
+  return hold.name != request.name && *request.absent_since + kOvertakeMargin < hold.absent_since;
+}
+
+bool IsHoldOf(const WorkerHold& hold, const StepName& name, const JobId& job, bool is_interrupted) {
+  return hold.name == name && hold.job == job && hold.is_interrupted == is_interrupted;
 }
 
 /// Returns whether an amount fits on a worker once the short tasks there have ended.
@@ -58,7 +71,7 @@
 /// stopped, as far as tasks of the request may displace them.
 bool FitsWithEviction(const OwnedCell& cell, const WorkerState& worker, const HoldRequest& request,
                       const Resources& amount) {
-  return request.is_interrupted &&
+  return request.placement.absent_since &&
          FitsWithin(amount + worker.reserved,
                     worker.info.capacity + EvictableOn(cell, worker, request.priority));
 }
@@ -66,16 +79,17 @@
 /// Returns the worker that needs fewest short tasks to end, or null. Those come first on which the
 /// short tasks can be stopped.
 WorkerState* ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request) {
-  const StepSpec& spec = request.placement.spec;
+  const PlacementRequest& placement = request.placement;
+  const StepSpec& spec = placement.spec;
   WorkerState* best = nullptr;
   std::pair<bool, int64_t> best_rank;
 
   for (auto& [id, worker] : cell.workers) {
     const Resources held =
-        HeldOn(cell, id, [&](const WorkerHold& hold) { return !TakesPlaceOf(request, hold); });
+        HeldOn(cell, id, [&](const WorkerHold& hold) { return !TakesPlaceOf(placement, hold); });
     // The limit per worker does not count held capacity.
     if (spec.max_per_worker > 0 && held != Resources()) continue;
-    if (!MayUseWorker(state, cell, request.placement, worker)) continue;
+    if (!MayUseWorker(state, cell, placement, worker)) continue;
     if (!FitsBesideLongRunning(cell, worker, held + spec.need)) continue;
 
     const int64_t free =
@@ -103,25 +117,26 @@
   return std::max<size_t>(cell.workers.size() * kMaxHoldsPercent / 100, 1);
 }
 
-/// Ends holds whose place the tasks of a request take, until one of them fits on a worker.
-void MakeRoom(const State& state, OwnedCell& cell, const HoldRequest& request,
-              const WorkerState& worker) {
-  const VmId& id = worker.info.id;
-
-  while (!FitsBesideLongRunning(cell, worker, HeldOn(cell, id) + request.placement.spec.need)) {
-    const auto hold = std::ranges::find_if(cell.holds, [&](const WorkerHold& each) {
-      return each.worker == id && TakesPlaceOf(request, each);
-    });
-    if (hold == cell.holds.end()) return;
-
-    cell.holds.erase(hold);
-    state.counts.holds.Add(HoldEvent::kDisplaced);
-  }
-}
-
 /// Returns whether the cell may have one more hold.
 bool MayAddHold(const OwnedCell& cell, const HoldRequest& request) {
-  return request.is_interrupted || cell.holds.size() < MaxHolds(cell);
+  return request.placement.absent_since || cell.holds.size() < MaxHolds(cell);
+}
+
+/// Keeps a worker for a task until a time.
+WorkerHold& AddHold(const State& state, OwnedCell& cell, const HoldRequest& request,
+                    const WorkerState& worker, Millis expires_at) {
+  const PlacementRequest& placement = request.placement;
+  DisplaceHolds(state, cell, placement, worker);
+  return cell.holds.emplace_back(
+      WorkerHold{.name = placement.name,
+                 .job = request.job,
+                 .need = placement.spec.need,
+                 .worker = worker.info.id,
+                 .since = state.now,
+                 .is_interrupted = placement.absent_since.has_value(),
+                 .absent_since = placement.absent_since.value_or(state.now),
+                 .priority = request.priority,
+                 .expires_at = expires_at});
 }
 
 }  // namespace
@@ -140,24 +155,28 @@
 
 int32_t KeepWorkers(const State& state, OwnedCell& cell, const HoldRequest& request) {
   const PlacementRequest& placement = request.placement;
+  const bool is_interrupted = placement.absent_since.has_value();
   int32_t kept = 0;
 
   for (auto hold = cell.holds.begin(); hold != cell.holds.end();) {
-    const bool is_own = hold->name == placement.name && hold->job == request.job &&
-                        hold->is_interrupted == request.is_interrupted;
-    if (!is_own) {
+    if (!IsHoldOf(*hold, placement.name, request.job, is_interrupted)) {
       ++hold;
       continue;
     }
 
+    // The holds of further interrupted tasks are asked for separately.
+    if (kept == request.tasks && is_interrupted) break;
+
     if (kept == request.tasks || !IsUsable(state, cell, placement, *hold)) {
       hold = cell.holds.erase(hold);
       state.counts.holds.Add(HoldEvent::kDropped);
       continue;
     }
 
-    hold->expires_at = state.now + kHoldTime;
     ++kept;
+    hold->expires_at = state.now + kHoldTime;
+    hold->offered_to = CellId();
+    if (is_interrupted && kept == request.tasks) hold->absent_since = *placement.absent_since;
     ++hold;
   }
 
@@ -165,25 +184,69 @@
     const WorkerState* worker = ChooseWorkerToKeep(state, cell, request);
     if (worker == nullptr) break;
 
-    MakeRoom(state, cell, request, *worker);
     state.counts.holds.Add(HoldEvent::kGranted);
-    cell.holds.push_back(WorkerHold{.name = placement.name,
-                                    .job = request.job,
-                                    .need = placement.spec.need,
-                                    .worker = worker->info.id,
-                                    .since = state.now,
-                                    .is_interrupted = request.is_interrupted,
-                                    .priority = request.priority,
-                                    .expires_at = state.now + kHoldTime});
+    AddHold(state, cell, request, *worker, state.now + kHoldTime);
   }
 
   return kept;
 }
 
+void DeferOffers(State& state, const CellId& waits_in, const JobId& job) {
+  state.rooms.DeferOffers(waits_in, job, state.now, state.now + kOfferPause);
+}
+
+bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
+                       const CellId& offered_to) {
+  const WorkerState* worker = ChooseWorker(state, cell, request.placement);
+  if (worker == nullptr) worker = ChooseWorkerToKeep(state, cell, request);
+  if (worker == nullptr) return false;
+
+  state.counts.holds.Add(HoldEvent::kOffered);
+  AddHold(state, cell, request, *worker, state.now + kOfferTime).offered_to = offered_to;
+  return true;
+}
+
+void DisplaceHolds(const State& state, OwnedCell& cell, const PlacementRequest& request,
+                   const WorkerState& worker) {
+  const VmId& id = worker.info.id;
+
+  while (!FitsBesideLongRunning(cell, worker, HeldOn(cell, id) + request.spec.need)) {
+    const auto hold = std::ranges::find_if(cell.holds, [&](const WorkerHold& each) {
+      return each.worker == id && TakesPlaceOf(request, each);
+    });
+    if (hold == cell.holds.end()) return;
+
+    cell.holds.erase(hold);
+    state.counts.holds.Add(HoldEvent::kDisplaced);
+  }
+}
+
+void DropUselessHolds(const State& state, OwnedCell& cell) {
+  std::map<std::pair<StepName, JobId>, int64_t> held;
+
+  const size_t dropped = std::erase_if(cell.holds, [&](const WorkerHold& hold) {
+    if (!hold.is_interrupted) return false;
+
+    const auto worker = cell.workers.find(hold.worker);
+    if (worker == cell.workers.end() || !AcceptsTasks(state, worker->second)) return true;
+
+    const auto job = cell.jobs.find(hold.job);
+    // The task may still be on its way from another cell.
+    if (job == cell.jobs.end()) return false;
+
+    const auto waiting =
+        std::ranges::count_if(WaitingTasksOf(cell, job->second), [&](const TaskRef& ref) {
+          return StepNameOf(job->second, ref) == hold.name && IsInterrupted(job->second, ref);
+        });
+    return ++held[{hold.name, hold.job}] > waiting;
+  });
+  state.counts.holds.Add(HoldEvent::kDropped, dropped);
+}
+
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
                    bool is_interrupted) {
   return static_cast<int32_t>(std::ranges::count_if(cell.holds, [&](const WorkerHold& hold) {
-    return hold.name == name && hold.job == job && hold.is_interrupted == is_interrupted;
+    return IsHoldOf(hold, name, job, is_interrupted);
   }));
 }
 
@@ -228,8 +291,12 @@
 }
 
 void ExpireHolds(State& state, OwnedCell& cell) {
-  const size_t expired = std::erase_if(
-      cell.holds, [&](const WorkerHold& hold) { return state.now >= hold.expires_at; });
+  const size_t expired = std::erase_if(cell.holds, [&](const WorkerHold& hold) {
+    if (state.now < hold.expires_at) return false;
+
+    if (!hold.offered_to.Empty()) DeferOffers(state, hold.offered_to, hold.job);
+    return true;
+  });
   state.counts.holds.Add(HoldEvent::kExpired, expired);
   if (expired > 0) cell.placement_due = true;
 
@@ -240,8 +307,15 @@
   return HeldOn(cell, worker.info.id, [](const WorkerHold& hold) { return hold.is_interrupted; });
 }
 
-Resources KeptFrom(const OwnedCell& cell, const StepName& name, const WorkerState& worker) {
-  return HeldOn(cell, worker.info.id, [&](const WorkerHold& hold) { return hold.name != name; });
+Resources KeptOn(const OwnedCell& cell, const WorkerState& worker) {
+  return HeldOn(cell, worker.info.id);
+}
+
+Resources KeptFrom(const OwnedCell& cell, const PlacementRequest& request,
+                   const WorkerState& worker) {
+  return HeldOn(cell, worker.info.id, [&](const WorkerHold& hold) {
+    return hold.name != request.name && !TakesPlaceOf(request, hold);
+  });
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -28,23 +28,43 @@
 
 /// Long-running tasks of one step of a job that wait for workers to be kept.
 struct HoldRequest {
+  /// For interrupted tasks, `absent_since` is that of the last one of `tasks`.
   PlacementRequest placement;
   JobId job;
   int32_t tasks = 0;
-  /// They have run before.
-  bool is_interrupted = false;
   /// Priority of their queue.
   int32_t priority = 0;
 };
 
+/// How much longer than another one a task has to be without a run to take a worker that was kept
+/// for that one. Covers the age of load reports.
+inline constexpr Millis kOvertakeMargin = Millis(1'000);
+
 /// Keeps workers for tasks that fit on none now, or goes on keeping them. Interrupted tasks
-/// take the place of new ones. Returns for how many of the tasks a worker is kept.
+/// take the place of new ones, and of those that have had a run since. Returns for how many of the
+/// tasks a worker is kept.
 int32_t KeepWorkers(const State& state, OwnedCell& cell, const HoldRequest& request);
 
 /// Returns for how many interrupted or new tasks of one step of a job a worker is kept.
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
                    bool is_interrupted);
 
+/// Keeps a worker for a while for an interrupted task that waits in another cell, whose owner is
+/// offered it. Returns whether one was found.
+bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
+                       const CellId& offered_to);
+
+/// Offers no worker to a task of another cell for a while.
+void DeferOffers(State& state, const CellId& waits_in, const JobId& job);
+
+/// Ends the holds that a task takes the place of on its worker.
+void DisplaceHolds(const State& state, OwnedCell& cell, const PlacementRequest& request,
+                   const WorkerState& worker);
+
+/// Ends the holds of interrupted tasks on workers that take no tasks any more, and those beyond the
+/// number of tasks that wait in the cell.
+void DropUselessHolds(const State& state, OwnedCell& cell);
+
 /// Ends a hold for a step of a job once a worker was found for one of the tasks: the hold on that
 /// worker, or else any of them.
 void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
@@ -62,7 +82,11 @@
 /// Returns what is kept on a worker for interrupted tasks.
 Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker);
 
-/// Returns what is kept on a worker from the tasks of a step.
-Resources KeptFrom(const OwnedCell& cell, const StepName& name, const WorkerState& worker);
+/// Returns what is kept on a worker for any task.
+Resources KeptOn(const OwnedCell& cell, const WorkerState& worker);
+
+/// Returns what is kept on a worker from a task.
+Resources KeptFrom(const OwnedCell& cell, const PlacementRequest& request,
+                   const WorkerState& worker);
 
 }  // namespace currantpost::scheduler
