Let leases of draining workers end soon after their drain time

Its leases now end 0.65 s after that time, and then 0.65 s after each poll, later where replies are handled late, so that they run out by construction. Before that time they are no shorter than needed to reach it, so runs survive an owner that dies. An owner whose own lease has missed two renewals grants ordinary leases. Leases that were granted before the announcement run out as granted: a departure within 4.8 s of it costs what it did. The bound of the owner stays the latest of all grants, and the removal of the registry entry decides nothing.

A new owner assumed an ordinary lease at each worker that it reached. It now takes what the hand-over says where that is earlier: a bound on all leases of former owners, whether or not the worker answers, for the incarnation that answers first.

--- a/lib/scheduler/include/currantpost/scheduler/worker.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker.h
@@ -32,6 +32,10 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool draining = false;
+  /// Minimum time for which it goes on while it drains, if it says so.
+  std::optional<Millis> drain_remaining;
+  /// When that time ends by this entry's clock, set when the registry entry is applied.
+  Millis drain_ends_at;
 };
 
 /// Starts a run of a task.
--- a/lib/scheduler/include/currantpost/scheduler/worker_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/worker_state.h
@@ -105,6 +105,8 @@
   /// The wait for the expiry of its leases was logged.
   bool wait_logged = false;
   Millis answered_at;
+  /// How long replies take beside the wait at the worker: the longest lately.
+  Millis reply_delay;
   int32_t failed_polls = 0;
   /// By when the last poll should have been answered that failed since the worker's last reply.
   /// Empty too if this entry was away or behind, so that it would have read no reply in time.
--- a/lib/scheduler/source/cell_workers.cc
+++ b/lib/scheduler/source/cell_workers.cc
@@ -22,6 +22,19 @@
 /// Maximum time between two checks of a worker for which nothing has changed.
 constexpr Millis kMaxCheckInterval = Millis(1'000);
 
+/// Longest time that what a worker says of itself is assumed to take until it is read: a heartbeat.
+constexpr Millis kMaxReadDelay = Millis(1'500);
+
+/// Returns the earliest time at which the drain time of a worker may end that has just been read:
+/// it announced that after the copy of the registry was last complete.
+Millis EndOfDrain(const State& state, const WorkerAnnouncement& worker) {
+  const auto registry = state.feeds.find(Feed::kWorkers);
+  const std::optional<Millis> complete_at =
+      registry == state.feeds.end() ? std::nullopt : registry->second.known_at;
+  const Millis announced_at = std::max(complete_at.value_or(Millis(0)), state.now - kMaxReadDelay);
+  return announced_at + worker.drain_remaining.value_or(state.settings.drain_time);
+}
+
 /// Returns whether the state of a worker can be dropped without losing anything.
 bool IsIdle(const WorkerState& worker) {
   const bool recorded =
@@ -167,8 +180,10 @@
   WorkerAnnouncement& known = state.registry[id];
   // An incarnation that drains does so to its end. An older change may arrive after a read.
   const bool drains = known.draining && known.incarnation == item.worker->incarnation;
+  const Millis drain_ends_at = known.drain_ends_at;
   known = *item.worker;
   known.draining = known.draining || drains;
+  if (known.draining) known.drain_ends_at = drains ? drain_ends_at : EndOfDrain(state, known);
 }
 
 void HandleWorkerRead(State& state, Effects& effects, const WorkerRead& read,
@@ -239,7 +254,9 @@
 
     if (began_draining) {
       Log(effects, Severity::kInfo, "worker is draining",
-          {{"worker", worker_id.Text()}, {"tasks", std::to_string(worker.tasks.size())}});
+          {{"worker", worker_id.Text()},
+           {"tasks", std::to_string(worker.tasks.size())},
+           {"remaining_ms", std::to_string((info.drain_ends_at - state.now).Count())}});
     }
 
     cell->second.placement_due = true;
--- a/lib/scheduler/source/poll_schedule.cc
+++ b/lib/scheduler/source/poll_schedule.cc
@@ -18,6 +18,10 @@
 constexpr size_t kMaxFirstPollsInFlight = 2;
 /// What must be left of a lease when the reply to its renewal is due: time for four repeats.
 constexpr Millis kRenewalReserve = Millis(1'500);
+/// The same of the lease of a worker that may leave at any moment: time for two repeats. As much is
+/// added as handling the replies takes, as a multiple of what one takes.
+constexpr Millis kDepartureRenewalReserve = Millis(450);
+constexpr int64_t kReplyDelayFactor = 3;
 /// Minimum wait of a renewal at a worker whose lease cannot be extended any further. Without it,
 /// each reply would be followed by the next poll at once.
 constexpr Millis kMinRenewalWait = Millis(100);
@@ -102,7 +106,12 @@
   // The first renewal is to be confirmed at once.
   if (left <= Millis(0)) return Millis(0);
 
-  return std::max(left - kRenewalReserve, kMinRenewalWait);
+  const Millis reserve =
+      worker.info.draining
+          ? std::min(kDepartureRenewalReserve + worker.reply_delay * kReplyDelayFactor,
+                     kRenewalReserve)
+          : kRenewalReserve;
+  return std::max(left - reserve, kMinRenewalWait);
 }
 
 Millis PauseAfterFailedPoll(const State& state, const OwnedCell& cell, const WorkerState& worker) {
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -15,6 +15,32 @@
 /// half of its time for an answer.
 constexpr Millis kMaxPunctualDelay = kOrderTimeout / 2;
 
+/// Time to live of the leases of a worker that may leave at any moment: its tasks start elsewhere
+/// within a second of a departure. Longer than a poll and two repeats.
+constexpr Millis kDepartureLeaseTtl = Millis(650);
+/// Added to that, as a multiple of the time that replies take: an owner that handles them late
+/// renews late, and its readings of the worker's clock are old.
+constexpr int64_t kReplyDelayFactor = 4;
+
+/// Returns whether the store has confirmed no renewal of this entry's lease for so long that its
+/// cells may soon have other owners, which need time before they renew leases.
+bool MayLoseCells(const State& state) {
+  constexpr Millis kMinLeft = kStoreLeaseTtl - kStoreLeaseRenewalInterval * 2;
+  return state.lease.valid_until - state.now < kMinLeft;
+}
+
+/// Returns the time to live of the leases that a worker gets now. Until the time has passed for
+/// which a draining worker goes on in any case, its leases are as long as those of others, so that
+/// its tasks run on if the owner dies.
+Millis LeaseTtl(const State& state, const WorkerState& worker) {
+  if (!worker.info.draining || MayLoseCells(state)) return kWorkerLeaseTtl;
+
+  const Millis stays = std::max(worker.info.drain_ends_at - state.now, Millis(0));
+  const Millis until_expiry = stays + kDepartureLeaseTtl + worker.reply_delay * kReplyDelayFactor;
+  // The bound on the lease, which is longer by the drift, is to pass soon after a departure.
+  return std::min(until_expiry * 100 / (100 + kClockDriftPercent), kWorkerLeaseTtl);
+}
+
 /// Returns the lowest time that the worker's clock, which may be slow, can show now, in
 /// milliseconds.
 int64_t MinWorkerClock(const State& state, const WorkerState& worker) {
@@ -77,7 +103,7 @@
                                          const WorkerState& worker) {
   if (!worker.clock_ms || !MayRenewLease(cell, worker)) return std::nullopt;
 
-  const Millis longest = std::min(kWorkerLeaseTtl, state.settings.max_worker_lease);
+  const Millis longest = std::min(LeaseTtl(state, worker), state.settings.max_worker_lease);
   const Millis beyond_own_lease =
       IsOutageConfirmed(state, cell) ? kStoreOutageRenewalPeriod : kUnconfirmedRenewalPeriod;
   const Millis horizon = std::min(state.now + longest, state.lease.valid_until + beyond_own_lease);
--- a/lib/scheduler/source/worker_polls.cc
+++ b/lib/scheduler/source/worker_polls.cc
@@ -233,6 +233,13 @@
   worker.clock_sent_at = poll.sent_at;
 }
 
+/// Measures how long the reply to a poll took beside its wait at the worker. Shorter times count
+/// for a quarter.
+void MeasureReplyDelay(const State& state, WorkerState& worker, const PollInFlight& poll) {
+  const Millis delay = std::max(state.now - poll.sent_at - poll.wait, Millis(0));
+  worker.reply_delay = std::max(delay, (worker.reply_delay * 3 + delay) / 4);
+}
+
 /// Requeues tasks that the reply does not list although the poll was sent after their start was
 /// settled.
 void RequeueMissingTasks(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker,
@@ -377,6 +384,7 @@
     LogLeaseState(state, effects, cell, worker, "unresponsive worker answers again");
   }
 
+  MeasureReplyDelay(state, worker, poll);
   worker.unanswered_grant.reset();
   worker.unanswered_at.reset();
   worker.settled_polls = std::max(worker.settled_polls, poll.sequence);
@@ -395,9 +403,12 @@
     // This incarnation now rejects renewals by former owners; the leases that they granted expire
     // within the time to live.
     worker.fenced_incarnation = worker.info.incarnation;
+    // What is known of the former owners' leases holds for the incarnation that answers first.
+    const Millis longest = state.now + MaxLeaseDuration(kWorkerLeaseTtl);
+    const Millis former = worker.contacted ? longest : std::min(worker.lease.inherited, longest);
+    worker.lease.own = std::max(worker.lease.own, former);
     worker.contacted = true;
     worker.lease.inherited = Millis(0);
-    worker.lease.own = std::max(worker.lease.own, state.now + MaxLeaseDuration(kWorkerLeaseTtl));
   }
 
   if (was_silent) PollSilentNeighbours(state, cell);
--- a/tests/platform_adapter/adapter_test.cc
+++ b/tests/platform_adapter/adapter_test.cc
@@ -89,6 +89,22 @@
   EXPECT_FALSE(worker->draining);
 }
 
+TEST(Documents, DecodesHowLongADrainingWorkerGoesOn) {
+  std::string text = kWorker;
+  text.replace(text.find("ready"), std::string("ready").size(), "draining");
+  ASSERT_TRUE(DecodeAnnouncement("i-1", text));
+  EXPECT_EQ(DecodeAnnouncement("i-1", text)->drain_remaining, std::nullopt);
+
+  text.replace(text.find("\"seq\""), 0, "\"drain_remaining_ms\":2900,");
+  const auto worker = DecodeAnnouncement("i-1", text);
+  ASSERT_TRUE(worker);
+  EXPECT_TRUE(worker->draining);
+  EXPECT_EQ(worker->drain_remaining, Millis(2'900));
+
+  text.replace(text.find("2900"), 4, "\"-\"");
+  EXPECT_FALSE(DecodeAnnouncement("i-1", text));
+}
+
 TEST(Documents, RejectsMalformedRegistryEntries) {
   for (const char* text :
        {"", "[]", "{", "null", "\xff\xfe", R"({"service":"s"})",
--- a/tests/scheduler/world.cc
+++ b/tests/scheduler/world.cc
@@ -384,7 +384,7 @@
   RecordDisruption();
   permanently_down_.erase(id);
   worker.Restart(worker.info().incarnation + 1);
-  for (const Action& lose : std::exchange(lose_calls_[id], {})) lose();
+  LoseCalls(id);
   AnnounceIfConnected(id);
 }
 
@@ -411,6 +411,7 @@
   SimWorker& worker = *workers_.at(id);
   worker.Restart(worker.info().incarnation);
   worker.up = false;
+  if (ended_workers_refuse) LoseCalls(id);
   MarkPermanentlyDown(id);
 }
 
--- a/tests/scheduler/world.h
+++ b/tests/scheduler/world.h
@@ -262,6 +262,8 @@
   };
   /// A worker that restarts resets its former connections, so that the calls on them fail at once.
   bool resets_connections = false;
+  /// The same for a worker that ends for good, which refuses further calls.
+  bool ended_workers_refuse = false;
   /// @}
   std::vector<std::string> log;
 
@@ -294,6 +296,7 @@
   [[nodiscard]] Millis LateReplyDelay(const std::string& entry, const StoreBody& body) const;
   [[nodiscard]] Millis StoreDelay(const std::string& entry, const StoreBody& body) const;
   void CallWorker(const std::string& entry, const WorkerCall& call);
+  void LoseCalls(const std::string& worker);
   [[nodiscard]] std::optional<ObservedStart> DescribeStart(const std::string& entry,
                                                            const WorkerCall& call, bool delayed);
   void CallPeer(const std::string& entry, const QueryPeer& query);
--- a/tests/scheduler/world_network.cc
+++ b/tests/scheduler/world_network.cc
@@ -142,6 +142,10 @@
   });
 }
 
+void World::LoseCalls(const std::string& worker) {
+  for (const Action& lose : std::exchange(lose_calls_[worker], {})) lose();
+}
+
 void World::CallWorker(const std::string& entry, const WorkerCall& call) {
   const uint64_t incarnation = incarnation_of_.at(entry);
   const std::string id = call.worker.Text();
@@ -168,7 +172,7 @@
     Deliver(entry, incarnation, WorkerAnswered{request, WorkerReply{}});
   });
 
-  if (resets_connections) {
+  if (resets_connections || ended_workers_refuse) {
     lose_calls_[id].push_back([answer] { answer(WorkerReply{}); });
   }
 
@@ -192,7 +196,11 @@
   ScheduleAt(now_ + kHopDelay + delay + transfer, [this, id, call, answer, lost, worker_incarnation,
                                                    is_connected, start] {
     const auto worker = workers_.find(id);
-    if (worker == workers_.end() || !worker->second->up) return;
+    if (worker == workers_.end()) return;
+    if (!worker->second->up) {
+      if (ended_workers_refuse) answer(WorkerReply{.status = OrderStatus::kUnreachable});
+      return;
+    }
     // Connections to an earlier incarnation are closed.
     const bool same = worker->second->info().incarnation == worker_incarnation;
     if (is_connected && !same) return;
