Ask another cell before a task is stopped on a draining worker

A task on a draining worker was stopped as soon as a load report showed room in another cell. Where two cells saw the same piece one of the tasks lost its run and found none. And a waiting task that fits nowhere kept all tasks on draining workers of its cell from other cells.

A task now runs on until another cell has reserved capacity for it, one of a job at a time, and is then passed on without the delay of lending. A late reply (0.4 s) isn't used. Capacity elsewhere is left to waiting tasks of the own cell that need no more and have the same label, not to any that wait. Tasks of borrowed jobs that could not be lent on are not stopped, nor tasks on workers that don't answer.

Tests: DrainingMoves. TasksMoveToAnotherCellBesideATaskThatFitsNowhere (8 of 8 tasks stayed) and TasksThatGetNoRoomRunOn (2 stopped for one place) failed before. The other six passed before: in simulated time all 8 tasks of a worker move within 3 s where room is in the own cell, in another one of the entry or at another entry.

--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -181,6 +181,15 @@
     Millis expires_at;
   };
   std::optional<PendingReservation> reservation;
+  /// Capacity in another cell for tasks on draining workers, which run until it is held.
+  struct Evacuation {
+    CellId to;
+    /// Until when the reply is awaited, then until when the capacity is held.
+    Millis expires_at;
+    /// Number of tasks for which it is held, 0 before the reply.
+    int32_t held = 0;
+  };
+  std::optional<Evacuation> evacuation;
   /// Consecutive such requests without a reply.
   int32_t unanswered_reservations = 0;
   /// Earliest time of the next search for a cell to ask.
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -1,3 +1,7 @@
+#include <optional>
+#include <utility>
+#include <vector>
+
 #include "cell_workers.h"
 #include "reservations.h"
 
@@ -9,6 +13,9 @@
 
 /// Time between two checks for long-running tasks on draining workers.
 constexpr Millis kEvacuationInterval = Millis(100);
+/// How long the reply to a request for capacity is awaited. What is left of the time for which the
+/// capacity is held is needed to stop the task and to pass it on.
+constexpr Millis kMaxReplyTime = kReservationTime / 2;
 
 bool IsLongRunning(const OwnedCell& cell, const TaskRef& ref) {
   return SpecOf(cell.jobs.at(ref.job), ref).is_long_running;
@@ -49,6 +56,8 @@
 
   for (const auto& [id, worker] : cell.workers) {
     if (!worker.info.draining || !worker.confirmed) continue;
+    // A task on a worker that doesn't answer can't be stopped.
+    if (phase == TaskPhase::kRunning && HasFailedPollsOrNoAddress(worker)) continue;
 
     for (const TaskRef& ref : worker.tasks) {
       if (IsLongRunning(cell, ref) && FindTask(cell, ref)->phase == phase) refs.push_back(ref);
@@ -58,12 +67,64 @@
   return refs;
 }
 
-/// Returns whether another cell has room for a task.
-bool FitsElsewhere(const State& state, const OwnedCell& cell, const TaskRef& ref) {
-  const JobState& job = cell.jobs.at(ref.job);
-  Demand demand;
-  AddDemand(demand, SpecOf(job, ref), 1);
-  return ChooseOtherCell(state, cell.cell, job.record, demand).has_value();
+/// Returns whether a task that waits could use what another one asks for.
+bool CouldUse(const StepSpec& waiting, const StepSpec& spec) {
+  return waiting.worker_label == spec.worker_label && FitsWithin(waiting.need, spec.need);
+}
+
+/// Returns whether another cell may be asked now for capacity for a task of a job.
+bool MayAskForEvacuation(const State& state, OwnedCell& cell, JobState& job) {
+  if (job.evacuation && state.now >= job.evacuation->expires_at) {
+    // The owner did not reply in time.
+    if (job.evacuation->held == 0) {
+      job.declined_until[job.evacuation->to] = state.now + kDeclinedPause;
+    }
+    job.evacuation.reset();
+  }
+
+  if (job.evacuation || job.reservation || job.loan || job.move) return false;
+  // A borrowed job can only be moved as a whole.
+  if (!job.record.parent.Empty() && job.bound > 1) return false;
+
+  return !job.cancelled && !job.attempts_exhausted && WaitingTasksOf(cell, job).empty();
+}
+
+/// Asks another cell for capacity for a task on a draining worker, which runs on meanwhile.
+void AskForEvacuation(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref) {
+  JobState& job = cell.jobs.at(ref.job);
+  if (!MayAskForEvacuation(state, cell, job)) return;
+
+  const StepSpec& spec = SpecOf(job, ref);
+  const std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, spec, 1);
+  if (!to) return;
+
+  ReservationRequest request{.name = StepNameOf(job, ref),
+                             .step = spec,
+                             .service = ServiceOf(state, job.record),
+                             .from = cell.cell,
+                             .job = ref.job,
+                             .asked_at = state.now,
+                             .reply_timeout = kReservationTime,
+                             .is_interrupted = true,
+                             .priority = job.record.priority,
+                             .reply_to = state.settings.peer_address};
+  request.step.task_count = 1;
+  job.evacuation = JobState::Evacuation{.to = *to, .expires_at = state.now + kMaxReplyTime};
+  AskCell(state, effects, *to, request);
+}
+
+/// Stops a task on a draining worker, as there is room for it elsewhere.
+void StopForMove(Effects& effects, OwnedCell& cell, const TaskRef& ref, std::string room) {
+  TaskState& task = *FindTask(cell, ref);
+  WorkerState& worker = cell.workers.at(task.worker);
+  SetStopping(worker, task);
+  worker.needs_update = true;
+  Log(effects, Severity::kInfo, "moving a task off a draining worker",
+      {{"job", ref.job.Text()},
+       {"step", std::to_string(ref.step)},
+       {"task", std::to_string(ref.index)},
+       {"worker", worker.info.id.Text()},
+       {"room", std::move(room)}});
 }
 
 }  // namespace
@@ -85,38 +146,54 @@
   WakeAt(state, cell.next_evacuation);
   CountUnstartedTasks(cell);
   Reservations room(state, cell);
-  bool has_unplaced = false;
+  std::vector<const StepSpec*> unplaced;
+  const auto reserve = [&](const TaskRef& ref) {
+    const JobState& job = cell.jobs.at(ref.job);
+    if (!HasEvacuationRoom(state, job) && !room.Reserve(ref)) unplaced.push_back(&SpecOf(job, ref));
+  };
 
   // Waiting tasks and tasks that are already being moved get room first, but not new tasks that
   // leave it to interrupted ones: the tasks on draining workers are about to be interrupted.
   for (const WaitingKey& key : cell.waiting) {
     const TaskRef& ref = std::get<3>(key);
-    if (!IsLongRunning(cell, ref) || Yields(state, cell, ref)) continue;
-    if (!room.Reserve(ref)) has_unplaced = true;
+    if (IsLongRunning(cell, ref) && !Yields(state, cell, ref)) reserve(ref);
   }
 
-  for (const TaskRef& ref : LongRunningOnDraining(cell, TaskPhase::kStopping)) {
-    if (!room.Reserve(ref)) has_unplaced = true;
-  }
+  std::ranges::for_each(LongRunningOnDraining(cell, TaskPhase::kStopping), reserve);
 
   for (const TaskRef& ref : LongRunningOnDraining(cell, TaskPhase::kRunning)) {
-    const bool here = room.Reserve(ref);
-    if (!here && (has_unplaced || !FitsElsewhere(state, cell, ref))) continue;
-
-    TaskState& task = *FindTask(cell, ref);
-    WorkerState& worker = cell.workers.at(task.worker);
-    SetStopping(worker, task);
-    worker.needs_update = true;
-    // Other cells report their free capacity only twice a second, so at most one task per round
-    // moves to another cell.
-    if (!here) has_unplaced = true;
-    Log(effects, Severity::kInfo, "moving a task off a draining worker",
-        {{"job", ref.job.Text()},
-         {"step", std::to_string(ref.step)},
-         {"task", std::to_string(ref.index)},
-         {"worker", worker.info.id.Text()},
-         {"room", here ? "here" : "in another cell"}});
+    if (room.Reserve(ref)) {
+      StopForMove(effects, cell, ref, "here");
+      continue;
+    }
+
+    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+    const bool is_left_to_others = std::ranges::any_of(
+        unplaced, [&](const StepSpec* waiting) { return CouldUse(*waiting, spec); });
+    if (!is_left_to_others) AskForEvacuation(state, effects, cell, ref);
   }
 }
 
+bool HasEvacuationRoom(const State& state, const JobState& job) {
+  return job.evacuation && job.evacuation->held > 0 && state.now < job.evacuation->expires_at;
+}
+
+void UseEvacuationReply(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                        const ReservationReply& reply) {
+  const std::vector<TaskRef> refs = LongRunningOnDraining(cell, TaskPhase::kRunning);
+  const auto ref = std::ranges::find(refs, job.record.spec.job, &TaskRef::job);
+  const bool stops = job.cancelled || job.attempts_exhausted || !MayMoveTasks(state, cell);
+
+  const bool is_late = state.now > reply.asked_at + kMaxReplyTime;
+
+  if (reply.tasks <= 0 || is_late || stops || ref == refs.end()) {
+    job.evacuation.reset();
+    return;
+  }
+
+  job.evacuation->held = 1;
+  job.evacuation->expires_at = reply.asked_at + kReservationTime;
+  StopForMove(effects, cell, *ref, "in another cell");
+}
+
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -277,16 +277,24 @@
   if (AwaitsReservation(state, effects, job)) return;
   if (!job.waits_since || job.move || cell.write.versions.contains(job.record.spec.job)) return;
 
-  if (state.now < *job.waits_since + kLendDelay) {
+  const bool is_held = HasEvacuationRoom(state, job);
+
+  if (!is_held && state.now < *job.waits_since + kLendDelay) {
     WakeAt(state, *job.waits_since + kLendDelay);
     return;
   }
 
-  if (state.now < job.next_search) return;
+  if (!is_held && state.now < job.next_search) return;
 
   WaitingBatch batch = WaitingTasks(state, cell, job);
   if (batch.tasks.empty() || batch.spec->gang) return;
 
+  if (is_held && IsInterrupted(job, batch.tasks.front())) {
+    const CellId to = job.evacuation->to;
+    job.evacuation.reset();
+    return PassOn(state, effects, cell, job, to, std::move(batch), 1);
+  }
+
   LogLongWait(state, effects, cell, job, batch);
 
   // Best-effort tasks have an interval of their own.
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -13,12 +13,8 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// How long capacity is held for tasks to arrive: a write by a slow store and its delivery.
-constexpr Millis kReservationTime = Millis(800);
 /// Consecutive requests of a job without a reply after which the load reports go first.
 constexpr int32_t kMaxUnansweredRequests = 2;
-/// How long a cell that had no capacity for a job's tasks is not asked again for them.
-constexpr Millis kDeclinedPause = Millis(400);
 /// Interval between requests of a cell to cells that report no capacity. A report is up to half a
 /// second old, so one of them may have some by now.
 constexpr Millis kProbeInterval = Millis(100);
@@ -149,22 +145,6 @@
   state.rooms.SetReply(id, reply.service, service->second);
 }
 
-/// Passes waiting tasks on to a cell that holds capacity for a number of them: the job is moved if
-/// these are all the tasks that it has, otherwise they are lent.
-void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
-            WaitingBatch batch, size_t tasks) {
-  if (batch.tasks.empty()) return;
-
-  const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
-                        batch.tasks.size() == WaitingTasksOf(cell, job).size();
-  if (is_whole) return MoveJob(state, effects, cell, job, to);
-  // Borrowed tasks are not lent again.
-  if (!job.record.parent.Empty()) return;
-
-  if (batch.tasks.size() > tasks) batch.tasks.resize(tasks);
-  LendTasks(state, effects, cell, job, batch.tasks, to);
-}
-
 /// Notes whether a cell had capacity for waiting tasks.
 void RecordReply(State& state, JobState& job, const CellId& to, const StepSpec* spec,
                  int32_t tasks) {
@@ -210,6 +190,12 @@
   if (found == cell->jobs.end()) return;
 
   JobState& job = found->second;
+  const bool for_evacuation = !job.reservation && job.evacuation && job.evacuation->to == to;
+  if (for_evacuation && job.evacuation->held == 0) {
+    RecordReply(state, job, to, nullptr, reply.tasks);
+    return UseEvacuationReply(state, effects, *cell, job, reply);
+  }
+
   const bool is_usable = IsUsable(state, *cell, job, to, reply);
   if (job.reservation && job.reservation->to == to) job.reservation.reset();
   job.unanswered_reservations = 0;
@@ -324,6 +310,27 @@
 
 }  // namespace
 
+void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
+            WaitingBatch batch, size_t tasks) {
+  if (batch.tasks.empty()) return;
+
+  const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
+                        batch.tasks.size() == WaitingTasksOf(cell, job).size();
+  if (is_whole) return MoveJob(state, effects, cell, job, to);
+  // Borrowed tasks are not lent again.
+  if (!job.record.parent.Empty()) return;
+
+  if (batch.tasks.size() > tasks) batch.tasks.resize(tasks);
+  LendTasks(state, effects, cell, job, batch.tasks, to);
+}
+
+void AskCell(State& state, Effects& effects, const CellId& to, const ReservationRequest& request) {
+  if (!state.cells.contains(to)) return SendRequest(state, effects, to, request);
+
+  state.counts.search.Add(SearchVisit::kOwnCell);
+  HandleReply(state, effects, to, MakeReply(state, FindOpenCell(state, to), request));
+}
+
 bool HasUnresponsivePeers(const JobState& job) {
   return job.unanswered_reservations >= kMaxUnansweredRequests;
 }
@@ -401,17 +408,11 @@
       cell.next_best_effort_request = state.now + kBestEffortRequestInterval;
     }
     job.reservation = JobState::PendingReservation{*to, state.now + kReplyTimeout};
+    const bool is_own = state.cells.contains(*to);
+    ++(is_own ? job.search.asked_own_cells : job.search.asked_other_cells);
+    AskCell(state, effects, *to, request);
+    if (!is_own) return true;
 
-    if (!state.cells.contains(*to)) {
-      ++job.search.asked_other_cells;
-      SendRequest(state, effects, *to, request);
-      return true;
-    }
-
-    ++job.search.asked_own_cells;
-    state.counts.search.Add(SearchVisit::kOwnCell);
-    const ReservationReply reply = MakeReply(state, FindOpenCell(state, *to), request);
-    HandleReply(state, effects, *to, reply);
     const bool is_declined = !MayAsk(state, job, *batch.spec, *to);
     if (job.move || job.loan || batch.spec->best_effort || !is_declined) return true;
   }
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -38,6 +38,11 @@
 /// Returns the step of a task as the workers know it.
 StepName StepNameOf(const JobState& job, const TaskRef& ref);
 
+/// How long capacity is held for tasks to arrive: a write by a slow store and its delivery.
+inline constexpr Millis kReservationTime = Millis(800);
+/// How long a cell that had no capacity for a job's tasks is not asked again for them.
+inline constexpr Millis kDeclinedPause = Millis(400);
+
 // In the cell whose tasks wait
 
 /// The waiting tasks of one step of a job.
@@ -57,6 +62,21 @@
 /// Moves a job without bound tasks to another cell.
 void MoveJob(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to);
 
+/// Passes waiting tasks on to a cell that holds capacity for a number of them: the job is moved if
+/// these are all the tasks that it has, otherwise they are lent.
+void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
+            WaitingBatch batch, size_t tasks);
+
+/// Sends a request for capacity to the owner of a cell. A cell of this entry replies at once.
+void AskCell(State& state, Effects& effects, const CellId& to, const ReservationRequest& request);
+
+/// Stops a task on a draining worker for which another cell holds capacity.
+void UseEvacuationReply(State& state, Effects& effects, OwnedCell& cell, JobState& job,
+                        const ReservationReply& reply);
+
+/// Returns whether another cell holds capacity for a task that was on a draining worker.
+bool HasEvacuationRoom(const State& state, const JobState& job);
+
 /// Asks the owner of another cell to reserve capacity for waiting tasks. The tasks are passed on as
 /// far as the reply allows. Returns false if there is no cell to ask now.
 bool RequestCapacity(State& state, Effects& effects, OwnedCell& cell, JobState& job,
