--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -15,12 +15,8 @@
 namespace currantpost::scheduler {
 namespace {
 
-/// How long capacity is held for tasks to arrive: a write by a slow store and its delivery.
-constexpr Millis kReservationTime = Millis(800);
 /// Consecutive requests of a job without a reply after which the load reports go first.
 constexpr int32_t kMaxUnansweredRequests = 2;
-/// How long a cell that had no capacity for a job's tasks is not asked again for them.
-constexpr Millis kDeclinedPause = Millis(400);
 /// Interval between requests of a cell to cells that report no capacity. A report is up to half a
 /// second old, so one of them may have some by now.
 constexpr Millis kProbeInterval = Millis(100);
@@ -39,107 +35,6 @@
 constexpr Millis kMinHoldWait = Millis(2'500);
 constexpr Millis kMaxHoldWait = Millis(5'000);
 
-PlacementRequest PlacementOf(const ReservationRequest& request, Millis now) {
-  return PlacementRequest{
-      .name = request.name,
-      .spec = request.step,
-      .service = request.service,
-      .avoided_worker = VmId(),
-      .ready_at = now,
-      .absent_since = request.is_interrupted ? std::optional(now - request.absent) : std::nullopt};
-}
-
-void ReleaseWorkers(OwnedCell& cell, const Reservation& held) {
-  cell.placement_due = true;
-
-  for (const VmId& id : held.workers) {
-    WorkerState& worker = cell.workers.at(id);
-    AdjustReservedResources(worker, held.step, -1);
-    --worker.reservations;
-  }
-}
-
-/// Reserves capacity for as many of the requested tasks as fit, and returns their number. A former
-/// reservation for the same step of the same job is replaced.
-int32_t ReserveCapacity(const State& state, OwnedCell& cell, const ReservationRequest& request) {
-  const auto key = std::make_pair(request.name, request.job);
-  const auto former = cell.reservations.find(key);
-
-  if (former != cell.reservations.end()) {
-    ReleaseWorkers(cell, former->second);
-    cell.reservations.erase(former);
-  }
-
-  if (YieldsToInterrupted(state, request.step, request.service, request.is_interrupted)) return 0;
-
-  // Without its hand-over record and its lease this owner could not start the tasks.
-  if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return 0;
-
-  // Entered at once, so that the tasks count for each other where their number per worker is
-  // limited.
-  Reservation& held = cell.reservations[key];
-  held = Reservation{.step = request.step, .expires_at = state.now + kReservationTime};
-  CountUnstartedTasks(cell);
-
-  for (int32_t task = 0; task < request.step.task_count; ++task) {
-    const PlacementRequest placement = PlacementOf(request, state.now);
-    WorkerState* worker = ChooseWorker(state, cell, placement);
-    if (worker == nullptr) break;
-
-    const bool is_kept = CountHolds(cell, request.name, request.job, request.is_interrupted) > 0;
-    if (placement.absent_since && !is_kept &&
-        IsDueToOlderTask(state, cell, *worker, *placement.absent_since))
-      break;
-
-    DisplaceHolds(state, cell, placement, *worker);
-
-    AdjustReservedResources(*worker, held.step, 1);
-    ++worker->reservations;
-    held.workers.push_back(worker->info.id);
-  }
-
-  const auto tasks = static_cast<int32_t>(held.workers.size());
-  for (const VmId& worker : held.workers) EndHold(state, cell, request.name, request.job, worker);
-  if (tasks == 0) cell.reservations.erase(key);
-  return tasks;
-}
-
-/// Keeps a worker for one long-running task of another cell that has waited long. Returns whether
-/// one is kept.
-bool KeepWorkerFor(const State& state, OwnedCell& cell, const ReservationRequest& request) {
-  if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return false;
-
-  const bool is_overdue =
-      request.step.is_long_running && !request.step.best_effort &&
-      request.waited >= HoldDelay(request.is_interrupted) &&
-      !YieldsToInterrupted(state, request.step, request.service, request.is_interrupted);
-  if (!is_overdue) return false;
-
-  const HoldRequest hold{.placement = PlacementOf(request, state.now),
-                         .job = request.job,
-                         .tasks = 1,
-                         .priority = request.priority};
-  return KeepWorkers(state, cell, hold) > 0;
-}
-
-ReservationReply MakeReply(State& state, OwnedCell* cell, const ReservationRequest& request) {
-  ReservationReply reply{.from = request.from,
-                         .job = request.job,
-                         .asked_at = request.asked_at,
-                         .service = request.service};
-  if (cell == nullptr) return reply;
-
-  reply.tasks = ReserveCapacity(state, *cell, request);
-  reply.keeps = reply.tasks == 0 && KeepWorkerFor(state, *cell, request);
-  NoteServed(state, request, reply);
-  const ServiceLoad load = CountFree(state, *cell, request.service);
-  reply.free = load.free;
-  reply.largest_free = load.largest_free;
-  reply.largest_long_running = load.largest_long_running;
-  reply.free_best_effort = load.free_best_effort;
-  return reply;
-}
-
 CapacityOutcome OutcomeOf(const ReservationReply& reply) {
   if (reply.tasks > 0) return CapacityOutcome::kGranted;
   return reply.keeps ? CapacityOutcome::kWorkerKept : CapacityOutcome::kDeclined;
@@ -161,22 +56,6 @@
   state.rooms.SetReply(id, reply.service, service->second);
 }
 
-/// Passes waiting tasks on to a cell that holds capacity for a number of them: the job is moved if
-/// these are all the tasks that it has, otherwise they are lent.
-void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
-            WaitingBatch batch, size_t tasks) {
-  if (batch.tasks.empty()) return;
-
-  const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
-                        batch.tasks.size() == WaitingTasksOf(cell, job).size();
-  if (is_whole) return MoveJob(state, effects, cell, job, to);
-  // Borrowed tasks are not lent again.
-  if (!job.record.parent.Empty()) return;
-
-  if (batch.tasks.size() > tasks) batch.tasks.resize(tasks);
-  LendTasks(state, effects, cell, job, batch.tasks, to);
-}
-
 /// Notes whether a cell had capacity for waiting tasks.
 void RecordReply(State& state, JobState& job, const CellId& to, const StepSpec* spec,
                  int32_t tasks) {
@@ -222,6 +101,12 @@
   if (found == cell->jobs.end()) return;
 
   JobState& job = found->second;
+  const bool for_evacuation = !job.reservation && job.evacuation && job.evacuation->to == to;
+  if (for_evacuation && job.evacuation->held == 0) {
+    RecordReply(state, job, to, nullptr, reply.tasks);
+    return UseEvacuationReply(state, effects, *cell, job, reply);
+  }
+
   const bool is_usable = IsUsable(state, *cell, job, to, reply);
   if (job.reservation && job.reservation->to == to) job.reservation.reset();
   job.unanswered_reservations = 0;
@@ -336,6 +221,27 @@
 
 }  // namespace
 
+void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
+            WaitingBatch batch, size_t tasks) {
+  if (batch.tasks.empty()) return;
+
+  const bool is_whole = job.bound == 0 && job.lent == 0 && batch.tasks.size() <= tasks &&
+                        batch.tasks.size() == WaitingTasksOf(cell, job).size();
+  if (is_whole) return MoveJob(state, effects, cell, job, to);
+  // Borrowed tasks are not lent again.
+  if (!job.record.parent.Empty()) return;
+
+  if (batch.tasks.size() > tasks) batch.tasks.resize(tasks);
+  LendTasks(state, effects, cell, job, batch.tasks, to);
+}
+
+void AskCell(State& state, Effects& effects, const CellId& to, const ReservationRequest& request) {
+  if (!state.cells.contains(to)) return SendRequest(state, effects, to, request);
+
+  state.counts.search.Add(SearchVisit::kOwnCell);
+  HandleReply(state, effects, to, MakeReply(state, FindOpenCell(state, to), request));
+}
+
 bool HasUnresponsivePeers(const JobState& job) {
   return job.unanswered_reservations >= kMaxUnansweredRequests;
 }
@@ -417,17 +323,11 @@
     }
     job.reservation =
         JobState::PendingReservation{*to, state.now + kReplyTimeout, offering.has_value()};
+    const bool is_own = state.cells.contains(*to);
+    ++(is_own ? job.search.asked_own_cells : job.search.asked_other_cells);
+    AskCell(state, effects, *to, request);
+    if (!is_own) return true;
 
-    if (!state.cells.contains(*to)) {
-      ++job.search.asked_other_cells;
-      SendRequest(state, effects, *to, request);
-      return true;
-    }
-
-    ++job.search.asked_own_cells;
-    state.counts.search.Add(SearchVisit::kOwnCell);
-    const ReservationReply reply = MakeReply(state, FindOpenCell(state, *to), request);
-    HandleReply(state, effects, *to, reply);
     const bool is_declined = !MayAsk(state, job, *batch.spec, *to);
     if (job.move || job.loan || batch.spec->best_effort || !is_declined) return true;
   }
@@ -453,61 +353,4 @@
   if (job != cell->jobs.end()) TryLendTasks(state, effects, *cell, job->second);
 }
 
-void ApplyReservationRequest(State& state, Effects& effects, const CellId& id,
-                             const StoreItem& item) {
-  const Result<ReservationRequest> request = DecodeReservationRequest(item.value);
-  if (!request) return LogUnreadable(effects, item, request.error());
-
-  if (IsOverdue(state, request->reply_timeout)) return;
-
-  const ReservationReply reply = MakeReply(state, FindOpenCell(state, id), *request);
-  PushMessage(effects, request->reply_to, kReservationReplyPrefix, id.Text(), Encode(reply));
-}
-
-void ClaimReservations(State& state, OwnedCell& cell, JobState& job) {
-  const JobId root = job.record.parent.Empty() ? job.record.spec.job : job.record.parent;
-  auto row = cell.reservations.lower_bound({StepName{.job = root}, JobId()});
-
-  while (row != cell.reservations.end() && row->first.first.job == root) {
-    const auto [name, asker] = row->first;
-
-    // A lent task was asked for by its job, a moved one by the borrowed job itself.
-    if (asker != job.record.spec.job && asker != job.record.parent) {
-      ++row;
-      continue;
-    }
-
-    const Reservation held = std::move(row->second);
-    row = cell.reservations.erase(row);
-    ReleaseWorkers(cell, held);
-    auto reserved = held.workers.begin();
-
-    for (const TaskRef& ref : WaitingTasksOf(cell, job)) {
-      if (reserved == held.workers.end()) break;
-      if (StepNameOf(job, ref) != name || FindTask(cell, ref)->not_before > state.now) continue;
-
-      WorkerState& worker = cell.workers.at(*reserved++);
-      const PlacementRequest request{.name = name,
-                                     .spec = SpecOf(job, ref),
-                                     .service = ServiceOf(state, job.record),
-                                     .avoided_worker = VmId(),
-                                     .ready_at = state.now};
-      if (FitsOnWorker(state, cell, request, worker)) BindTask(state, cell, job, ref, worker);
-    }
-  }
-}
-
-void ExpireReservations(State& state, OwnedCell& cell) {
-  for (auto row = cell.reservations.begin(); row != cell.reservations.end();) {
-    if (state.now < row->second.expires_at) {
-      WakeAt(state, row->second.expires_at);
-      ++row;
-      continue;
-    }
-
-    ReleaseWorkers(cell, row->second);
-    row = cell.reservations.erase(row);
-  }
-}
-
 }  // namespace currantpost::scheduler
