Keep a task's place in the order through refused starts, late offers and priorities

What callers would have seen, found by a fresh reader of the change, by reading: a task that had been away for long became the youngest of the fleet when its next start was refused or its worker began to drain; capacity stayed unused while offers went to owners that can't reply; an old task of a less urgent queue took the hold of an urgent one.

- The absence goes on until a poll has listed a run.
- An owner that handles an offer late refuses it, one that doesn't reply is paused like one that leaves a request without a reply, and a new report doesn't end the pause of a task.
- Priorities come first in holds and requests as in placement rounds.
- A request isn't declined for a task that can't start or has a worker here already; a task's own hold ends before others are displaced for it.
- The jump over other ranks can't overflow with the largest priority number.
- A request of a build without `absent` counts with its wait.
- A draining worker gets ordinary leases while its cell is being passed on.
- A reply for a task on a draining worker has to answer that request.

Tests: the audit's exception for unanswered starts now holds at lost workers only.

--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -199,6 +199,7 @@
     Millis expires_at;
     /// Number of tasks for which it is held, 0 before the reply.
     int32_t held = 0;
+    Millis asked_at;
   };
   std::optional<Evacuation> evacuation;
   /// Consecutive such requests without a reply.
--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -1,6 +1,7 @@
 #include "capacity_offers.h"
 
 #include "overdue_request.h"
+#include "owner_contact.h"
 #include "worker_hold.h"
 
 namespace currantpost::scheduler {
@@ -88,6 +89,7 @@
                                                           .service = *task.service,
                                                           .avoided_worker = VmId(),
                                                           .ready_at = state.now,
+                                                          .priority = wait.priority,
                                                           .absent_since = task.absent_since},
                             .job = wait.job,
                             .tasks = 1,
@@ -117,7 +119,7 @@
   const Result<CapacityOffer> offer = DecodeCapacityOffer(item.value);
   if (!offer) return LogUnreadable(effects, item, offer.error());
 
-  if (IsOverdue(state, kOfferUsableTime) || AcceptOffer(state, effects, id, *offer)) return;
+  if (!IsOverdue(state, kOfferUsableTime) && AcceptOffer(state, effects, id, *offer)) return;
 
   PushMessage(effects, offer->reply_to, kOfferRefusalPrefix, offer->from.Text(),
               Encode(OfferRefusal{id, offer->job}));
@@ -127,6 +129,7 @@
   const Result<OfferRefusal> refusal = DecodeOfferRefusal(item.value);
   if (!refusal) return LogUnreadable(effects, item, refusal.error());
 
+  NoteOwnerReplied(state, refusal->waits_in, Millis(0));
   HandleRefusal(state, id, *refusal);
 }
 
--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -429,6 +429,10 @@
   if (job.cancelled || job.attempts_exhausted) return;
 
   TaskState& task = *FindTask(cell, ref);
+  const bool still_waits = SpecOf(job, ref).is_long_running && !WasListed(task) &&
+                           task.waiting_since > Millis(0) && task.waited_before == Millis(0);
+  if (still_waits) task.waited_before = state.now - task.waiting_since;
+
   task.not_before = not_before;
   SetWaiting(state, cell, job, ref, task);
 }
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -109,7 +109,8 @@
                              .priority = job.record.priority,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = 1;
-  job.evacuation = JobState::Evacuation{.to = *to, .expires_at = state.now + kMaxReplyTime};
+  job.evacuation = JobState::Evacuation{
+      .to = *to, .expires_at = state.now + kMaxReplyTime, .asked_at = state.now};
   AskCell(state, effects, *to, request);
 }
 
--- a/lib/scheduler/source/granted_reservations.cc
+++ b/lib/scheduler/source/granted_reservations.cc
@@ -17,6 +17,7 @@
       .service = request.service,
       .avoided_worker = VmId(),
       .ready_at = now,
+      .priority = request.priority,
       .absent_since = request.is_interrupted ? std::optional(now - request.absent) : std::nullopt};
 }
 
@@ -58,19 +59,18 @@
     if (worker == nullptr) break;
 
     const bool is_kept = CountHolds(cell, request.name, request.job, request.is_interrupted) > 0;
-    if (placement.absent_since && !is_kept &&
-        IsDueToOlderTask(state, cell, *worker, *placement.absent_since))
+    if (placement.absent_since && !is_kept && IsDueToOlderTask(state, cell, *worker, placement)) {
       break;
+    }
 
+    EndHold(state, cell, request.name, request.job, worker->info.id);
     DisplaceHolds(state, cell, placement, *worker);
-
     AdjustReservedResources(*worker, held.step, 1);
     ++worker->reservations;
     held.workers.push_back(worker->info.id);
   }
 
   const auto tasks = static_cast<int32_t>(held.workers.size());
-  for (const VmId& worker : held.workers) EndHold(state, cell, request.name, request.job, worker);
   if (tasks == 0) cell.reservations.erase(key);
   return tasks;
 }
@@ -147,11 +147,15 @@
       if (StepNameOf(job, ref) != name || FindTask(cell, ref)->not_before > state.now) continue;
 
       WorkerState& worker = cell.workers.at(*reserved++);
-      const PlacementRequest request{.name = name,
-                                     .spec = SpecOf(job, ref),
-                                     .service = ServiceOf(state, job.record),
-                                     .avoided_worker = VmId(),
-                                     .ready_at = state.now};
+      const PlacementRequest request{
+          .name = name,
+          .spec = SpecOf(job, ref),
+          .service = ServiceOf(state, job.record),
+          .avoided_worker = VmId(),
+          .ready_at = state.now,
+          .priority = job.record.priority,
+          .absent_since = IsInterrupted(job, ref) ? std::optional(TaskOf(job, ref).waiting_since)
+                                                  : std::nullopt};
       if (FitsOnWorker(state, cell, request, worker)) BindTask(state, cell, job, ref, worker);
     }
   }
--- a/lib/scheduler/source/internal.h
+++ b/lib/scheduler/source/internal.h
@@ -342,6 +342,11 @@
 /// Returns the state of a task of the job.
 const TaskState& TaskOf(const JobState& job, const TaskRef& ref);
 
+/// Returns whether a poll has listed the last run of a task as running.
+inline bool WasListed(const TaskState& task) {
+  return task.last_seen_running_at > Millis(0) && task.last_seen_running_at >= task.began;
+}
+
 /// Returns whether a waiting task is a long-running one, not a best-effort one, that has run
 /// before.
 bool IsInterrupted(const JobState& job, const TaskRef& ref);
--- a/lib/scheduler/source/interrupted_order.cc
+++ b/lib/scheduler/source/interrupted_order.cc
@@ -3,6 +3,7 @@
 #include <limits>
 #include <tuple>
 
+#include "cell_load.h"
 #include "owner_contact.h"
 #include "worker_hold.h"
 
@@ -40,10 +41,12 @@
 /// Returns the largest long-running task that may fit on a worker of each service of a cell, in
 /// thousandths of a core.
 std::map<std::string_view, std::pair<const std::string*, int64_t>> LargestByService(
-    const OwnedCell& cell) {
+    const State& state, const OwnedCell& cell) {
   std::map<std::string_view, std::pair<const std::string*, int64_t>> largest;
 
   for (const auto& [id, worker] : cell.workers) {
+    if (!AcceptsTasks(state, worker)) continue;
+
     auto& [service, millicores] = largest[worker.info.service];
     service = &worker.info.service;
     millicores =
@@ -63,8 +66,8 @@
 
     if (rank != kInterruptedRank) {
       // The next priority.
-      key = cell.waiting.lower_bound(WaitingKey{priority + 1, kInterruptedRank,
-                                                std::numeric_limits<int64_t>::min(), TaskRef()});
+      key = cell.waiting.upper_bound(WaitingKey{priority, std::numeric_limits<int32_t>::max(),
+                                                std::numeric_limits<int64_t>::max(), TaskRef()});
       continue;
     }
 
@@ -89,7 +92,7 @@
                                     .own = ref});
   }
 
-  for (const auto& [name, row] : LargestByService(cell)) {
+  for (const auto& [name, row] : LargestByService(state, cell)) {
     const auto& [service, largest] = row;
     AddReported(state, cell, *service, largest, tasks);
   }
@@ -108,21 +111,33 @@
 }
 
 bool IsDueToOlderTask(const State& state, OwnedCell& cell, WorkerState& worker,
-                      Millis absent_since) {
-  const Millis older = absent_since - kOvertakeMargin;
+                      const PlacementRequest& request) {
+  const Millis older = *request.absent_since - kOvertakeMargin;
 
   return std::ranges::any_of(InterruptedTasksFor(state, cell), [&](const InterruptedTask& task) {
-    if (task.absent_since >= older) return false;
-    if (task.own) return FitsOnWorker(state, cell, RequestFor(state, cell, *task.own), worker);
-
-    const StepSpec spec = SpecOfReported(task.reported->task);
-    const PlacementRequest request{.name = task.reported->task.name,
-                                   .spec = spec,
-                                   .service = *task.service,
-                                   .avoided_worker = VmId(),
-                                   .ready_at = state.now,
-                                   .absent_since = task.absent_since};
-    return FitsOnWorker(state, cell, request, worker);
+    if (task.priority > request.priority) return false;
+    if (task.priority == request.priority && task.absent_since >= older) return false;
+
+    if (task.own) {
+      const JobState& job = cell.jobs.at(task.own->job);
+      const bool may_start =
+          !job.move && !job.loan && TaskOf(job, *task.own).not_before <= state.now;
+      return may_start && FitsOnWorker(state, cell, RequestFor(state, cell, *task.own), worker);
+    }
+
+    const InterruptedWait& wait = task.reported->task;
+    // It has a worker of this cell already.
+    if (CountHolds(cell, wait.name, wait.job, true) > 0) return false;
+
+    const StepSpec spec = SpecOfReported(wait);
+    const PlacementRequest other{.name = wait.name,
+                                 .spec = spec,
+                                 .service = *task.service,
+                                 .avoided_worker = VmId(),
+                                 .ready_at = state.now,
+                                 .priority = wait.priority,
+                                 .absent_since = task.absent_since};
+    return FitsOnWorker(state, cell, other, worker);
   });
 }
 
--- a/lib/scheduler/source/interrupted_order.h
+++ b/lib/scheduler/source/interrupted_order.h
@@ -33,10 +33,10 @@
 /// Returns the requirements of a task that another cell has reported.
 StepSpec SpecOfReported(const InterruptedWait& task);
 
-/// Returns whether a worker is to be left to another interrupted task, which fits on it and has
-/// been without a run for clearly longer than since the given time.
+/// Returns whether a worker is to be left to another interrupted task, which fits on it and comes
+/// clearly before the one of a request.
 bool IsDueToOlderTask(const State& state, OwnedCell& cell, WorkerState& worker,
-                      Millis absent_since);
+                      const PlacementRequest& request);
 
 /// Returns the interrupted tasks of a cell that no worker is kept for, as its load report names
 /// them for each service.
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -234,7 +234,9 @@
 
 void Bind(State& state, Effects& effects, OwnedCell& cell, JobState& job, const TaskRef& ref,
           WorkerState& worker) {
-  EndHold(state, cell, StepNameOf(job, ref), ref.job, worker.info.id);
+  const PlacementRequest request = RequestFor(state, cell, ref);
+  EndHold(state, cell, request.name, ref.job, worker.info.id);
+  DisplaceHolds(state, cell, request, worker);
   BindTask(state, cell, job, ref, worker);
   LogEndOfLongWait(state, effects, job, ref, *FindTask(cell, ref));
 }
@@ -327,7 +329,6 @@
     WorkerState* worker = ChooseWorker(state_, cell_, request);
 
     if (worker != nullptr) {
-      DisplaceHolds(state_, cell_, request, *worker);
       Bind(state_, effects_, cell_, job, ref, *worker);
       ++outcome.bindings;
       outcome.bound.insert(ref.job);
@@ -397,6 +398,7 @@
       .service = ServiceOf(state, job.record),
       .avoided_worker = task.avoided_worker,
       .ready_at = task.not_before,
+      .priority = job.record.priority,
       .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
 }
 
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -36,20 +36,21 @@
 Result<ReservationRequest> DecodeReservationRequest(std::string_view value) {
   Result<ReservationRequest> request =
       Decode<ReservationRequest>(value, "reservation request", [](const Json& json) {
-        return ReservationRequest{.name = StepName{.job = JobId(json.at("job").get<std::string>()),
-                                                   .occurrence = json.at("occurrence").get<int>(),
-                                                   .step = json.at("step").get<int>()},
-                                  .step = StepOf(json.at("spec")),
-                                  .service = json.at("service").get<std::string>(),
-                                  .from = CellId(json.at("from").get<std::string>()),
-                                  .job = JobId(json.at("waiting").get<std::string>()),
-                                  .asked_at = Millis(json.value("asked", int64_t{0})),
-                                  .reply_timeout = ReadDurationOr(json, "timeout", Millis(0)),
-                                  .waited = Millis(json.value("waited", int64_t{0})),
-                                  .is_interrupted = json.value("interrupted", false),
-                                  .absent = ReadDurationOr(json, "absent", Millis(0)),
-                                  .priority = ReadIntegerOr(json, "priority", kLastPriority),
-                                  .reply_to = AddressOf(json.at("peer"))};
+        return ReservationRequest{
+            .name = StepName{.job = JobId(json.at("job").get<std::string>()),
+                             .occurrence = json.at("occurrence").get<int>(),
+                             .step = json.at("step").get<int>()},
+            .step = StepOf(json.at("spec")),
+            .service = json.at("service").get<std::string>(),
+            .from = CellId(json.at("from").get<std::string>()),
+            .job = JobId(json.at("waiting").get<std::string>()),
+            .asked_at = Millis(json.value("asked", int64_t{0})),
+            .reply_timeout = ReadDurationOr(json, "timeout", Millis(0)),
+            .waited = Millis(json.value("waited", int64_t{0})),
+            .is_interrupted = json.value("interrupted", false),
+            .absent = ReadDurationOr(json, "absent", Millis(json.value("waited", int64_t{0}))),
+            .priority = ReadIntegerOr(json, "priority", kLastPriority),
+            .reply_to = AddressOf(json.at("peer"))};
       });
   if (!request) return request;
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -101,7 +101,8 @@
   if (found == cell->jobs.end()) return;
 
   JobState& job = found->second;
-  const bool for_evacuation = !job.reservation && job.evacuation && job.evacuation->to == to;
+  const bool for_evacuation = !job.reservation && job.evacuation && job.evacuation->to == to &&
+                              job.evacuation->asked_at == reply.asked_at;
   if (for_evacuation && job.evacuation->held == 0) {
     RecordReply(state, job, to, nullptr, reply.tasks);
     return UseEvacuationReply(state, effects, *cell, job, reply);
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -17,6 +17,8 @@
   VmId avoided_worker;
   /// When the task became ready to start.
   Millis ready_at;
+  /// Priority of its queue.
+  int32_t priority = 0;
   /// Since when it is without a run, if it is an interrupted long-running one.
   std::optional<Millis> absent_since;
 };
--- a/lib/scheduler/source/room_table.cc
+++ b/lib/scheduler/source/room_table.cc
@@ -30,12 +30,22 @@
                  .sent = {}};
 }
 
-std::vector<ReportedWait> WaitsOf(const ServiceLoad& load, Millis now) {
+/// Returns the tasks that a report names. Those of the former report keep their pauses.
+std::vector<ReportedWait> WaitsOf(const ServiceLoad& load, std::vector<ReportedWait> former,
+                                  Millis now) {
   std::vector<ReportedWait> waits;
+
   for (const InterruptedWait& task : load.interrupted_waits) {
-    waits.push_back(
-        ReportedWait{.task = task, .absent_since = now - task.absent, .next_offer = now});
+    const auto known = std::ranges::find_if(former, [&](const ReportedWait& each) {
+      return each.task.name == task.name && each.task.job == task.job;
+    });
+    const bool is_known = known != former.end();
+    waits.push_back(ReportedWait{.task = task,
+                                 .absent_since = now - task.absent,
+                                 .next_offer = is_known ? known->next_offer : now});
+    if (is_known) former.erase(known);
   }
+
   return waits;
 }
 
@@ -67,17 +77,19 @@
 
 void ServiceRooms::Put(const CellId& cell, const ServiceLoad& load, Millis now) {
   auto row = LowerBound(cell);
+  std::vector<ReportedWait> former;
 
   if (row == rows_.end() || row->cell != cell) {
     row = rows_.insert(row, RowOf(cell, load));
     shares_.clear();
   } else {
+    former = std::move(row->interrupted_waits);
     *row = RowOf(cell, load);
     const auto number = static_cast<size_t>(row - rows_.begin());
     for (auto& [image, shares] : shares_) shares[number].reset();
   }
 
-  row->interrupted_waits = WaitsOf(load, now);
+  row->interrupted_waits = WaitsOf(load, std::move(former), now);
   UpdateSums();
 }
 
--- a/lib/scheduler/source/run_ends.cc
+++ b/lib/scheduler/source/run_ends.cc
@@ -28,10 +28,8 @@
   if (!spec.is_long_running) return;
 
   // A run that no poll has listed doesn't end the absence before it.
-  const bool was_seen =
-      task.last_seen_running_at > Millis(0) && task.last_seen_running_at >= task.began;
   const Millis before = task.waiting_since > Millis(0) ? task.waiting_since : cell.taken_over_at;
-  task.waited_before = state.now - (was_seen ? task.last_seen_running_at : before);
+  task.waited_before = state.now - (WasListed(task) ? task.last_seen_running_at : before);
 }
 
 /// Returns whether a run that was treated as lost is still the last one of its task: no later run
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -2,6 +2,7 @@
 
 #include "cell_load.h"
 #include "eviction.h"
+#include "owner_contact.h"
 
 namespace currantpost::scheduler {
 namespace {
@@ -42,6 +43,7 @@
 bool TakesPlaceOf(const PlacementRequest& request, const WorkerHold& hold) {
   if (!request.absent_since) return false;
   if (!hold.is_interrupted) return true;
+  if (request.priority != hold.priority) return request.priority < hold.priority;
 
   return hold.name != request.name && *request.absent_since + kOvertakeMargin < hold.absent_since;
 }
@@ -294,7 +296,10 @@
   const size_t expired = std::erase_if(cell.holds, [&](const WorkerHold& hold) {
     if (state.now < hold.expires_at) return false;
 
-    if (!hold.offered_to.Empty()) DeferOffers(state, hold.offered_to, hold.job);
+    if (!hold.offered_to.Empty()) {
+      NoteOwnerSilent(state, hold.offered_to, hold.since);
+      DeferOffers(state, hold.offered_to, hold.job);
+    }
     return true;
   });
   state.counts.holds.Add(HoldEvent::kExpired, expired);
--- a/lib/scheduler/source/worker_leases.cc
+++ b/lib/scheduler/source/worker_leases.cc
@@ -32,8 +32,10 @@
 /// Returns the time to live of the leases that a worker gets now. Until the time has passed for
 /// which a draining worker goes on in any case, its leases are as long as those of others, so that
 /// its tasks run on if the owner dies.
-Millis LeaseTtl(const State& state, const WorkerState& worker) {
+Millis LeaseTtl(const State& state, const OwnedCell& cell, const WorkerState& worker) {
   if (!worker.info.draining || MayLoseCells(state)) return kWorkerLeaseTtl;
+  // The next owner needs time before it renews leases.
+  if (cell.releasing || cell.successor || state.stopping) return kWorkerLeaseTtl;
 
   const Millis stays = std::max(worker.info.drain_ends_at - state.now, Millis(0));
   const Millis until_expiry = stays + kDepartureLeaseTtl + worker.reply_delay * kReplyDelayFactor;
@@ -103,7 +105,7 @@
                                          const WorkerState& worker) {
   if (!worker.clock_ms || !MayRenewLease(cell, worker)) return std::nullopt;
 
-  const Millis longest = std::min(LeaseTtl(state, worker), state.settings.max_worker_lease);
+  const Millis longest = std::min(LeaseTtl(state, cell, worker), state.settings.max_worker_lease);
   const Millis beyond_own_lease =
       IsOutageConfirmed(state, cell) ? kStoreOutageRenewalPeriod : kUnconfirmedRenewalPeriod;
   const Millis horizon = std::min(state.now + longest, state.lease.valid_until + beyond_own_lease);
--- a/tests/scheduler/eviction_test.cc
+++ b/tests/scheduler/eviction_test.cc
@@ -118,6 +118,15 @@
   EXPECT_EQ(stopped_["short"], kLargeNeed / kShortNeed);
 }
 
+TEST_F(Eviction, OneTaskLessIsStoppedBesideAFreePlace) {
+  Record("long", 0, 1, kLargeNeed, kUrgent);
+  Record("short", 0, kShortTasksPerWorker * (kWorkers - 1), kShortNeed, kLessUrgent);
+  world_.LeaveWorker(world_.WorkersOf("long")[0]);
+  world_.Run(kMaxAbsence);
+
+  EXPECT_EQ(stopped_["short"], kLargeNeed / kShortNeed - 1);
+}
+
 TEST_F(Eviction, TasksOfTheSamePriorityAreNotStopped) {
   InterruptAmongShortTasks("short", kUrgent);
   world_.Run(kMaxAbsence);
--- a/tests/scheduler/overtaking_audit_test.cc
+++ b/tests/scheduler/overtaking_audit_test.cc
@@ -99,6 +99,7 @@
 
   void NoteWaiting(const OwnedCell& cell) {
     for (const auto& [id, worker] : cell.workers) {
+      if (world_.worker(id.Text()).up) continue;
       for (const TaskRef& ref : worker.tasks) NoteStarting(cell.jobs.at(ref.job), ref);
     }
 
