Keep a worker that is offered to a second task of a job for that task

When the first task arrived there, its borrowed job claimed the second worker's hold too and ended it, so that the second task was overtaken. An offered worker that was not asked for yet isn't claimed any more.

--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -283,8 +283,8 @@
 
   for (WorkerHold& hold : cell.holds) {
     if (unclaimed <= 0) return;
-    // A lent task was asked for by its job.
-    if (hold.job != record.parent) continue;
+    // A lent task was asked for by its job. A worker that was not asked for yet is another task's.
+    if (hold.job != record.parent || !hold.offered_to.Empty()) continue;
 
     hold.job = record.spec.job;
     state.counts.holds.Add(HoldEvent::kPassedOn);
