--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -72,7 +72,6 @@
   kRecordsUnknown,
   kNoWorkerKnown,
   kWithdrawn,
-  kNoCapacity,
   kStoreSilent,
 };
 
@@ -83,7 +82,6 @@
     {Refusal::kRecordsUnknown, "the records are not known yet"},
     {Refusal::kNoWorkerKnown, "no worker is known yet"},
     {Refusal::kWithdrawn, "the job was withdrawn"},
-    {Refusal::kNoCapacity, "its long-running tasks would wait for capacity"},
     {Refusal::kStoreSilent, "the store does not answer"},
 }));
 
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -17,7 +17,6 @@
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
 #include "currantpost/policy/interference_model.h"
-#include "currantpost/scheduler/admission.h"
 #include "currantpost/scheduler/background_pace.h"
 #include "currantpost/scheduler/cell_state.h"
 #include "currantpost/scheduler/counts.h"
@@ -106,9 +105,6 @@
 
 /// A submission whose write to the store is not completed.
 struct PendingSubmit {
-  /// If set, the job is refused as it would wait this long for capacity. The write withdraws it, as
-  /// an earlier attempt at another entry may still be stored.
-  std::optional<Millis> refused_for_wait;
   std::vector<RequestId> calls;
   JobRecord record;
   std::string value;
@@ -356,9 +352,6 @@
   absl::flat_hash_map<RequestId, PendingPeerQuery> peer_queries;
   /// The load reports as the choice of cells needs them.
   RoomTable rooms;
-  /// What they said lately, by service, and when that was last recorded.
-  std::map<std::string, CapacityHistory> capacity_histories;
-  Millis capacity_sampled_at;
   /// How the owners of other cells reply to requests for capacity.
   std::map<CellId, OwnerContact> owner_contacts;
   /// Cells that had no capacity for best-effort tasks, by the requirements of these, and for how
--- a/lib/scheduler/source/callers.h
+++ b/lib/scheduler/source/callers.h
@@ -10,11 +10,7 @@
 /// unknown, so that the caller retries. Below the usual caller timeout of 3 s.
 inline constexpr Millis kSettleTimeout = Millis(2'500);
 
-/// Retry delay in responses that are not final.
-inline constexpr Millis kRetryAfter = Millis(1'000);
-
-void Answer(Effects& effects, RequestId call, CallerOutcome outcome,
-            Millis retry_after = kRetryAfter);
+void Answer(Effects& effects, RequestId call, CallerOutcome outcome);
 void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome);
 
 /// Returns whether this entry's copy of the records has the job.
@@ -29,11 +25,8 @@
 /// Returns whether one more job may be withdrawn now.
 bool MayWithdraw(const State& state);
 
-/// Returns a write of a record that no submission of an absent job gets past.
-WriteRecords WithdrawalOf(const JobId& id);
-
-/// Returns the time after which a withdrawn job is accepted if it is submitted again.
-Millis WithdrawalRest(const State& state, const JobId& id);
+/// Asks the store for a record that no submission of an absent job gets past. Returns the request.
+RequestId SendWithdrawal(State& state, Effects& effects, const JobId& id);
 
 /// Removes the withdrawal records that no submission in flight can meet any more, as the
 /// coordinator.
--- a/lib/scheduler/source/calls.cc
+++ b/lib/scheduler/source/calls.cc
@@ -1,43 +1,27 @@
-#include <xxhash.h>
-
 #include <cmath>
 #include <limits>
 
 #include "callers.h"
 #include "currantpost/scheduler/limits.h"
-#include "job_admission.h"
 
 /// Callers' requests: submissions and counts of pending jobs.
 
 namespace currantpost::scheduler {
 namespace {
 
-/// Maximum retry delay of jobs that would wait for capacity.
-constexpr Millis kMaxRetryAfter = Millis(60'000);
-/// By how much the retry delays of such jobs differ at most, in percent, so that they don't return
-/// together.
-constexpr int64_t kRetrySpreadPercent = 25;
+/// Retry delay in responses that are not final.
+constexpr Millis kRetryAfter = Millis(1'000);
 /// Revision limit that includes all jobs.
 constexpr KvRevision kAllRevisions = std::numeric_limits<KvRevision>::max();
 /// Maximum age of a count of pending jobs, on top of the time until an accepted job is visible.
 constexpr Millis kMaxCountAge = Millis(2'000);
 
-void Refuse(const State& state, Effects& effects, RequestId call, const JobId& job, Refusal reason,
-            Millis retry_after = kRetryAfter) {
+void Refuse(const State& state, Effects& effects, RequestId call, const JobId& job,
+            Refusal reason) {
   state.counts.refusals.Add(reason);
   Log(effects, Severity::kInfo, "refused job",
       {{"job", job.Text()}, {"reason", std::string(kRefusalNames.Name(reason))}});
-  Answer(effects, call, CallerOutcome::kRefused, retry_after);
-}
-
-/// Returns the retry delay of a job that would wait for capacity and was withdrawn: it is not
-/// accepted before its withdrawal ends.
-Millis RetryDelay(const State& state, const JobId& id, Millis wait) {
-  const Millis shortest = WithdrawalRest(state, id);
-  const Millis longest = kMaxRetryAfter * 100 / (100 + kRetrySpreadPercent);
-  const Millis delay = std::max(std::min(wait, longest), shortest);
-  const uint64_t percent = XXH64(id.Text().data(), id.Text().size(), 0) % (kRetrySpreadPercent + 1);
-  return delay * (100 + static_cast<int64_t>(percent)) / 100;
+  Answer(effects, call, CallerOutcome::kRefused);
 }
 
 /// Returns why a job is not supported yet, or nothing if it is.
@@ -76,12 +60,6 @@
 }
 
 void SendSubmit(State& state, Effects& effects, PendingSubmit& submit) {
-  if (submit.refused_for_wait) {
-    const JobId& id = submit.record.spec.job;
-    submit.request = CallStore(state, effects, SubmitWritten{id}, WithdrawalOf(id));
-    return;
-  }
-
   WriteRecords write;
   const std::string key = JobKey(submit.record.spec.job);
   write.expected.push_back(ExpectedRecord{key, 0});
@@ -137,16 +115,9 @@
   const std::optional<CellId> cell = ChooseCell(state, queue->service, submitted.spec);
   if (!cell) return Refuse(state, effects, asked.call, id, Refusal::kNoWorkerKnown);
 
-  const std::optional<Millis> wait =
-      MayWithdraw(state) ? TimeUntilCapacity(state, queue->service, submitted.spec) : std::nullopt;
-  if (wait) {
-    LogShortage(state, effects, queue->service, *wait);
-  } else {
-    AddSentDemand(state, *cell, InitialDemand(submitted.spec));
-  }
+  AddSentDemand(state, *cell, InitialDemand(submitted.spec));
 
   PendingSubmit& submit = state.submits[id];
-  submit.refused_for_wait = wait;
   submit.calls.push_back(asked.call);
   submit.record =
       JobRecord{.cell = *cell, .accepted_unix_ms = state.unix_ms, .spec = submitted.spec};
@@ -290,31 +261,17 @@
     if (found->second.maybe_applied) {
       Answer(effects, call, CallerOutcome::kUnknown);
     } else {
-      Refuse(state, effects, call, id, Refusal::kWithdrawn, WithdrawalRest(state, id));
+      Refuse(state, effects, call, id, Refusal::kWithdrawn);
     }
   }
 
   state.submits.erase(found);
 }
 
-/// Answers a submission once the store holds its withdrawal.
-void AnswerRefused(State& state, Effects& effects, const JobId& id, KvRevision revision) {
-  ApplyRecord(state, effects,
-              StoreItem{.key = WithdrawnKey(id), .revision = revision, .value = "{}"});
-  const auto found = state.submits.find(id);
-  const Millis delay = RetryDelay(state, id, *found->second.refused_for_wait);
-
-  for (const RequestId call : found->second.calls) {
-    Refuse(state, effects, call, id, Refusal::kNoCapacity, delay);
-  }
-
-  state.submits.erase(found);
-}
-
 }  // namespace
 
-void Answer(Effects& effects, RequestId call, CallerOutcome outcome, Millis retry_after) {
-  effects.emplace_back(AnswerCaller{.call = call, .outcome = outcome, .retry_after = retry_after});
+void Answer(Effects& effects, RequestId call, CallerOutcome outcome) {
+  effects.emplace_back(AnswerCaller{.call = call, .outcome = outcome, .retry_after = kRetryAfter});
 }
 
 void AnswerAll(Effects& effects, const std::vector<RequestId>& calls, CallerOutcome outcome) {
@@ -343,8 +300,6 @@
 
   switch (reply.status) {
     case StoreStatus::kOk: {
-      if (submit.refused_for_wait) return AnswerRefused(state, effects, id, reply.revision);
-
       const StoreItem item{.key = JobKey(id), .revision = reply.revision, .value = submit.value};
       const CellId cell = submit.record.cell;
       Log(effects, Severity::kInfo, "accepted job",
@@ -402,8 +357,6 @@
 }
 
 void UpdateCalls(State& state, Effects& effects) {
-  UpdateCapacityHistory(state);
-
   for (auto row = state.submits.begin(); row != state.submits.end();) {
     PendingSubmit& submit = row->second;
 
--- a/lib/scheduler/source/cancels.cc
+++ b/lib/scheduler/source/cancels.cc
@@ -70,7 +70,7 @@
   }
 
   cancel.step = CancelStep::kWithdrawing;
-  cancel.request = CallStore(state, effects, CancelAnswered{id}, WithdrawalOf(id));
+  cancel.request = SendWithdrawal(state, effects, id);
 }
 
 void HandleWithdrawn(State& state, Effects& effects, const JobId& id, PendingCancel& cancel,
--- a/lib/scheduler/source/withdrawals.cc
+++ b/lib/scheduler/source/withdrawals.cc
@@ -20,26 +20,16 @@
 constexpr size_t kMaxWithdrawalsPerRemoval = 15;
 /// Interval between two searches for withdrawals to remove.
 constexpr Millis kRemovalInterval = Millis(1'000);
-/// Time for which a withdrawal may outlive its time: until the next search, while it is written and
-/// until all entries know.
-constexpr Millis kMaxRemovalTime = Millis(2'500);
 
 }  // namespace
 
 bool MayWithdraw(const State& state) { return state.view.withdrawn.size() < kMaxWithdrawals; }
 
-WriteRecords WithdrawalOf(const JobId& id) {
+RequestId SendWithdrawal(State& state, Effects& effects, const JobId& id) {
   WriteRecords write;
   write.expected.push_back(ExpectedRecord{JobKey(id), 0});
   write.puts.push_back(RecordPut{WithdrawnKey(id), "{}", 0});
-  return write;
-}
-
-Millis WithdrawalRest(const State& state, const JobId& id) {
-  const auto job = state.view.withdrawn.find(id);
-  const Millis age =
-      job == state.view.withdrawn.end() ? Millis(0) : state.now - job->second.seen_at;
-  return std::max(kWithdrawalLife - age, Millis(0)) + kMaxRemovalTime;
+  return CallStore(state, effects, CancelAnswered{id}, std::move(write));
 }
 
 void RemoveWithdrawals(State& state, Effects& effects) {
