--- a/tests/soak/job_plan.cc
+++ b/tests/soak/job_plan.cc
@@ -91,18 +91,21 @@
   plan.spec = "work of " + plan.id;
 
   if (long_running) {
-    plan.steps.push_back(
-        StepPlan{.count = static_cast<int>(Draw(random, 1, 3)), .cpu = 500, .long_running = true});
+    plan.steps.push_back(StepPlan{
+        .count = static_cast<int>(Draw(random, 1, 2)), .cpu = 1'500, .long_running = true});
     return plan;
   }
 
-  const int64_t steps = Draw(random, 1, 3);
+  // Tasks that outlast the lease of a worker that is cut off.
+  const bool outlasts = Draw(random, 0, 3) == 0;
+  const int64_t steps = outlasts ? 1 : Draw(random, 1, 3);
 
   for (int64_t step = 0; step < steps; ++step) {
     StepPlan next{.count = static_cast<int>(Draw(random, 1, 4)),
                   .cpu = Draw(random, 1, 4) * 250,
                   .mem_mb = Draw(random, 1, 4) * 64,
-                  .duration = Millis(Draw(random, 100, 1'500)),
+                  .duration = Millis(outlasts ? Draw(random, 6'000, kLongestJob.Count())
+                                              : Draw(random, 100, 1'500)),
                   .checkpointing = Draw(random, 0, 3) == 0};
     if (step > 0) next.after.push_back(static_cast<int>(step - 1));
     plan.steps.push_back(std::move(next));
--- a/tests/soak/job_plan.h
+++ b/tests/soak/job_plan.h
@@ -73,6 +73,8 @@
 /// Returns the document under op/config.
 std::string ConfigurationDocument(int64_t version);
 
+/// No job takes longer once its tasks run, but for long-running ones.
+inline constexpr Millis kLongestJob = Millis(10'000);
 /// Draws a job: some chains of steps, some wide steps, and a long-running one if asked.
 JobPlan DrawJob(Random& random, bool long_running);
 
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -11,6 +11,8 @@
 /// A series for each so much of the span.
 constexpr auto kSpanPerSeries = Millis(1'000);
 constexpr int64_t kLongestSeries = 4;
+/// Workers that drain and leave come in waves.
+constexpr int64_t kLongestWave = 8;
 constexpr int64_t kMostBusyLoops = 4;
 constexpr Millis kLeavePollInterval = Millis(200);
 
@@ -21,7 +23,6 @@
 };
 
 constexpr int64_t kStopMs = kBounds.grace.Count() + 1'000;
-
 constexpr int64_t kIsolationMs = kBounds.max_worker_lease.Count() + 500;
 
 /// How long faults of each kind last.
@@ -79,11 +80,14 @@
   const int64_t series = span.Count() / kSpanPerSeries.Count();
 
   for (int64_t i = 0; i < series; ++i) {
-    const KindLimits& limits = kKinds[Draw(random, 0, std::size(kKinds) - 1)];
-    const int64_t length = Draw(random, 1, kLongestSeries);
-    int64_t at = Draw(random, kFirstFault.Count(), span.Count());
-
-    for (int64_t j = 0; j < length; ++j, at += Draw(random, 100, 2'500)) {
+    // Each schedule cuts workers off for longer than any lease.
+    const KindLimits& limits = kKinds[i == 0 ? 0 : Draw(random, 0, std::size(kKinds) - 1)];
+    const int64_t latest = std::max(span.Count() - limits.shortest_ms, kFirstFault.Count());
+    const bool is_wave = limits.kind == FaultKind::kDrainWorker;
+    const int64_t length = Draw(random, 1, is_wave ? kLongestWave : kLongestSeries);
+    int64_t at = Draw(random, kFirstFault.Count(), latest);
+
+    for (int64_t j = 0; j < length; ++j) {
       const PlannedFault fault{
           .at = Millis(at),
           .duration = Millis(Draw(random, limits.shortest_ms, limits.longest_ms)),
@@ -91,6 +95,7 @@
           .target = Draw(random, 0, 9'999),
           .variant = Draw(random, 0, 9'999)};
       if (fault.at + fault.duration <= span) faults.push_back(fault);
+      at += is_wave ? Draw(random, 0, 300) : Draw(random, 100, 2'500);
     }
   }
 
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -18,10 +18,8 @@
 constexpr Millis kTickInterval = Millis(10);
 constexpr Millis kCheckInterval = Millis(100);
 constexpr int kCallers = 4;
-/// No job of the soak has a longer chain of steps.
-constexpr Millis kLongestChain = Millis(4'500);
 /// One long-running job for so many workers.
-constexpr int kWorkersPerLongRunningJob = 4;
+constexpr int kWorkersPerLongRunningJob = 2;
 constexpr Millis kAcknowledgement = Millis(4'000);
 
 /// Returns the highest number that follows a name in the part of a log after an offset.
@@ -158,7 +156,7 @@
     const Millis calm = now - std::max(*calm_since, phase_began_at_);
     const Millis observed = kBounds.contact + kBounds.absence + kBounds.absence_observed;
     const bool settled = calm > observed && checker_.AllSettled() && prober_.AllReady();
-    const bool is_over = calm > kBounds.contact + kBounds.finish + kLongestChain;
+    const bool is_over = calm > kBounds.contact + kBounds.finish + kLongestJob;
     if (calm > kBounds.recovery && !prober_.AllReady() && !std::exchange(unready_reported_, true)) {
       checker_.Report("readiness hasn't returned", prober_.NotReady());
     }
