Hold a place of its own for each task of a step that is offered one

The second one refused the offers of other cells for it, and was overtaken. Log lines on offers in a scratch copy show the two offers of one piece.

--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -115,6 +115,14 @@
          FitsBesideLongRunning(cell, worker->second, HeldOn(cell, hold.worker));
 }
 
+/// Returns whether a task fits on a worker now beside all that is kept there, also for its step.
+bool FitsBesideHolds(const OwnedCell& cell, const WorkerState& worker,
+                     const PlacementRequest& request) {
+  const Resources held = HeldOn(
+      cell, worker.info.id, [&](const WorkerHold& hold) { return !TakesPlaceOf(request, hold); });
+  return FitsWithin(held + request.spec.need + worker.reserved, worker.info.capacity);
+}
+
 size_t MaxHolds(const OwnedCell& cell) {
   return std::max<size_t>(cell.workers.size() * kMaxHoldsPercent / 100, 1);
 }
@@ -200,7 +208,9 @@
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
                        const CellId& offered_to) {
   const WorkerState* worker = ChooseWorker(state, cell, request.placement);
-  if (worker == nullptr) worker = ChooseWorkerToKeep(state, cell, request);
+  // Further tasks of one step each need a place of their own.
+  const bool fits = worker != nullptr && FitsBesideHolds(cell, *worker, request.placement);
+  if (!fits) worker = ChooseWorkerToKeep(state, cell, request);
   if (worker == nullptr) return false;
 
   state.counts.holds.Add(HoldEvent::kOffered);
