--- a/lib/scheduler/source/interrupted_order.cc
+++ b/lib/scheduler/source/interrupted_order.cc
@@ -92,9 +92,11 @@
                                     .own = ref});
   }
 
-  for (const auto& [name, row] : LargestByService(state, cell)) {
-    const auto& [service, largest] = row;
-    AddReported(state, cell, *service, largest, tasks);
+  if (state.rooms.HasInterruptedWaits()) {
+    for (const auto& [name, row] : LargestByService(state, cell)) {
+      const auto& [service, largest] = row;
+      AddReported(state, cell, *service, largest, tasks);
+    }
   }
 
   std::ranges::stable_sort(tasks, {}, [](const InterruptedTask& task) {
