--- a/lib/entry/source/entry_metrics.cc
+++ b/lib/entry/source/entry_metrics.cc
@@ -59,9 +59,7 @@
   AddCounters("currantpost_capacity_requests_total",
               "Requests for capacity to owners of other cells, by outcome.", "outcome",
               scheduler::kCapacityOutcomeNames, scheduled.capacity_requests);
-  AddCounters("currantpost_holds_total",
-              "What happened to workers that are kept for long-running tasks.", "event",
-              scheduler::kHoldEventNames, scheduled.holds);
+  AddHolds(scheduled);
   AddCounter("currantpost_evictions_total",
              "Tasks stopped to make room for interrupted long-running ones.",
              [&scheduled] { return scheduled.evictions; });
@@ -156,6 +154,21 @@
   }
 }
 
+void EntryMetrics::AddHolds(const scheduler::Counts& counts) {
+  AddCounters("currantpost_holds_total",
+              "What happened to workers that are kept for long-running tasks.", "event",
+              scheduler::kHoldEventNames, counts.holds);
+  auto& family = prometheus::BuildHistogram()
+                     .Name("currantpost_hold_seconds")
+                     .Help("How long workers were kept, by the event that ended it.")
+                     .Register(registry_);
+
+  for (const auto& event : scheduler::kHoldEventNames.Rows()) {
+    AddHistogram(family, {{"event", std::string(event.name)}},
+                 counts.hold_times[static_cast<size_t>(event.value)]);
+  }
+}
+
 void EntryMetrics::AddGauges(const State& state) {
   AddGauge("currantpost_owned_cells", "Cells that this entry owns.",
            [&state] { return static_cast<double>(state.cells.size()); });
--- a/lib/entry/source/entry_metrics.h
+++ b/lib/entry/source/entry_metrics.h
@@ -76,6 +76,7 @@
                     const prometheus::Labels& labels,
                     const scheduler::Durations<kBounds>& durations);
   void AddTurns(const EntryCounts& counts);
+  void AddHolds(const scheduler::Counts& counts);
   void AddStoreCalls(const scheduler::Counts& counts);
   void AddGauges(const scheduler::State& state);
 
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -200,6 +200,8 @@
   /// Requests of peers that were dropped because their senders no longer waited.
   uint64_t overdue_requests = 0;
   CountsBy<HoldEvent, HoldEvent::kRefused> holds;
+  /// How long workers were kept, by `HoldEvent` that ended it.
+  std::array<Times, kHoldEventNames.Rows().size()> hold_times;
   /// Tasks that were stopped to make room for interrupted long-running ones.
   uint64_t evictions = 0;
   SearchVisits search;
@@ -209,6 +211,12 @@
   std::array<std::array<Times, kStoreStatusNames.Rows().size()>, kStoreCallKindNames.Rows().size()>
       store_calls;
 
+  /// Counts an event that ends a hold, and how long the worker was kept.
+  void AddEndOfHold(HoldEvent event, Millis kept) {
+    holds.Add(event);
+    hold_times[static_cast<size_t>(event)].Add(kept);
+  }
+
   void AddStoreCall(StoreCallKind kind, StoreStatus status, Millis took) {
     store_calls[static_cast<size_t>(kind)][static_cast<size_t>(status)].Add(took);
   }
--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -71,9 +71,9 @@
   });
   if (hold == cell->holds.end()) return;
 
+  state.counts.AddEndOfHold(HoldEvent::kRefused, state.now - hold->since);
   cell->holds.erase(hold);
   cell->placement_due = true;
-  state.counts.holds.Add(HoldEvent::kRefused);
 }
 
 }  // namespace
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -235,10 +235,10 @@
 void Bind(State& state, Effects& effects, OwnedCell& cell, JobState& job, const TaskRef& ref,
           WorkerState& worker) {
   const PlacementRequest request = RequestFor(state, cell, ref);
-  EndHold(state, cell, request.name, ref.job, worker.info.id);
+  const Millis kept = EndHold(state, cell, request.name, ref.job, worker.info.id);
   DisplaceHolds(state, cell, request, worker);
   BindTask(state, cell, job, ref, worker);
-  LogEndOfLongWait(state, effects, job, ref, *FindTask(cell, ref));
+  LogEndOfLongWait(state, effects, job, ref, kept);
 }
 
 /// Binds the waiting tasks of a job and rank to workers, at most `limit`. `key` is that of the
--- a/lib/scheduler/source/wait_log.cc
+++ b/lib/scheduler/source/wait_log.cc
@@ -71,7 +71,8 @@
 }
 
 void LogEndOfLongWait(const State& state, Effects& effects, const JobState& job, const TaskRef& ref,
-                      const TaskState& task) {
+                      Millis kept) {
+  const TaskState& task = TaskOf(job, ref);
   const StepSpec& spec = SpecOf(job, ref);
   if (!spec.is_long_running || spec.best_effort) return;
 
@@ -83,7 +84,8 @@
        {"task", std::to_string(ref.index)},
        {"run", std::to_string(task.run)},
        {"worker", task.worker.Text()},
-       {"waited_ms", std::to_string(waited.Count())}});
+       {"waited_ms", std::to_string(waited.Count())},
+       {"kept_ms", std::to_string(kept.Count())}});
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/wait_log.h
+++ b/lib/scheduler/source/wait_log.h
@@ -11,8 +11,9 @@
 void LogLongWait(State& state, Effects& effects, const OwnedCell& cell, JobState& job,
                  const WaitingBatch& batch);
 
-/// Logs that a long-running task was placed after a long wait.
+/// Logs that a long-running task was placed after a long wait. `kept` is how long the worker of its
+/// hold had been kept for it.
 void LogEndOfLongWait(const State& state, Effects& effects, const JobState& job, const TaskRef& ref,
-                      const TaskState& task);
+                      Millis kept);
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -39,6 +39,17 @@
 /// Others have their turn, and a report that is on its way may show why.
 constexpr Millis kOfferPause = Millis(600);
 
+/// Ends the matching holds, counts them, and returns their number.
+template <typename Matches>
+size_t EraseHolds(const State& state, OwnedCell& cell, HoldEvent event, Matches matches) {
+  return std::erase_if(cell.holds, [&](const WorkerHold& hold) {
+    if (!matches(hold)) return false;
+
+    state.counts.AddEndOfHold(event, state.now - hold.since);
+    return true;
+  });
+}
+
 /// Returns whether a task takes the place of the task of a hold.
 bool TakesPlaceOf(const PlacementRequest& request, const WorkerHold& hold) {
   if (!request.absent_since) return false;
@@ -178,8 +189,8 @@
     if (kept == request.tasks && is_interrupted) break;
 
     if (kept == request.tasks || !IsUsable(state, cell, placement, *hold)) {
+      state.counts.AddEndOfHold(HoldEvent::kDropped, state.now - hold->since);
       hold = cell.holds.erase(hold);
-      state.counts.holds.Add(HoldEvent::kDropped);
       continue;
     }
 
@@ -228,15 +239,15 @@
     });
     if (hold == cell.holds.end()) return;
 
+    state.counts.AddEndOfHold(HoldEvent::kDisplaced, state.now - hold->since);
     cell.holds.erase(hold);
-    state.counts.holds.Add(HoldEvent::kDisplaced);
   }
 }
 
 void DropUselessHolds(const State& state, OwnedCell& cell) {
   std::map<std::pair<StepName, JobId>, int64_t> held;
 
-  const size_t dropped = std::erase_if(cell.holds, [&](const WorkerHold& hold) {
+  EraseHolds(state, cell, HoldEvent::kDropped, [&](const WorkerHold& hold) {
     if (!hold.is_interrupted) return false;
 
     const auto worker = cell.workers.find(hold.worker);
@@ -252,7 +263,6 @@
         });
     return ++held[{hold.name, hold.job}] > waiting;
   });
-  state.counts.holds.Add(HoldEvent::kDropped, dropped);
 }
 
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
@@ -262,8 +272,8 @@
   }));
 }
 
-void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
-             const VmId& worker) {
+Millis EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
+               const VmId& worker) {
   const auto is_for_step = [&](const WorkerHold& hold) {
     return hold.name == name && hold.job == job;
   };
@@ -271,16 +281,17 @@
     return is_for_step(hold) && hold.worker == worker;
   });
   if (ended == cell.holds.end()) ended = std::ranges::find_if(cell.holds, is_for_step);
-  if (ended == cell.holds.end()) return;
+  if (ended == cell.holds.end()) return Millis(0);
 
+  const Millis kept = state.now - ended->since;
+  state.counts.AddEndOfHold(HoldEvent::kUsed, kept);
   cell.holds.erase(ended);
-  state.counts.holds.Add(HoldEvent::kUsed);
+  return kept;
 }
 
 void EndHoldsOf(const State& state, OwnedCell& cell, const JobId& job) {
-  const size_t ended =
-      std::erase_if(cell.holds, [&](const WorkerHold& hold) { return hold.job == job; });
-  state.counts.holds.Add(HoldEvent::kJobLeft, ended);
+  EraseHolds(state, cell, HoldEvent::kJobLeft,
+             [&](const WorkerHold& hold) { return hold.job == job; });
 }
 
 void ClaimHolds(const State& state, OwnedCell& cell, const JobState& job) {
@@ -303,7 +314,7 @@
 }
 
 void ExpireHolds(State& state, OwnedCell& cell) {
-  const size_t expired = std::erase_if(cell.holds, [&](const WorkerHold& hold) {
+  const size_t expired = EraseHolds(state, cell, HoldEvent::kExpired, [&](const WorkerHold& hold) {
     if (state.now < hold.expires_at) return false;
 
     if (!hold.offered_to.Empty()) {
@@ -312,7 +323,6 @@
     }
     return true;
   });
-  state.counts.holds.Add(HoldEvent::kExpired, expired);
   if (expired > 0) cell.placement_due = true;
 
   for (const WorkerHold& hold : cell.holds) WakeAt(state, hold.expires_at);
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -66,9 +66,9 @@
 void DropUselessHolds(const State& state, OwnedCell& cell);
 
 /// Ends a hold for a step of a job once a worker was found for one of the tasks: the hold on that
-/// worker, or else any of them.
-void EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
-             const VmId& worker);
+/// worker, or else any of them. Returns for how long the worker was kept, 0 if none was.
+Millis EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
+               const VmId& worker);
 
 /// Ends all holds for tasks of a job that has left the cell.
 void EndHoldsOf(const State& state, OwnedCell& cell, const JobId& job);
--- a/tests/entry/metrics_test.cc
+++ b/tests/entry/metrics_test.cc
@@ -168,6 +168,7 @@
         R"(currantpost_search_visits_total{what="job"})",
         R"(currantpost_capacity_requests_total{outcome="worker_kept"})",
         R"(currantpost_holds_total{event="passed_on"})",
+        R"(currantpost_hold_seconds_count{event="used"})",
         R"(currantpost_jobs_refused_total{reason="the store does not answer"})",
         R"(currantpost_requests_rejected_total{reason="malformed"})",
         R"(currantpost_answers_total{outcome="accepted"})",
