--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -124,6 +124,8 @@
   CellId offered_to;
   /// It ends then unless it is asked for again.
   Millis expires_at;
+  /// When to look next for a worker that becomes free sooner.
+  Millis next_choice;
 };
 
 /// A pause that doubles each time it is extended.
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -135,6 +135,8 @@
   kOffered,
   /// The owner of that cell has refused the offer.
   kRefused,
+  /// Another worker is kept instead, as it becomes free sooner.
+  kMoved,
 };
 
 inline constexpr EnumNames kHoldEventNames(std::to_array<EnumName<HoldEvent>>({
@@ -147,6 +149,7 @@
     {HoldEvent::kPassedOn, "passed_on"},
     {HoldEvent::kOffered, "offered"},
     {HoldEvent::kRefused, "refused"},
+    {HoldEvent::kMoved, "moved"},
 }));
 
 /// What a search for capacity visits.
@@ -199,7 +202,7 @@
   CountsBy<CapacityOutcome, CapacityOutcome::kUnanswered> capacity_requests;
   /// Requests of peers that were dropped because their senders no longer waited.
   uint64_t overdue_requests = 0;
-  CountsBy<HoldEvent, HoldEvent::kRefused> holds;
+  CountsBy<HoldEvent, HoldEvent::kMoved> holds;
   /// How long workers were kept, by `HoldEvent` that ended it.
   std::array<Times, kHoldEventNames.Rows().size()> hold_times;
   /// Tasks that were stopped to make room for interrupted long-running ones.
--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -87,6 +87,8 @@
   int64_t last_measurement = 0;
   /// When its last run started.
   Millis began;
+  /// How often it was stopped to make room for an interrupted long-running task.
+  int32_t evictions = 0;
   /// When a poll last listed it as running.
   Millis last_seen_running_at;
   /// Stress of a long-running task, derived from its tail latency: 0 when unloaded, towards 1 as
--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -1,39 +1,41 @@
 #include "eviction.h"
 
+#include "capacity_forecast.h"
 #include "cell_workers.h"
 
 namespace currantpost::scheduler {
 namespace {
 
-/// How long a worker is kept before its short tasks are stopped. Many of them end by themselves in
-/// that time, and a task that is passed on to the cell arrives.
-constexpr Millis kEvictionDelay = Millis(500);
+/// How long the short tasks on a kept worker may take to end by themselves.
+constexpr Millis kMaxWaitForEnds = Millis(300);
+/// Age up to which a task that resumes from no checkpoint has done little work.
+constexpr Millis kJustBegun = Millis(400);
 /// Time between two checks of the kept workers of a cell.
 constexpr Millis kEvictionInterval = Millis(100);
 
-/// Returns what a task reserves of its worker.
-Resources ReservedBy(const StepSpec& spec) {
-  Resources reserved = spec.need;
-  if (spec.best_effort) reserved.millicores = 0;
-  return reserved;
-}
-
-bool IsEvictable(const JobState& job, const TaskRef& ref, int32_t priority) {
-  return TaskOf(job, ref).phase == TaskPhase::kRunning && !SpecOf(job, ref).is_long_running &&
-         job.record.priority > priority;
-}
-
-/// Returns whether the task that a worker is kept for waits in this cell.
+/// Returns whether the task that a worker is kept for waits in this cell, or is on its way here.
 bool IsAwaited(const OwnedCell& cell, const WorkerHold& hold) {
   const auto job = cell.jobs.find(hold.job);
-  if (job == cell.jobs.end()) return false;
+  if (job == cell.jobs.end()) return hold.offered_to.Empty();
 
   // Its tasks may be on their way to another cell.
   return !job->second.move && !job->second.loan;
 }
 
+/// Returns whether a task ends as soon as it would if it were stopped.
+bool EndsSoon(const State& state, const JobState& job, const TaskRef& ref) {
+  const TaskState& task = TaskOf(job, ref);
+  if (task.phase == TaskPhase::kStopping) return true;
+
+  const StepSpec& spec = SpecOf(job, ref);
+  return !spec.is_long_running && ForecastRest(state, spec, task) <= kUsualStopTime;
+}
+
 /// What has to become free on a worker.
 struct Shortage {
+  /// What the tasks that wait for it need.
+  Resources needed;
+  /// What remains once the tasks have ended that do so soon by themselves.
   Resources missing;
   /// The lowest priority number of the tasks that wait for it.
   int32_t priority = 0;
@@ -41,16 +43,15 @@
   JobId job;
 };
 
-/// Returns what the interrupted tasks that have waited for their kept worker lack there.
+/// Returns what the interrupted tasks that wait for their kept worker lack there.
 Shortage ShortageOn(const State& state, const OwnedCell& cell, const WorkerState& worker) {
   Shortage shortage;
   bool is_first = true;
 
   for (const WorkerHold& hold : cell.holds) {
-    const bool is_due = hold.is_interrupted && state.now >= hold.since + kEvictionDelay;
-    if (hold.worker != worker.info.id || !is_due || !IsAwaited(cell, hold)) continue;
+    if (hold.worker != worker.info.id || !hold.is_interrupted || !IsAwaited(cell, hold)) continue;
 
-    shortage.missing += hold.need;
+    shortage.needed += hold.need;
     if (is_first || hold.priority < shortage.priority) {
       shortage.priority = hold.priority;
       shortage.job = hold.job;
@@ -60,14 +61,13 @@
 
   if (is_first) return shortage;
 
+  shortage.missing = shortage.needed;
   shortage.missing -= worker.info.capacity;
   shortage.missing += worker.reserved;
 
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = cell.jobs.at(ref.job);
-    if (TaskOf(job, ref).phase == TaskPhase::kStopping) {
-      shortage.missing -= ReservedBy(SpecOf(job, ref));
-    }
+    if (EndsSoon(state, job, ref)) shortage.missing -= ReservedBy(SpecOf(job, ref));
   }
 
   return shortage;
@@ -82,14 +82,14 @@
 /// Returns the tasks to stop: the least urgent queues first, then tasks that resume from a
 /// checkpoint, then those that have run for the shortest time. Nothing if all of them together are
 /// not enough.
-std::vector<TaskRef> ChooseEvicted(const OwnedCell& cell, const WorkerState& worker,
-                                   const Shortage& shortage) {
+std::vector<TaskRef> ChooseEvicted(const State& state, const OwnedCell& cell,
+                                   const WorkerState& worker, const Shortage& shortage) {
   using Rank = std::tuple<int32_t, bool, Millis>;
   std::vector<std::pair<Rank, TaskRef>> candidates;
 
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = cell.jobs.at(ref.job);
-    if (!IsEvictable(job, ref, shortage.priority)) continue;
+    if (!IsEvictable(state, job, ref, shortage.priority) || EndsSoon(state, job, ref)) continue;
 
     candidates.emplace_back(
         Rank{job.record.priority, SpecOf(job, ref).checkpointing, TaskOf(job, ref).began}, ref);
@@ -114,10 +114,12 @@
 void Evict(State& state, Effects& effects, OwnedCell& cell, WorkerState& worker) {
   const Shortage shortage = ShortageOn(state, cell, worker);
   if (FitsWithin(shortage.missing, Resources())) return;
+  if (ForecastRoom(state, cell, worker, shortage.needed, std::nullopt) <= kMaxWaitForEnds) return;
 
-  for (const TaskRef& ref : ChooseEvicted(cell, worker, shortage)) {
+  for (const TaskRef& ref : ChooseEvicted(state, cell, worker, shortage)) {
     TaskState& task = *FindTask(cell, ref);
     SetStopping(worker, task);
+    ++task.evictions;
     worker.needs_update = true;
     cell.worker_update_due = true;
     ++state.counts.evictions;
@@ -133,15 +135,14 @@
 
 }  // namespace
 
-Resources EvictableOn(const OwnedCell& cell, const WorkerState& worker, int32_t priority) {
-  Resources evictable;
-
-  for (const TaskRef& ref : worker.tasks) {
-    const JobState& job = cell.jobs.at(ref.job);
-    if (IsEvictable(job, ref, priority)) evictable += ReservedBy(SpecOf(job, ref));
-  }
+bool IsEvictable(const State& state, const JobState& job, const TaskRef& ref, int32_t priority) {
+  const StepSpec& spec = SpecOf(job, ref);
+  const TaskState& task = TaskOf(job, ref);
+  if (task.phase != TaskPhase::kRunning || spec.is_long_running) return false;
+  if (job.record.priority != priority) return job.record.priority > priority;
 
-  return evictable;
+  const bool loses_little = spec.checkpointing || state.now - task.began < kJustBegun;
+  return loses_little && task.evictions == 0;
 }
 
 void EvictForInterrupted(State& state, Effects& effects, OwnedCell& cell) {
--- a/lib/scheduler/source/eviction.h
+++ b/lib/scheduler/source/eviction.h
@@ -8,12 +8,14 @@
 
 namespace currantpost::scheduler {
 
-/// Returns what the short tasks on a worker hold that may be stopped for a task of a priority:
-/// running ones of queues that come after it.
-Resources EvictableOn(const OwnedCell& cell, const WorkerState& worker, int32_t priority);
+/// Returns whether a short task may be stopped for an interrupted task of a priority: it runs, and
+/// its queue comes after that priority. One of the same priority may be stopped once, if little of
+/// its work is lost.
+bool IsEvictable(const State& state, const JobState& job, const TaskRef& ref, int32_t priority);
 
-/// Stops short tasks where a worker has been kept for an interrupted task for a while and that task
-/// would fit without them. They resume elsewhere from their checkpoints.
+/// Stops short tasks where a worker is kept for an interrupted task, that task would fit without
+/// them, and they would go on for longer than the stop takes. They resume elsewhere from their
+/// checkpoints.
 void EvictForInterrupted(State& state, Effects& effects, OwnedCell& cell);
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -1,7 +1,7 @@
 #include "worker_hold.h"
 
+#include "capacity_forecast.h"
 #include "cell_load.h"
-#include "eviction.h"
 #include "owner_contact.h"
 
 namespace currantpost::scheduler {
@@ -17,6 +17,11 @@
 /// scarce: most of what is left are pieces that are too small for further ones.
 constexpr int64_t kScarcePercent = 12;
 
+/// Interval between two looks for a worker that becomes free sooner than the one that is kept, and
+/// how much sooner it has to be.
+constexpr Millis kHoldChoiceInterval = Millis(100);
+constexpr Millis kMinGainOfMove = Millis(200);
+
 /// Returns the sum of the matching holds on a worker.
 template <typename Matches>
 Resources HeldOn(const OwnedCell& cell, const VmId& worker, Matches matches) {
@@ -80,44 +85,65 @@
   return FitsWithin(amount, left);
 }
 
-/// Returns whether an amount beside what is held fits on a worker once its short tasks have been
-/// stopped, as far as tasks of the request may displace them.
-bool FitsWithEviction(const OwnedCell& cell, const WorkerState& worker, const HoldRequest& request,
-                      const Resources& amount) {
-  return request.placement.absent_since &&
-         FitsWithin(amount + worker.reserved,
-                    worker.info.capacity + EvictableOn(cell, worker, request.priority));
+/// Returns the priority for which short tasks may be stopped, if the tasks of a request are
+/// interrupted ones.
+std::optional<int32_t> EvictingPriority(const HoldRequest& request) {
+  if (!request.placement.absent_since) return std::nullopt;
+  return request.priority;
 }
 
-/// Returns the worker that needs fewest short tasks to end, or null. Those come first on which the
-/// short tasks can be stopped.
-WorkerState* ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request) {
+/// A worker to keep for a task.
+struct WorkerChoice {
+  WorkerState* worker = nullptr;
+  /// How long it probably takes until the task fits there.
+  Millis fits_after;
+};
+
+/// Forecasts that differ by less count as equal.
+constexpr int64_t kForecastStepMs = 100;
+
+/// Returns the worker that becomes free first, and of those the one with least room beside its
+/// long-running tasks, as large pieces are left to large tasks. `stays` says which holds the task
+/// doesn't take the place of.
+template <typename Stays>
+WorkerChoice ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request,
+                                Stays stays) {
   const PlacementRequest& placement = request.placement;
   const StepSpec& spec = placement.spec;
-  WorkerState* best = nullptr;
-  std::pair<bool, int64_t> best_rank;
+  WorkerChoice best;
+  std::pair<int64_t, int64_t> best_rank;
 
   for (auto& [id, worker] : cell.workers) {
-    const Resources held =
-        HeldOn(cell, id, [&](const WorkerHold& hold) { return !TakesPlaceOf(placement, hold); });
+    // Most workers have no room: checked first, as it is cheapest.
+    const int64_t room = worker.info.capacity.millicores - worker.long_running_millicores;
+    if (room < spec.need.millicores) continue;
+
+    const Resources held = HeldOn(cell, id, stays);
     // The limit per worker does not count held capacity.
     if (spec.max_per_worker > 0 && held != Resources()) continue;
     if (!MayUseWorker(state, cell, placement, worker)) continue;
     if (!FitsBesideLongRunning(cell, worker, held + spec.need)) continue;
 
-    const int64_t free =
-        worker.info.capacity.millicores - worker.reserved.millicores - HeldOn(cell, id).millicores;
-    const std::pair<bool, int64_t> rank(FitsWithEviction(cell, worker, request, held + spec.need),
-                                        free);
-    if (best != nullptr && rank <= best_rank) continue;
+    const Millis fits_after =
+        ForecastRoom(state, cell, worker, held + spec.need, EvictingPriority(request));
+    const std::pair<int64_t, int64_t> rank(fits_after.Count() / kForecastStepMs, room);
+    if (best.worker != nullptr && rank >= best_rank) continue;
 
-    best = &worker;
+    best = {&worker, fits_after};
     best_rank = rank;
   }
 
   return best;
 }
 
+/// Returns the worker to keep for a task, which may take the place of others there.
+WorkerState* ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request) {
+  return ChooseWorkerToKeep(
+             state, cell, request,
+             [&](const WorkerHold& hold) { return !TakesPlaceOf(request.placement, hold); })
+      .worker;
+}
+
 /// Returns whether the worker of a hold may still be used for its task.
 bool IsUsable(const State& state, OwnedCell& cell, const PlacementRequest& request,
               const WorkerHold& hold) {
@@ -134,6 +160,24 @@
   return FitsWithin(held + request.spec.need + worker.reserved, worker.info.capacity);
 }
 
+/// Keeps another worker instead if that one becomes free clearly sooner.
+void MoveHold(const State& state, OwnedCell& cell, const HoldRequest& request, WorkerHold& hold) {
+  if (state.now < hold.next_choice) return;
+
+  hold.next_choice = state.now + kHoldChoiceInterval;
+  const Millis fits_after = ForecastRoom(state, cell, cell.workers.at(hold.worker),
+                                         HeldOn(cell, hold.worker), EvictingPriority(request));
+  if (fits_after <= kMinGainOfMove) return;
+
+  const WorkerChoice other =
+      ChooseWorkerToKeep(state, cell, request, [](const WorkerHold&) { return true; });
+  if (other.worker == nullptr || other.fits_after + kMinGainOfMove >= fits_after) return;
+
+  state.counts.AddEndOfHold(HoldEvent::kMoved, state.now - hold.since);
+  hold.worker = other.worker->info.id;
+  hold.since = state.now;
+}
+
 size_t MaxHolds(const OwnedCell& cell) {
   return std::max<size_t>(cell.workers.size() * kMaxHoldsPercent / 100, 1);
 }
@@ -195,6 +239,7 @@
     }
 
     ++kept;
+    MoveHold(state, cell, request, *hold);
     hold->expires_at = state.now + kHoldTime;
     hold->offered_to = CellId();
     if (is_interrupted && kept == request.tasks) hold->absent_since = *placement.absent_since;
