--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -8,8 +8,9 @@
 
 /// How long the short tasks on a kept worker may take to end by themselves.
 constexpr Millis kMaxWaitForEnds = Millis(300);
-/// Age up to which a task that resumes from no checkpoint has done little work.
-constexpr Millis kJustBegun = Millis(400);
+/// Part of its estimate, in percent, up to which a task that resumes from no checkpoint has done
+/// little work.
+constexpr int64_t kLittleWorkPercent = 50;
 /// Time between two checks of the kept workers of a cell.
 constexpr Millis kEvictionInterval = Millis(100);
 
@@ -141,7 +142,8 @@
   if (task.phase != TaskPhase::kRunning || spec.is_long_running) return false;
   if (job.record.priority != priority) return job.record.priority > priority;
 
-  const bool loses_little = spec.checkpointing || state.now - task.began < kJustBegun;
+  const bool loses_little =
+      spec.checkpointing || (state.now - task.began) * 100 < spec.estimate * kLittleWorkPercent;
   return loses_little && task.evictions == 0;
 }
 
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -102,8 +102,8 @@
 /// Forecasts that differ by less count as equal.
 constexpr int64_t kForecastStepMs = 100;
 
-/// Returns the worker that becomes free first, and of those the one with least room beside its
-/// long-running tasks, as large pieces are left to large tasks. `stays` says which holds the task
+/// Returns the worker that becomes free first, of those the one on which least has to be freed, and
+/// then the one with least room beside its long-running tasks. `stays` says which holds the task
 /// doesn't take the place of.
 template <typename Stays>
 WorkerChoice ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request,
@@ -111,7 +111,7 @@
   const PlacementRequest& placement = request.placement;
   const StepSpec& spec = placement.spec;
   WorkerChoice best;
-  std::pair<int64_t, int64_t> best_rank;
+  std::tuple<int64_t, int64_t, int64_t> best_rank;
 
   for (auto& [id, worker] : cell.workers) {
     // Most workers have no room: checked first, as it is cheapest.
@@ -126,7 +126,8 @@
 
     const Millis fits_after =
         ForecastRoom(state, cell, worker, held + spec.need, EvictingPriority(request));
-    const std::pair<int64_t, int64_t> rank(fits_after.Count() / kForecastStepMs, room);
+    const std::tuple<int64_t, int64_t, int64_t> rank(fits_after.Count() / kForecastStepMs,
+                                                     -FreeMillicores(worker), room);
     if (best.worker != nullptr && rank >= best_rank) continue;
 
     best = {&worker, fits_after};
@@ -165,8 +166,11 @@
   if (state.now < hold.next_choice) return;
 
   hold.next_choice = state.now + kHoldChoiceInterval;
-  const Millis fits_after = ForecastRoom(state, cell, cell.workers.at(hold.worker),
-                                         HeldOn(cell, hold.worker), EvictingPriority(request));
+  // The tasks of earlier holds on the worker start first.
+  const Resources amount =
+      HeldOn(cell, hold.worker, [&](const WorkerHold& each) { return &each <= &hold; });
+  const Millis fits_after =
+      ForecastRoom(state, cell, cell.workers.at(hold.worker), amount, EvictingPriority(request));
   if (fits_after <= kMinGainOfMove) return;
 
   const WorkerChoice other =
@@ -383,8 +387,16 @@
 
 Resources KeptFrom(const OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker) {
-  return HeldOn(cell, worker.info.id, [&](const WorkerHold& hold) {
-    return hold.name != request.name && !TakesPlaceOf(request, hold);
+  const VmId& id = worker.info.id;
+  // All tasks for which one worker is kept fit there, so none of them waits for the others.
+  const bool has_hold = std::ranges::any_of(cell.holds, [&](const WorkerHold& hold) {
+    return hold.worker == id && hold.name == request.name &&
+           hold.is_interrupted == request.absent_since.has_value();
+  });
+
+  return HeldOn(cell, id, [&](const WorkerHold& hold) {
+    if (hold.name == request.name || TakesPlaceOf(request, hold)) return false;
+    return !has_hold || hold.is_interrupted != request.absent_since.has_value();
   });
 }
 
--- a/tests/scheduler/kept_capacity_test.cc
+++ b/tests/scheduler/kept_capacity_test.cc
@@ -19,6 +19,9 @@
 constexpr int64_t kShortNeed = 2'000;
 constexpr Millis kSoon = Millis(8'000);
 constexpr Millis kLate = Millis(30'000);
+/// Parts of these after which the work of a task is no longer little.
+constexpr Millis kMostOfSoon = Millis(5'000);
+constexpr Millis kMostOfLate = Millis(16'000);
 /// Time for which an interrupted task has waited when it is recorded: a worker is kept at once.
 constexpr Millis kWaited = Millis(1'000);
 /// Time in which a task starts on a worker whose short tasks are stopped.
@@ -106,9 +109,10 @@
 TEST_F(KeptCapacity, TheWorkerIsKeptThatIsFreeFirst) {
   Record("long-fills", kWorkers - 2, kWorkerNeed);
   Record("short-late", 1, kHalfNeed, kLate);
+  world_.Run(kMostOfLate);
   Record("short-soon", 1, kWorkerNeed, kSoon);
   const std::vector<std::string> soon = world_.WorkersOf("short-soon");
-  world_.Run(Millis(1'000));
+  world_.Run(kMostOfSoon);
   RecordInterrupted("long", kWorkerNeed);
   world_.Run(Millis(500));
 
@@ -119,10 +123,11 @@
 TEST_F(KeptCapacity, AnotherWorkerIsKeptOnceItIsFreeSooner) {
   Record("long-fills", kWorkers - 2, kWorkerNeed);
   Record("short-late", 1, kWorkerNeed, kLate);
+  world_.Run(kMostOfLate);
   Record("long-ends", 1, kLargeNeed);
   Record("short-soon", 1, kShortNeed, kSoon);
   const std::vector<std::string> soon = world_.WorkersOf("short-soon");
-  world_.Run(Millis(1'000));
+  world_.Run(kMostOfSoon);
   RecordInterrupted("long", kWorkerNeed);
   world_.Run(Millis(500));
   ASSERT_EQ(world_.WorkersOf("short-late"), std::vector<std::string>{KeptWorker()});
@@ -186,6 +191,20 @@
   EXPECT_EQ(Running("long-second"), 0U);
 }
 
+// Guards against tasks that waited for room for each other, as the same worker was kept for them.
+TEST_F(KeptCapacity, TheFirstOfTwoTasksStartsBeforeThereIsRoomForBoth) {
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  Record("short-late", 1, kHalfNeed, kLate);
+  world_.Run(kMostOfLate);
+  Record("short-soon", 2, kShortNeed, kSoon);
+  world_.Run(kMostOfSoon);
+  RecordInterrupted("long-first", kHalfNeed);
+  RecordInterrupted("long-second", kHalfNeed);
+  world_.Run(kSoon - kMostOfSoon + kMaxStart);
+
+  EXPECT_EQ(Running("long-first") + Running("long-second"), 1U);
+}
+
 // Guards against short tasks that went on until the task had arrived from its own cell.
 TEST_F(KeptCapacityInTwoCells, TheWorkerIsClearedWhileTheTaskIsOnItsWay) {
   Record("long-fills-own", kWorkers, kWorkerNeed);
