--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -3,10 +3,13 @@
 #include <vector>
 
 #include "cell_workers.h"
+#include "leaving_tasks.h"
 #include "reservations.h"
+#include "worker_hold.h"
 
 /// Moves long-running tasks off a draining worker before it goes away. Runs still there when it
-/// goes are lost, and the cell may have another owner by then.
+/// goes are lost, and the cell may have another owner by then. A task runs on until there is room
+/// for it elsewhere, which is made ready meanwhile.
 
 namespace currantpost::scheduler {
 namespace {
@@ -32,41 +35,40 @@
     for (const auto& [worker, ref] : reserved_) {
       AdjustReservedResources(*worker, SpecOf(cell_.jobs.at(ref.job), ref), -1);
     }
+    for (const auto& [hold, need] : unused_holds_) cell_.holds[hold].need = need;
   }
 
-  /// Reserves room for a task on a worker. Returns whether a worker has room for it.
-  bool Reserve(const TaskRef& ref) {
-    WorkerState* worker = ChooseWorker(state_, cell_, ref);
-    if (worker == nullptr) return false;
+  /// Reserves room for a task on a worker, and returns that, or null if none has room for it.
+  WorkerState* Reserve(const TaskRef& ref) {
+    const PlacementRequest request = RequestFor(state_, cell_, ref);
+    WorkerState* worker = ChooseWorker(state_, cell_, request);
+    if (worker == nullptr) return nullptr;
 
-    AdjustReservedResources(*worker, SpecOf(cell_.jobs.at(ref.job), ref), 1);
+    AdjustReservedResources(*worker, request.spec, 1);
     reserved_.emplace_back(worker, ref);
-    return true;
+    SetAsideHold(request.name, ref.job, worker->info.id);
+    return worker;
   }
 
  private:
+  /// Leaves a hold for a task out of account that now counts as reserved.
+  void SetAsideHold(const StepName& name, const JobId& job, const VmId& worker) {
+    const auto hold = std::ranges::find_if(cell_.holds, [&](const WorkerHold& each) {
+      return each.name == name && each.job == job && each.worker == worker &&
+             each.need != Resources();
+    });
+    if (hold == cell_.holds.end()) return;
+
+    unused_holds_.emplace_back(hold - cell_.holds.begin(), std::exchange(hold->need, Resources()));
+  }
+
   const State& state_;
   OwnedCell& cell_;
   std::vector<std::pair<WorkerState*, TaskRef>> reserved_;
+  /// Index of each hold that was set aside, and what it holds.
+  std::vector<std::pair<std::ptrdiff_t, Resources>> unused_holds_;
 };
 
-/// Returns the long-running tasks on draining workers that are in the given phase.
-std::vector<TaskRef> LongRunningOnDraining(OwnedCell& cell, TaskPhase phase) {
-  std::vector<TaskRef> refs;
-
-  for (const auto& [id, worker] : cell.workers) {
-    if (!worker.info.draining || !worker.confirmed) continue;
-    // A task on a worker that doesn't answer can't be stopped.
-    if (phase == TaskPhase::kRunning && HasFailedPollsOrNoAddress(worker)) continue;
-
-    for (const TaskRef& ref : worker.tasks) {
-      if (IsLongRunning(cell, ref) && FindTask(cell, ref)->phase == phase) refs.push_back(ref);
-    }
-  }
-
-  return refs;
-}
-
 /// Returns whether a task that waits could use what another one asks for.
 bool CouldUse(const StepSpec& waiting, const StepSpec& spec) {
   return waiting.worker_label == spec.worker_label && FitsWithin(waiting.need, spec.need);
@@ -128,29 +130,26 @@
        {"room", std::move(room)}});
 }
 
-}  // namespace
-
-void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell) {
-  if (!MayMoveTasks(state, cell)) return;
-
-  const bool any_draining = std::ranges::any_of(cell.workers, [](const auto& row) {
-    return row.second.info.draining && row.second.long_running_millicores > 0;
-  });
-  if (!any_draining) return;
-
-  if (state.now < cell.next_evacuation) {
-    WakeAt(state, cell.next_evacuation);
-    return;
-  }
+/// What a check of the draining workers has found.
+struct MovePlan {
+  /// Tasks that were stopped, and the workers that have room for them.
+  std::vector<std::pair<TaskRef, WorkerState*>> moved;
+  /// Tasks that run on.
+  std::vector<LeavingTask> without_room;
+};
 
-  cell.next_evacuation = state.now + kEvacuationInterval;
-  WakeAt(state, cell.next_evacuation);
-  CountUnstartedTasks(cell);
+/// Stops the tasks on draining workers that have room on other ones, and asks other cells for the
+/// rest.
+MovePlan PlanMoves(State& state, Effects& effects, OwnedCell& cell,
+                   const std::vector<LeavingTask>& leaving) {
+  MovePlan plan;
   Reservations room(state, cell);
   std::vector<const StepSpec*> unplaced;
   const auto reserve = [&](const TaskRef& ref) {
     const JobState& job = cell.jobs.at(ref.job);
-    if (!HasEvacuationRoom(state, job) && !room.Reserve(ref)) unplaced.push_back(&SpecOf(job, ref));
+    if (HasEvacuationRoom(state, job) || room.Reserve(ref) != nullptr) return;
+
+    unplaced.push_back(&SpecOf(job, ref));
   };
 
   // Waiting tasks and tasks that are already being moved get room first, but not new tasks that
@@ -160,19 +159,55 @@
     if (IsLongRunning(cell, ref) && !Yields(state, cell, ref)) reserve(ref);
   }
 
-  std::ranges::for_each(LongRunningOnDraining(cell, TaskPhase::kStopping), reserve);
+  for (const LeavingTask& task : leaving) {
+    if (task.is_stopping) reserve(task.ref);
+  }
+
+  for (const LeavingTask& task : leaving) {
+    if (task.is_stopping) continue;
+
+    WorkerState* worker = task.can_be_stopped ? room.Reserve(task.ref) : nullptr;
 
-  for (const TaskRef& ref : LongRunningOnDraining(cell, TaskPhase::kRunning)) {
-    if (room.Reserve(ref)) {
-      StopForMove(effects, cell, ref, "here");
+    if (worker != nullptr) {
+      StopForMove(effects, cell, task.ref, "here");
+      plan.moved.emplace_back(task.ref, worker);
       continue;
     }
 
-    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+    const StepSpec& spec = SpecOf(cell.jobs.at(task.ref.job), task.ref);
     const bool is_left_to_others = std::ranges::any_of(
         unplaced, [&](const StepSpec* waiting) { return CouldUse(*waiting, spec); });
-    if (!is_left_to_others) AskForEvacuation(state, effects, cell, ref);
+    if (!is_left_to_others && task.can_be_stopped) {
+      AskForEvacuation(state, effects, cell, task.ref);
+    }
+    if (FindTask(cell, task.ref)->phase == TaskPhase::kRunning) plan.without_room.push_back(task);
   }
+
+  return plan;
+}
+
+}  // namespace
+
+void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell) {
+  if (!MayMoveTasks(state, cell)) return;
+
+  const bool any_draining = std::ranges::any_of(cell.workers, [](const auto& row) {
+    return row.second.info.draining && row.second.long_running_millicores > 0;
+  });
+  if (!any_draining) return;
+
+  if (state.now < cell.next_evacuation) {
+    WakeAt(state, cell.next_evacuation);
+    return;
+  }
+
+  cell.next_evacuation = state.now + kEvacuationInterval;
+  WakeAt(state, cell.next_evacuation);
+  CountUnstartedTasks(cell);
+  const std::vector<LeavingTask> leaving = LeavingTasksOf(cell);
+  const MovePlan plan = PlanMoves(state, effects, cell, leaving);
+  for (const auto& [ref, worker] : plan.moved) KeepForMove(state, cell, ref, *worker);
+  KeepWorkersAhead(state, cell, plan.without_room);
 }
 
 bool HasEvacuationRoom(const State& state, const JobState& job) {
@@ -181,20 +216,22 @@
 
 void UseEvacuationReply(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                         const ReservationReply& reply) {
-  const std::vector<TaskRef> refs = LongRunningOnDraining(cell, TaskPhase::kRunning);
-  const auto ref = std::ranges::find(refs, job.record.spec.job, &TaskRef::job);
+  const std::vector<LeavingTask> leaving = LeavingTasksOf(cell);
+  const auto task = std::ranges::find_if(leaving, [&](const LeavingTask& each) {
+    return each.ref.job == job.record.spec.job && !each.is_stopping && each.can_be_stopped;
+  });
   const bool stops = job.cancelled || job.attempts_exhausted || !MayMoveTasks(state, cell);
 
   const bool is_late = state.now > reply.asked_at + kMaxReplyTime;
 
-  if (reply.tasks <= 0 || is_late || stops || ref == refs.end()) {
+  if (reply.tasks <= 0 || is_late || stops || task == leaving.end()) {
     job.evacuation.reset();
     return;
   }
 
   job.evacuation->held = 1;
   job.evacuation->expires_at = reply.asked_at + kReservationTime;
-  StopForMove(effects, cell, *ref, "in another cell");
+  StopForMove(effects, cell, task->ref, "in another cell");
 }
 
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -111,7 +111,7 @@
 std::optional<int64_t> ScoreWorker(const State& state, OwnedCell& cell,
                                    const PlacementRequest& request, WorkerState& worker) {
   const StepSpec& spec = request.spec;
-  if (!HasRoom(worker, spec, KeptFrom(cell, request, worker))) return std::nullopt;
+  if (!HasRoom(worker, spec, KeptFrom(state, cell, request, worker))) return std::nullopt;
   if (!MayUseWorker(state, cell, request, worker)) return std::nullopt;
 
   const int32_t same = CountTasksOfStep(cell, worker, request.name);
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -2,6 +2,7 @@
 
 #include "capacity_forecast.h"
 #include "cell_load.h"
+#include "leaving_tasks.h"
 #include "owner_contact.h"
 
 namespace currantpost::scheduler {
@@ -56,9 +57,14 @@
 }
 
 /// Returns whether a task takes the place of the task of a hold.
-bool TakesPlaceOf(const PlacementRequest& request, const WorkerHold& hold) {
+bool TakesPlaceOf(const State& state, const PlacementRequest& request, const WorkerHold& hold) {
   if (!request.absent_since) return false;
   if (!hold.is_interrupted) return true;
+
+  // Tasks without a run go before those that still run on draining workers.
+  const bool runs = *request.absent_since > state.now;
+  const bool other_runs = hold.absent_since > state.now;
+  if (runs != other_runs) return other_runs && hold.name != request.name;
   if (request.priority != hold.priority) return request.priority < hold.priority;
 
   return hold.name != request.name && *request.absent_since + kOvertakeMargin < hold.absent_since;
@@ -140,7 +146,7 @@
 WorkerState* ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request) {
   return ChooseWorkerToKeep(
              state, cell, request,
-             [&](const WorkerHold& hold) { return !TakesPlaceOf(request.placement, hold); })
+             [&](const WorkerHold& hold) { return !TakesPlaceOf(state, request.placement, hold); })
       .worker;
 }
 
@@ -153,10 +159,11 @@
 }
 
 /// Returns whether a task fits on a worker now beside all that is kept there, also for its step.
-bool FitsBesideHolds(const OwnedCell& cell, const WorkerState& worker,
+bool FitsBesideHolds(const State& state, const OwnedCell& cell, const WorkerState& worker,
                      const PlacementRequest& request) {
-  const Resources held = HeldOn(
-      cell, worker.info.id, [&](const WorkerHold& hold) { return !TakesPlaceOf(request, hold); });
+  const Resources held = HeldOn(cell, worker.info.id, [&](const WorkerHold& hold) {
+    return !TakesPlaceOf(state, request, hold);
+  });
   return FitsWithin(held + request.spec.need + worker.reserved, worker.info.capacity);
 }
 
@@ -265,7 +272,7 @@
                        const CellId& offered_to) {
   const WorkerState* worker = ChooseWorker(state, cell, request.placement);
   // Further tasks of one step each need a place of their own.
-  const bool fits = worker != nullptr && FitsBesideHolds(cell, *worker, request.placement);
+  const bool fits = worker != nullptr && FitsBesideHolds(state, cell, *worker, request.placement);
   if (!fits) worker = ChooseWorkerToKeep(state, cell, request);
   if (worker == nullptr) return false;
 
@@ -274,13 +281,46 @@
   return true;
 }
 
+void KeepForMove(const State& state, OwnedCell& cell, const TaskRef& ref,
+                 const WorkerState& worker) {
+  const JobState& job = cell.jobs.at(ref.job);
+  HoldRequest request{.placement = RequestFor(state, cell, ref),
+                      .job = ref.job,
+                      .tasks = 1,
+                      .priority = job.record.priority};
+  const auto is_ahead = [&](const WorkerHold& hold) {
+    return IsHoldOf(hold, request.placement.name, ref.job, true) && hold.absent_since > state.now;
+  };
+  auto hold = std::ranges::find_if(cell.holds, [&](const WorkerHold& each) {
+    return is_ahead(each) && each.worker == worker.info.id;
+  });
+  if (hold == cell.holds.end()) hold = std::ranges::find_if(cell.holds, is_ahead);
+
+  if (hold == cell.holds.end()) {
+    request.placement.absent_since = state.now;
+    state.counts.holds.Add(HoldEvent::kGranted);
+    AddHold(state, cell, request, worker, state.now);
+    hold = std::prev(cell.holds.end());
+  } else if (hold->worker != worker.info.id) {
+    state.counts.AddEndOfHold(HoldEvent::kMoved, state.now - hold->since);
+    hold->worker = worker.info.id;
+    hold->since = state.now;
+  }
+
+  // Nobody takes its place: it was stopped because of this worker.
+  hold->absent_since = Millis(0);
+  hold->expires_at = state.now + kHoldTime;
+  // The first holds of a step are those of its tasks that are without a run.
+  std::rotate(cell.holds.begin(), hold, std::next(hold));
+}
+
 void DisplaceHolds(const State& state, OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker) {
   const VmId& id = worker.info.id;
 
   while (!FitsBesideLongRunning(cell, worker, HeldOn(cell, id) + request.spec.need)) {
     const auto hold = std::ranges::find_if(cell.holds, [&](const WorkerHold& each) {
-      return each.worker == id && TakesPlaceOf(request, each);
+      return each.worker == id && TakesPlaceOf(state, request, each);
     });
     if (hold == cell.holds.end()) return;
 
@@ -290,7 +330,10 @@
 }
 
 void DropUselessHolds(const State& state, OwnedCell& cell) {
+  if (std::ranges::none_of(cell.holds, &WorkerHold::is_interrupted)) return;
+
   std::map<std::pair<StepName, JobId>, int64_t> held;
+  const std::map<std::pair<StepName, JobId>, int64_t> leaving = CountLeavingTasks(cell);
 
   EraseHolds(state, cell, HoldEvent::kDropped, [&](const WorkerHold& hold) {
     if (!hold.is_interrupted) return false;
@@ -306,7 +349,9 @@
         std::ranges::count_if(WaitingTasksOf(cell, job->second), [&](const TaskRef& ref) {
           return StepNameOf(job->second, ref) == hold.name && IsInterrupted(job->second, ref);
         });
-    return ++held[{hold.name, hold.job}] > waiting;
+    const std::pair<StepName, JobId> step(hold.name, hold.job);
+    const auto about_to_wait = leaving.find(step);
+    return ++held[step] > waiting + (about_to_wait == leaving.end() ? 0 : about_to_wait->second);
   });
 }
 
@@ -381,10 +426,10 @@
   return HeldOn(cell, worker.info.id);
 }
 
-Resources KeptFrom(const OwnedCell& cell, const PlacementRequest& request,
+Resources KeptFrom(const State& state, const OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker) {
   return HeldOn(cell, worker.info.id, [&](const WorkerHold& hold) {
-    return hold.name != request.name && !TakesPlaceOf(request, hold);
+    return hold.name != request.name && !TakesPlaceOf(state, request, hold);
   });
 }
 
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -28,7 +28,8 @@
 
 /// Long-running tasks of one step of a job that wait for workers to be kept.
 struct HoldRequest {
-  /// For interrupted tasks, `absent_since` is that of the last one of `tasks`.
+  /// For interrupted tasks, `absent_since` is that of the last one of `tasks`. It is in the future
+  /// for those that still run on draining workers.
   PlacementRequest placement;
   JobId job;
   int32_t tasks = 0;
@@ -41,8 +42,8 @@
 inline constexpr Millis kOvertakeMargin = Millis(1'000);
 
 /// Keeps workers for tasks that fit on none now, or goes on keeping them. Interrupted tasks
-/// take the place of new ones, and of those that have had a run since. Returns for how many of the
-/// tasks a worker is kept.
+/// take the place of new ones, of those that have had a run since, and of those that still run.
+/// Returns for how many of the tasks a worker is kept.
 int32_t KeepWorkers(const State& state, OwnedCell& cell, const HoldRequest& request);
 
 /// Returns for how many interrupted or new tasks of one step of a job a worker is kept.
@@ -57,12 +58,16 @@
 /// Offers no worker to a task of another cell for a while.
 void DeferOffers(State& state, const CellId& waits_in, const JobId& job);
 
+/// Keeps a worker that has room now for a task that was just stopped on a draining one.
+void KeepForMove(const State& state, OwnedCell& cell, const TaskRef& ref,
+                 const WorkerState& worker);
+
 /// Ends the holds that a task takes the place of on its worker.
 void DisplaceHolds(const State& state, OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker);
 
 /// Ends the holds of interrupted tasks on workers that take no tasks any more, and those beyond the
-/// number of tasks that wait in the cell.
+/// number of tasks that wait in the cell or run on draining workers there.
 void DropUselessHolds(const State& state, OwnedCell& cell);
 
 /// Ends a hold for a step of a job once a worker was found for one of the tasks: the hold on that
@@ -86,7 +91,7 @@
 Resources KeptOn(const OwnedCell& cell, const WorkerState& worker);
 
 /// Returns what is kept on a worker from a task.
-Resources KeptFrom(const OwnedCell& cell, const PlacementRequest& request,
+Resources KeptFrom(const State& state, const OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker);
 
 }  // namespace currantpost::scheduler
--- /dev/null
+++ b/tests/scheduler/room_ahead_test.cc
@@ -0,0 +1,210 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "world.h"
+
+/// Room that is made ready for long-running tasks on draining workers while they still run.
+
+namespace currantpost::scheduler {
+namespace {
+
+/// Time that a worker announces before it leaves.
+constexpr Millis kDrainTime = Millis(6'000);
+/// Time in which a task that is moved runs again.
+constexpr Millis kMaxPause = Millis(1'000);
+constexpr Millis kEndlessDuration = Millis(60'000);
+constexpr Millis kShortDuration = Millis(2'500);
+/// Time until an owner knows of a change of the registry.
+constexpr Millis kMaxUntilKnown = Millis(1'500);
+/// Time after which a worker that nobody asks for is no longer kept.
+constexpr Millis kMaxUnusedHold = Millis(2'000);
+/// Time until a task's worker counts as lost.
+constexpr Millis kMaxUntilLost = Millis(6'000);
+constexpr Millis kStep = Millis(10);
+constexpr int64_t kWorkerNeed = 8'000;
+constexpr int64_t kLargeNeed = 6'000;
+constexpr int64_t kShortNeed = 2'000;
+/// More short tasks than end during a test.
+constexpr int32_t kShortTasks = 400;
+constexpr int32_t kUrgent = 0;
+constexpr int32_t kLessUrgent = 2;
+
+/// One cell of four workers, filled by short tasks beside the long-running ones.
+class RoomAhead : public testing::Test {
+ protected:
+  void SetUp() override {
+    world_.planner = [](const TaskName& name) {
+      const std::string& job = name.job.Text();
+      const Millis spread = Millis(int64_t{name.index} % 8 * 300);
+      return RunPlan{
+          .duration = job.starts_with("short-ends") ? kShortDuration + spread : kEndlessDuration,
+          .never_ends = job.starts_with("long"),
+          .need = Resources{.millicores = 100, .memory_mib = 100}};
+    };
+    world_.on_run_end = [this](const std::string&, const TaskName& name, RunEnd) {
+      ended_at_[name] = world_.now();
+    };
+    world_.on_start = [this](const ObservedStart& start) {
+      const auto ended = ended_at_.find(start.order.task);
+      if (ended == ended_at_.end()) return;
+
+      pauses_[start.order.task.job.Text()] = world_.now() - ended->second;
+    };
+    world_.Run(Millis(5'000));
+  }
+
+  void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
+
+  void Record(const std::string& id, int32_t tasks, int64_t millicores, int32_t priority) {
+    JobRecord record{
+        .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId("dc0/0")};
+    record.priority = priority;
+    record.spec = MakeJob(id, tasks, millicores);
+    record.spec.steps[0].is_long_running = id.starts_with("long");
+    if (!id.starts_with("long")) {
+      record.spec.steps[0].estimate =
+          id.starts_with("short-ends") ? kShortDuration : kEndlessDuration;
+    }
+    world_.store.Handle(
+        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
+        world_.now(), [](const StoreReply&) {});
+    world_.Run(Millis(1'500));
+  }
+
+  std::string WorkerOf(const std::string& job) const {
+    const std::vector<std::string> workers = world_.WorkersOf(job);
+    return workers.empty() ? std::string() : workers[0];
+  }
+
+  std::string DrainWorkerOf(const std::string& job, Millis remaining = kDrainTime) {
+    const std::string worker = WorkerOf(job);
+    world_.worker(worker).info().drain_remaining = remaining;
+    world_.DrainWorker(worker);
+    return worker;
+  }
+
+  void ExpectMoved(const std::string& job, const std::string& from) {
+    EXPECT_NE(WorkerOf(job), from) << job;
+    EXPECT_NE(WorkerOf(job), "") << job;
+    EXPECT_LE(pauses_[job].Count(), kMaxPause.Count()) << job;
+  }
+
+  OwnedCell& Cell() { return world_.state("e0").cells.at(CellId("dc0/0")); }
+
+  int64_t Holds(const std::string& job) {
+    return std::ranges::count(Cell().holds, JobId(job), &WorkerHold::job);
+  }
+
+  World world_{WorldShape{.entries = 1, .racks = 1, .workers_per_rack = 4}};
+  std::map<TaskName, Millis> ended_at_;
+  /// The last pause of a job.
+  std::map<std::string, Millis> pauses_;
+};
+
+// Guards against a task that ran on until its worker left, as short tasks of lower priority filled
+// the other ones.
+TEST_F(RoomAhead, ATaskMovesToAWorkerThatIsClearedOfLessUrgentTasks) {
+  Record("long", 1, kLargeNeed, kUrgent);
+  Record("short", kShortTasks, kShortNeed, kLessUrgent);
+  const std::string from = DrainWorkerOf("long");
+  world_.Run(kDrainTime);
+
+  ExpectMoved("long", from);
+}
+
+// Guards against the same where the next short task took each piece that one had left.
+TEST_F(RoomAhead, ATaskMovesOnceEnoughShortTasksOfItsPriorityHaveEnded) {
+  Record("long", 1, kLargeNeed, kUrgent);
+  Record("short-ends", kShortTasks, kShortNeed, kUrgent);
+  const std::string from = DrainWorkerOf("long");
+  world_.Run(kDrainTime);
+
+  ExpectMoved("long", from);
+}
+
+TEST_F(RoomAhead, AllTasksOfADrainingWorkerMove) {
+  Record("long-a", 1, kLargeNeed, kUrgent);
+  Record("long-b", 1, kShortNeed, kUrgent);
+  Record("short", kShortTasks, kShortNeed, kLessUrgent);
+  ASSERT_EQ(WorkerOf("long-a"), WorkerOf("long-b"));
+  const std::string from = DrainWorkerOf("long-a");
+  world_.Run(kDrainTime);
+
+  ExpectMoved("long-a", from);
+  ExpectMoved("long-b", from);
+}
+
+// Guards against a worker kept for a task that still runs, while one without a run needs it.
+TEST_F(RoomAhead, ATaskWithoutARunTakesTheKeptWorker) {
+  Record("long-fills", 1, kWorkerNeed, kUrgent);
+  Record("long-drains", 1, kWorkerNeed, kUrgent);
+  Record("long-lost", 1, kWorkerNeed, kLessUrgent);
+  Record("short", kShortTasks, kShortNeed, kUrgent);
+  DrainWorkerOf("long-drains", kDrainTime * 2);
+  world_.Run(kMaxUntilKnown);
+  ASSERT_EQ(Holds("long-drains"), 1);
+  world_.LeaveWorker(WorkerOf("long-lost"));
+  world_.Run(kMaxUntilLost);
+
+  EXPECT_EQ(Holds("long-lost"), 1);
+  EXPECT_EQ(Holds("long-drains"), 0);
+}
+
+TEST_F(RoomAhead, TheTaskWhoseWorkerLeavesFirstGetsTheWorker) {
+  Record("long-fills", 1, kWorkerNeed, kUrgent);
+  Record("long-later", 1, kWorkerNeed, kUrgent);
+  Record("long-sooner", 1, kWorkerNeed, kUrgent);
+  Record("short", kShortTasks, kShortNeed, kUrgent);
+  DrainWorkerOf("long-later", kDrainTime * 2);
+  world_.Run(kMaxUntilKnown);
+  ASSERT_EQ(Holds("long-later"), 1);
+  DrainWorkerOf("long-sooner", kDrainTime);
+  world_.Run(kMaxUntilKnown);
+
+  EXPECT_EQ(Holds("long-sooner"), 1);
+  EXPECT_EQ(Holds("long-later"), 0);
+}
+
+TEST_F(RoomAhead, NoWorkerStaysKeptForATaskThatHasMoved) {
+  Record("long", 1, kLargeNeed, kUrgent);
+  Record("short", kShortTasks, kShortNeed, kLessUrgent);
+  DrainWorkerOf("long");
+  world_.Run(kDrainTime);
+
+  EXPECT_EQ(Cell().holds.size(), 0U);
+}
+
+TEST_F(RoomAhead, NoWorkerStaysKeptForACancelledTask) {
+  Record("long", 1, kLargeNeed, kUrgent);
+  Record("short", kShortTasks, kShortNeed, kUrgent);
+  DrainWorkerOf("long", kDrainTime * 2);
+  world_.Run(kMaxUntilKnown);
+  ASSERT_EQ(Holds("long"), 1);
+  world_.Cancel("e0", "long");
+  world_.Run(kMaxUnusedHold);
+
+  EXPECT_EQ(Cell().holds.size(), 0U);
+}
+
+// Guards against a task that lost its worker before enough short tasks had ended, and the worker
+// kept for it too.
+TEST_F(RoomAhead, TheWorkerStaysKeptWhenTheOtherOneLeaves) {
+  Record("long", 1, kLargeNeed, kUrgent);
+  Record("short", kShortTasks, kShortNeed, kUrgent);
+  const std::string from = DrainWorkerOf("long");
+  world_.Run(kMaxUntilKnown);
+  ASSERT_EQ(Holds("long"), 1);
+  world_.LeaveWorker(from);
+
+  for (Millis passed; passed < kMaxUntilLost; passed = passed + kStep) {
+    world_.Run(kStep);
+    ASSERT_EQ(Holds("long"), 1) << passed.Count();
+  }
+}
+
+}  // namespace
+}  // namespace currantpost::scheduler
