--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -112,7 +112,8 @@
   Resources need;
   VmId worker;
   Millis since;
-  /// The task has run before, and since when it is without a run.
+  /// The task has run before, and since when it is without a run. That is in the future if it still
+  /// runs on a draining worker.
   /// @{
   bool is_interrupted = false;
   Millis absent_since;
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -46,6 +46,8 @@
   bool is_interrupted = false;
   Millis absent;
   /// @}
+  /// How much longer they run at least, if they are on draining workers.
+  Millis runs_for;
   /// Priority of their queue.
   int32_t priority = 0;
   Address reply_to;
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -2,6 +2,7 @@
 #include <utility>
 #include <vector>
 
+#include "capacity_offers.h"
 #include "cell_workers.h"
 #include "leaving_tasks.h"
 #include "reservations.h"
@@ -20,6 +21,10 @@
 /// capacity is held is needed to stop the task and to pass it on.
 constexpr Millis kMaxReplyTime = kReservationTime / 2;
 
+/// How long a cell that keeps a worker for a task is asked for it again and again. Less than it is
+/// kept without a further request.
+constexpr Millis kKeptTime = Millis(1'000);
+
 bool IsLongRunning(const OwnedCell& cell, const TaskRef& ref) {
   return SpecOf(cell.jobs.at(ref.job), ref).is_long_running;
 }
@@ -91,29 +96,54 @@
   return !job.cancelled && !job.attempts_exhausted && WaitingTasksOf(cell, job).empty();
 }
 
-/// Asks another cell for capacity for a task on a draining worker, which runs on meanwhile.
-void AskForEvacuation(State& state, Effects& effects, OwnedCell& cell, const TaskRef& ref) {
-  JobState& job = cell.jobs.at(ref.job);
-  if (!MayAskForEvacuation(state, cell, job)) return;
-
-  const StepSpec& spec = SpecOf(job, ref);
-  const std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, spec, 1);
-  if (!to) return;
-
-  ReservationRequest request{.name = StepNameOf(job, ref),
-                             .step = spec,
+/// Asks another cell for capacity for a task on a draining worker, which runs on meanwhile. With
+/// `may_keep`, the cell may also keep a worker for it until that has room.
+void AskForEvacuation(State& state, Effects& effects, OwnedCell& cell, const LeavingTask& task,
+                      const CellId& to, bool may_keep) {
+  JobState& job = cell.jobs.at(task.ref.job);
+  const Millis runs_until = std::max(task.leaves_at, cell.next_evacuation);
+  ReservationRequest request{.name = StepNameOf(job, task.ref),
+                             .step = SpecOf(job, task.ref),
                              .service = ServiceOf(state, job.record),
                              .from = cell.cell,
-                             .job = ref.job,
+                             .job = task.ref.job,
                              .asked_at = state.now,
                              .reply_timeout = kReservationTime,
+                             .waited = may_keep ? HoldDelay(true) : Millis(0),
                              .is_interrupted = true,
+                             .runs_for = runs_until - state.now,
                              .priority = job.record.priority,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = 1;
   job.evacuation = JobState::Evacuation{
-      .to = *to, .expires_at = state.now + kMaxReplyTime, .asked_at = state.now};
-  AskCell(state, effects, *to, request);
+      .to = to, .expires_at = state.now + kMaxReplyTime, .asked_at = state.now};
+  AskCell(state, effects, to, request);
+}
+
+/// Asks a cell for capacity that reports some, or one that keeps a worker for the task.
+void AskForRoom(State& state, Effects& effects, OwnedCell& cell, const LeavingTask& task) {
+  JobState& job = cell.jobs.at(task.ref.job);
+  if (!MayAskForEvacuation(state, cell, job)) return;
+
+  const StepSpec& spec = SpecOf(job, task.ref);
+  std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, spec, 1);
+  const bool is_reported = to.has_value();
+  if (!to) to = TakeOffer(state, job, true);
+  if (to) AskForEvacuation(state, effects, cell, task, *to, !is_reported);
+}
+
+/// Asks a cell to keep a worker for a task for which its own cell keeps none. Returns whether one
+/// was asked.
+bool AskToKeep(State& state, Effects& effects, OwnedCell& cell, const LeavingTask& task) {
+  JobState& job = cell.jobs.at(task.ref.job);
+  const StepSpec& spec = SpecOf(job, task.ref);
+  if (spec.best_effort || !MayAskForEvacuation(state, cell, job)) return false;
+
+  const std::optional<CellId> to = ChooseCellToKeepWorker(state, cell.cell, job, spec);
+  if (!to) return false;
+
+  AskForEvacuation(state, effects, cell, task, *to, true);
+  return true;
 }
 
 /// Stops a task on a draining worker, as there is room for it elsewhere.
@@ -136,6 +166,8 @@
   std::vector<std::pair<TaskRef, WorkerState*>> moved;
   /// Tasks that run on.
   std::vector<LeavingTask> without_room;
+  /// Those of them that leave no capacity elsewhere to waiting tasks.
+  std::vector<LeavingTask> may_ask;
 };
 
 /// Stops the tasks on draining workers that have room on other ones, and asks other cells for the
@@ -177,15 +209,33 @@
     const StepSpec& spec = SpecOf(cell.jobs.at(task.ref.job), task.ref);
     const bool is_left_to_others = std::ranges::any_of(
         unplaced, [&](const StepSpec* waiting) { return CouldUse(*waiting, spec); });
-    if (!is_left_to_others && task.can_be_stopped) {
-      AskForEvacuation(state, effects, cell, task.ref);
-    }
-    if (FindTask(cell, task.ref)->phase == TaskPhase::kRunning) plan.without_room.push_back(task);
+    const bool may_ask = !is_left_to_others && task.can_be_stopped;
+    if (may_ask) AskForRoom(state, effects, cell, task);
+    // A cell of this entry has replied already.
+    if (FindTask(cell, task.ref)->phase != TaskPhase::kRunning) continue;
+
+    plan.without_room.push_back(task);
+    if (may_ask) plan.may_ask.push_back(task);
   }
 
   return plan;
 }
 
+/// Asks another cell to keep a worker for the first task for which its own cell keeps none, one in
+/// each check, so that the replies cost little.
+void AskOthersToKeep(State& state, Effects& effects, OwnedCell& cell,
+                     const std::vector<LeavingTask>& tasks) {
+  const auto leaving = CountLeavingTasks(cell);
+
+  for (const LeavingTask& task : tasks) {
+    const StepName name = StepNameOf(cell.jobs.at(task.ref.job), task.ref);
+    const auto count = leaving.find({name, task.ref.job});
+    if (count == leaving.end()) continue;
+    if (CountHolds(cell, name, task.ref.job, true) >= count->second) continue;
+    if (AskToKeep(state, effects, cell, task)) return;
+  }
+}
+
 }  // namespace
 
 void EvacuateDraining(State& state, Effects& effects, OwnedCell& cell) {
@@ -208,6 +258,7 @@
   const MovePlan plan = PlanMoves(state, effects, cell, leaving);
   for (const auto& [ref, worker] : plan.moved) KeepForMove(state, cell, ref, *worker);
   KeepWorkersAhead(state, cell, plan.without_room);
+  AskOthersToKeep(state, effects, cell, plan.may_ask);
 }
 
 bool HasEvacuationRoom(const State& state, const JobState& job) {
@@ -224,6 +275,10 @@
 
   const bool is_late = state.now > reply.asked_at + kMaxReplyTime;
 
+  if (reply.tasks <= 0 && reply.keeps && !stops) {
+    job.offers.push_back({job.evacuation->to, state.now + kKeptTime});
+  }
+
   if (reply.tasks <= 0 || is_late || stops || task == leaving.end()) {
     job.evacuation.reset();
     return;
--- a/lib/scheduler/source/granted_reservations.cc
+++ b/lib/scheduler/source/granted_reservations.cc
@@ -18,7 +18,9 @@
       .avoided_worker = VmId(),
       .ready_at = now,
       .priority = request.priority,
-      .absent_since = request.is_interrupted ? std::optional(now - request.absent) : std::nullopt};
+      .absent_since = request.is_interrupted
+                          ? std::optional(now - request.absent + request.runs_for)
+                          : std::nullopt};
 }
 
 void ReleaseWorkers(OwnedCell& cell, const Reservation& held) {
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -29,6 +29,7 @@
                    {"waited", request.waited.Count()},
                    {"interrupted", request.is_interrupted},
                    {"absent", request.absent.Count()},
+                   {"runs_for", request.runs_for.Count()},
                    {"priority", request.priority},
                    {"peer", AddressJson(request.reply_to)}});
 }
@@ -49,6 +50,7 @@
             .waited = Millis(json.value("waited", int64_t{0})),
             .is_interrupted = json.value("interrupted", false),
             .absent = ReadDurationOr(json, "absent", Millis(json.value("waited", int64_t{0}))),
+            .runs_for = ReadDurationOr(json, "runs_for", Millis(0)),
             .priority = ReadIntegerOr(json, "priority", kLastPriority),
             .reply_to = AddressOf(json.at("peer"))};
       });
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -104,7 +104,7 @@
   const bool for_evacuation = !job.reservation && job.evacuation && job.evacuation->to == to &&
                               job.evacuation->asked_at == reply.asked_at;
   if (for_evacuation && job.evacuation->held == 0) {
-    RecordReply(state, job, to, nullptr, reply.tasks);
+    RecordReply(state, job, to, nullptr, reply.keeps ? 1 : reply.tasks);
     return UseEvacuationReply(state, effects, *cell, job, reply);
   }
 
--- a/tests/scheduler/room_ahead_test.cc
+++ b/tests/scheduler/room_ahead_test.cc
@@ -33,9 +33,13 @@
 constexpr int32_t kUrgent = 0;
 constexpr int32_t kLessUrgent = 2;
 
-/// One cell of four workers, filled by short tasks beside the long-running ones.
+/// Cells of four workers, the first one filled by short tasks beside the long-running ones.
 class RoomAhead : public testing::Test {
  protected:
+  explicit RoomAhead(int32_t entries = 1, int32_t centres = 1)
+      : world_(WorldShape{
+            .entries = entries, .data_centres = centres, .racks = 1, .workers_per_rack = 4}) {}
+
   void SetUp() override {
     world_.planner = [](const TaskName& name) {
       const std::string& job = name.job.Text();
@@ -59,9 +63,10 @@
 
   void TearDown() override { EXPECT_EQ(world_.violations, std::vector<std::string>()); }
 
-  void Record(const std::string& id, int32_t tasks, int64_t millicores, int32_t priority) {
+  void Record(const std::string& id, int32_t tasks, int64_t millicores, int32_t priority,
+              const std::string& cell = "dc0/0") {
     JobRecord record{
-        .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId("dc0/0")};
+        .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId(cell)};
     record.priority = priority;
     record.spec = MakeJob(id, tasks, millicores);
     record.spec.steps[0].is_long_running = id.starts_with("long");
@@ -99,12 +104,37 @@
     return std::ranges::count(Cell().holds, JobId(job), &WorkerHold::job);
   }
 
-  World world_{WorldShape{.entries = 1, .racks = 1, .workers_per_rack = 4}};
+  World world_;
   std::map<TaskName, Millis> ended_at_;
   /// The last pause of a job.
   std::map<std::string, Millis> pauses_;
 };
 
+class RoomAheadElsewhere : public RoomAhead {
+ protected:
+  explicit RoomAheadElsewhere(int32_t entries = 2) : RoomAhead(entries, 2) {}
+
+  /// Fills the first cell with long-running tasks, and the second one with short ones.
+  void Fill(int32_t priority) {
+    Record("long-fills", 3, kWorkerNeed, kUrgent);
+    Record("long", 1, kWorkerNeed, kUrgent);
+    Record("short", kShortTasks, kShortNeed, priority, "dc1/0");
+    ASSERT_TRUE(WorkerOf("long").starts_with("wr0-"));
+    ASSERT_EQ(world_.WorkersOf("short").size(), 16U);
+  }
+
+  void ExpectMovedByDrain() {
+    const std::string from = DrainWorkerOf("long");
+    world_.Run(kDrainTime);
+    ExpectMoved("long", from);
+  }
+};
+
+class RoomAheadInAnotherCell : public RoomAheadElsewhere {
+ protected:
+  RoomAheadInAnotherCell() : RoomAheadElsewhere(1) {}
+};
+
 // Guards against a task that ran on until its worker left, as short tasks of lower priority filled
 // the other ones.
 TEST_F(RoomAhead, ATaskMovesToAWorkerThatIsClearedOfLessUrgentTasks) {
@@ -206,5 +236,25 @@
   }
 }
 
+// Guards against a task that ran on until its worker left, as its own cell has no worker to clear.
+TEST_F(RoomAheadElsewhere, ATaskMovesToAWorkerThatAnotherEntryClears) {
+  Fill(kLessUrgent);
+  ExpectMovedByDrain();
+}
+
+TEST_F(RoomAheadInAnotherCell, ATaskMovesToAWorkerThatIsCleared) {
+  Fill(kLessUrgent);
+  ExpectMovedByDrain();
+}
+
+TEST_F(RoomAheadElsewhere, ATaskRunsOnUntilTheKeptWorkerHasRoom) {
+  Fill(kUrgent);
+  const std::string from = DrainWorkerOf("long", kDrainTime * 2);
+  world_.Run(kDrainTime);
+
+  EXPECT_EQ(WorkerOf("long"), from);
+  EXPECT_TRUE(ended_at_.empty());
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
