--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -21,9 +21,10 @@
 /// capacity is held is needed to stop the task and to pass it on.
 constexpr Millis kMaxReplyTime = kReservationTime / 2;
 
-/// How long a cell that keeps a worker for a task is asked for it again and again. Less than it is
-/// kept without a further request.
+/// For how long another cell is taken to keep a worker for a task, and the interval at which it is
+/// asked for it. Less than the worker is kept without a further request.
 constexpr Millis kKeptTime = Millis(1'000);
+constexpr Millis kKeptInterval = Millis(200);
 
 bool IsLongRunning(const OwnedCell& cell, const TaskRef& ref) {
   return SpecOf(cell.jobs.at(ref.job), ref).is_long_running;
@@ -120,6 +121,22 @@
   AskCell(state, effects, to, request);
 }
 
+/// Returns a cell that keeps a worker for a task of a job and is due to be asked for it again, or
+/// nothing.
+std::optional<CellId> TakeKeeper(const State& state, JobState& job) {
+  std::erase_if(job.offers, [&](const JobState::OfferedWorker& offer) {
+    return state.now >= offer.expires_at;
+  });
+  const auto due = std::ranges::find_if(job.offers, [&](const JobState::OfferedWorker& offer) {
+    return state.now + kKeptTime >= offer.expires_at + kKeptInterval;
+  });
+  if (due == job.offers.end()) return std::nullopt;
+
+  const CellId cell = due->cell;
+  job.offers.erase(due);
+  return cell;
+}
+
 /// Asks a cell for capacity that reports some, or one that keeps a worker for the task.
 void AskForRoom(State& state, Effects& effects, OwnedCell& cell, const LeavingTask& task) {
   JobState& job = cell.jobs.at(task.ref.job);
@@ -128,17 +145,22 @@
   const StepSpec& spec = SpecOf(job, task.ref);
   std::optional<CellId> to = ChooseCellForTasks(state, cell.cell, job, spec, 1);
   const bool is_reported = to.has_value();
-  if (!to) to = TakeOffer(state, job, true);
+  if (!to) to = TakeKeeper(state, job);
   if (to) AskForEvacuation(state, effects, cell, task, *to, !is_reported);
 }
 
-/// Asks a cell to keep a worker for a task for which its own cell keeps none. Returns whether one
-/// was asked.
+/// Asks a further cell to keep a worker for a task. Returns whether one was asked.
 bool AskToKeep(State& state, Effects& effects, OwnedCell& cell, const LeavingTask& task) {
   JobState& job = cell.jobs.at(task.ref.job);
   const StepSpec& spec = SpecOf(job, task.ref);
   if (spec.best_effort || !MayAskForEvacuation(state, cell, job)) return false;
 
+  // A cell keeps one worker for the tasks of a step of another cell.
+  for (const JobState::OfferedWorker& offer : job.offers) {
+    Millis& declined_until = job.declined_until[offer.cell];
+    declined_until = std::max(declined_until, offer.expires_at);
+  }
+
   const std::optional<CellId> to = ChooseCellToKeepWorker(state, cell.cell, job, spec);
   if (!to) return false;
 
@@ -221,17 +243,20 @@
   return plan;
 }
 
-/// Asks another cell to keep a worker for the first task for which its own cell keeps none, one in
-/// each check, so that the replies cost little.
+/// Asks another cell to keep a worker for the first task for which none does, one in each check, so
+/// that the replies cost little.
 void AskOthersToKeep(State& state, Effects& effects, OwnedCell& cell,
                      const std::vector<LeavingTask>& tasks) {
   const auto leaving = CountLeavingTasks(cell);
 
   for (const LeavingTask& task : tasks) {
-    const StepName name = StepNameOf(cell.jobs.at(task.ref.job), task.ref);
+    const JobState& job = cell.jobs.at(task.ref.job);
+    const StepName name = StepNameOf(job, task.ref);
     const auto count = leaving.find({name, task.ref.job});
     if (count == leaving.end()) continue;
-    if (CountHolds(cell, name, task.ref.job, true) >= count->second) continue;
+
+    const auto elsewhere = static_cast<int64_t>(job.offers.size());
+    if (CountHolds(cell, name, task.ref.job, true) + elsewhere >= count->second) continue;
     if (AskToKeep(state, effects, cell, task)) return;
   }
 }
--- a/tests/scheduler/room_ahead_test.cc
+++ b/tests/scheduler/room_ahead_test.cc
@@ -87,9 +87,13 @@
 
   std::string DrainWorkerOf(const std::string& job, Millis remaining = kDrainTime) {
     const std::string worker = WorkerOf(job);
+    DrainWorker(worker, remaining);
+    return worker;
+  }
+
+  void DrainWorker(const std::string& worker, Millis remaining) {
     world_.worker(worker).info().drain_remaining = remaining;
     world_.DrainWorker(worker);
-    return worker;
   }
 
   void ExpectMoved(const std::string& job, const std::string& from) {
@@ -256,5 +260,46 @@
   EXPECT_TRUE(ended_at_.empty());
 }
 
+class RoomAheadInThreeCells : public RoomAhead {
+ protected:
+  RoomAheadInThreeCells() : RoomAhead(3, 3) {}
+};
+
+// Guards against tasks of one job that waited for each other: a second cell was asked to keep a
+// worker only after the first task had moved.
+TEST_F(RoomAheadInThreeCells, WorkersAreKeptForAllTasksOfAJobAtOnce) {
+  Record("long-fills", 2, kWorkerNeed, kUrgent);
+  Record("long", 2, kWorkerNeed, kUrgent);
+  Record("short-ends-1", kShortTasks, kShortNeed, kUrgent, "dc1/0");
+  Record("short-ends-2", kShortTasks, kShortNeed, kUrgent, "dc2/0");
+  for (const std::string& worker : world_.WorkersOf("long")) DrainWorker(worker, kDrainTime);
+  world_.Run(kDrainTime);
+
+  const std::vector<std::string> workers = world_.WorkersOf("long");
+  EXPECT_EQ(workers.size(), 2U);
+  for (const std::string& worker : workers) EXPECT_FALSE(worker.starts_with("wr0-")) << worker;
+  EXPECT_EQ(
+      std::ranges::count(ended_at_, JobId("long"), [](const auto& row) { return row.first.job; }),
+      2);
+  EXPECT_LE(pauses_["long"].Count(), kMaxPause.Count());
+}
+
+// Guards against the only room that went to the task with the first worker by name.
+TEST_F(RoomAheadElsewhere, TheTaskWhoseWorkerLeavesFirstMoves) {
+  Record("long-fills", 2, kWorkerNeed, kUrgent);
+  Record("long", 2, kWorkerNeed, kUrgent);
+  Record("long-fills-elsewhere", 3, kWorkerNeed, kUrgent, "dc1/0");
+  std::vector<std::string> workers = world_.WorkersOf("long");
+  ASSERT_EQ(workers.size(), 2U);
+  std::ranges::sort(workers);
+  Record("short", kShortTasks, kShortNeed, kLessUrgent, "dc1/0");
+  DrainWorker(workers[0], kDrainTime * 2);
+  DrainWorker(workers[1], kDrainTime);
+  world_.Run(kDrainTime);
+
+  EXPECT_EQ(world_.worker(workers[0]).Running().size(), 1U);
+  EXPECT_EQ(world_.worker(workers[1]).Running().size(), 0U);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
