--- a/tests/scheduler/room_ahead_test.cc
+++ b/tests/scheduler/room_ahead_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -102,10 +103,16 @@
     EXPECT_LE(pauses_[job].Count(), kMaxPause.Count()) << job;
   }
 
-  OwnedCell& Cell() { return world_.state("e0").cells.at(CellId("dc0/0")); }
+  OwnedCell& Cell(const std::string& id = "dc0/0") {
+    for (const std::string& entry : world_.Entries()) {
+      const auto cell = world_.state(entry).cells.find(CellId(id));
+      if (cell != world_.state(entry).cells.end()) return cell->second;
+    }
+    throw std::out_of_range(id);
+  }
 
-  int64_t Holds(const std::string& job) {
-    return std::ranges::count(Cell().holds, JobId(job), &WorkerHold::job);
+  int64_t Holds(const std::string& job, const std::string& cell = "dc0/0") {
+    return std::ranges::count(Cell(cell).holds, JobId(job), &WorkerHold::job);
   }
 
   World world_;
@@ -260,6 +267,35 @@
   EXPECT_TRUE(ended_at_.empty());
 }
 
+TEST_F(RoomAheadElsewhere, NoWorkerStaysKeptForACancelledTask) {
+  Fill(kUrgent);
+  DrainWorkerOf("long", kDrainTime * 2);
+  world_.Run(kMaxUntilKnown);
+  ASSERT_EQ(Holds("long", "dc1/0"), 1);
+  world_.Cancel("e0", "long");
+  world_.Run(kMaxUnusedHold);
+
+  EXPECT_EQ(Cell("dc1/0").holds.size(), 0U);
+}
+
+// Guards against a worker kept for a task of another cell that still runs, while one without a run
+// needs it.
+TEST_F(RoomAheadElsewhere, ATaskWithoutARunTakesTheKeptWorker) {
+  Record("long-fills", 2, kWorkerNeed, kUrgent);
+  Record("long-drains", 1, kWorkerNeed, kUrgent);
+  Record("long-lost", 1, kWorkerNeed, kLessUrgent);
+  Record("long-fills-elsewhere", 3, kWorkerNeed, kUrgent, "dc1/0");
+  Record("short", kShortTasks, kShortNeed, kUrgent, "dc1/0");
+  DrainWorkerOf("long-drains", kDrainTime * 2);
+  world_.Run(kMaxUntilKnown);
+  ASSERT_EQ(Holds("long-drains", "dc1/0"), 1);
+  world_.LeaveWorker(WorkerOf("long-lost"));
+  world_.Run(kMaxUntilLost);
+
+  EXPECT_EQ(Holds("long-drains", "dc1/0"), 0);
+  EXPECT_EQ(Cell("dc1/0").holds.size(), 1U);
+}
+
 class RoomAheadInThreeCells : public RoomAhead {
  protected:
   RoomAheadInThreeCells() : RoomAhead(3, 3) {}
