--- a/main/currantpost-entry/main.cc
+++ b/main/currantpost-entry/main.cc
@@ -1,7 +1,10 @@
+#include <pthread.h>
+#include <signal.h>
+
 #include <chrono>
-#include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <initializer_list>
 #include <random>
 #include <string>
 
@@ -16,6 +19,16 @@
 
 using namespace currantpost;  // NOLINT(google-build-using-namespace): a main that only wires.
 
+constexpr std::initializer_list<int> kSignals = {SIGTERM, SIGINT, SIGHUP};
+
+/// Blocks the signals that this process handles, or lets those through that came meanwhile.
+void SetSignalMask(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : kSignals) sigaddset(&signals, number);
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 /// Names this life of the process.
 std::string NewLife() {
   std::random_device random;
@@ -52,7 +65,7 @@
     return EXIT_FAILURE;
   }
 
-  loop.OnSignals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+  loop.OnSignals(kSignals, [&](int signal) {
     if (signal == SIGHUP) {
       // Nothing that the file holds changes in the life of a process.
       WriteLog(Severity::kInfo, "entry", "settings file has changed");
@@ -65,6 +78,8 @@
     });
   });
 
+  SetSignalMask(SIG_UNBLOCK);
+
   loop.Run();
   return EXIT_SUCCESS;
 }
@@ -72,6 +87,8 @@
 }  // namespace
 
 int main() {
+  // A stop that is asked for before the entry serves waits until it can be carried out.
+  SetSignalMask(SIG_BLOCK);
   SetUpLogging(Severity::kInfo);
 
   try {
--- a/main/currantpostd/main.cc
+++ b/main/currantpostd/main.cc
@@ -80,6 +80,9 @@
     return app.exit(error) == 0 ? kExitOk : kExitUsage;
   }
 
+  // A stop that is asked for before the daemon serves waits until it can be carried out.
+  if (!options.check_only) BlockSignals();
+
   auto settings = LoadDaemonSettings(options.settings_path);
 
   if (!settings) {
@@ -92,7 +95,6 @@
     return kExitOk;
   }
 
-  BlockSignals();
   SetUpLogging(Severity::kInfo);
 
   Serve(*std::move(settings));
