--- a/tests/platform_adapter/malformed_input_test.cc
+++ b/tests/platform_adapter/malformed_input_test.cc
@@ -53,6 +53,27 @@
   }
 }
 
+// A draining worker whose entry could not be read was missing from the registry.
+TEST(MalformedInput, RegistryEntriesWithAnUnreadableDrainTimeNameADrainingWorker) {
+  for (const std::string state : {"draining", "ready"}) {
+    for (const std::string value : {"\"-\"", "-1", "1e300", "null", "[2900]"}) {
+      std::string text = RegistryEntry("10.0.0.1:8080", "1", "5");
+      text.replace(text.find("ready"), std::string("ready").size(), state);
+      text.insert(1, R"("drain_remaining_ms":)" + value + ",");
+      const auto entry = DecodeAnnouncement("i-1", text);
+
+      ASSERT_TRUE(entry) << text;
+      EXPECT_EQ(entry->ignored_field.code, ErrorCode::kMalformed) << text;
+      EXPECT_EQ(entry->ignored_field.detail, "drain_remaining_ms") << text;
+      EXPECT_TRUE(entry->worker.draining) << text;
+      EXPECT_EQ(entry->worker.drain_remaining, std::nullopt) << text;
+      EXPECT_EQ(entry->worker.incarnation, 5) << text;
+      EXPECT_EQ(entry->worker.address, (Address{"10.0.0.1", 8080})) << text;
+      EXPECT_EQ(entry->worker.capacity.millicores, 1) << text;
+    }
+  }
+}
+
 // Guards against a job that runs other tasks than its caller sent: a count of 2^32 + 1 was 1.
 TEST(MalformedInput, JobsWithNumbersOutOfRangeAreRefused) {
   for (const std::string name : {"count", "cpu", "mem_mb", "gpu", "estimate_ms", "max_per_server",
