--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -136,6 +136,8 @@
       if (WasBoundBefore(progress.worker_incarnation, worker.info.incarnation)) {
         RecordLostRun(state, effects, ref, task.run, progress.worker,
                       LossReason::kWorkerRestartedEarlier);
+        // Nobody knows when the run was last listed.
+        if (SpecOf(job, ref).is_long_running) task.waited_before = state.now - cell.taken_over_at;
         return;
       }
 
--- a/tests/scheduler/inherited_state_test.cc
+++ b/tests/scheduler/inherited_state_test.cc
@@ -18,6 +18,9 @@
 /// clock, and 1 s in which the task is placed, recorded and started.
 constexpr Millis kMaxLeaseWait = Millis(6'050);
 
+/// How late a successor has the records of the jobs.
+constexpr Millis kSlowRecords = Millis(1'000);
+
 JobSpec LongRunningJob(const std::string& id, int32_t tasks, int64_t millicores = 1'000) {
   JobSpec spec = MakeJob(id, tasks, millicores);
   spec.steps[0].is_long_running = true;
@@ -338,6 +341,26 @@
   EXPECT_LE(RunUntil(Millis(20'000), [&] { return SecondStepHasStarted(); }), 1'000);
 }
 
+// Guards against an absence that began anew: the worker had restarted before the successor knew of
+// the run.
+TEST_F(InheritedState, AnAbsenceAfterARestartOfTheWorkerCountsFromTheTakeover) {
+  Build(WorldShape{.racks = 1});
+  world_->Submit("e0", LongRunningJob("a", 1));
+  RunUntilStarted();
+  world_->Run(Millis(1'500));
+  world_->RestartWorker(worker_);
+  world_->Kill(owner_);
+  for (const std::string& entry : world_->Entries()) {
+    if (entry != owner_) world_->SlowRecords(entry, kSlowRecords);
+  }
+  RunUntilSuccessorOpensCell();
+
+  const OwnedCell& cell = world_->state(owner_).cells.begin()->second;
+  ASSERT_GE((world_->now() - cell.taken_over_at).Count(), kSlowRecords.Count());
+  const TaskState& task = cell.jobs.at(JobId("a")).occurrences[0].steps[0].tasks[0];
+  EXPECT_EQ(task.waiting_since.Count(), cell.taken_over_at.Count());
+}
+
 TEST_F(InheritedState, AnEntryThatTakesOverItsOwnCellAgainKnowsSinceWhenAWorkerIsUnresponsive) {
   Build(WorldShape{.entries = 1, .racks = 1});
   world_->Submit("e0", LongRunningJob("a", 1));
