--- a/lib/scheduler/source/capacity_forecast.cc
+++ b/lib/scheduler/source/capacity_forecast.cc
@@ -48,9 +48,10 @@
   if (task.phase == TaskPhase::kStopping) return kUsualStopTime;
 
   const Millis elapsed = task.phase == TaskPhase::kRunning ? state.now - task.began : Millis(0);
-  // One that has overrun its estimate probably goes on for as long again.
-  const Millis rest = elapsed < spec.estimate ? spec.estimate - elapsed : elapsed - spec.estimate;
-  return std::max(rest, kMinRest);
+  if (elapsed < spec.estimate) return std::max(spec.estimate - elapsed, kMinRest);
+
+  // One that has overrun its estimate probably goes on for as long as that again.
+  return std::max(spec.estimate, elapsed - spec.estimate);
 }
 
 Millis ForecastRoom(const State& state, const OwnedCell& cell, const WorkerState& worker,
--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -8,9 +8,6 @@
 
 /// How long the short tasks on a kept worker may take to end by themselves.
 constexpr Millis kMaxWaitForEnds = Millis(300);
-/// Part of its estimate, in percent, up to which a task that resumes from no checkpoint has done
-/// little work.
-constexpr int64_t kLittleWorkPercent = 50;
 /// Time between two checks of the kept workers of a cell.
 constexpr Millis kEvictionInterval = Millis(100);
 
@@ -142,9 +139,7 @@
   if (task.phase != TaskPhase::kRunning || spec.is_long_running) return false;
   if (job.record.priority != priority) return job.record.priority > priority;
 
-  const bool loses_little =
-      spec.checkpointing || (state.now - task.began) * 100 < spec.estimate * kLittleWorkPercent;
-  return loses_little && task.evictions == 0;
+  return spec.checkpointing && task.evictions == 0;
 }
 
 void EvictForInterrupted(State& state, Effects& effects, OwnedCell& cell) {
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -132,8 +132,9 @@
 
     const Millis fits_after =
         ForecastRoom(state, cell, worker, held + spec.need, EvictingPriority(request));
-    const std::tuple<int64_t, int64_t, int64_t> rank(fits_after.Count() / kForecastStepMs,
-                                                     -FreeMillicores(worker), room);
+    const int64_t free = FreeMillicores(worker) - HeldOn(cell, id).millicores;
+    const std::tuple<int64_t, int64_t, int64_t> rank(fits_after.Count() / kForecastStepMs, -free,
+                                                     room);
     if (best.worker != nullptr && rank >= best_rank) continue;
 
     best = {&worker, fits_after};
@@ -187,6 +188,8 @@
   state.counts.AddEndOfHold(HoldEvent::kMoved, state.now - hold.since);
   hold.worker = other.worker->info.id;
   hold.since = state.now;
+  // Where forecasts are wrong, a hold that moves again and again is never used.
+  hold.next_choice = state.now + kMaxForecast;
 }
 
 size_t MaxHolds(const OwnedCell& cell) {
