--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -87,7 +87,7 @@
 
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = cell.jobs.at(ref.job);
-    if (!IsEvictable(state, job, ref, shortage.priority) || EndsSoon(state, job, ref)) continue;
+    if (!IsEvictable(job, ref, shortage.priority) || EndsSoon(state, job, ref)) continue;
 
     candidates.emplace_back(
         Rank{job.record.priority, SpecOf(job, ref).checkpointing, TaskOf(job, ref).began}, ref);
@@ -133,7 +133,7 @@
 
 }  // namespace
 
-bool IsEvictable(const State& state, const JobState& job, const TaskRef& ref, int32_t priority) {
+bool IsEvictable(const JobState& job, const TaskRef& ref, int32_t priority) {
   const StepSpec& spec = SpecOf(job, ref);
   const TaskState& task = TaskOf(job, ref);
   if (task.phase != TaskPhase::kRunning || spec.is_long_running) return false;
