--- a/lib/scheduler/source/worker_orders.cc
+++ b/lib/scheduler/source/worker_orders.cc
@@ -132,6 +132,8 @@
   if (status == OrderStatus::kOk) {
     RecordRunStart(state, effects, cell, job, worker);
     task->phase = TaskPhase::kRunning;
+    // The worker's word counts like a list: the run may end before the next one.
+    task->last_seen_running_at = state.now;
     if (must_stop) SetStopping(worker, *task);
     worker.answered_at = state.now;
     // The run works at full speed until an order changes that.
--- a/tests/scheduler/waiting_order_test.cc
+++ b/tests/scheduler/waiting_order_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -310,5 +311,42 @@
   EXPECT_EQ(Running("long"), static_cast<size_t>(kWorkers - kWithLongRunning));
 }
 
+// Guards against a task that goes before others that are away longer: its start was answered, and
+// its worker was lost before a poll listed the run.
+TEST(BriefRun, AnAbsenceCountsFromARunThatHasBegunAndThatNoPollHasListed) {
+  constexpr Millis kRunTime = Millis(300);
+  constexpr Millis kStartReplyTime = Millis(50);
+  World world(WorldShape{.entries = 1, .racks = 1});
+  world.planner = [](const TaskName&) {
+    return RunPlan{.never_ends = true, .need = Resources{.millicores = 8'000, .memory_mib = 100}};
+  };
+  world.Run(Millis(4'000));
+  JobSpec spec = MakeJob("a", 1, 8'000);
+  spec.steps[0].is_long_running = true;
+  world.Submit("e0", spec);
+  world.Run(Millis(3'000));
+  ASSERT_EQ(world.WorkersOf("a").size(), 1U);
+  std::optional<Millis> begun_at;
+  std::string worker;
+  world.on_start = [&](const ObservedStart& start) {
+    begun_at = world.now();
+    worker = start.worker;
+  };
+
+  world.LoseWorker(world.WorkersOf("a").front());
+  for (int32_t round = 0; round < 1'000 && !begun_at; ++round) world.Run(Millis(10));
+  ASSERT_TRUE(begun_at);
+  world.Run(kRunTime);
+  world.LoseWorker(worker);
+  world.Run(Millis(8'000));
+
+  const JobState& job = world.state("e0").cells.begin()->second.jobs.at(JobId("a"));
+  const TaskState& task = job.occurrences[0].steps[0].tasks[0];
+  ASSERT_EQ(task.phase, TaskPhase::kWaiting);
+  EXPECT_GE(task.waiting_since.Count(), begun_at->Count());
+  EXPECT_LE(task.waiting_since.Count(), (*begun_at + kStartReplyTime).Count());
+  EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
