--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -192,6 +192,8 @@
   struct OfferedWorker {
     CellId cell;
     Millis expires_at;
+    /// By the clock of that owner.
+    Millis offered_at;
   };
   std::vector<OfferedWorker> offers;
   /// Capacity in another cell for tasks on draining workers, which run until it is held.
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -48,6 +48,8 @@
   /// @}
   /// Priority of their queue.
   int32_t priority = 0;
+  /// When the owner that is asked has offered a worker, by its own clock, 0 if it has not.
+  Millis offered_at;
   Address reply_to;
 };
 
@@ -70,6 +72,12 @@
   int64_t free_best_effort = 0;
 };
 
+/// How long an offer may be used at least and at most.
+/// @{
+inline constexpr Millis kMinOfferUsableTime = Millis(350);
+inline constexpr Millis kMaxOfferUsableTime = Millis(950);
+/// @}
+
 /// Tells the owner of a cell that a worker of another one is kept for an interrupted task that
 /// waits there. The task gets it if its owner asks that other cell for capacity.
 struct CapacityOffer {
@@ -77,6 +85,10 @@
   CellId from;
   /// The job in which the task waits.
   JobId job;
+  /// When it was sent, by the sender's clock, 0 if it is an earlier version.
+  Millis offered_at;
+  /// How long it may be used.
+  Millis usable_time = kMinOfferUsableTime;
   Address reply_to;
 };
 
@@ -84,6 +96,8 @@
 struct OfferRefusal {
   CellId waits_in;
   JobId job;
+  /// As in the offer; 0 if an earlier version replied.
+  Millis offered_at;
 };
 
 std::string Encode(const ReservationRequest& request);
--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -9,6 +9,20 @@
 
 /// Maximum number of offers that a job has at a time. Its tasks are passed on one by one.
 constexpr size_t kMaxOffersPerJob = 4;
+/// How long an offered worker is kept after the time in which it may be used: the request for it is
+/// on its way.
+constexpr Millis kRequestTime = Millis(50);
+/// How long an offer may be used, as a multiple of what a reply takes.
+constexpr int64_t kReplyFactor = 2;
+
+/// Returns how long the owner of a cell may use an offer.
+Millis UsableTimeFor(const State& state, const CellId& waits_in) {
+  const std::optional<Millis> reply_time = ReplyTimeOf(state, waits_in);
+  // An owner that takes longer can't use any offer; the next one shows whether it still does.
+  if (!reply_time || *reply_time >= kMaxOfferUsableTime) return kMinOfferUsableTime;
+
+  return std::clamp(*reply_time * kReplyFactor, kMinOfferUsableTime, kMaxOfferUsableTime);
+}
 
 /// Returns the number of interrupted tasks of a job that wait in the cell without a worker that is
 /// kept for them there, and that may be passed on.
@@ -38,7 +52,8 @@
 
 /// Uses an offer to a job, or keeps it until the job may ask. Returns false if no task of the job
 /// needs it.
-bool AcceptOffer(State& state, Effects& effects, const CellId& id, const CapacityOffer& offer) {
+bool AcceptOffer(State& state, Effects& effects, const CellId& id, const CapacityOffer& offer,
+                 Millis expires_at) {
   OwnedCell* cell = FindOpenCell(state, id);
   if (cell == nullptr) return false;
 
@@ -51,7 +66,7 @@
                        (job.reservation && job.reservation->is_offered ? 1 : 0);
   if (job.offers.size() == kMaxOffersPerJob || CountUnserved(*cell, job) <= used) return false;
 
-  job.offers.push_back({offer.from, state.now + kOfferUsableTime});
+  job.offers.push_back({offer.from, expires_at, offer.offered_at});
   ++job.search.offered;
   // A reply that comes later counts all the same.
   if (job.reservation && !job.reservation->is_offered) job.reservation.reset();
@@ -94,23 +109,29 @@
                             .job = wait.job,
                             .tasks = 1,
                             .priority = wait.priority};
-  if (!KeepOfferedWorker(state, cell, request, *task.waits_in)) return std::nullopt;
+  const Millis usable_time = UsableTimeFor(state, *task.waits_in);
+  const Millis kept_time = usable_time + kRequestTime;
+  if (!KeepOfferedWorker(state, cell, request, *task.waits_in, kept_time)) return std::nullopt;
 
-  return OfferedTask{*task.waits_in, wait.job};
+  return OfferedTask{*task.waits_in, wait.job, usable_time};
 }
 
 void SendOffers(State& state, Effects& effects, const CellId& from,
                 const std::vector<OfferedTask>& offers) {
   for (const OfferedTask& offered : offers) {
-    const CapacityOffer offer{
-        .from = from, .job = offered.job, .reply_to = state.settings.peer_address};
+    const CapacityOffer offer{.from = from,
+                              .job = offered.job,
+                              .offered_at = state.now,
+                              .usable_time = offered.usable_time,
+                              .reply_to = state.settings.peer_address};
 
     if (!state.cells.contains(offered.waits_in)) {
       PushToOwner(state, effects, offered.waits_in,
                   StoreItem{.key = std::string(kCapacityOfferPrefix) + offered.waits_in.Text(),
                             .value = Encode(offer)});
-    } else if (!AcceptOffer(state, effects, offered.waits_in, offer)) {
-      HandleRefusal(state, from, OfferRefusal{offered.waits_in, offered.job});
+    } else if (!AcceptOffer(state, effects, offered.waits_in, offer,
+                            state.now + offered.usable_time)) {
+      HandleRefusal(state, from, OfferRefusal{offered.waits_in, offered.job, state.now});
     }
   }
 }
@@ -119,29 +140,32 @@
   const Result<CapacityOffer> offer = DecodeCapacityOffer(item.value);
   if (!offer) return LogUnreadable(effects, item, offer.error());
 
-  if (!IsOverdue(state, kOfferUsableTime) && AcceptOffer(state, effects, id, *offer)) return;
+  const Millis expires_at = state.now - state.lateness + offer->usable_time;
+  if (!IsOverdue(state, offer->usable_time) && AcceptOffer(state, effects, id, *offer, expires_at))
+    return;
 
   PushMessage(effects, offer->reply_to, kOfferRefusalPrefix, offer->from.Text(),
-              Encode(OfferRefusal{id, offer->job}));
+              Encode(OfferRefusal{id, offer->job, offer->offered_at}));
 }
 
 void ApplyOfferRefusal(State& state, Effects& effects, const CellId& id, const StoreItem& item) {
   const Result<OfferRefusal> refusal = DecodeOfferRefusal(item.value);
   if (!refusal) return LogUnreadable(effects, item, refusal.error());
 
-  NoteOwnerReplied(state, refusal->waits_in, Millis(0));
+  NoteOwnerReplied(state, refusal->waits_in, refusal->offered_at);
   HandleRefusal(state, id, *refusal);
 }
 
-std::optional<CellId> TakeOffer(const State& state, JobState& job, bool is_interrupted) {
+std::optional<JobState::OfferedWorker> TakeOffer(const State& state, JobState& job,
+                                                 bool is_interrupted) {
   if (job.offers.empty() || !is_interrupted) return std::nullopt;
 
   DropOldOffers(state, job);
   if (job.offers.empty()) return std::nullopt;
 
-  const CellId cell = job.offers.front().cell;
+  const JobState::OfferedWorker offer = job.offers.front();
   job.offers.erase(job.offers.begin());
-  return cell;
+  return offer;
 }
 
 void NoteServed(State& state, const ReservationRequest& request, const ReservationReply& reply) {
--- a/lib/scheduler/source/capacity_offers.h
+++ b/lib/scheduler/source/capacity_offers.h
@@ -9,13 +9,12 @@
 
 namespace currantpost::scheduler {
 
-/// How long the owner of the waiting task may use an offer.
-inline constexpr Millis kOfferUsableTime = Millis(350);
-
 /// An offer of a worker of an owned cell.
 struct OfferedTask {
   CellId waits_in;
   JobId job;
+  /// How long the owner of the task may use it.
+  Millis usable_time;
 };
 
 /// Keeps a worker of the cell for a task of another cell. Returns the offer to send, or nothing if
@@ -32,7 +31,8 @@
 void ApplyOfferRefusal(State& state, Effects& effects, const CellId& id, const StoreItem& item);
 
 /// Takes the next usable offer to a job for one of its tasks, if there is one.
-std::optional<CellId> TakeOffer(const State& state, JobState& job, bool is_interrupted);
+std::optional<JobState::OfferedWorker> TakeOffer(const State& state, JobState& job,
+                                                 bool is_interrupted);
 
 /// Notes that the owner of a cell has been granted what it asked for an interrupted task.
 void NoteServed(State& state, const ReservationRequest& request, const ReservationReply& reply);
--- a/lib/scheduler/source/granted_reservations.cc
+++ b/lib/scheduler/source/granted_reservations.cc
@@ -2,6 +2,7 @@
 #include "capacity_offers.h"
 #include "cell_load.h"
 #include "overdue_request.h"
+#include "owner_contact.h"
 #include "reservations.h"
 #include "worker_hold.h"
 
@@ -118,6 +119,7 @@
   const Result<ReservationRequest> request = DecodeReservationRequest(item.value);
   if (!request) return LogUnreadable(effects, item, request.error());
 
+  if (request->offered_at > Millis(0)) NoteOwnerReplied(state, request->from, request->offered_at);
   if (IsOverdue(state, request->reply_timeout)) return;
 
   const ReservationReply reply = MakeReply(state, FindOpenCell(state, id), *request);
--- a/lib/scheduler/source/owner_contact.cc
+++ b/lib/scheduler/source/owner_contact.cc
@@ -38,6 +38,16 @@
          !state.cells.contains(cell) && contact->second.owner == OwnerOf(state, cell);
 }
 
+std::optional<Millis> ReplyTimeOf(const State& state, const CellId& cell) {
+  const auto found = state.owner_contacts.find(cell);
+  if (found == state.owner_contacts.end()) return std::nullopt;
+
+  const OwnerContact& contact = found->second;
+  if (contact.unanswered_since || contact.owner != OwnerOf(state, cell)) return std::nullopt;
+
+  return contact.reply_time;
+}
+
 void NoteOwnerAsked(State& state, const CellId& cell) {
   const auto found = state.owner_contacts.find(cell);
   if (found == state.owner_contacts.end()) return;
--- a/lib/scheduler/source/owner_contact.h
+++ b/lib/scheduler/source/owner_contact.h
@@ -18,6 +18,10 @@
 /// Returns whether the owner of a cell is not asked now because it has not replied.
 bool IsOwnerPaused(const State& state, const CellId& cell);
 
+/// Returns how long the owner of a cell took to reply last. Empty if that is not known, or if it
+/// has not replied since it was asked again.
+std::optional<Millis> ReplyTimeOf(const State& state, const CellId& cell);
+
 /// Notes a request that is sent now. An owner that replies late is asked one at a time.
 void NoteOwnerAsked(State& state, const CellId& cell);
 
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -1,5 +1,6 @@
 #include "currantpost/scheduler/reservation.h"
 
+#include <algorithm>
 #include <limits>
 
 #include "currantpost/model/json_integer.h"
@@ -30,6 +31,7 @@
                    {"interrupted", request.is_interrupted},
                    {"absent", request.absent.Count()},
                    {"priority", request.priority},
+                   {"offered", request.offered_at.Count()},
                    {"peer", AddressJson(request.reply_to)}});
 }
 
@@ -50,6 +52,7 @@
             .is_interrupted = json.value("interrupted", false),
             .absent = ReadDurationOr(json, "absent", Millis(json.value("waited", int64_t{0}))),
             .priority = ReadIntegerOr(json, "priority", kLastPriority),
+            .offered_at = ReadDurationOr(json, "offered", Millis(0)),
             .reply_to = AddressOf(json.at("peer"))};
       });
   if (!request) return request;
@@ -94,25 +97,34 @@
 std::string Encode(const CapacityOffer& offer) {
   return Dump(Json{{"from", offer.from.Text()},
                    {"waiting", offer.job.Text()},
+                   {"offered", offer.offered_at.Count()},
+                   {"usable", offer.usable_time.Count()},
                    {"peer", AddressJson(offer.reply_to)}});
 }
 
 Result<CapacityOffer> DecodeCapacityOffer(std::string_view value) {
   return Decode<CapacityOffer>(value, "capacity offer", [](const Json& json) {
-    return CapacityOffer{.from = CellId(json.at("from").get<std::string>()),
-                         .job = JobId(json.at("waiting").get<std::string>()),
-                         .reply_to = AddressOf(json.at("peer"))};
+    const Millis usable_time = ReadDurationOr(json, "usable", kMinOfferUsableTime);
+    return CapacityOffer{
+        .from = CellId(json.at("from").get<std::string>()),
+        .job = JobId(json.at("waiting").get<std::string>()),
+        .offered_at = ReadDurationOr(json, "offered", Millis(0)),
+        .usable_time = std::clamp(usable_time, kMinOfferUsableTime, kMaxOfferUsableTime),
+        .reply_to = AddressOf(json.at("peer"))};
   });
 }
 
 std::string Encode(const OfferRefusal& refusal) {
-  return Dump(Json{{"from", refusal.waits_in.Text()}, {"waiting", refusal.job.Text()}});
+  return Dump(Json{{"from", refusal.waits_in.Text()},
+                   {"waiting", refusal.job.Text()},
+                   {"offered", refusal.offered_at.Count()}});
 }
 
 Result<OfferRefusal> DecodeOfferRefusal(std::string_view value) {
   return Decode<OfferRefusal>(value, "refusal of a capacity offer", [](const Json& json) {
     return OfferRefusal{.waits_in = CellId(json.at("from").get<std::string>()),
-                        .job = JobId(json.at("waiting").get<std::string>())};
+                        .job = JobId(json.at("waiting").get<std::string>()),
+                        .offered_at = ReadDurationOr(json, "offered", Millis(0))};
   });
 }
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -310,9 +310,10 @@
   // A cell of this entry replies at once. If it declines, the next one is asked in the same turn,
   // so that an entry with several cells asks the other entries too.
   for (size_t asked = 0; asked <= state.cells.size(); ++asked) {
-    const std::optional<CellId> offering = TakeOffer(state, job, request.is_interrupted);
+    const auto offer = TakeOffer(state, job, request.is_interrupted);
+    request.offered_at = offer ? offer->offered_at : Millis(0);
     const std::optional<CellId> to =
-        offering ? offering : ChooseCellToAsk(state, cell, job, batch, unserved_wait);
+        offer ? offer->cell : ChooseCellToAsk(state, cell, job, batch, unserved_wait);
 
     if (!to) {
       if (asked == 0) ++job.search.without_cell;
@@ -323,7 +324,7 @@
       cell.next_best_effort_request = state.now + kBestEffortRequestInterval;
     }
     job.reservation =
-        JobState::PendingReservation{*to, state.now + kReplyTimeout, offering.has_value()};
+        JobState::PendingReservation{*to, state.now + kReplyTimeout, offer.has_value()};
     const bool is_own = state.cells.contains(*to);
     ++(is_own ? job.search.asked_own_cells : job.search.asked_other_cells);
     AskCell(state, effects, *to, request);
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -38,8 +38,6 @@
   return HeldOn(cell, worker, [](const WorkerHold&) { return true; });
 }
 
-/// How long a worker is kept for a task of another cell whose owner has not asked for it yet.
-constexpr Millis kOfferTime = Millis(400);
 /// How long a task that needs no worker, or whose owner does not reply, gets no further offer.
 /// Others have their turn, and a report that is on its way may show why.
 constexpr Millis kOfferPause = Millis(600);
@@ -262,7 +260,7 @@
 }
 
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
-                       const CellId& offered_to) {
+                       const CellId& offered_to, Millis time) {
   const WorkerState* worker = ChooseWorker(state, cell, request.placement);
   // Further tasks of one step each need a place of their own.
   const bool fits = worker != nullptr && FitsBesideHolds(cell, *worker, request.placement);
@@ -270,7 +268,7 @@
   if (worker == nullptr) return false;
 
   state.counts.holds.Add(HoldEvent::kOffered);
-  AddHold(state, cell, request, *worker, state.now + kOfferTime).offered_to = offered_to;
+  AddHold(state, cell, request, *worker, state.now + time).offered_to = offered_to;
   return true;
 }
 
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -49,10 +49,10 @@
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
                    bool is_interrupted);
 
-/// Keeps a worker for a while for an interrupted task that waits in another cell, whose owner is
+/// Keeps a worker for some time for an interrupted task that waits in another cell, whose owner is
 /// offered it. Returns whether one was found.
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
-                       const CellId& offered_to);
+                       const CellId& offered_to, Millis time);
 
 /// Offers no worker to a task of another cell for a while.
 void DeferOffers(State& state, const CellId& waits_in, const JobId& job);
--- a/tests/scheduler/capacity_offers_test.cc
+++ b/tests/scheduler/capacity_offers_test.cc
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "currantpost/scheduler/reservation.h"
@@ -50,6 +53,41 @@
         world_.now(), [](const StoreReply&) {});
   }
 
+  /// Frees a worker, and makes the other owner handle what arrives from the first offer on late.
+  void ReplyLate(Millis late) {
+    bool is_offered = false;
+    world_.on_push = [&](const std::string&, const std::string& to, const StoreItem& item) {
+      if (to != "e0" || !item.key.starts_with(kCapacityOfferPrefix)) return;
+      is_offered = true;
+      world_.Pause("e0");
+    };
+    world_.Cancel("e1", "dc1-00");
+    for (Millis passed; !is_offered && passed < Millis(1'000); passed = passed + Millis(5)) {
+      world_.Run(Millis(5));
+    }
+    ASSERT_TRUE(is_offered);
+    world_.on_push = nullptr;
+    world_.Run(late);
+    world_.Resume("e0");
+  }
+
+  /// Lets an entry handle a message that has waited for half a second.
+  Effects HandleLate(const std::string& entry, const StoreItem& item) {
+    Effects effects;
+    const Millis now = world_.now();
+    Reduce(world_.state(entry),
+           Event{now, now.Count(), RecordsPushed{{item}}, Backlog{.lateness = Millis(500)}},
+           effects);
+    return effects;
+  }
+
+  static int64_t Pushes(const Effects& effects, std::string_view prefix) {
+    return std::ranges::count_if(effects, [&](const Effect& effect) {
+      const auto* push = std::get_if<PushRecords>(&effect);
+      return push != nullptr && push->items.front().key.starts_with(prefix);
+    });
+  }
+
   void Cancel(const std::string& id) { world_.Cancel("e0", JobOf(id)); }
   bool Runs(const std::string& id) const { return !world_.WorkersOf(JobOf(id)).empty(); }
 
@@ -103,6 +141,62 @@
   EXPECT_TRUE(Runs("young"));
 }
 
+// Guards against an offer that ends before an owner which replies late can have asked for it.
+TEST_F(CapacityOffers, AnOfferLastsAsLongAsTheRepliesOfItsOwnerTake) {
+  Record("old", kFull, Millis(8'000));
+  Record("young", kOther, Millis(3'000));
+  world_.Run(Millis(1'500));
+  world_.state("e1").owner_contacts[CellId(kFull)] =
+      OwnerContact{.owner = EntryId("e0"), .reply_time = Millis(450)};
+  ReplyLate(Millis(500));
+  world_.Run(kMaxStart);
+
+  EXPECT_TRUE(Runs("old"));
+  EXPECT_FALSE(Runs("young"));
+}
+
+// Guards against an owner that is taken for silent although it has replied to an offer.
+TEST_F(CapacityOffers, TheReplyToAnOfferThatHasEndedSaysHowLongRepliesTake) {
+  Record("old", kFull, Millis(8'000));
+  world_.Run(Millis(1'500));
+  ReplyLate(Millis(500));
+  world_.Run(Millis(300));
+
+  const OwnerContact& contact = world_.state("e1").owner_contacts.at(CellId(kFull));
+  EXPECT_FALSE(contact.unanswered_since);
+  EXPECT_GE(contact.reply_time, Millis(500));
+  EXPECT_LE(contact.reply_time, Millis(700));
+}
+
+// Guards against offers that are refused though they last for longer than the receiver is behind.
+TEST_F(CapacityOffers, AnOfferIsUsableForTheTimeThatItNames) {
+  Record("old", kFull, Millis(8'000));
+  world_.Run(Millis(1'500));
+  for (const auto& [usable, is_accepted] :
+       {std::pair<std::string, bool>{"", false}, {R"(,"usable":950)", true}}) {
+    const std::string offer =
+        R"({"from":"dc1/0","waiting":"old","offered":1,"peer":["e1",1])" + usable + "}";
+    const Effects effects = HandleLate(
+        "e0", StoreItem{.key = std::string(kCapacityOfferPrefix) + kFull, .value = offer});
+    EXPECT_EQ(Pushes(effects, kOfferRefusalPrefix), is_accepted ? 0 : 1) << usable;
+    EXPECT_EQ(Pushes(effects, kReservationRequestPrefix), is_accepted ? 1 : 0) << usable;
+  }
+}
+
+TEST(CapacityOfferMessage, AnUnusableTimeIsMalformedAndAMissingOneIsTheShortest) {
+  const auto decode = [](const std::string& members) {
+    return DecodeCapacityOffer(R"({"from":"a","waiting":"b","peer":["e1",1])" + members + "}");
+  };
+  EXPECT_EQ(decode("")->usable_time, kMinOfferUsableTime);
+  EXPECT_EQ(decode(R"(,"usable":600)")->usable_time, Millis(600));
+  EXPECT_EQ(decode(R"(,"usable":0)")->usable_time, kMinOfferUsableTime);
+  EXPECT_EQ(decode(R"(,"usable":999999)")->usable_time, kMaxOfferUsableTime);
+  for (const std::string value : {"-1", "1e300", "\"600\"", "null", "[]"}) {
+    EXPECT_FALSE(decode(R"(,"usable":)" + value)) << value;
+    EXPECT_FALSE(decode(R"(,"offered":)" + value)) << value;
+  }
+}
+
 TEST_F(CapacityOffers, MalformedMessagesChangeNothing) {
   const std::string huge(R"({"from":")" + std::string(10'000, 'x') +
                          R"(","waiting":"y","peer":7})");
