--- a/lib/scheduler/include/currantpost/scheduler/background_pace.h
+++ b/lib/scheduler/include/currantpost/scheduler/background_pace.h
@@ -14,6 +14,9 @@
   /// Notes how long the present event has waited.
   void Observe(Millis lateness);
 
+  /// Returns the longest time that an event has waited since the last slice.
+  [[nodiscard]] Millis Lateness() const { return lateness_; }
+
   /// Returns how long after the beginning of the last slice the next one may begin.
   [[nodiscard]] Millis Pause() const;
 
--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -14,6 +14,8 @@
 constexpr Millis kRequestTime = Millis(50);
 /// How long an offer may be used, as a multiple of what a reply takes.
 constexpr int64_t kReplyFactor = 2;
+/// How late an owner that offers workers may handle the requests for them.
+constexpr Millis kMaxOfferLateness = kMinOfferUsableTime / 2;
 
 /// Returns how long the owner of a cell may use an offer.
 Millis UsableTimeFor(const State& state, const CellId& waits_in) {
@@ -93,6 +95,11 @@
 
 }  // namespace
 
+bool MayOffer(const State& state, const OwnedCell& cell) {
+  const Millis lateness = std::max(state.lateness, state.background.pace.Lateness());
+  return cell.hand_over.written && HoldsLease(state) && lateness < kMaxOfferLateness;
+}
+
 std::optional<OfferedTask> MakeOffer(const State& state, OwnedCell& cell,
                                      const InterruptedTask& task, int32_t rank) {
   const InterruptedWait& wait = task.reported->task;
--- a/lib/scheduler/source/capacity_offers.h
+++ b/lib/scheduler/source/capacity_offers.h
@@ -17,6 +17,10 @@
   Millis usable_time;
 };
 
+/// Returns whether offers of the cell's workers can be used: its owner may start tasks, and handles
+/// the requests for them in time.
+bool MayOffer(const State& state, const OwnedCell& cell);
+
 /// Keeps a worker of the cell for a task of another cell. Returns the offer to send, or nothing if
 /// no worker can be kept or the task has as many offers of this cell as it needs. `rank` is the
 /// number of the task among those of its step and job, from 1.
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -296,7 +296,7 @@
       : state_(state),
         effects_(effects),
         cell_(cell),
-        may_offer_(cell.hand_over.written && HoldsLease(state)),
+        may_offer_(MayOffer(state, cell)),
         tasks_(InterruptedTasksFor(state, cell)) {}
 
   /// Handles the tasks whose turn is before the other tasks of a priority.
--- a/tests/scheduler/capacity_offers_test.cc
+++ b/tests/scheduler/capacity_offers_test.cc
@@ -88,6 +88,15 @@
     });
   }
 
+  /// Keeps an entry busy with queries.
+  void Query(const std::string& entry, Millis span) {
+    constexpr Millis kRound = Millis(100);
+    for (Millis passed; passed < span; passed = passed + kRound) {
+      for (int32_t query = 0; query < 6; ++query) world_.RequestStatus(entry, "unknown");
+      world_.Run(kRound);
+    }
+  }
+
   void Cancel(const std::string& id) { world_.Cancel("e0", JobOf(id)); }
   bool Runs(const std::string& id) const { return !world_.WorkersOf(JobOf(id)).empty(); }
 
@@ -197,6 +206,23 @@
   }
 }
 
+// Guards against workers that an owner which is behind keeps for tasks of other cells, whose
+// requests it would handle too late.
+TEST_F(CapacityOffers, AnOwnerThatIsBehindKeepsWorkersForItsOwnTasksOnly) {
+  Record("old", kFull, Millis(8'000));
+  Record("young", kOther, Millis(3'000));
+  world_.Run(Millis(1'500));
+  world_.SetMachine("e1", Machine{.per_event = Millis(40), .max_wait = Millis(350)});
+  Query("e1", Millis(1'000));
+  const uint64_t offered = world_.state("e1").counts.holds.Get(HoldEvent::kOffered);
+  world_.Cancel("e1", "dc1-00");
+  Query("e1", kMaxStart);
+
+  EXPECT_GE(world_.last_wait.at("e1"), Millis(200));
+  EXPECT_EQ(world_.state("e1").counts.holds.Get(HoldEvent::kOffered), offered);
+  EXPECT_TRUE(Runs("young"));
+}
+
 TEST_F(CapacityOffers, MalformedMessagesChangeNothing) {
   const std::string huge(R"({"from":")" + std::string(10'000, 'x') +
                          R"(","waiting":"y","peer":7})");
