--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -13,6 +13,7 @@
 #include "currantpost/base/enum_names.h"
 #include "currantpost/base/ids.h"
 #include "currantpost/base/time.h"
+#include "currantpost/scheduler/doubling_pause.h"
 #include "currantpost/scheduler/job_state.h"
 #include "currantpost/scheduler/records.h"
 #include "currantpost/scheduler/reservation.h"
@@ -128,17 +129,6 @@
   Millis next_choice;
 };
 
-/// A pause that doubles each time it is extended.
-struct DoublingPause {
-  Millis until;
-  int32_t extensions = 0;
-
-  void Extend(Millis now, Millis first, int32_t max_doublings) {
-    until = now + first * (int64_t{1} << std::min(extensions, max_doublings));
-    ++extensions;
-  }
-};
-
 /// How the owner of a cell replies to requests for capacity.
 struct OwnerContact {
   /// What is known of one owner says nothing of the next.
--- a/lib/scheduler/include/currantpost/scheduler/room_table.h
+++ b/lib/scheduler/include/currantpost/scheduler/room_table.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "currantpost/base/time.h"
+#include "currantpost/scheduler/doubling_pause.h"
 #include "currantpost/scheduler/records.h"
 
 /// Free capacity of all cells by service, for the choice of cells. It is updated with each load
@@ -31,8 +32,8 @@
   /// Since when it is without a run, by this entry's clock. Later than in truth by the time that
   /// the report took.
   Millis absent_since;
-  /// Earliest time of the next offer of a worker.
-  Millis next_offer;
+  /// It is offered no worker meanwhile. Doubles with each offer that it does not come for.
+  DoublingPause offer_pause;
 };
 
 /// What a cell last reported for a service, in thousandths of a core, see `ServiceLoad`.
@@ -126,8 +127,13 @@
   /// Replaces the free capacity of a cell by what its owner has just replied.
   void SetReply(const CellId& cell, const std::string& service, const ServiceLoad& load);
 
-  /// Offers no worker to the first interrupted task of a job in a cell's report before a time.
-  void DeferOffers(const CellId& cell, const JobId& job, Millis now, Millis until);
+  /// Extends the pause of the first interrupted task of a job in a cell's report that may be
+  /// offered a worker.
+  void DeferOffers(const CellId& cell, const JobId& job, Millis now, Millis first,
+                   int32_t max_doublings);
+
+  /// Notes that the first such task has come for a worker. It is offered none before a time.
+  void NoteOfferUsed(const CellId& cell, const JobId& job, Millis now, Millis until);
 
   /// Counts demand that was sent to a cell, until its next load report or reply.
   void AddSentDemand(const CellId& cell, int64_t reserved, int64_t best_effort, Millis now);
@@ -139,6 +145,10 @@
   [[nodiscard]] const ServiceRooms* Find(std::string_view service) const;
 
  private:
+  /// Calls a function for the first interrupted task of a job in a cell's report that may be
+  /// offered a worker, of each service.
+  void VisitOfferable(const CellId& cell, const JobId& job, Millis now,
+                      const std::function<void(ReportedWait&)>& visit);
   void ClearSentDemand(const CellId& cell);
 
   std::map<std::string, ServiceRooms, std::less<>> services_;
--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -177,7 +177,7 @@
 
 void NoteServed(State& state, const ReservationRequest& request, const ReservationReply& reply) {
   if (request.is_interrupted && (reply.tasks > 0 || reply.keeps)) {
-    DeferOffers(state, request.from, request.job);
+    NoteOfferUsed(state, request.from, request.job);
   }
 }
 
--- a/lib/scheduler/source/interrupted_order.cc
+++ b/lib/scheduler/source/interrupted_order.cc
@@ -26,7 +26,7 @@
     if (!may_offer) continue;
 
     for (const ReportedWait& wait : row.interrupted_waits) {
-      if (wait.task.need.millicores > largest || state.now < wait.next_offer) continue;
+      if (wait.task.need.millicores > largest || state.now < wait.offer_pause.until) continue;
 
       tasks.push_back(InterruptedTask{.priority = wait.task.priority,
                                       .absent_since = wait.absent_since,
--- a/lib/scheduler/source/room_table.cc
+++ b/lib/scheduler/source/room_table.cc
@@ -42,7 +42,7 @@
     const bool is_known = known != former.end();
     waits.push_back(ReportedWait{.task = task,
                                  .absent_since = now - task.absent,
-                                 .next_offer = is_known ? known->next_offer : now});
+                                 .offer_pause = is_known ? known->offer_pause : DoublingPause()});
     if (is_known) former.erase(known);
   }
 
@@ -143,15 +143,35 @@
   ClearSentDemand(cell);
 }
 
-void RoomTable::DeferOffers(const CellId& cell, const JobId& job, Millis now, Millis until) {
+void RoomTable::VisitOfferable(const CellId& cell, const JobId& job, Millis now,
+                               const std::function<void(ReportedWait&)>& visit) {
   for (auto& [service, rooms] : services_) {
     RoomRow* row = rooms.Find(cell);
     if (row == nullptr) continue;
 
     const auto wait = std::ranges::find_if(row->interrupted_waits, [&](const ReportedWait& each) {
-      return each.task.job == job && each.next_offer <= now;
+      return each.task.job == job && each.offer_pause.until <= now;
     });
-    if (wait != row->interrupted_waits.end()) wait->next_offer = until;
+    if (wait != row->interrupted_waits.end()) visit(*wait);
+  }
+}
+
+void RoomTable::DeferOffers(const CellId& cell, const JobId& job, Millis now, Millis first,
+                            int32_t max_doublings) {
+  VisitOfferable(cell, job, now,
+                 [&](ReportedWait& wait) { wait.offer_pause.Extend(now, first, max_doublings); });
+}
+
+void RoomTable::NoteOfferUsed(const CellId& cell, const JobId& job, Millis now, Millis until) {
+  VisitOfferable(cell, job, now, [&](ReportedWait& wait) { wait.offer_pause.until = until; });
+
+  for (auto& [service, rooms] : services_) {
+    RoomRow* row = rooms.Find(cell);
+    if (row == nullptr) continue;
+
+    for (ReportedWait& wait : row->interrupted_waits) {
+      if (wait.task.job == job) wait.offer_pause.extensions = 0;
+    }
   }
 }
 
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -39,8 +39,10 @@
 }
 
 /// How long a task that needs no worker, or whose owner does not reply, gets no further offer.
-/// Others have their turn, and a report that is on its way may show why.
+/// Others have their turn, and a report that is on its way may show why. Doubles with each offer in
+/// succession that it doesn't come for.
 constexpr Millis kOfferPause = Millis(600);
+constexpr int32_t kMaxOfferPauseDoublings = 2;
 
 /// Ends the matching holds, counts them, and returns their number.
 template <typename Matches>
@@ -256,7 +258,11 @@
 }
 
 void DeferOffers(State& state, const CellId& waits_in, const JobId& job) {
-  state.rooms.DeferOffers(waits_in, job, state.now, state.now + kOfferPause);
+  state.rooms.DeferOffers(waits_in, job, state.now, kOfferPause, kMaxOfferPauseDoublings);
+}
+
+void NoteOfferUsed(State& state, const CellId& waits_in, const JobId& job) {
+  state.rooms.NoteOfferUsed(waits_in, job, state.now, state.now + kOfferPause);
 }
 
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -54,9 +54,13 @@
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
                        const CellId& offered_to, Millis time);
 
-/// Offers no worker to a task of another cell for a while.
+/// Offers no worker to a task of another cell that has not come for one, for longer each time.
 void DeferOffers(State& state, const CellId& waits_in, const JobId& job);
 
+/// Notes that a task of another cell has come for a worker. Until a report shows it, none is
+/// offered.
+void NoteOfferUsed(State& state, const CellId& waits_in, const JobId& job);
+
 /// Ends the holds that a task takes the place of on its worker.
 void DisplaceHolds(const State& state, OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker);
--- a/tests/scheduler/capacity_offers_test.cc
+++ b/tests/scheduler/capacity_offers_test.cc
@@ -223,6 +223,34 @@
   EXPECT_TRUE(Runs("young"));
 }
 
+// Guards against a worker that is kept over and over for a task that never comes.
+TEST_F(CapacityOffers, ATaskThatHasTwiceNotComeIsNotOfferedAWorkerAgainAtOnce) {
+  LoadRecord report;
+  report.services["service"].interrupted_waits = {
+      InterruptedWait{.name = StepName{.job = JobId("gone")},
+                      .job = JobId("gone"),
+                      .need = Resources{.millicores = kWorkerNeed, .memory_mib = 100},
+                      .absent = Millis(8'000)}};
+  world_.Push("e1", StoreItem{.key = std::string(kLoadPrefix) + kFull,
+                              .revision = 1'000'000,
+                              .value = Encode(report)});
+  std::vector<Millis> offers;
+  world_.on_push = [&](const std::string&, const std::string&, const StoreItem& item) {
+    if (item.key.starts_with(kCapacityOfferPrefix)) offers.push_back(world_.now());
+  };
+  world_.Cancel("e1", "dc1-00");
+  for (Millis passed; passed < Millis(12'000); passed = passed + Millis(100)) {
+    // A round each 0.1 s, as where short tasks begin and end.
+    world_.state("e1").cells.at(CellId(kOther)).placement_due = true;
+    world_.Run(Millis(100));
+  }
+
+  ASSERT_GE(offers.size(), 5U);
+  for (size_t offer = 3; offer < offers.size(); ++offer) {
+    EXPECT_GE(offers[offer] - offers[offer - 1], Millis(2'000)) << offer;
+  }
+}
+
 TEST_F(CapacityOffers, MalformedMessagesChangeNothing) {
   const std::string huge(R"({"from":")" + std::string(10'000, 'x') +
                          R"(","waiting":"y","peer":7})");
--- a/tests/scheduler/room_table_test.cc
+++ b/tests/scheduler/room_table_test.cc
@@ -143,6 +143,31 @@
   EXPECT_EQ(Row(kCell)->Free(Now()), 10'000);
 }
 
+TEST_F(RoomTableOfEntry, ThePauseBetweenOffersBeginsAnewOnceTheTaskHasCome) {
+  ServiceLoad load = SomeLoad();
+  load.interrupted_waits = {InterruptedWait{.name = StepName{.job = kJob}, .job = kJob}};
+  Report(kCell, kService, load);
+  const auto pause = [&] {
+    return Row(kCell)->interrupted_waits.front().offer_pause.until - Now();
+  };
+  const auto defer = [&] { Table().DeferOffers(kCell, kJob, Now(), Millis(100), 2); };
+  for (const int64_t expected : {100, 200, 400, 400}) {
+    defer();
+    EXPECT_EQ(pause(), Millis(expected));
+    entry_.Wait(Millis(1'000));
+  }
+
+  // A report that still names the task doesn't shorten the pause.
+  Report(kCell, kService, load);
+  defer();
+  EXPECT_EQ(pause(), Millis(400));
+  // It comes late, during the pause.
+  Table().NoteOfferUsed(kCell, kJob, Now(), Now() + Millis(100));
+  entry_.Wait(Millis(1'000));
+  defer();
+  EXPECT_EQ(pause(), Millis(100));
+}
+
 TEST_F(RoomTableOfEntry, SentDemandCountsUntilTheNextReport) {
   Report(kCell, kService, SomeLoad());
   Table().AddSentDemand(kCell, 4'000, 2'000, Now());
