--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -162,6 +162,8 @@
   kCell,
   /// Cells of this entry that were asked for capacity.
   kOwnCell,
+  /// Workers that were looked at for interrupted tasks.
+  kWorker,
 };
 
 inline constexpr EnumNames kSearchVisitNames(std::to_array<EnumName<SearchVisit>>({
@@ -169,9 +171,10 @@
     {SearchVisit::kJob, "job"},
     {SearchVisit::kCell, "cell"},
     {SearchVisit::kOwnCell, "own_cell"},
+    {SearchVisit::kWorker, "worker"},
 }));
 
-using SearchVisits = CountsBy<SearchVisit, SearchVisit::kOwnCell>;
+using SearchVisits = CountsBy<SearchVisit, SearchVisit::kWorker>;
 
 /// Kinds of calls to the store.
 enum class StoreCallKind {
--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -100,7 +100,7 @@
   return cell.hand_over.written && HoldsLease(state) && lateness < kMaxOfferLateness;
 }
 
-std::optional<OfferedTask> MakeOffer(const State& state, OwnedCell& cell,
+std::optional<OfferedTask> MakeOffer(const State& state, OwnedCell& cell, RoomBound& bound,
                                      const InterruptedTask& task, int32_t rank) {
   const InterruptedWait& wait = task.reported->task;
   if (rank <= CountHolds(cell, wait.name, wait.job, true)) return std::nullopt;
@@ -116,6 +116,8 @@
                             .job = wait.job,
                             .tasks = 1,
                             .priority = wait.priority};
+  if (!bound.MayFit(request.placement)) return std::nullopt;
+
   const Millis usable_time = UsableTimeFor(state, *task.waits_in);
   const Millis kept_time = usable_time + kRequestTime;
   if (!KeepOfferedWorker(state, cell, request, *task.waits_in, kept_time)) return std::nullopt;
--- a/lib/scheduler/source/capacity_offers.h
+++ b/lib/scheduler/source/capacity_offers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "interrupted_order.h"
+#include "room_bound.h"
 
 /// Offers of workers to interrupted tasks that wait in other cells. An owner that has capacity
 /// finds by the load reports which task has been without a run for longest, keeps a worker for it,
@@ -24,7 +25,7 @@
 /// Keeps a worker of the cell for a task of another cell. Returns the offer to send, or nothing if
 /// no worker can be kept or the task has as many offers of this cell as it needs. `rank` is the
 /// number of the task among those of its step and job, from 1.
-std::optional<OfferedTask> MakeOffer(const State& state, OwnedCell& cell,
+std::optional<OfferedTask> MakeOffer(const State& state, OwnedCell& cell, RoomBound& bound,
                                      const InterruptedTask& task, int32_t rank);
 
 /// Sends offers to the owners of the cells in which the tasks wait.
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -297,10 +297,13 @@
         effects_(effects),
         cell_(cell),
         may_offer_(MayOffer(state, cell)),
+        bound_(state, cell),
         tasks_(InterruptedTasksFor(state, cell)) {}
 
   /// Handles the tasks whose turn is before the other tasks of a priority.
   void PlaceUpTo(int32_t priority, RoundOutcome& outcome) {
+    bound_.Reset();
+
     for (; next_ < tasks_.size() && tasks_[next_].priority <= priority; ++next_) {
       const InterruptedTask& task = tasks_[next_];
 
@@ -308,7 +311,7 @@
         Place(*task.own, outcome);
       } else if (may_offer_ && outcome.offers.size() < kMaxOffersPerRound) {
         const InterruptedWait& wait = task.reported->task;
-        const auto offer = MakeOffer(state_, cell_, task, ++seen_[{wait.name, wait.job}]);
+        const auto offer = MakeOffer(state_, cell_, bound_, task, ++seen_[{wait.name, wait.job}]);
         if (offer) outcome.offers.push_back(*offer);
       }
     }
@@ -326,10 +329,12 @@
     }
 
     const PlacementRequest request = RequestFor(state_, cell_, ref);
-    WorkerState* worker = ChooseWorker(state_, cell_, request);
+    const bool may_fit = bound_.MayFit(request);
+    WorkerState* worker = may_fit ? ChooseWorker(state_, cell_, request) : nullptr;
 
     if (worker != nullptr) {
       Bind(state_, effects_, cell_, job, ref, *worker);
+      bound_.Reset();
       ++outcome.bindings;
       outcome.bound.insert(ref.job);
       return;
@@ -337,6 +342,8 @@
 
     outcome.unplaced.insert(ref.job);
     const int32_t rank = ++seen_[{request.name, ref.job}];
+    if (!may_fit) return;
+
     const bool is_overdue = state_.now >= *request.absent_since + HoldDelay(true);
     // A task that was passed on to this cell has its hold already.
     if (!is_overdue && rank > CountHolds(cell_, request.name, ref.job, true)) return;
@@ -345,12 +352,14 @@
         state_, cell_,
         HoldRequest{
             .placement = request, .job = ref.job, .tasks = rank, .priority = job.record.priority});
+    bound_.Reset();
   }
 
   State& state_;
   Effects& effects_;
   OwnedCell& cell_;
   bool may_offer_;
+  RoomBound bound_;
   std::vector<InterruptedTask> tasks_;
   size_t next_ = 0;
   /// Number of the tasks of each step and job that have found no worker so far.
@@ -383,28 +392,10 @@
          CountHolds(cell, StepNameOf(job, ref), ref.job, false) == 0;
 }
 
-StepName StepNameOf(const JobState& job, const TaskRef& ref) {
-  const TaskName name = NameOf(job, ref);
-  return StepName{name.job, name.occurrence, name.step};
-}
-
-PlacementRequest RequestFor(const State& state, const OwnedCell& cell, const TaskRef& ref) {
-  const JobState& job = cell.jobs.at(ref.job);
-  const TaskState& task = TaskOf(job, ref);
-  const bool is_absent = task.phase == TaskPhase::kWaiting && IsInterrupted(job, ref);
-  return PlacementRequest{
-      .name = StepNameOf(job, ref),
-      .spec = SpecOf(job, ref),
-      .service = ServiceOf(state, job.record),
-      .avoided_worker = task.avoided_worker,
-      .ready_at = task.not_before,
-      .priority = job.record.priority,
-      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
-}
-
 WorkerState* ChooseWorker(const State& state, OwnedCell& cell, const PlacementRequest& request) {
   WorkerState* best = nullptr;
   int64_t best_score = 0;
+  if (request.absent_since) state.counts.search.Add(SearchVisit::kWorker, cell.workers.size());
 
   for (auto& [id, worker] : cell.workers) {
     const std::optional<int64_t> score = ScoreWorker(state, cell, request, worker);
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -222,6 +222,25 @@
 
 }  // namespace
 
+StepName StepNameOf(const JobState& job, const TaskRef& ref) {
+  const TaskName name = NameOf(job, ref);
+  return StepName{name.job, name.occurrence, name.step};
+}
+
+PlacementRequest RequestFor(const State& state, const OwnedCell& cell, const TaskRef& ref) {
+  const JobState& job = cell.jobs.at(ref.job);
+  const TaskState& task = TaskOf(job, ref);
+  const bool is_absent = task.phase == TaskPhase::kWaiting && IsInterrupted(job, ref);
+  return PlacementRequest{
+      .name = StepNameOf(job, ref),
+      .spec = SpecOf(job, ref),
+      .service = ServiceOf(state, job.record),
+      .avoided_worker = task.avoided_worker,
+      .ready_at = task.not_before,
+      .priority = job.record.priority,
+      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
+}
+
 void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
             WaitingBatch batch, size_t tasks) {
   if (batch.tasks.empty()) return;
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -70,19 +70,8 @@
 
 /// Returns whether an amount fits on a worker once the short tasks there have ended.
 bool FitsBesideLongRunning(OwnedCell& cell, const WorkerState& worker, const Resources& amount) {
-  Resources left = worker.info.capacity;
-  if (left.millicores - worker.long_running_millicores < amount.millicores) return false;
-
-  for (const TaskRef& ref : worker.tasks) {
-    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
-    if (!spec.is_long_running) continue;
-
-    if (!spec.best_effort) left.millicores -= spec.need.millicores;
-    left.memory_mib -= spec.need.memory_mib;
-    left.accelerators -= spec.need.accelerators;
-  }
-
-  return FitsWithin(amount, left);
+  const int64_t left = worker.info.capacity.millicores - worker.long_running_millicores;
+  return amount.millicores <= left && FitsWithin(amount, RoomBesideLongRunning(cell, worker));
 }
 
 /// Returns the priority for which short tasks may be stopped, if the tasks of a request are
@@ -112,6 +101,7 @@
   const StepSpec& spec = placement.spec;
   WorkerChoice best;
   std::pair<int64_t, int64_t> best_rank;
+  if (placement.absent_since) state.counts.search.Add(SearchVisit::kWorker, cell.workers.size());
 
   for (auto& [id, worker] : cell.workers) {
     // Most workers have no room: checked first, as it is cheapest.
@@ -377,6 +367,23 @@
   for (const WorkerHold& hold : cell.holds) WakeAt(state, hold.expires_at);
 }
 
+Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker) {
+  Resources left = worker.info.capacity;
+  const int64_t not_reserved = left.millicores - worker.long_running_millicores;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+    if (!spec.is_long_running) continue;
+
+    if (!spec.best_effort) left.millicores -= spec.need.millicores;
+    left.memory_mib -= spec.need.memory_mib;
+    left.accelerators -= spec.need.accelerators;
+  }
+
+  left.millicores = std::min(left.millicores, not_reserved);
+  return left;
+}
+
 Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker) {
   return HeldOn(cell, worker.info.id, [](const WorkerHold& hold) { return hold.is_interrupted; });
 }
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -83,6 +83,9 @@
 /// Ends holds that nobody has asked for again.
 void ExpireHolds(State& state, OwnedCell& cell);
 
+/// Returns what a worker has left once the short tasks there have ended.
+Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker);
+
 /// Returns what is kept on a worker for interrupted tasks.
 Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker);
 
--- a/tests/scheduler/capacity_offers_test.cc
+++ b/tests/scheduler/capacity_offers_test.cc
@@ -251,6 +251,57 @@
   }
 }
 
+// Guards against rounds that take the time of all tasks that wait anywhere times all workers.
+TEST(CapacityOfferRounds, DoNotLookAtEachWorkerForEachTaskThatFitsNowhere) {
+  constexpr int32_t kCells = 5;
+  constexpr int32_t kWaiting = 24;
+  World world{WorldShape{
+      .entries = kCells, .data_centres = kCells, .racks = 1, .workers_per_rack = kWorkers}};
+  world.planner = [](const TaskName&) {
+    return RunPlan{.never_ends = true, .need = Resources{.millicores = 100, .memory_mib = 100}};
+  };
+  world.Run(Millis(6'000));
+  const auto record = [&](const std::string& id, const std::string& cell, int64_t need,
+                          Millis absent) {
+    JobRecord job{.queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId(cell)};
+    job.spec = MakeJob(id, 1, need);
+    job.spec.steps[0].is_long_running = true;
+    if (absent > Millis(0)) job.carried_progress.tasks = {TaskProgress{.run = 1, .waited = absent}};
+    world.store.Handle(
+        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(job), 0}}},
+        world.now(), [](const StoreReply&) {});
+  };
+  const auto cell_of = [](int32_t number) { return "dc" + std::to_string(number) + "/0"; };
+  for (int32_t cell = 0; cell < kCells; ++cell) {
+    for (int32_t worker = 0; worker < kWorkers; ++worker) {
+      record("full" + std::to_string(cell) + std::to_string(worker), cell_of(cell), kWorkerNeed,
+             Millis(0));
+    }
+  }
+  world.Run(Millis(2'000));
+  for (int32_t cell = 1; cell < kCells; ++cell) {
+    for (int32_t task = 0; task < kWaiting; ++task) {
+      record("wait" + std::to_string(cell) + "-" + std::to_string(task), cell_of(cell),
+             kWorkerNeed - task, Millis(8'000));
+    }
+  }
+  world.Run(Millis(1'500));
+  size_t reported = 0;
+  const ServiceRooms* rooms = world.state("e0").rooms.Find("service");
+  for (const RoomRow& row : rooms->Rows()) reported += row.interrupted_waits.size();
+  ASSERT_GE(reported, size_t{kWaiting} * (kCells - 1) / 2);
+
+  for (int32_t cell = 1; cell < kCells; ++cell) world.Cut("e0", "e" + std::to_string(cell));
+  const uint64_t before = world.state("e0").counts.search.Get(SearchVisit::kWorker);
+  world.Cancel("e0", "full00");
+  world.Run(Millis(600));
+  const uint64_t visits = world.state("e0").counts.search.Get(SearchVisit::kWorker) - before;
+
+  EXPECT_GT(world.state("e0").counts.holds.Get(HoldEvent::kOffered), 0U);
+  // A round each 30 ms may look at all workers ten times.
+  EXPECT_LE(visits, uint64_t{600 / 30} * 10 * kWorkers);
+}
+
 TEST_F(CapacityOffers, MalformedMessagesChangeNothing) {
   const std::string huge(R"({"from":")" + std::string(10'000, 'x') +
                          R"(","waiting":"y","peer":7})");
