--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -38,6 +38,8 @@
   return HeldOn(cell, worker, [](const WorkerHold&) { return true; });
 }
 
+/// How long an offered worker is kept at most while events wait that may be the request for it.
+constexpr Millis kMaxOfferTime = Millis(1'000);
 /// How long a task that needs no worker, or whose owner does not reply, gets no further offer.
 /// Others have their turn, and a report that is on its way may show why. Doubles with each offer in
 /// succession that it doesn't come for.
@@ -68,6 +70,16 @@
   return hold.name == name && hold.job == job && hold.is_interrupted == is_interrupted;
 }
 
+/// Returns whether a hold has ended. An offered worker may have been asked for in time by a request
+/// that was not handled yet.
+bool HasExpired(const State& state, const WorkerHold& hold) {
+  if (state.now < hold.expires_at) return false;
+
+  const bool may_be_asked_for = !hold.offered_to.Empty() && state.handled_up_to < hold.expires_at &&
+                                state.now < hold.since + kMaxOfferTime;
+  return !may_be_asked_for;
+}
+
 /// Returns whether an amount fits on a worker once the short tasks there have ended.
 bool FitsBesideLongRunning(OwnedCell& cell, const WorkerState& worker, const Resources& amount) {
   const int64_t left = worker.info.capacity.millicores - worker.long_running_millicores;
@@ -354,7 +366,7 @@
 
 void ExpireHolds(State& state, OwnedCell& cell) {
   const size_t expired = EraseHolds(state, cell, HoldEvent::kExpired, [&](const WorkerHold& hold) {
-    if (state.now < hold.expires_at) return false;
+    if (!HasExpired(state, hold)) return false;
 
     if (!hold.offered_to.Empty()) {
       NoteOwnerSilent(state, hold.offered_to, hold.since);
@@ -364,7 +376,10 @@
   });
   if (expired > 0) cell.placement_due = true;
 
-  for (const WorkerHold& hold : cell.holds) WakeAt(state, hold.expires_at);
+  for (const WorkerHold& hold : cell.holds) {
+    const bool is_late = state.now >= hold.expires_at;
+    WakeAt(state, is_late ? state.now + kBacklogCheckInterval : hold.expires_at);
+  }
 }
 
 Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker) {
--- a/tests/scheduler/capacity_offers_test.cc
+++ b/tests/scheduler/capacity_offers_test.cc
@@ -223,6 +223,32 @@
   EXPECT_TRUE(Runs("young"));
 }
 
+// Guards against an offer that ends while the request for the worker waits to be handled.
+TEST_F(CapacityOffers, ARequestThatHasArrivedInTimeFindsTheOfferedWorker) {
+  Record("old", kFull, Millis(8'000));
+  Record("young", kOther, Millis(3'000));
+  world_.Run(Millis(1'500));
+  bool is_offered = false;
+  world_.on_push = [&](const std::string& from, const std::string&, const StoreItem& item) {
+    if (from != "e1" || !item.key.starts_with(kCapacityOfferPrefix)) return;
+    is_offered = true;
+  };
+  world_.Cancel("e1", "dc1-00");
+  for (Millis passed; !is_offered && passed < Millis(1'000); passed = passed + Millis(1)) {
+    world_.Run(Millis(1));
+  }
+  ASSERT_TRUE(is_offered);
+  world_.SetMachine("e1", Machine{.per_event = Millis(40), .max_wait = Millis(600)});
+  for (int32_t query = 0; query < 40; ++query) world_.RequestStatus("e1", "unknown");
+  world_.Run(Millis(700));
+  EXPECT_GE(world_.max_wait, Millis(400));
+  world_.SetMachine("e1", Machine());
+  world_.Run(kMaxStart);
+
+  EXPECT_TRUE(Runs("old"));
+  EXPECT_FALSE(Runs("young"));
+}
+
 // Guards against a worker that is kept over and over for a task that never comes.
 TEST_F(CapacityOffers, ATaskThatHasTwiceNotComeIsNotOfferedAWorkerAgainAtOnce) {
   LoadRecord report;
