--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -39,11 +39,13 @@
   return HeldOn(cell, worker, [](const WorkerHold&) { return true; });
 }
 
-/// How long a worker is kept for a task of another cell whose owner has not asked for it yet.
-constexpr Millis kOfferTime = Millis(400);
+/// How long an offered worker is kept at most while events wait that may be the request for it.
+constexpr Millis kMaxOfferTime = Millis(1'000);
 /// How long a task that needs no worker, or whose owner does not reply, gets no further offer.
-/// Others have their turn, and a report that is on its way may show why.
+/// Others have their turn, and a report that is on its way may show why. Doubles with each offer in
+/// succession that it doesn't come for.
 constexpr Millis kOfferPause = Millis(600);
+constexpr int32_t kMaxOfferPauseDoublings = 2;
 
 /// Ends the matching holds, counts them, and returns their number.
 template <typename Matches>
@@ -74,21 +76,20 @@
   return hold.name == name && hold.job == job && hold.is_interrupted == is_interrupted;
 }
 
-/// Returns whether an amount fits on a worker once the short tasks there have ended.
-bool FitsBesideLongRunning(OwnedCell& cell, const WorkerState& worker, const Resources& amount) {
-  Resources left = worker.info.capacity;
-  if (left.millicores - worker.long_running_millicores < amount.millicores) return false;
-
-  for (const TaskRef& ref : worker.tasks) {
-    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
-    if (!spec.is_long_running) continue;
+/// Returns whether a hold has ended. An offered worker may have been asked for in time by a request
+/// that was not handled yet.
+bool HasExpired(const State& state, const WorkerHold& hold) {
+  if (state.now < hold.expires_at) return false;
 
-    if (!spec.best_effort) left.millicores -= spec.need.millicores;
-    left.memory_mib -= spec.need.memory_mib;
-    left.accelerators -= spec.need.accelerators;
-  }
+  const bool may_be_asked_for = !hold.offered_to.Empty() && state.handled_up_to < hold.expires_at &&
+                                state.now < hold.since + kMaxOfferTime;
+  return !may_be_asked_for;
+}
 
-  return FitsWithin(amount, left);
+/// Returns whether an amount fits on a worker once the short tasks there have ended.
+bool FitsBesideLongRunning(OwnedCell& cell, const WorkerState& worker, const Resources& amount) {
+  const int64_t left = worker.info.capacity.millicores - worker.long_running_millicores;
+  return amount.millicores <= left && FitsWithin(amount, RoomBesideLongRunning(cell, worker));
 }
 
 /// Returns the priority for which short tasks may be stopped, if the tasks of a request are
@@ -118,6 +119,7 @@
   const StepSpec& spec = placement.spec;
   WorkerChoice best;
   std::tuple<int64_t, int64_t, int64_t> best_rank;
+  if (placement.absent_since) state.counts.search.Add(SearchVisit::kWorker, cell.workers.size());
 
   for (auto& [id, worker] : cell.workers) {
     // Most workers have no room: checked first, as it is cheapest.
@@ -272,11 +274,15 @@
 }
 
 void DeferOffers(State& state, const CellId& waits_in, const JobId& job) {
-  state.rooms.DeferOffers(waits_in, job, state.now, state.now + kOfferPause);
+  state.rooms.DeferOffers(waits_in, job, state.now, kOfferPause, kMaxOfferPauseDoublings);
+}
+
+void NoteOfferUsed(State& state, const CellId& waits_in, const JobId& job) {
+  state.rooms.NoteOfferUsed(waits_in, job, state.now, state.now + kOfferPause);
 }
 
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
-                       const CellId& offered_to) {
+                       const CellId& offered_to, Millis time) {
   const WorkerState* worker = ChooseWorker(state, cell, request.placement);
   // Further tasks of one step each need a place of their own.
   const bool fits = worker != nullptr && FitsBesideHolds(state, cell, *worker, request.placement);
@@ -284,7 +290,7 @@
   if (worker == nullptr) return false;
 
   state.counts.holds.Add(HoldEvent::kOffered);
-  AddHold(state, cell, request, *worker, state.now + kOfferTime).offered_to = offered_to;
+  AddHold(state, cell, request, *worker, state.now + time).offered_to = offered_to;
   return true;
 }
 
@@ -412,7 +418,7 @@
 
 void ExpireHolds(State& state, OwnedCell& cell) {
   const size_t expired = EraseHolds(state, cell, HoldEvent::kExpired, [&](const WorkerHold& hold) {
-    if (state.now < hold.expires_at) return false;
+    if (!HasExpired(state, hold)) return false;
 
     if (!hold.offered_to.Empty()) {
       NoteOwnerSilent(state, hold.offered_to, hold.since);
@@ -422,7 +428,27 @@
   });
   if (expired > 0) cell.placement_due = true;
 
-  for (const WorkerHold& hold : cell.holds) WakeAt(state, hold.expires_at);
+  for (const WorkerHold& hold : cell.holds) {
+    const bool is_late = state.now >= hold.expires_at;
+    WakeAt(state, is_late ? state.now + kBacklogCheckInterval : hold.expires_at);
+  }
+}
+
+Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker) {
+  Resources left = worker.info.capacity;
+  const int64_t not_reserved = left.millicores - worker.long_running_millicores;
+
+  for (const TaskRef& ref : worker.tasks) {
+    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
+    if (!spec.is_long_running) continue;
+
+    if (!spec.best_effort) left.millicores -= spec.need.millicores;
+    left.memory_mib -= spec.need.memory_mib;
+    left.accelerators -= spec.need.accelerators;
+  }
+
+  left.millicores = std::min(left.millicores, not_reserved);
+  return left;
 }
 
 Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker) {
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -50,18 +50,22 @@
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
                    bool is_interrupted);
 
-/// Keeps a worker for a while for an interrupted task that waits in another cell, whose owner is
+/// Keeps a worker for some time for an interrupted task that waits in another cell, whose owner is
 /// offered it. Returns whether one was found.
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
-                       const CellId& offered_to);
+                       const CellId& offered_to, Millis time);
 
-/// Offers no worker to a task of another cell for a while.
+/// Offers no worker to a task of another cell that has not come for one, for longer each time.
 void DeferOffers(State& state, const CellId& waits_in, const JobId& job);
 
 /// Keeps a worker that has room now for a task that was just stopped on a draining one.
 void KeepForMove(const State& state, OwnedCell& cell, const TaskRef& ref,
                  const WorkerState& worker);
 
+/// Notes that a task of another cell has come for a worker. Until a report shows it, none is
+/// offered.
+void NoteOfferUsed(State& state, const CellId& waits_in, const JobId& job);
+
 /// Ends the holds that a task takes the place of on its worker.
 void DisplaceHolds(const State& state, OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker);
@@ -84,6 +88,9 @@
 /// Ends holds that nobody has asked for again.
 void ExpireHolds(State& state, OwnedCell& cell);
 
+/// Returns what a worker has left once the short tasks there have ended.
+Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker);
+
 /// Returns what is kept on a worker for interrupted tasks.
 Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker);
 
