--- a/lib/scheduler/source/room_bound.cc
+++ b/lib/scheduler/source/room_bound.cc
@@ -38,7 +38,8 @@
     if (!label.empty() && std::ranges::find(worker.info.labels, label) == worker.info.labels.end())
       continue;
 
-    const Resources room = RoomBesideLongRunning(cell_, worker) - KeptFrom(cell_, request, worker);
+    const Resources room =
+        RoomBesideLongRunning(cell_, worker) - KeptFrom(state_, cell_, request, worker);
     if (FitsInto(rooms, room)) continue;
 
     std::erase_if(rooms, [&](const Resources& other) { return FitsWithin(other, room); });
