--- a/lib/scheduler/source/capacity_forecast.cc
+++ b/lib/scheduler/source/capacity_forecast.cc
@@ -27,7 +27,7 @@
     if (spec.is_long_running && task.phase != TaskPhase::kStopping) continue;
 
     Millis after = ForecastRest(state, spec, task);
-    const bool is_evictable = evicting_priority && IsEvictable(job, ref, *evicting_priority);
+    const bool is_evictable = evicting_priority && IsEvictable(state, job, ref, *evicting_priority);
     if (is_evictable) after = std::min(after, kUsualStopTime);
     releases.push_back({after, ReservedBy(spec)});
   }
--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -8,6 +8,8 @@
 
 /// How long the short tasks on a kept worker may take to end by themselves.
 constexpr Millis kMaxWaitForEnds = Millis(300);
+/// Age up to which a task that resumes from no checkpoint has done little work.
+constexpr Millis kJustBegun = Millis(400);
 /// Time between two checks of the kept workers of a cell.
 constexpr Millis kEvictionInterval = Millis(100);
 
@@ -87,7 +89,7 @@
 
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = cell.jobs.at(ref.job);
-    if (!IsEvictable(job, ref, shortage.priority) || EndsSoon(state, job, ref)) continue;
+    if (!IsEvictable(state, job, ref, shortage.priority) || EndsSoon(state, job, ref)) continue;
 
     candidates.emplace_back(
         Rank{job.record.priority, SpecOf(job, ref).checkpointing, TaskOf(job, ref).began}, ref);
@@ -133,13 +135,14 @@
 
 }  // namespace
 
-bool IsEvictable(const JobState& job, const TaskRef& ref, int32_t priority) {
+bool IsEvictable(const State& state, const JobState& job, const TaskRef& ref, int32_t priority) {
   const StepSpec& spec = SpecOf(job, ref);
   const TaskState& task = TaskOf(job, ref);
   if (task.phase != TaskPhase::kRunning || spec.is_long_running) return false;
   if (job.record.priority != priority) return job.record.priority > priority;
 
-  return spec.checkpointing && task.evictions == 0;
+  const bool loses_little = spec.checkpointing || state.now - task.began < kJustBegun;
+  return loses_little && task.evictions == 0;
 }
 
 void EvictForInterrupted(State& state, Effects& effects, OwnedCell& cell) {
--- a/tests/scheduler/kept_capacity_test.cc
+++ b/tests/scheduler/kept_capacity_test.cc
@@ -138,7 +138,18 @@
 }
 
 // Guards against a worker that stood unused for as long as tasks of the same priority went on that
-// go on elsewhere from their checkpoints.
+// had only just begun.
+TEST_F(KeptCapacity, TasksThatHaveJustBegunAreStopped) {
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  Record("short", 4, kShortNeed, kSoon);
+  RecordInterrupted("long", kLargeNeed);
+  world_.Run(kMaxStart);
+
+  EXPECT_EQ(Running("long"), 1U);
+  EXPECT_EQ(stopped_["short"], 3);
+}
+
+// Guards against the same with tasks that go on elsewhere from their checkpoints.
 TEST_F(KeptCapacity, TasksThatResumeFromCheckpointsAreStopped) {
   Record("long-fills", kWorkers - 1, kWorkerNeed);
   Record("short-saves", 4, kShortNeed, kSoon);
--- a/tests/scheduler/kept_worker_drains_test.cc
+++ b/tests/scheduler/kept_worker_drains_test.cc
@@ -51,6 +51,8 @@
         .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId("dc0/0")};
     record.spec = MakeJob(id, tasks, millicores);
     record.spec.steps[0].is_long_running = id.starts_with("long");
+    // The short tasks are more urgent, so that none of them is stopped.
+    record.priority = id.starts_with("long") ? 1 : 0;
     world_.store.Handle(
         WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
         world_.now(), [](const StoreReply&) {});
