--- a/tests/entry/metrics_test.cc
+++ b/tests/entry/metrics_test.cc
@@ -173,10 +173,16 @@
         R"(currantpost_requests_rejected_total{reason="malformed"})",
         R"(currantpost_answers_total{outcome="accepted"})",
         R"(currantpost_runs_lost_total{reason="the worker's lease has expired"})",
-        "currantpost_lost_runs_completed_total", "currantpost_lapsed_replies_total",
-        "currantpost_log_lines_dropped_total", "currantpost_owned_cells", "currantpost_workers",
-        "currantpost_jobs", "currantpost_waiting_tasks", "currantpost_held_workers",
-        "currantpost_known_cells", "currantpost_reported_free_cores",
+        "currantpost_lost_runs_completed_total",
+        "currantpost_lapsed_replies_total",
+        "currantpost_log_lines_dropped_total",
+        "currantpost_owned_cells",
+        "currantpost_workers",
+        "currantpost_jobs",
+        "currantpost_waiting_tasks",
+        "currantpost_held_workers",
+        "currantpost_known_cells",
+        "currantpost_reported_free_cores",
         "currantpost_reported_waiting_cores"}) {
     EXPECT_EQ(ValueOf(text, name), 0) << name;
   }
