--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -320,7 +320,7 @@
     hold->since = state.now;
   }
 
-  // Nobody takes its place: it was stopped because of this worker.
+  // No task of its priority takes its place: it was stopped because of this worker.
   hold->absent_since = Millis(0);
   hold->expires_at = state.now + kHoldTime;
   // The first holds of a step are those of its tasks that are without a run.
