--- a/lib/entry/source/entry_metrics.cc
+++ b/lib/entry/source/entry_metrics.cc
@@ -60,6 +60,10 @@
               "Requests for capacity to owners of other cells, by outcome.", "outcome",
               scheduler::kCapacityOutcomeNames, scheduled.capacity_requests);
   AddHolds(scheduled);
+  AddWaits(scheduled);
+  AddCounter("currantpost_wait_lines_omitted_total",
+             "Log lines about waiting tasks that were left out, as there were many.",
+             [&scheduled] { return scheduled.omitted_wait_lines; });
   AddCounter("currantpost_evictions_total",
              "Tasks stopped to make room for interrupted long-running ones.",
              [&scheduled] { return scheduled.evictions; });
@@ -169,6 +173,18 @@
   }
 }
 
+void EntryMetrics::AddWaits(const scheduler::Counts& counts) {
+  auto& family = prometheus::BuildHistogram()
+                     .Name("currantpost_task_wait_seconds")
+                     .Help("How long tasks waited for a worker until they were placed, by kind.")
+                     .Register(registry_);
+
+  for (const auto& kind : scheduler::kWaitKindNames.Rows()) {
+    AddHistogram(family, {{"kind", std::string(kind.name)}},
+                 counts.waits[static_cast<size_t>(kind.value)]);
+  }
+}
+
 void EntryMetrics::AddGauges(const State& state) {
   AddGauge("currantpost_owned_cells", "Cells that this entry owns.",
            [&state] { return static_cast<double>(state.cells.size()); });
@@ -184,6 +200,7 @@
   AddGauge(
       "currantpost_held_workers", "Workers of the owned cells kept for long-running tasks.",
       [&state] { return SumOfCells(state, [](const auto& cell) { return cell.holds.size(); }); });
+           });
   AddGauge("currantpost_known_cells", "Cells that have reported their load.",
            [&state] { return static_cast<double>(state.view.loads.size()); });
   AddGauge("currantpost_reported_free_cores",
--- a/lib/entry/source/entry_metrics.h
+++ b/lib/entry/source/entry_metrics.h
@@ -77,6 +77,7 @@
                     const scheduler::Durations<kBounds>& durations);
   void AddTurns(const EntryCounts& counts);
   void AddHolds(const scheduler::Counts& counts);
+  void AddWaits(const scheduler::Counts& counts);
   void AddStoreCalls(const scheduler::Counts& counts);
   void AddGauges(const scheduler::State& state);
 
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -116,6 +116,19 @@
     {CapacityOutcome::kUnanswered, "unanswered"},
 }));
 
+/// Kinds of tasks that wait for a worker.
+enum class WaitKind {
+  kLongRunning,
+  kShort,
+  kBestEffort,
+};
+
+inline constexpr EnumNames kWaitKindNames(std::to_array<EnumName<WaitKind>>({
+    {WaitKind::kLongRunning, "long_running"},
+    {WaitKind::kShort, "short"},
+    {WaitKind::kBestEffort, "best_effort"},
+}));
+
 /// What happens to a worker that is kept for a long-running task.
 enum class HoldEvent {
   kGranted,
@@ -208,6 +221,10 @@
   CountsBy<HoldEvent, HoldEvent::kMoved> holds;
   /// How long workers were kept, by `HoldEvent` that ended it.
   std::array<Times, kHoldEventNames.Rows().size()> hold_times;
+  /// How long tasks waited until they were placed, by `WaitKind`.
+  std::array<Times, kWaitKindNames.Rows().size()> waits;
+  /// Log lines about waiting tasks that were left out, as there were many.
+  uint64_t omitted_wait_lines = 0;
   /// Tasks that were stopped to make room for interrupted long-running ones.
   uint64_t evictions = 0;
   SearchVisits search;
--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -126,8 +126,7 @@
   auto operator<=>(const TaskRef&) const = default;
 };
 
-/// What the search for capacity did for a job's waiting long-running tasks since it was last
-/// logged.
+/// What the search for capacity did for a job's waiting tasks since it was last logged.
 struct SearchCounts {
   int32_t asked_own_cells = 0;
   int32_t asked_other_cells = 0;
@@ -213,7 +212,7 @@
   /// Cells that had no capacity for its tasks, and until when they are not asked again.
   std::map<CellId, Millis> declined_until;
   SearchCounts search;
-  /// Earliest time of the next log line about a long-running task that waits.
+  /// Earliest time of the next log line about a task that waits.
   Millis next_wait_log;
   /// Number of tasks lent to other cells.
   int32_t lent = 0;
--- a/lib/scheduler/include/currantpost/scheduler/state.h
+++ b/lib/scheduler/include/currantpost/scheduler/state.h
@@ -286,6 +286,12 @@
   bool changed = false;
 };
 
+/// Number of log lines about waiting tasks in the present interval.
+struct WaitLines {
+  Millis since;
+  int32_t written = 0;
+};
+
 struct State {
   Settings settings;
   Millis now;
@@ -295,6 +301,7 @@
   /// Everything that had arrived by then has been handled.
   Millis handled_up_to;
   BackgroundWork background;
+  WaitLines wait_lines;
   RequestId last_request = 0;
   /// Sequence number of the orders sent to workers and the answers received from them.
   uint64_t worker_event_sequence = 0;
--- a/lib/scheduler/source/background_work.cc
+++ b/lib/scheduler/source/background_work.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "callers.h"
+#include "wait_log.h"
 
 namespace currantpost::scheduler {
 namespace {
@@ -51,6 +52,7 @@
 
       state_.counts.search.Add(SearchVisit::kJob);
       last = job->first;
+      LogLongWait(state_, effects_, cell, job->second);
       TryMoveJob(state_, effects_, cell, job->second);
       TryLendTasks(state_, effects_, cell, job->second);
     }
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -1,5 +1,4 @@
 #include "reservations.h"
-#include "wait_log.h"
 #include "worker_hold.h"
 
 /// Lending of tasks that find no capacity in their job's cell to another cell. Needed when cells
@@ -300,8 +299,6 @@
     return PassOn(state, effects, cell, job, to, std::move(batch), 1);
   }
 
-  LogLongWait(state, effects, cell, job, batch);
-
   // Best-effort tasks have an interval of their own.
   if (!batch.spec->best_effort && state.now >= *job.waits_since + kLongWait) {
     job.next_search = state.now + kLongWaitInterval;
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -238,7 +238,7 @@
   const Millis kept = EndHold(state, cell, request.name, ref.job, worker.info.id);
   DisplaceHolds(state, cell, request, worker);
   BindTask(state, cell, job, ref, worker);
-  LogEndOfLongWait(state, effects, job, ref, kept);
+  RecordEndOfWait(state, effects, job, ref, kept);
 }
 
 /// Binds the waiting tasks of a job and rank to workers, at most `limit`. `key` is that of the
--- a/lib/scheduler/source/wait_log.h
+++ b/lib/scheduler/source/wait_log.h
@@ -2,18 +2,17 @@
 
 #include "reservations.h"
 
-/// Logs what is done for long-running tasks that find no worker.
+/// Logs and counts what is done for tasks that find no worker.
 
 namespace currantpost::scheduler {
 
-/// Logs, at intervals, that a long-running task of a job waits, with what the search for capacity
-/// in other cells did since the last such line.
-void LogLongWait(State& state, Effects& effects, const OwnedCell& cell, JobState& job,
-                 const WaitingBatch& batch);
+/// Logs, at intervals, that a task of a job has waited long, and what the search for capacity in
+/// other cells did for the job since the last such line. Called for each job of an open cell.
+void LogLongWait(State& state, Effects& effects, const OwnedCell& cell, JobState& job);
 
-/// Logs that a long-running task was placed after a long wait. `kept` is how long the worker of its
-/// hold had been kept for it.
-void LogEndOfLongWait(const State& state, Effects& effects, const JobState& job, const TaskRef& ref,
-                      Millis kept);
+/// Counts the wait of a task that was placed, and logs a long one. `kept` is how long the worker of
+/// its hold had been kept for it.
+void RecordEndOfWait(const State& state, Effects& effects, const JobState& job, const TaskRef& ref,
+                     Millis kept);
 
 }  // namespace currantpost::scheduler
--- a/tests/entry/metrics_test.cc
+++ b/tests/entry/metrics_test.cc
@@ -169,6 +169,8 @@
         R"(currantpost_capacity_requests_total{outcome="worker_kept"})",
         R"(currantpost_holds_total{event="passed_on"})",
         R"(currantpost_hold_seconds_count{event="used"})",
+        R"(currantpost_task_wait_seconds_count{kind="short"})",
+        "currantpost_wait_lines_omitted_total",
         R"(currantpost_jobs_refused_total{reason="the store does not answer"})",
         R"(currantpost_requests_rejected_total{reason="malformed"})",
         R"(currantpost_answers_total{outcome="accepted"})",
