--- a/lib/entry/source/entry_metrics.cc
+++ b/lib/entry/source/entry_metrics.cc
@@ -160,16 +160,24 @@
 
 void EntryMetrics::AddHolds(const scheduler::Counts& counts) {
   AddCounters("currantpost_holds_total",
-              "What happened to workers that are kept for long-running tasks.", "event",
+              "What happened to workers that are kept for tasks that have waited long.", "event",
               scheduler::kHoldEventNames, counts.holds);
-  auto& family = prometheus::BuildHistogram()
-                     .Name("currantpost_hold_seconds")
-                     .Help("How long workers were kept, by the event that ended it.")
-                     .Register(registry_);
+  auto& family =
+      prometheus::BuildHistogram()
+          .Name("currantpost_hold_seconds")
+          .Help("How long workers were kept for long-running tasks, by the event that ended it.")
+          .Register(registry_);
+  auto& short_family =
+      prometheus::BuildHistogram()
+          .Name("currantpost_short_task_hold_seconds")
+          .Help("How long workers were kept for short tasks, by the event that ended it.")
+          .Register(registry_);
 
   for (const auto& event : scheduler::kHoldEventNames.Rows()) {
-    AddHistogram(family, {{"event", std::string(event.name)}},
-                 counts.hold_times[static_cast<size_t>(event.value)]);
+    const prometheus::Labels labels{{"event", std::string(event.name)}};
+    const auto number = static_cast<size_t>(event.value);
+    AddHistogram(family, labels, counts.hold_times[number]);
+    AddHistogram(short_family, labels, counts.short_hold_times[number]);
   }
 }
 
@@ -197,9 +205,9 @@
   AddGauge(
       "currantpost_waiting_tasks", "Tasks of the owned cells that wait for a worker.",
       [&state] { return SumOfCells(state, [](const auto& cell) { return cell.waiting.size(); }); });
-  AddGauge(
-      "currantpost_held_workers", "Workers of the owned cells kept for long-running tasks.",
-      [&state] { return SumOfCells(state, [](const auto& cell) { return cell.holds.size(); }); });
+  AddGauge("currantpost_held_workers",
+           "Workers of the owned cells kept for tasks that have waited long.", [&state] {
+             return SumOfCells(state, [](const auto& cell) { return cell.holds.size(); });
            });
   AddGauge("currantpost_known_cells", "Cells that have reported their load.",
            [&state] { return static_cast<double>(state.view.loads.size()); });
--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -105,7 +105,7 @@
   Millis expires_at;
 };
 
-/// Capacity of a worker that is kept from other tasks until a long-running task fits there.
+/// Capacity of a worker that is kept from other tasks until a task that has waited long fits there.
 struct WorkerHold {
   StepName name;
   /// The job in which the task waits. Borrowed jobs of one step wait separately.
@@ -113,6 +113,7 @@
   Resources need;
   VmId worker;
   Millis since;
+  bool is_long_running = false;
   /// The task has run before, and since when it is without a run. That is in the future if it still
   /// runs on a draining worker.
   /// @{
@@ -121,6 +122,8 @@
   /// @}
   /// Priority of the task's queue.
   int32_t priority = 0;
+  /// Its job is overdue, see `Urgency`.
+  bool is_overdue = false;
   /// The cell in which the task waits, if its owner was offered the worker and has not asked for it
   /// yet.
   CellId offered_to;
--- a/lib/scheduler/include/currantpost/scheduler/counts.h
+++ b/lib/scheduler/include/currantpost/scheduler/counts.h
@@ -129,7 +129,7 @@
     {WaitKind::kBestEffort, "best_effort"},
 }));
 
-/// What happens to a worker that is kept for a long-running task.
+/// What happens to a worker that is kept for a task.
 enum class HoldEvent {
   kGranted,
   /// A worker was found for the task.
@@ -219,8 +219,12 @@
   /// Requests of peers that were dropped because their senders no longer waited.
   uint64_t overdue_requests = 0;
   CountsBy<HoldEvent, HoldEvent::kMoved> holds;
-  /// How long workers were kept, by `HoldEvent` that ended it.
+  /// How long workers were kept for long-running tasks and for others, by `HoldEvent` that ended
+  /// it.
+  /// @{
   std::array<Times, kHoldEventNames.Rows().size()> hold_times;
+  std::array<Times, kHoldEventNames.Rows().size()> short_hold_times;
+  /// @}
   /// How long tasks waited until they were placed, by `WaitKind`.
   std::array<Times, kWaitKindNames.Rows().size()> waits;
   /// Log lines about waiting tasks that were left out, as there were many.
@@ -235,9 +239,9 @@
       store_calls;
 
   /// Counts an event that ends a hold, and how long the worker was kept.
-  void AddEndOfHold(HoldEvent event, Millis kept) {
+  void AddEndOfHold(HoldEvent event, bool is_long_running, Millis kept) {
     holds.Add(event);
-    hold_times[static_cast<size_t>(event)].Add(kept);
+    (is_long_running ? hold_times : short_hold_times)[static_cast<size_t>(event)].Add(kept);
   }
 
   void AddStoreCall(StoreCallKind kind, StoreStatus status, Millis took) {
--- a/lib/scheduler/include/currantpost/scheduler/reservation.h
+++ b/lib/scheduler/include/currantpost/scheduler/reservation.h
@@ -50,6 +50,8 @@
   Millis runs_for;
   /// Priority of their queue.
   int32_t priority = 0;
+  /// Their job is overdue, see `Urgency`.
+  bool is_overdue = false;
   /// When the owner that is asked has offered a worker, by its own clock, 0 if it has not.
   Millis offered_at;
   Address reply_to;
--- a/lib/scheduler/source/granted_reservations.cc
+++ b/lib/scheduler/source/granted_reservations.cc
@@ -19,6 +19,7 @@
       .avoided_worker = VmId(),
       .ready_at = now,
       .priority = request.priority,
+      .is_overdue = request.is_overdue,
       .absent_since = request.is_interrupted
                           ? std::optional(now - request.absent + request.runs_for)
                           : std::nullopt};
@@ -78,14 +79,12 @@
   return tasks;
 }
 
-/// Keeps a worker for one long-running task of another cell that has waited long. Returns whether
-/// one is kept.
+/// Keeps a worker for one task of another cell that has waited long. Returns whether one is kept.
 bool KeepWorkerFor(const State& state, OwnedCell& cell, const ReservationRequest& request) {
   if (cell.releasing || !cell.hand_over.written || !HoldsLease(state)) return false;
 
   const bool is_overdue =
-      request.step.is_long_running && !request.step.best_effort &&
-      request.waited >= HoldDelay(request.is_interrupted) &&
+      !request.step.best_effort && request.waited >= HoldDelay(request.is_interrupted) &&
       !YieldsToInterrupted(state, request.step, request.service, request.is_interrupted);
   if (!is_overdue) return false;
 
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -27,6 +27,9 @@
 /// at all its tasks.
 constexpr int32_t kMaxUnstartedTasks = 64;
 constexpr int32_t kManyTasksOfStep = 32;
+/// Maximum number of workers that a cell keeps for the short tasks of a job. They take little time,
+/// so that each worker serves several of them.
+constexpr int32_t kMaxShortHoldsPerJob = 2;
 /// Scores of a long-running task for a worker whose long-running tasks are all of the same image,
 /// and for a worker without any. Both outweigh any difference in free capacity.
 constexpr int64_t kSameImageScore = 1'000'000;
@@ -186,12 +189,11 @@
   return first_keys;
 }
 
-/// Keeps workers for the tasks of a step that have found none, if they are long-running ones that
-/// have never run and have waited long. `first` is the first of them.
+/// Keeps workers for the tasks of a step that have found none, if they have waited long and are not
+/// interrupted ones. `first` is the first of them.
 void KeepWorkersIfOverdue(const State& state, OwnedCell& cell, const JobState& job,
                           const TaskRef& first) {
-  const StepSpec& spec = SpecOf(job, first);
-  if (!spec.is_long_running || spec.best_effort) return;
+  if (SpecOf(job, first).best_effort) return;
 
   HoldRequest request{.placement = RequestFor(state, cell, first),
                       .job = first.job,
@@ -211,6 +213,9 @@
   // A task that was passed on to this cell has its hold already.
   const int32_t held = CountHolds(cell, request.placement.name, first.job, false);
   request.tasks = std::max(request.tasks, std::min(held, waiting));
+  if (!SpecOf(job, first).is_long_running) {
+    request.tasks = std::min(request.tasks, kMaxShortHoldsPerJob);
+  }
   if (request.tasks > 0) KeepWorkers(state, cell, request);
 }
 
--- a/lib/scheduler/source/reservation.cc
+++ b/lib/scheduler/source/reservation.cc
@@ -32,6 +32,7 @@
                    {"absent", request.absent.Count()},
                    {"runs_for", request.runs_for.Count()},
                    {"priority", request.priority},
+                   {"overdue", request.is_overdue},
                    {"offered", request.offered_at.Count()},
                    {"peer", AddressJson(request.reply_to)}});
 }
@@ -54,6 +55,7 @@
             .absent = ReadDurationOr(json, "absent", Millis(json.value("waited", int64_t{0}))),
             .runs_for = ReadDurationOr(json, "runs_for", Millis(0)),
             .priority = ReadIntegerOr(json, "priority", kLastPriority),
+            .is_overdue = json.value("overdue", false),
             .offered_at = ReadDurationOr(json, "offered", Millis(0)),
             .reply_to = AddressOf(json.at("peer"))};
       });
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -171,7 +171,7 @@
 /// one is kept. A worker whose short tasks go on for long is not waited for.
 Millis UnservedWait(const State& state, OwnedCell& cell, const JobState& job,
                     const WaitingBatch& batch) {
-  if (!batch.spec->is_long_running || batch.spec->best_effort) return Millis(0);
+  if (batch.spec->best_effort) return Millis(0);
 
   const TaskRef& ref = batch.tasks.front();
   const TaskState& task = *FindTask(cell, ref);
@@ -181,12 +181,15 @@
     return waited;
 
   const bool is_interrupted = IsInterrupted(job, ref);
+  const int32_t held = CountHolds(cell, StepNameOf(job, ref), ref.job, is_interrupted);
+  // Short tasks get the kept worker one after the other.
+  if (!batch.spec->is_long_running) return held == 0 ? waited : Millis(0);
+
   const auto waiting = std::ranges::count_if(WaitingTasksOf(cell, job), [&](const TaskRef& each) {
     return each.step == ref.step && each.occurrence == ref.occurrence &&
            IsInterrupted(job, each) == is_interrupted;
   });
-  return CountHolds(cell, StepNameOf(job, ref), ref.job, is_interrupted) < waiting ? waited
-                                                                                   : Millis(0);
+  return held < waiting ? waited : Millis(0);
 }
 
 /// Chooses the next cell to ask for capacity for waiting tasks, or nothing.
@@ -231,6 +234,7 @@
   const JobState& job = cell.jobs.at(ref.job);
   const TaskState& task = TaskOf(job, ref);
   const bool is_absent = task.phase == TaskPhase::kWaiting && IsInterrupted(job, ref);
+  const Urgency urgency = UrgencyOf(JobObjectiveOf(job.record), state.unix_ms);
   return PlacementRequest{
       .name = StepNameOf(job, ref),
       .spec = SpecOf(job, ref),
@@ -238,6 +242,7 @@
       .avoided_worker = task.avoided_worker,
       .ready_at = task.not_before,
       .priority = job.record.priority,
+      .is_overdue = urgency == Urgency::kOverdue,
       .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
 }
 
@@ -323,6 +328,7 @@
                              .is_interrupted = IsInterrupted(job, batch.tasks.front()),
                              .absent = state.now - TaskOf(job, batch.tasks.front()).waiting_since,
                              .priority = job.record.priority,
+                             .is_overdue = RequestFor(state, cell, batch.tasks.front()).is_overdue,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = static_cast<int32_t>(batch.tasks.size());
 
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -19,6 +19,8 @@
   Millis ready_at;
   /// Priority of its queue.
   int32_t priority = 0;
+  /// Its job is overdue, see `Urgency`.
+  bool is_overdue = false;
   /// Since when it is without a run, if it is an interrupted long-running one.
   std::optional<Millis> absent_since;
 };
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -14,6 +14,8 @@
 /// Most holds of a cell for new tasks, as a share of its workers in percent. More would leave too
 /// little for the short tasks that start there meanwhile.
 constexpr int64_t kMaxHoldsPercent = 50;
+/// The same for short tasks, which are many: capacity stands unused until enough has ended.
+constexpr int64_t kMaxShortHoldsPercent = 25;
 /// Share of a service's capacity beside its long-running tasks, in percent, below which it is
 /// scarce: most of what is left are pieces that are too small for further ones.
 constexpr int64_t kScarcePercent = 12;
@@ -47,21 +49,34 @@
 constexpr Millis kOfferPause = Millis(600);
 constexpr int32_t kMaxOfferPauseDoublings = 2;
 
+/// Counts an event that ends a hold, and how long the worker was kept.
+void CountEndOfHold(const State& state, HoldEvent event, const WorkerHold& hold) {
+  state.counts.AddEndOfHold(event, hold.is_long_running, state.now - hold.since);
+}
+
 /// Ends the matching holds, counts them, and returns their number.
 template <typename Matches>
 size_t EraseHolds(const State& state, OwnedCell& cell, HoldEvent event, Matches matches) {
   return std::erase_if(cell.holds, [&](const WorkerHold& hold) {
     if (!matches(hold)) return false;
 
-    state.counts.AddEndOfHold(event, state.now - hold.since);
+    CountEndOfHold(state, event, hold);
     return true;
   });
 }
 
+/// Returns whether a task comes before the short one of a hold.
+bool IsMoreUrgentThan(const PlacementRequest& request, const WorkerHold& hold) {
+  if (request.priority != hold.priority) return request.priority < hold.priority;
+
+  return request.spec.is_long_running || (hold.is_overdue && !request.is_overdue);
+}
+
 /// Returns whether a task takes the place of the task of a hold.
 bool TakesPlaceOf(const State& state, const PlacementRequest& request, const WorkerHold& hold) {
+  if (request.absent_since && !hold.is_interrupted) return true;
+  if (!hold.is_long_running) return IsMoreUrgentThan(request, hold);
   if (!request.absent_since) return false;
-  if (!hold.is_interrupted) return true;
 
   // Tasks without a run go before those that still run on draining workers.
   const bool runs = *request.absent_since > state.now;
@@ -158,8 +173,11 @@
 bool IsUsable(const State& state, OwnedCell& cell, const PlacementRequest& request,
               const WorkerHold& hold) {
   const auto worker = cell.workers.find(hold.worker);
+  const auto stays = [&](const WorkerHold& each) {
+    return &each == &hold || !TakesPlaceOf(state, request, each);
+  };
   return worker != cell.workers.end() && MayUseWorker(state, cell, request, worker->second) &&
-         FitsBesideLongRunning(cell, worker->second, HeldOn(cell, hold.worker));
+         FitsBesideLongRunning(cell, worker->second, HeldOn(cell, hold.worker, stays));
 }
 
 /// Returns whether a task fits on a worker now beside all that is kept there, also for its step.
@@ -176,31 +194,38 @@
   if (state.now < hold.next_choice) return;
 
   hold.next_choice = state.now + kHoldChoiceInterval;
+  const auto stays = [&](const WorkerHold& each) {
+    return &each == &hold || !TakesPlaceOf(state, request.placement, each);
+  };
   // The tasks of earlier holds on the worker start first.
-  const Resources amount =
-      HeldOn(cell, hold.worker, [&](const WorkerHold& each) { return &each <= &hold; });
+  const Resources amount = HeldOn(
+      cell, hold.worker, [&](const WorkerHold& each) { return &each <= &hold && stays(each); });
   const Millis fits_after =
       ForecastRoom(state, cell, cell.workers.at(hold.worker), amount, EvictingPriority(request));
   if (fits_after <= kMinGainOfMove) return;
 
-  const WorkerChoice other =
-      ChooseWorkerToKeep(state, cell, request, [](const WorkerHold&) { return true; });
+  const WorkerChoice other = ChooseWorkerToKeep(state, cell, request, stays);
   if (other.worker == nullptr || other.fits_after + kMinGainOfMove >= fits_after) return;
 
-  state.counts.AddEndOfHold(HoldEvent::kMoved, state.now - hold.since);
+  CountEndOfHold(state, HoldEvent::kMoved, hold);
   hold.worker = other.worker->info.id;
   hold.since = state.now;
   // Where forecasts are wrong, a hold that moves again and again is never used.
   hold.next_choice = state.now + kMaxForecast;
 }
 
-size_t MaxHolds(const OwnedCell& cell) {
-  return std::max<size_t>(cell.workers.size() * kMaxHoldsPercent / 100, 1);
+size_t MaxHolds(const OwnedCell& cell, int64_t percent) {
+  return std::max<size_t>(cell.workers.size() * static_cast<size_t>(percent) / 100, 1);
 }
 
 /// Returns whether the cell may have one more hold.
 bool MayAddHold(const OwnedCell& cell, const HoldRequest& request) {
-  return request.placement.absent_since || cell.holds.size() < MaxHolds(cell);
+  if (request.placement.absent_since) return true;
+  if (cell.holds.size() >= MaxHolds(cell, kMaxHoldsPercent)) return false;
+  if (request.placement.spec.is_long_running) return true;
+
+  const auto short_holds = std::ranges::count(cell.holds, false, &WorkerHold::is_long_running);
+  return static_cast<size_t>(short_holds) < MaxHolds(cell, kMaxShortHoldsPercent);
 }
 
 /// Keeps a worker for a task until a time.
@@ -214,9 +239,11 @@
                  .need = placement.spec.need,
                  .worker = worker.info.id,
                  .since = state.now,
+                 .is_long_running = placement.spec.is_long_running,
                  .is_interrupted = placement.absent_since.has_value(),
                  .absent_since = placement.absent_since.value_or(state.now),
                  .priority = request.priority,
+                 .is_overdue = placement.is_overdue,
                  .expires_at = expires_at});
 }
 
@@ -249,7 +276,7 @@
     if (kept == request.tasks && is_interrupted) break;
 
     if (kept == request.tasks || !IsUsable(state, cell, placement, *hold)) {
-      state.counts.AddEndOfHold(HoldEvent::kDropped, state.now - hold->since);
+      CountEndOfHold(state, HoldEvent::kDropped, *hold);
       hold = cell.holds.erase(hold);
       continue;
     }
@@ -257,6 +284,7 @@
     ++kept;
     MoveHold(state, cell, request, *hold);
     hold->expires_at = state.now + kHoldTime;
+    hold->is_overdue = placement.is_overdue;
     hold->offered_to = CellId();
     if (is_interrupted && kept == request.tasks) hold->absent_since = *placement.absent_since;
     ++hold;
@@ -315,7 +343,7 @@
     AddHold(state, cell, request, worker, state.now);
     hold = std::prev(cell.holds.end());
   } else if (hold->worker != worker.info.id) {
-    state.counts.AddEndOfHold(HoldEvent::kMoved, state.now - hold->since);
+    CountEndOfHold(state, HoldEvent::kMoved, *hold);
     hold->worker = worker.info.id;
     hold->since = state.now;
   }
@@ -337,7 +365,7 @@
     });
     if (hold == cell.holds.end()) return;
 
-    state.counts.AddEndOfHold(HoldEvent::kDisplaced, state.now - hold->since);
+    CountEndOfHold(state, HoldEvent::kDisplaced, *hold);
     cell.holds.erase(hold);
   }
 }
@@ -387,7 +415,7 @@
   if (ended == cell.holds.end()) return Millis(0);
 
   const Millis kept = state.now - ended->since;
-  state.counts.AddEndOfHold(HoldEvent::kUsed, kept);
+  CountEndOfHold(state, HoldEvent::kUsed, *ended);
   cell.holds.erase(ended);
   return kept;
 }
