--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -14,8 +14,6 @@
 /// Most holds of a cell for new tasks, as a share of its workers in percent. More would leave too
 /// little for the short tasks that start there meanwhile.
 constexpr int64_t kMaxHoldsPercent = 50;
-/// The same for short tasks, which are many: capacity stands unused until enough has ended.
-constexpr int64_t kMaxShortHoldsPercent = 25;
 /// Share of a service's capacity beside its long-running tasks, in percent, below which it is
 /// scarce: most of what is left are pieces that are too small for further ones.
 constexpr int64_t kScarcePercent = 12;
@@ -69,7 +67,11 @@
 bool IsMoreUrgentThan(const PlacementRequest& request, const WorkerHold& hold) {
   if (request.priority != hold.priority) return request.priority < hold.priority;
 
-  return request.spec.is_long_running || (hold.is_overdue && !request.is_overdue);
+  if (request.spec.is_long_running) return true;
+
+  // A smaller task would only break up what has become free for the one of the hold.
+  return hold.is_overdue && !request.is_overdue &&
+         request.spec.need.millicores >= hold.need.millicores;
 }
 
 /// Returns whether a task takes the place of the task of a hold.
@@ -214,18 +216,13 @@
   hold.next_choice = state.now + kMaxForecast;
 }
 
-size_t MaxHolds(const OwnedCell& cell, int64_t percent) {
-  return std::max<size_t>(cell.workers.size() * static_cast<size_t>(percent) / 100, 1);
+size_t MaxHolds(const OwnedCell& cell) {
+  return std::max<size_t>(cell.workers.size() * kMaxHoldsPercent / 100, 1);
 }
 
 /// Returns whether the cell may have one more hold.
 bool MayAddHold(const OwnedCell& cell, const HoldRequest& request) {
-  if (request.placement.absent_since) return true;
-  if (cell.holds.size() >= MaxHolds(cell, kMaxHoldsPercent)) return false;
-  if (request.placement.spec.is_long_running) return true;
-
-  const auto short_holds = std::ranges::count(cell.holds, false, &WorkerHold::is_long_running);
-  return static_cast<size_t>(short_holds) < MaxHolds(cell, kMaxShortHoldsPercent);
+  return request.placement.absent_since || cell.holds.size() < MaxHolds(cell);
 }
 
 /// Keeps a worker for a task until a time.
