--- a/lib/scheduler/include/currantpost/scheduler/job_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/job_state.h
@@ -196,8 +196,10 @@
     Millis offered_at;
   };
   std::vector<OfferedWorker> offers;
-  /// Capacity in another cell for tasks on draining workers, which run until it is held.
+  /// Capacity in another cell for a task on a draining worker, which runs until it is held.
   struct Evacuation {
+    /// The step that it was asked for.
+    StepName name;
     CellId to;
     /// Until when the reply is awaited, then until when the capacity is held.
     Millis expires_at;
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -116,8 +116,10 @@
                              .priority = job.record.priority,
                              .reply_to = state.settings.peer_address};
   request.step.task_count = 1;
-  job.evacuation = JobState::Evacuation{
-      .to = to, .expires_at = state.now + kMaxReplyTime, .asked_at = state.now};
+  job.evacuation = JobState::Evacuation{.name = request.name,
+                                        .to = to,
+                                        .expires_at = state.now + kMaxReplyTime,
+                                        .asked_at = state.now};
   AskCell(state, effects, to, request);
 }
 
@@ -201,7 +203,7 @@
   std::vector<const StepSpec*> unplaced;
   const auto reserve = [&](const TaskRef& ref) {
     const JobState& job = cell.jobs.at(ref.job);
-    if (HasEvacuationRoom(state, job) || room.Reserve(ref) != nullptr) return;
+    if (HasEvacuationRoom(state, job, StepNameOf(job, ref)) || room.Reserve(ref) != nullptr) return;
 
     unplaced.push_back(&SpecOf(job, ref));
   };
@@ -286,15 +288,18 @@
   AskOthersToKeep(state, effects, cell, plan.may_ask);
 }
 
-bool HasEvacuationRoom(const State& state, const JobState& job) {
-  return job.evacuation && job.evacuation->held > 0 && state.now < job.evacuation->expires_at;
+bool HasEvacuationRoom(const State& state, const JobState& job, const StepName& name) {
+  return job.evacuation && job.evacuation->name == name && job.evacuation->held > 0 &&
+         state.now < job.evacuation->expires_at;
 }
 
 void UseEvacuationReply(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                         const ReservationReply& reply) {
   const std::vector<LeavingTask> leaving = LeavingTasksOf(cell);
   const auto task = std::ranges::find_if(leaving, [&](const LeavingTask& each) {
-    return each.ref.job == job.record.spec.job && !each.is_stopping && each.can_be_stopped;
+    return each.ref.job == job.record.spec.job &&
+           StepNameOf(job, each.ref) == job.evacuation->name && !each.is_stopping &&
+           each.can_be_stopped;
   });
   const bool stops = job.cancelled || job.attempts_exhausted || !MayMoveTasks(state, cell);
 
--- a/lib/scheduler/source/lending.cc
+++ b/lib/scheduler/source/lending.cc
@@ -193,14 +193,31 @@
   return true;
 }
 
+/// Passes on a task that was stopped on a draining worker to the cell that holds capacity for it.
+/// Returns whether one was passed on.
+bool PassOnToHeldRoom(State& state, Effects& effects, OwnedCell& cell, JobState& job) {
+  if (!job.evacuation || !HasEvacuationRoom(state, job, job.evacuation->name)) return false;
+
+  WaitingBatch batch = WaitingTasks(state, cell, job, job.evacuation->name);
+  if (batch.tasks.empty() || batch.spec->gang || !IsInterrupted(job, batch.tasks.front()))
+    return false;
+
+  const CellId to = job.evacuation->to;
+  job.evacuation.reset();
+  PassOn(state, effects, cell, job, to, std::move(batch), 1);
+  return true;
+}
+
 }  // namespace
 
-WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job) {
+WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job,
+                          const std::optional<StepName>& name) {
   WaitingBatch batch;
 
   VisitWaitingTasks(cell, job, [&](const TaskRef& ref) {
     const TaskState& task = TaskOf(job, ref);
     if (task.not_before > state.now) return true;
+    if (name && StepNameOf(job, ref) != *name) return true;
 
     const StepSpec& spec = SpecOf(job, ref);
     if (batch.tasks.empty()) batch.spec = &spec;
@@ -282,24 +299,18 @@
   if (AwaitsReservation(state, effects, job)) return;
   if (!job.waits_since || job.move || cell.write.versions.contains(job.record.spec.job)) return;
 
-  const bool is_held = HasEvacuationRoom(state, job);
+  if (PassOnToHeldRoom(state, effects, cell, job)) return;
 
-  if (!is_held && state.now < *job.waits_since + kLendDelay) {
+  if (state.now < *job.waits_since + kLendDelay) {
     WakeAt(state, *job.waits_since + kLendDelay);
     return;
   }
 
-  if (!is_held && state.now < job.next_search) return;
+  if (state.now < job.next_search) return;
 
   WaitingBatch batch = WaitingTasks(state, cell, job);
   if (batch.tasks.empty() || batch.spec->gang) return;
 
-  if (is_held && IsInterrupted(job, batch.tasks.front())) {
-    const CellId to = job.evacuation->to;
-    job.evacuation.reset();
-    return PassOn(state, effects, cell, job, to, std::move(batch), 1);
-  }
-
   LogLongWait(state, effects, cell, job, batch);
 
   // Best-effort tasks have an interval of their own.
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -57,9 +57,11 @@
   const StepSpec* spec = nullptr;
 };
 
-/// Returns the waiting tasks of the first step that has tasks ready to start. Long-running tasks
-/// are returned one at a time, interrupted ones first, and then the one that has waited longest.
-WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job);
+/// Returns the waiting tasks of the first step that has tasks ready to start, or those of a given
+/// step. Long-running tasks are returned one at a time, interrupted ones first, and then the one
+/// that has waited longest.
+WaitingBatch WaitingTasks(const State& state, OwnedCell& cell, const JobState& job,
+                          const std::optional<StepName>& name = std::nullopt);
 
 /// Lends waiting tasks to another cell.
 void LendTasks(State& state, Effects& effects, OwnedCell& cell, JobState& job,
@@ -80,8 +82,8 @@
 void UseEvacuationReply(State& state, Effects& effects, OwnedCell& cell, JobState& job,
                         const ReservationReply& reply);
 
-/// Returns whether another cell holds capacity for a task that was on a draining worker.
-bool HasEvacuationRoom(const State& state, const JobState& job);
+/// Returns whether another cell holds capacity for a task of a step that was on a draining worker.
+bool HasEvacuationRoom(const State& state, const JobState& job, const StepName& name);
 
 /// Asks the owner of another cell to reserve capacity for waiting tasks. The tasks are passed on as
 /// far as the reply allows. Returns false if there is no cell to ask now.
--- a/tests/scheduler/draining_moves_test.cc
+++ b/tests/scheduler/draining_moves_test.cc
@@ -183,5 +183,34 @@
   EXPECT_LE(longest_pause_.Count(), kMaxPause.Count());
 }
 
+// Guards against a task that was stopped without room for it, as another cell had replied to a
+// request for a smaller one of its job.
+TEST_F(DrainingMoves, AReplyForOneStepStopsNoTaskOfAnotherStep) {
+  constexpr int64_t kLargeNeed = kWorkerNeed - kTaskNeed;
+  Begin(2, 2);
+  JobRecord record{
+      .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId("dc0/0")};
+  record.spec = MakeJob("two-steps", 1, kLargeNeed);
+  record.spec.steps.push_back(record.spec.steps[0]);
+  record.spec.steps[1].need.millicores = kTaskNeed;
+  for (StepSpec& step : record.spec.steps) step.is_long_running = true;
+  world_->store.Handle(
+      WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + "two-steps", Encode(record), 0}}},
+      world_->now(), [](const StoreReply&) {});
+  world_->Run(Millis(1'500));
+  Record("large", 1, kWorkerNeed);
+  Record("large-elsewhere", 1, kWorkerNeed, "", false, "dc1/0");
+  Record("small-elsewhere", 1, kLargeNeed, "", false, "dc1/0");
+  const std::vector<std::string> workers = world_->WorkersOf("two-steps");
+  ASSERT_EQ(workers.size(), 2U);
+  ASSERT_EQ(workers[0], workers[1]);
+  draining_ = workers[0];
+  Drain();
+
+  EXPECT_TRUE(ended_at_.contains(TaskName{.job = JobId("two-steps"), .step = 1}));
+  EXPECT_FALSE(ended_at_.contains(TaskName{.job = JobId("two-steps"), .step = 0}));
+  EXPECT_EQ(world_->WorkersOf("two-steps").size(), 2U);
+}
+
 }  // namespace
 }  // namespace currantpost::scheduler
