--- a/tests/scheduler/kept_capacity_test.cc
+++ b/tests/scheduler/kept_capacity_test.cc
@@ -27,8 +27,10 @@
 /// Time in which a task starts on a worker whose short tasks are stopped.
 constexpr Millis kMaxStart = Millis(1'000);
 constexpr Millis kStep = Millis(5);
+constexpr int32_t kMoreUrgent = -1;
 
-/// Data centres of one entry and one cell each. The short tasks end when their estimates say.
+/// Data centres of one entry and one cell each. The short tasks end when their estimates say,
+/// unless a test says otherwise.
 class KeptCapacity : public testing::Test {
  protected:
   explicit KeptCapacity(int32_t cells = 1)
@@ -59,9 +61,11 @@
   }
 
   /// Records a job with one long-running task that has run before.
-  void RecordInterrupted(const std::string& id, int64_t millicores) {
+  void RecordInterrupted(const std::string& id, int64_t millicores, Millis waited = kWaited,
+                         int32_t priority = 0) {
     JobRecord record = MakeRecord(id, 1, millicores, Millis(500), 0);
-    record.carried_progress.tasks = {TaskProgress{.run = 1, .waited = kWaited}};
+    record.carried_progress.tasks = {TaskProgress{.run = 1, .waited = waited}};
+    record.priority = priority;
     Write(record);
   }
 
@@ -205,6 +209,21 @@
   EXPECT_EQ(Running("long-first") + Running("long-second"), 1U);
 }
 
+TEST_F(KeptCapacity, AnOlderTaskTakesTheKeptPlaceAfterAMoreUrgentOneThatFitsNowhere) {
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  Record("long-beside", 1, kShortNeed / 2);
+  Record("short-late", 1, kShortNeed, kLate);
+  world_.Run(kMostOfLate);
+  RecordInterrupted("long-holds", kLargeNeed);
+  world_.Run(Millis(500));
+  ASSERT_FALSE(KeptWorker().empty());
+  RecordInterrupted("long-urgent", kWorkerNeed, kWaited, kMoreUrgent);
+  RecordInterrupted("long-old", kHalfNeed, kWaited * 10);
+  world_.Run(kMaxStart);
+
+  EXPECT_EQ(Running("long-old"), 1U);
+}
+
 // Guards against short tasks that went on until the task had arrived from its own cell.
 TEST_F(KeptCapacityInTwoCells, TheWorkerIsClearedWhileTheTaskIsOnItsWay) {
   Record("long-fills-own", kWorkers, kWorkerNeed);
