--- a/lib/scheduler/source/capacity_forecast.cc
+++ b/lib/scheduler/source/capacity_forecast.cc
@@ -50,8 +50,8 @@
   const Millis elapsed = task.phase == TaskPhase::kRunning ? state.now - task.began : Millis(0);
   if (elapsed < spec.estimate) return std::max(spec.estimate - elapsed, kMinRest);
 
-  // One that has overrun its estimate probably goes on for as long as that again.
-  return std::max(spec.estimate, elapsed - spec.estimate);
+  // One that has overrun its estimate probably goes on for as long as it has run.
+  return std::max(elapsed, kMinRest);
 }
 
 Millis ForecastRoom(const State& state, const OwnedCell& cell, const WorkerState& worker,
--- a/lib/scheduler/source/eviction.cc
+++ b/lib/scheduler/source/eviction.cc
@@ -10,6 +10,8 @@
 constexpr Millis kMaxWaitForEnds = Millis(300);
 /// Age up to which a task that resumes from no checkpoint has done little work.
 constexpr Millis kJustBegun = Millis(400);
+/// How often a task is stopped at most. One that resumes from no checkpoint begins anew each time.
+constexpr int32_t kMaxStops = 3;
 /// Time between two checks of the kept workers of a cell.
 constexpr Millis kEvictionInterval = Millis(100);
 
@@ -139,7 +141,8 @@
   const StepSpec& spec = SpecOf(job, ref);
   const TaskState& task = TaskOf(job, ref);
   if (task.phase != TaskPhase::kRunning || spec.is_long_running) return false;
-  if (job.record.priority != priority) return job.record.priority > priority;
+  if (job.record.priority != priority)
+    return job.record.priority > priority && task.evictions < kMaxStops;
 
   const bool loses_little = spec.checkpointing || state.now - task.began < kJustBegun;
   return loses_little && task.evictions == 0;
--- a/lib/scheduler/source/eviction.h
+++ b/lib/scheduler/source/eviction.h
@@ -9,8 +9,8 @@
 namespace currantpost::scheduler {
 
 /// Returns whether a short task may be stopped for an interrupted task of a priority: it runs, and
-/// its queue comes after that priority. One of the same priority may be stopped once, if it has
-/// just begun or resumes from a checkpoint.
+/// its queue comes after that priority, up to a few times. One of the same priority may be stopped
+/// once, if it has just begun or resumes from a checkpoint.
 bool IsEvictable(const State& state, const JobState& job, const TaskRef& ref, int32_t priority);
 
 /// Stops short tasks where a worker is kept for an interrupted task, that task would fit without
--- a/tests/scheduler/kept_capacity_test.cc
+++ b/tests/scheduler/kept_capacity_test.cc
@@ -38,8 +38,10 @@
             .entries = cells, .data_centres = cells, .racks = 1, .workers_per_rack = kWorkers}) {
     world_.planner = [this](const TaskName& name) {
       const StepSpec& step = steps_.at(name.job.Text());
-      return RunPlan{
-          .duration = step.estimate, .never_ends = step.is_long_running, .need = step.need};
+      const auto duration = durations_.find(name.job.Text());
+      return RunPlan{.duration = duration == durations_.end() ? step.estimate : duration->second,
+                     .never_ends = step.is_long_running,
+                     .need = step.need};
     };
     world_.on_run_end = [this](const std::string&, const TaskName& name, RunEnd end) {
       if (end == RunEnd::kStopped) ++stopped_[name.job.Text()];
@@ -100,6 +102,8 @@
 
   World world_;
   std::map<std::string, StepSpec> steps_;
+  /// Durations of the tasks of jobs whose estimates are wrong.
+  std::map<std::string, Millis> durations_;
   std::map<std::string, int32_t> stopped_;
 };
 
@@ -195,6 +199,36 @@
   EXPECT_EQ(Running("long-second"), 0U);
 }
 
+// Guards against a task that began anew each time that somebody needed its worker.
+TEST_F(KeptCapacity, ATaskOfLowerPriorityIsStoppedAFewTimesOnly) {
+  constexpr int32_t kMaxStops = 3;
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  Record("short", 1, kWorkerNeed, kLate);
+  for (int32_t number = 0; number < kMaxStops * 2; ++number) {
+    const std::string id = "long-" + std::to_string(number);
+    RecordInterrupted(id, kWorkerNeed, kWaited, kMoreUrgent);
+    world_.Run(kMaxStart * 2);
+    world_.Cancel("e0", id);
+    world_.Run(kMaxStart);
+    ASSERT_EQ(Running("short"), 1U);
+  }
+
+  EXPECT_EQ(stopped_["short"], kMaxStops);
+}
+
+// Guards against tasks that were taken to end soon for as long as they had just begun.
+TEST_F(KeptCapacity, TasksThatHaveOverrunATinyEstimateAreStopped) {
+  constexpr Millis kTiny = Millis(100);
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  durations_["short"] = kLate;
+  Record("short", 4, kShortNeed, kTiny);
+  RecordInterrupted("long", kLargeNeed);
+  world_.Run(kMaxStart);
+
+  EXPECT_EQ(Running("long"), 1U);
+  EXPECT_EQ(stopped_["short"], 3);
+}
+
 // Guards against tasks that waited for room for each other, as the same worker was kept for them.
 TEST_F(KeptCapacity, TheFirstOfTwoTasksStartsBeforeThereIsRoomForBoth) {
   Record("long-fills", kWorkers - 1, kWorkerNeed);
