--- a/tests/scheduler/kept_capacity_test.cc
+++ b/tests/scheduler/kept_capacity_test.cc
@@ -27,8 +27,10 @@
 /// Time in which a task starts on a worker whose short tasks are stopped.
 constexpr Millis kMaxStart = Millis(1'000);
 constexpr Millis kStep = Millis(5);
+constexpr int32_t kMoreUrgent = -1;
 
-/// Data centres of one entry and one cell each. The short tasks end when their estimates say.
+/// Data centres of one entry and one cell each. The short tasks end when their estimates say,
+/// unless a test says otherwise.
 class KeptCapacity : public testing::Test {
  protected:
   explicit KeptCapacity(int32_t cells = 1)
@@ -36,8 +38,10 @@
             .entries = cells, .data_centres = cells, .racks = 1, .workers_per_rack = kWorkers}) {
     world_.planner = [this](const TaskName& name) {
       const StepSpec& step = steps_.at(name.job.Text());
-      return RunPlan{
-          .duration = step.estimate, .never_ends = step.is_long_running, .need = step.need};
+      const auto duration = durations_.find(name.job.Text());
+      return RunPlan{.duration = duration == durations_.end() ? step.estimate : duration->second,
+                     .never_ends = step.is_long_running,
+                     .need = step.need};
     };
     world_.on_run_end = [this](const std::string&, const TaskName& name, RunEnd end) {
       if (end == RunEnd::kStopped) ++stopped_[name.job.Text()];
@@ -59,9 +63,11 @@
   }
 
   /// Records a job with one long-running task that has run before.
-  void RecordInterrupted(const std::string& id, int64_t millicores) {
+  void RecordInterrupted(const std::string& id, int64_t millicores, Millis waited = kWaited,
+                         int32_t priority = 0) {
     JobRecord record = MakeRecord(id, 1, millicores, Millis(500), 0);
-    record.carried_progress.tasks = {TaskProgress{.run = 1, .waited = kWaited}};
+    record.carried_progress.tasks = {TaskProgress{.run = 1, .waited = waited}};
+    record.priority = priority;
     Write(record);
   }
 
@@ -96,6 +102,8 @@
 
   World world_;
   std::map<std::string, StepSpec> steps_;
+  /// Durations of the tasks of jobs whose estimates are wrong.
+  std::map<std::string, Millis> durations_;
   std::map<std::string, int32_t> stopped_;
 };
 
@@ -191,6 +199,36 @@
   EXPECT_EQ(Running("long-second"), 0U);
 }
 
+// Guards against a task that began anew each time that somebody needed its worker.
+TEST_F(KeptCapacity, ATaskOfLowerPriorityIsStoppedAFewTimesOnly) {
+  constexpr int32_t kMaxStops = 3;
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  Record("short", 1, kWorkerNeed, kLate);
+  for (int32_t number = 0; number < kMaxStops * 2; ++number) {
+    const std::string id = "long-" + std::to_string(number);
+    RecordInterrupted(id, kWorkerNeed, kWaited, kMoreUrgent);
+    world_.Run(kMaxStart * 2);
+    world_.Cancel("e0", id);
+    world_.Run(kMaxStart);
+    ASSERT_EQ(Running("short"), 1U);
+  }
+
+  EXPECT_EQ(stopped_["short"], kMaxStops);
+}
+
+// Guards against tasks that were taken to end soon for as long as they had just begun.
+TEST_F(KeptCapacity, TasksThatHaveOverrunATinyEstimateAreStopped) {
+  constexpr Millis kTiny = Millis(100);
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  durations_["short"] = kLate;
+  Record("short", 4, kShortNeed, kTiny);
+  RecordInterrupted("long", kLargeNeed);
+  world_.Run(kMaxStart);
+
+  EXPECT_EQ(Running("long"), 1U);
+  EXPECT_EQ(stopped_["short"], 3);
+}
+
 // Guards against tasks that waited for room for each other, as the same worker was kept for them.
 TEST_F(KeptCapacity, TheFirstOfTwoTasksStartsBeforeThereIsRoomForBoth) {
   Record("long-fills", kWorkers - 1, kWorkerNeed);
@@ -205,6 +243,21 @@
   EXPECT_EQ(Running("long-first") + Running("long-second"), 1U);
 }
 
+TEST_F(KeptCapacity, AnOlderTaskTakesTheKeptPlaceAfterAMoreUrgentOneThatFitsNowhere) {
+  Record("long-fills", kWorkers - 1, kWorkerNeed);
+  Record("long-beside", 1, kShortNeed / 2);
+  Record("short-late", 1, kShortNeed, kLate);
+  world_.Run(kMostOfLate);
+  RecordInterrupted("long-holds", kLargeNeed);
+  world_.Run(Millis(500));
+  ASSERT_FALSE(KeptWorker().empty());
+  RecordInterrupted("long-urgent", kWorkerNeed, kWaited, kMoreUrgent);
+  RecordInterrupted("long-old", kHalfNeed, kWaited * 10);
+  world_.Run(kMaxStart);
+
+  EXPECT_EQ(Running("long-old"), 1U);
+}
+
 // Guards against short tasks that went on until the task had arrived from its own cell.
 TEST_F(KeptCapacityInTwoCells, TheWorkerIsClearedWhileTheTaskIsOnItsWay) {
   Record("long-fills-own", kWorkers, kWorkerNeed);
