--- a/tests/scheduler/waiting_order_test.cc
+++ b/tests/scheduler/waiting_order_test.cc
@@ -79,6 +79,23 @@
         world_.now(), [](const StoreReply&) {});
   }
 
+  /// Records a borrowed job with all the tasks of a job of another cell.
+  void RecordBorrowed(const std::string& parent, int32_t centre, int32_t tasks,
+                      int64_t millicores) {
+    JobRecord record{
+        .queue = "queue", .service = "service", .max_attempts = 50, .cell = CellId(CellOf(centre))};
+    const std::string id = parent + "~1";
+    record.spec = MakeJob(id, tasks, millicores);
+    record.spec.steps[0].is_long_running = true;
+    record.parent = JobId(parent);
+    for (int32_t index = 0; index < tasks; ++index) {
+      record.lent.push_back(TaskProgress{.index = index});
+    }
+    world_.store.Handle(
+        WriteRecords{.puts = {RecordPut{std::string(kJobPrefix) + id, Encode(record), 0}}},
+        world_.now(), [](const StoreReply&) {});
+  }
+
   /// Fills whole workers of a cell with long-running jobs of one task.
   void Fill(int32_t centre, int32_t workers) {
     for (int32_t number = 0; number < workers; ++number) {
@@ -148,6 +165,34 @@
   EXPECT_EQ(too_few, "") << "turns by job";
 }
 
+// Guards against turns that ended for all jobs of a cell once the last one in their order was a
+// borrowed job with a running task, which never asks.
+TEST_F(WaitingOrderInThreeCells, ABorrowedJobThatRunsDoesNotEndTheTurnsOfTheOthers) {
+  constexpr int32_t kJobs = 5;
+  constexpr Millis kTurn = Millis(100);
+  constexpr int32_t kRounds = 20;
+  Fill(0, kWorkers - 1);
+  Fill(1, kWorkers);
+  Fill(2, kWorkers);
+  RecordBorrowed("longz", 0, 2, kWorkerNeed);
+  world_.Run(Millis(1'000));
+  ASSERT_EQ(Running("longz"), 1U);
+
+  std::map<JobId, int32_t> turns;
+  on_request_ = [&](const ReservationRequest& request) { ++turns[request.job]; };
+  for (int32_t job = 0; job < kJobs; ++job) {
+    Record("long" + std::to_string(100 + job), 0, 1, kLargeNeed);
+  }
+  world_.Run(kTurn * kJobs * kRounds);
+
+  std::string too_few;
+  for (int32_t job = 0; job < kJobs; ++job) {
+    const int32_t count = turns[JobId("long" + std::to_string(100 + job))];
+    if (count < kRounds / 2) too_few += std::to_string(job) + ":" + std::to_string(count) + " ";
+  }
+  EXPECT_EQ(too_few, "") << "turns by job";
+}
+
 // Guards against waits that began anew for the tasks of a job when another one of them was lent.
 TEST_F(WaitingOrderInThreeCells, TheWaitOfATaskCountsFromItsBeginning) {
   constexpr Millis kMaxDelay = Millis(500);
