--- a/lib/scheduler/source/background_work.cc
+++ b/lib/scheduler/source/background_work.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "callers.h"
+#include "reservations.h"
 
 namespace currantpost::scheduler {
 namespace {
@@ -56,7 +57,7 @@
     }
 
     // No job after the last one has asked, so that the first one has its turn again.
-    if (state_.now >= cell.next_probe + kMaxTurnWait) cell.last_probe = JobId();
+    if (state_.now >= cell.next_probe + kMaxTurnWait) BeginTurnsAgain(cell);
     return true;
   }
 
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -125,10 +125,17 @@
   PassOn(state, effects, *cell, job, to, std::move(batch), static_cast<size_t>(tasks));
 }
 
+/// Returns whether a job may ask for capacity once it searches.
+bool MayAskInTurn(const JobState& job) {
+  // Borrowed tasks are not lent again.
+  const bool stays = !job.record.parent.Empty() && job.bound > 0;
+  return job.waits_since && !stays && !job.move && !job.loan;
+}
+
 /// Returns the job whose turn it is to ask a cell that reports no capacity: the first one that
 /// waits after the last one that asked, or null.
 JobState* NextInTurn(OwnedCell& cell) {
-  const auto waits = [](const auto& row) { return row.second.waits_since.has_value(); };
+  const auto waits = [](const auto& row) { return MayAskInTurn(row.second); };
   auto next = std::find_if(cell.jobs.upper_bound(cell.last_probe), cell.jobs.end(), waits);
   if (next == cell.jobs.end()) next = std::ranges::find_if(cell.jobs, waits);
   return next == cell.jobs.end() ? nullptr : &next->second;
@@ -262,6 +269,11 @@
   HandleReply(state, effects, to, MakeReply(state, FindOpenCell(state, to), request));
 }
 
+void BeginTurnsAgain(OwnedCell& cell) {
+  cell.last_probe = JobId();
+  ScheduleNextTurn(cell);
+}
+
 bool HasUnresponsivePeers(const JobState& job) {
   return job.unanswered_reservations >= kMaxUnansweredRequests;
 }
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -96,6 +96,9 @@
 /// progress of the job is not recorded meanwhile.
 void ExpireRequest(State& state, Effects& effects, const OwnedCell& cell, JobState& job);
 
+/// Gives the first waiting job of a cell the turn to ask cells that report no capacity.
+void BeginTurnsAgain(OwnedCell& cell);
+
 /// Returns whether so many requests of the job had no reply that the load reports go first.
 bool HasUnresponsivePeers(const JobState& job);
 
