--- a/tests/scheduler/waiting_order_test.cc
+++ b/tests/scheduler/waiting_order_test.cc
@@ -193,6 +193,23 @@
   EXPECT_EQ(too_few, "") << "turns by job";
 }
 
+// Guards against a line that gave the whole time of a job as the wait for its first worker if all
+// its tasks ran in other cells.
+TEST_F(WaitingOrderInThreeCells, AJobOfWhichAllTasksWereLentNamesNoWaitForItsFirstWorker) {
+  Fill(0, kWorkers);
+  Fill(1, kWorkers - 1);
+  Fill(2, kWorkers - 1);
+  Record("short", 0, 16, kSmallNeed);
+  world_.Run(Millis(6'000));
+  ASSERT_EQ(world_.Phase("short"), JobPhase::kCompleted);
+
+  const auto line = std::ranges::find_if(world_.log, [](const std::string& each) {
+    return each.find("job has ended job=short queue") != std::string::npos;
+  });
+  ASSERT_NE(line, world_.log.end());
+  EXPECT_NE(line->find("first_bound_ms= "), std::string::npos) << *line;
+}
+
 // Guards against waits that began anew for the tasks of a job when another one of them was lent.
 TEST_F(WaitingOrderInThreeCells, TheWaitOfATaskCountsFromItsBeginning) {
   constexpr Millis kMaxDelay = Millis(500);
