--- a/lib/scheduler/source/cell_jobs.cc
+++ b/lib/scheduler/source/cell_jobs.cc
@@ -459,8 +459,9 @@
          {"ms", std::to_string((state.now - job.taken_over_at).Count())},
          {"cancelling_ms",
           std::to_string((state.now - job.cancelled_at.value_or(state.now)).Count())},
-         {"first_bound_ms",
-          std::to_string((job.first_bound_at.value_or(state.now) - job.taken_over_at).Count())},
+         {"first_bound_ms", job.first_bound_at
+                                ? std::to_string((*job.first_bound_at - job.taken_over_at).Count())
+                                : std::string()},
          {"longest_wait_ms", std::to_string(job.longest_wait.Count())},
          {"filling_ms", std::to_string(job.best_effort_time.Count())},
          {"paced_ms", std::to_string(job.throttled_time.Count())},
