--- a/lib/scheduler/include/currantpost/scheduler/cell_state.h
+++ b/lib/scheduler/include/currantpost/scheduler/cell_state.h
@@ -128,6 +128,8 @@
   Millis expires_at;
   /// When to look next for a worker that becomes free sooner.
   Millis next_choice;
+  /// The task that was stopped because of the worker, if one was.
+  std::optional<TaskRef> stopped = std::nullopt;
 };
 
 /// How the owner of a cell replies to requests for capacity.
--- a/lib/scheduler/source/draining.cc
+++ b/lib/scheduler/source/draining.cc
@@ -52,16 +52,16 @@
 
     AdjustReservedResources(*worker, request.spec, 1);
     reserved_.emplace_back(worker, ref);
-    SetAsideHold(request.name, ref.job, worker->info.id);
+    SetAsideHold(request.name, ref, worker->info.id);
     return worker;
   }
 
  private:
   /// Leaves a hold for a task out of account that now counts as reserved.
-  void SetAsideHold(const StepName& name, const JobId& job, const VmId& worker) {
+  void SetAsideHold(const StepName& name, const TaskRef& ref, const VmId& worker) {
     const auto hold = std::ranges::find_if(cell_.holds, [&](const WorkerHold& each) {
-      return each.name == name && each.job == job && each.worker == worker &&
-             each.need != Resources();
+      return each.name == name && each.job == ref.job && each.worker == worker &&
+             each.stopped.value_or(ref) == ref && each.need != Resources();
     });
     if (hold == cell_.holds.end()) return;
 
--- a/lib/scheduler/source/granted_reservations.cc
+++ b/lib/scheduler/source/granted_reservations.cc
@@ -66,7 +66,7 @@
       break;
     }
 
-    EndHold(state, cell, request.name, request.job, worker->info.id);
+    EndHold(state, cell, request.name, request.job, worker->info.id, std::nullopt);
     DisplaceHolds(state, cell, placement, *worker);
     AdjustReservedResources(*worker, held.step, 1);
     ++worker->reservations;
--- a/lib/scheduler/source/placement.cc
+++ b/lib/scheduler/source/placement.cc
@@ -235,7 +235,7 @@
 void Bind(State& state, Effects& effects, OwnedCell& cell, JobState& job, const TaskRef& ref,
           WorkerState& worker) {
   const PlacementRequest request = RequestFor(state, cell, ref);
-  const Millis kept = EndHold(state, cell, request.name, ref.job, worker.info.id);
+  const Millis kept = EndHold(state, cell, request.name, ref.job, worker.info.id, ref);
   DisplaceHolds(state, cell, request, worker);
   BindTask(state, cell, job, ref, worker);
   LogEndOfLongWait(state, effects, job, ref, kept);
@@ -341,7 +341,9 @@
     }
 
     outcome.unplaced.insert(ref.job);
-    const int32_t rank = ++seen_[{request.name, ref.job}];
+    // The first holds of a step are those of its tasks that were stopped because of a worker.
+    const int32_t rank =
+        ++seen_[{request.name, ref.job}] + CountHoldsOfStopping(cell_, request.name, ref.job);
     if (!may_fit) return;
 
     const bool is_overdue = state_.now >= *request.absent_since + HoldDelay(true);
--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -238,7 +238,8 @@
       .avoided_worker = task.avoided_worker,
       .ready_at = task.not_before,
       .priority = job.record.priority,
-      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
+      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt,
+      .task = ref};
 }
 
 void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
--- a/lib/scheduler/source/reservations.h
+++ b/lib/scheduler/source/reservations.h
@@ -21,6 +21,8 @@
   int32_t priority = 0;
   /// Since when it is without a run, if it is an interrupted long-running one.
   std::optional<Millis> absent_since;
+  /// The task, if it waits in this cell.
+  std::optional<TaskRef> task = std::nullopt;
 };
 
 /// Returns the best worker for a task, or null if none has capacity.
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -220,6 +220,26 @@
                  .expires_at = expires_at});
 }
 
+/// Returns whether the task that was stopped because of the worker of a hold may still come.
+bool IsAboutToUse(const State& state, const OwnedCell& cell, const WorkerHold& hold) {
+  if (!hold.stopped) return false;
+
+  const auto job = cell.jobs.find(hold.stopped->job);
+  if (job == cell.jobs.end()) return false;
+
+  const TaskState& task = TaskOf(job->second, *hold.stopped);
+  if (task.phase == TaskPhase::kStopping) return true;
+
+  return task.phase == TaskPhase::kWaiting && state.now >= task.not_before;
+}
+
+/// Returns whether a hold is not for a task of its step, as another one was stopped because of the
+/// worker.
+bool IsForAnother(const State& state, const OwnedCell& cell, const WorkerHold& hold,
+                  const std::optional<TaskRef>& task) {
+  return hold.stopped != task && IsAboutToUse(state, cell, hold);
+}
+
 }  // namespace
 
 bool YieldsToInterrupted(const State& state, const StepSpec& spec, std::string_view service,
@@ -322,6 +342,7 @@
 
   // No task of its priority takes its place: it was stopped because of this worker.
   hold->absent_since = Millis(0);
+  hold->stopped = ref;
   hold->expires_at = state.now + kHoldTime;
   // The first holds of a step are those of its tasks that are without a run.
   std::rotate(cell.holds.begin(), hold, std::next(hold));
@@ -375,10 +396,20 @@
   }));
 }
 
+int32_t CountHoldsOfStopping(const OwnedCell& cell, const StepName& name, const JobId& job) {
+  return static_cast<int32_t>(std::ranges::count_if(cell.holds, [&](const WorkerHold& hold) {
+    if (!IsHoldOf(hold, name, job, true) || !hold.stopped) return false;
+
+    const auto found = cell.jobs.find(hold.stopped->job);
+    return found != cell.jobs.end() &&
+           TaskOf(found->second, *hold.stopped).phase == TaskPhase::kStopping;
+  }));
+}
+
 Millis EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
-               const VmId& worker) {
+               const VmId& worker, const std::optional<TaskRef>& task) {
   const auto is_for_step = [&](const WorkerHold& hold) {
-    return hold.name == name && hold.job == job;
+    return hold.name == name && hold.job == job && !IsForAnother(state, cell, hold, task);
   };
   auto ended = std::ranges::find_if(cell.holds, [&](const WorkerHold& hold) {
     return is_for_step(hold) && hold.worker == worker;
@@ -389,6 +420,12 @@
   const Millis kept = state.now - ended->since;
   state.counts.AddEndOfHold(HoldEvent::kUsed, kept);
   cell.holds.erase(ended);
+  if (!task) return kept;
+
+  // Another task of the step may use what was kept for this one.
+  for (WorkerHold& hold : cell.holds) {
+    if (hold.stopped == task) hold.stopped.reset();
+  }
   return kept;
 }
 
@@ -465,11 +502,13 @@
   // All tasks for which one worker is kept fit there, so none of them waits for the others.
   const bool has_hold = std::ranges::any_of(cell.holds, [&](const WorkerHold& hold) {
     return hold.worker == id && hold.name == request.name &&
-           hold.is_interrupted == request.absent_since.has_value();
+           hold.is_interrupted == request.absent_since.has_value() &&
+           !IsForAnother(state, cell, hold, request.task);
   });
 
   return HeldOn(cell, id, [&](const WorkerHold& hold) {
-    if (hold.name == request.name || TakesPlaceOf(state, request, hold)) return false;
+    if (hold.name == request.name) return IsForAnother(state, cell, hold, request.task);
+    if (TakesPlaceOf(state, request, hold)) return false;
     return !has_hold || hold.is_interrupted != request.absent_since.has_value();
   });
 }
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -50,6 +50,10 @@
 int32_t CountHolds(const OwnedCell& cell, const StepName& name, const JobId& job,
                    bool is_interrupted);
 
+/// Returns for how many tasks of one step of a job that are being stopped because of a worker it is
+/// kept.
+int32_t CountHoldsOfStopping(const OwnedCell& cell, const StepName& name, const JobId& job);
+
 /// Keeps a worker for some time for an interrupted task that waits in another cell, whose owner is
 /// offered it. Returns whether one was found.
 bool KeepOfferedWorker(const State& state, OwnedCell& cell, const HoldRequest& request,
@@ -75,9 +79,10 @@
 void DropUselessHolds(const State& state, OwnedCell& cell);
 
 /// Ends a hold for a step of a job once a worker was found for one of the tasks: the hold on that
-/// worker, or else any of them. Returns for how long the worker was kept, 0 if none was.
+/// worker, or else any of them, but none for another task that was stopped because of its worker.
+/// Returns for how long the worker was kept, 0 if none was.
 Millis EndHold(const State& state, OwnedCell& cell, const StepName& name, const JobId& job,
-               const VmId& worker);
+               const VmId& worker, const std::optional<TaskRef>& task);
 
 /// Ends all holds for tasks of a job that has left the cell.
 void EndHoldsOf(const State& state, OwnedCell& cell, const JobId& job);
--- a/tests/scheduler/room_ahead_test.cc
+++ b/tests/scheduler/room_ahead_test.cc
@@ -25,6 +25,8 @@
 constexpr Millis kMaxUnusedHold = Millis(2'000);
 /// Time until a task's worker counts as lost.
 constexpr Millis kMaxUntilLost = Millis(6'000);
+/// Time after which a lost worker has almost been given up.
+constexpr Millis kUntilAlmostLost = Millis(3'500);
 constexpr Millis kStep = Millis(10);
 constexpr int64_t kWorkerNeed = 8'000;
 constexpr int64_t kLargeNeed = 6'000;
@@ -97,6 +99,13 @@
     world_.DrainWorker(worker);
   }
 
+  template <typename Condition>
+  void RunUntil(Condition is_met) {
+    for (Millis passed; passed < kMaxUntilLost && !is_met(); passed = passed + kStep) {
+      world_.Run(kStep);
+    }
+  }
+
   void ExpectMoved(const std::string& job, const std::string& from) {
     EXPECT_NE(WorkerOf(job), from) << job;
     EXPECT_NE(WorkerOf(job), "") << job;
@@ -247,6 +256,58 @@
   }
 }
 
+// Guards against short tasks that took the room for which a task had been stopped, as another task
+// of its step had started elsewhere.
+TEST_F(RoomAhead, TheWorkerStaysKeptForAStoppedTaskWhenAnotherOfItsStepStarts) {
+  Record("long", 2, kLargeNeed, kUrgent);
+  const std::vector<std::string> workers = world_.WorkersOf("long");
+  ASSERT_EQ(workers.size(), 2U);
+  const std::string& drained = workers[0];
+  const std::string& lost = workers[1];
+  world_.LeaveWorker(lost);
+  world_.Run(kUntilAlmostLost);
+  world_.LoseStops(drained, true);
+  DrainWorker(drained, kDrainTime * 2);
+  RunUntil([&] { return Holds("long") == 1; });
+  ASSERT_EQ(Holds("long"), 1);
+  const std::string kept = Cell().holds[0].worker.Text();
+  RunUntil([&] { return world_.WorkersOf("long").size() == 2; });
+  ASSERT_EQ(world_.WorkersOf("long").size(), 2U);
+  ASSERT_TRUE(world_.worker(kept).Running().empty());
+
+  EXPECT_EQ(Holds("long"), 1);
+  world_.LoseStops(drained, false);
+  Record("short", kShortTasks, kShortNeed, kUrgent);
+  EXPECT_EQ(world_.worker(drained).Running().size(), 0U);
+  EXPECT_EQ(world_.WorkersOf("long").size(), 2U);
+}
+
+// Guards against a task that was stopped for nothing, as another one of its step took the room.
+TEST_F(RoomAhead, AnotherTaskOfTheStepDoesNotTakeTheRoomOfAStoppedOne) {
+  Record("long-fills", 1, kWorkerNeed, kUrgent);
+  Record("long", 2, kLargeNeed, kUrgent);
+  const std::vector<std::string> workers = world_.WorkersOf("long");
+  ASSERT_EQ(workers.size(), 2U);
+  const std::string& drained = workers[0];
+  const std::string& lost = workers[1];
+  world_.LeaveWorker(lost);
+  world_.Run(kUntilAlmostLost);
+  world_.LoseStops(drained, true);
+  DrainWorker(drained, kDrainTime * 2);
+  RunUntil([&] { return Holds("long") == 1; });
+  ASSERT_EQ(Holds("long"), 1);
+  const std::string kept = Cell().holds[0].worker.Text();
+  RunUntil([&] { return !Cell().waiting.empty() || !world_.worker(kept).Running().empty(); });
+  world_.Run(kStep * 10);
+  EXPECT_TRUE(world_.worker(kept).Running().empty());
+  world_.LoseStops(drained, false);
+  RunUntil([&] { return world_.worker(drained).Running().empty(); });
+  world_.Run(kMaxPause);
+
+  const std::vector<std::string> running = world_.WorkersOf("long");
+  EXPECT_EQ(running, std::vector<std::string>{kept});
+}
+
 // Guards against a task that ran on until its worker left, as its own cell has no worker to clear.
 TEST_F(RoomAheadElsewhere, ATaskMovesToAWorkerThatAnotherEntryClears) {
   Fill(kLessUrgent);
