--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -250,7 +250,8 @@
       .ready_at = task.not_before,
       .priority = job.record.priority,
       .is_overdue = urgency == Urgency::kOverdue,
-      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt};
+      .absent_since = is_absent ? std::optional(task.waiting_since) : std::nullopt,
+      .task = ref};
 }
 
 void PassOn(State& state, Effects& effects, OwnedCell& cell, JobState& job, const CellId& to,
