--- a/lib/scheduler/source/reservations.cc
+++ b/lib/scheduler/source/reservations.cc
@@ -179,6 +179,9 @@
 Millis UnservedWait(const State& state, OwnedCell& cell, const JobState& job,
                     const WaitingBatch& batch) {
   if (batch.spec->best_effort) return Millis(0);
+  // A borrowed job is moved as a whole, and a worker is kept for one task.
+  const bool is_borrowed = !job.record.parent.Empty();
+  if (is_borrowed && !batch.spec->is_long_running && batch.tasks.size() > 1) return Millis(0);
 
   const TaskRef& ref = batch.tasks.front();
   const TaskState& task = *FindTask(cell, ref);
--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -11,8 +11,9 @@
 /// How long a worker is kept without another request for it. A task that is passed on to the cell
 /// arrives in half of it.
 constexpr Millis kHoldTime = Millis(1'500);
-/// Most holds of a cell for new tasks, as a share of its workers in percent. More would leave too
-/// little for the short tasks that start there meanwhile.
+/// Most holds of a cell for new long-running tasks, and for short tasks of one priority together
+/// with more urgent ones, each as a share of its workers in percent. More would leave too little
+/// for the other short tasks that start there meanwhile.
 constexpr int64_t kMaxHoldsPercent = 50;
 /// Share of a service's capacity beside its long-running tasks, in percent, below which it is
 /// scarce: most of what is left are pieces that are too small for further ones.
@@ -222,7 +223,14 @@
 
 /// Returns whether the cell may have one more hold.
 bool MayAddHold(const OwnedCell& cell, const HoldRequest& request) {
-  return request.placement.absent_since || cell.holds.size() < MaxHolds(cell);
+  if (request.placement.absent_since) return true;
+
+  const bool is_long_running = request.placement.spec.is_long_running;
+  const auto holds = std::ranges::count_if(cell.holds, [&](const WorkerHold& hold) {
+    if (hold.is_long_running != is_long_running) return false;
+    return is_long_running || hold.priority <= request.priority;
+  });
+  return static_cast<size_t>(holds) < MaxHolds(cell);
 }
 
 /// Keeps a worker for a task until a time.
@@ -524,17 +532,21 @@
 Resources KeptFrom(const State& state, const OwnedCell& cell, const PlacementRequest& request,
                    const WorkerState& worker) {
   const VmId& id = worker.info.id;
-  // All tasks for which one worker is kept fit there, so none of them waits for the others.
-  const bool has_hold = std::ranges::any_of(cell.holds, [&](const WorkerHold& hold) {
+  const auto own = std::ranges::find_if(cell.holds, [&](const WorkerHold& hold) {
     return hold.worker == id && hold.name == request.name &&
            hold.is_interrupted == request.absent_since.has_value() &&
            !IsForAnother(state, cell, hold, request.task);
   });
+  const bool has_hold = own != cell.holds.end();
 
   return HeldOn(cell, id, [&](const WorkerHold& hold) {
     if (hold.name == request.name) return IsForAnother(state, cell, hold, request.task);
     if (TakesPlaceOf(state, request, hold)) return false;
-    return !has_hold || hold.is_interrupted != request.absent_since.has_value();
+    if (!has_hold || hold.is_interrupted != request.absent_since.has_value()) return true;
+
+    // All tasks for which one worker is kept fit there, so long-running ones don't wait for each
+    // other. A step may have more short tasks than holds, and these use the worker in turn.
+    return !request.spec.is_long_running && &hold < &*own;
   });
 }
 
--- a/tests/scheduler/waiting_batch_task_test.cc
+++ b/tests/scheduler/waiting_batch_task_test.cc
@@ -104,6 +104,26 @@
   EXPECT_EQ(Starts("large"), 1);
 }
 
+// Guards against a task that waited for as long as a later job with a hold on its worker had tasks.
+TEST_F(WaitingBatchTask, LaterTasksWithAHoldLeaveTheWorkerToAnEarlierOne) {
+  constexpr int64_t kLargestNeed = 6'000;
+  constexpr int64_t kLaterNeed = 2'000;
+  Record("long-fills", 0, kWorkers - 1, kWorkerNeed);
+  world_.Run(Millis(1'500));
+  for (int32_t number = 0; number < 8; ++number) {
+    const std::string id = "small" + std::to_string(number);
+    Record(id, 0, 1, kSmallNeed);
+    steps_[id].estimate = Millis(1'600 + 150 * number);
+  }
+  world_.Run(Millis(200));
+  Record("largest", 0, 1, kLargestNeed);
+  world_.Run(Millis(100));
+  Record("later", 0, 200, kLaterNeed);
+  world_.Run(Millis(1'200) + kMaxWait);
+
+  EXPECT_EQ(Starts("largest"), 1);
+}
+
 // Guards against a worker that is kept for a task from tasks of a more urgent queue.
 TEST_F(WaitingBatchTask, AWorkerKeptForOneOfALessUrgentQueueGoesToAMoreUrgentOne) {
   Record("long-fills", 0, kWorkers - 1, kWorkerNeed);
