--- a/lib/scheduler/source/worker_hold.cc
+++ b/lib/scheduler/source/worker_hold.cc
@@ -1,7 +1,7 @@
 #include "worker_hold.h"
 
-#include "capacity_forecast.h"
 #include "cell_load.h"
+#include "hold_choice.h"
 #include "leaving_tasks.h"
 #include "owner_contact.h"
 
@@ -19,27 +19,6 @@
 /// scarce: most of what is left are pieces that are too small for further ones.
 constexpr int64_t kScarcePercent = 12;
 
-/// Interval between two looks for a worker that becomes free sooner than the one that is kept, and
-/// how much sooner it has to be.
-constexpr Millis kHoldChoiceInterval = Millis(100);
-constexpr Millis kMinGainOfMove = Millis(200);
-
-/// Returns the sum of the matching holds on a worker.
-template <typename Matches>
-Resources HeldOn(const OwnedCell& cell, const VmId& worker, Matches matches) {
-  Resources held;
-
-  for (const WorkerHold& hold : cell.holds) {
-    if (hold.worker == worker && matches(hold)) held += hold.need;
-  }
-
-  return held;
-}
-
-Resources HeldOn(const OwnedCell& cell, const VmId& worker) {
-  return HeldOn(cell, worker, [](const WorkerHold&) { return true; });
-}
-
 /// How long an offered worker is kept at most while events wait that may be the request for it.
 constexpr Millis kMaxOfferTime = Millis(1'000);
 /// How long a task that needs no worker, or whose owner does not reply, gets no further offer.
@@ -48,11 +27,6 @@
 constexpr Millis kOfferPause = Millis(600);
 constexpr int32_t kMaxOfferPauseDoublings = 2;
 
-/// Counts an event that ends a hold, and how long the worker was kept.
-void CountEndOfHold(const State& state, HoldEvent event, const WorkerHold& hold) {
-  state.counts.AddEndOfHold(event, hold.is_long_running, state.now - hold.since);
-}
-
 /// Ends the matching holds, counts them, and returns their number.
 template <typename Matches>
 size_t EraseHolds(const State& state, OwnedCell& cell, HoldEvent event, Matches matches) {
@@ -64,32 +38,6 @@
   });
 }
 
-/// Returns whether a task comes before the short one of a hold.
-bool IsMoreUrgentThan(const PlacementRequest& request, const WorkerHold& hold) {
-  if (request.priority != hold.priority) return request.priority < hold.priority;
-
-  if (request.spec.is_long_running) return true;
-
-  // A smaller task would only break up what has become free for the one of the hold.
-  return hold.is_overdue && !request.is_overdue &&
-         request.spec.need.millicores >= hold.need.millicores;
-}
-
-/// Returns whether a task takes the place of the task of a hold.
-bool TakesPlaceOf(const State& state, const PlacementRequest& request, const WorkerHold& hold) {
-  if (request.absent_since && !hold.is_interrupted) return true;
-  if (!hold.is_long_running) return IsMoreUrgentThan(request, hold);
-  if (!request.absent_since) return false;
-
-  // Tasks without a run go before those that still run on draining workers.
-  const bool runs = *request.absent_since > state.now;
-  const bool other_runs = hold.absent_since > state.now;
-  if (runs != other_runs) return other_runs && hold.name != request.name;
-  if (request.priority != hold.priority) return request.priority < hold.priority;
-
-  return hold.name != request.name && *request.absent_since + kOvertakeMargin < hold.absent_since;
-}
-
 bool IsHoldOf(const WorkerHold& hold, const StepName& name, const JobId& job, bool is_interrupted) {
   return hold.name == name && hold.job == job && hold.is_interrupted == is_interrupted;
 }
@@ -104,119 +52,6 @@
   return !may_be_asked_for;
 }
 
-/// Returns whether an amount fits on a worker once the short tasks there have ended.
-bool FitsBesideLongRunning(OwnedCell& cell, const WorkerState& worker, const Resources& amount) {
-  const int64_t left = worker.info.capacity.millicores - worker.long_running_millicores;
-  return amount.millicores <= left && FitsWithin(amount, RoomBesideLongRunning(cell, worker));
-}
-
-/// Returns the priority for which short tasks may be stopped, if the tasks of a request are
-/// interrupted ones.
-std::optional<int32_t> EvictingPriority(const HoldRequest& request) {
-  if (!request.placement.absent_since) return std::nullopt;
-  return request.priority;
-}
-
-/// A worker to keep for a task.
-struct WorkerChoice {
-  WorkerState* worker = nullptr;
-  /// How long it probably takes until the task fits there.
-  Millis fits_after;
-};
-
-/// Forecasts that differ by less count as equal.
-constexpr int64_t kForecastStepMs = 100;
-
-/// Returns the worker that becomes free first, of those the one on which least has to be freed, and
-/// then the one with least room beside its long-running tasks. `stays` says which holds the task
-/// doesn't take the place of.
-template <typename Stays>
-WorkerChoice ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request,
-                                Stays stays) {
-  const PlacementRequest& placement = request.placement;
-  const StepSpec& spec = placement.spec;
-  WorkerChoice best;
-  std::tuple<int64_t, int64_t, int64_t> best_rank;
-  if (placement.absent_since) state.counts.search.Add(SearchVisit::kWorker, cell.workers.size());
-
-  for (auto& [id, worker] : cell.workers) {
-    // Most workers have no room: checked first, as it is cheapest.
-    const int64_t room = worker.info.capacity.millicores - worker.long_running_millicores;
-    if (room < spec.need.millicores) continue;
-
-    const Resources held = HeldOn(cell, id, stays);
-    // The limit per worker does not count held capacity.
-    if (spec.max_per_worker > 0 && held != Resources()) continue;
-    if (!MayUseWorker(state, cell, placement, worker)) continue;
-    if (!FitsBesideLongRunning(cell, worker, held + spec.need)) continue;
-
-    const Millis fits_after =
-        ForecastRoom(state, cell, worker, held + spec.need, EvictingPriority(request));
-    const int64_t free = FreeMillicores(worker) - HeldOn(cell, id).millicores;
-    const std::tuple<int64_t, int64_t, int64_t> rank(fits_after.Count() / kForecastStepMs, -free,
-                                                     room);
-    if (best.worker != nullptr && rank >= best_rank) continue;
-
-    best = {&worker, fits_after};
-    best_rank = rank;
-  }
-
-  return best;
-}
-
-/// Returns the worker to keep for a task, which may take the place of others there.
-WorkerState* ChooseWorkerToKeep(const State& state, OwnedCell& cell, const HoldRequest& request) {
-  return ChooseWorkerToKeep(
-             state, cell, request,
-             [&](const WorkerHold& hold) { return !TakesPlaceOf(state, request.placement, hold); })
-      .worker;
-}
-
-/// Returns whether the worker of a hold may still be used for its task.
-bool IsUsable(const State& state, OwnedCell& cell, const PlacementRequest& request,
-              const WorkerHold& hold) {
-  const auto worker = cell.workers.find(hold.worker);
-  const auto stays = [&](const WorkerHold& each) {
-    return &each == &hold || !TakesPlaceOf(state, request, each);
-  };
-  return worker != cell.workers.end() && MayUseWorker(state, cell, request, worker->second) &&
-         FitsBesideLongRunning(cell, worker->second, HeldOn(cell, hold.worker, stays));
-}
-
-/// Returns whether a task fits on a worker now beside all that is kept there, also for its step.
-bool FitsBesideHolds(const State& state, const OwnedCell& cell, const WorkerState& worker,
-                     const PlacementRequest& request) {
-  const Resources held = HeldOn(cell, worker.info.id, [&](const WorkerHold& hold) {
-    return !TakesPlaceOf(state, request, hold);
-  });
-  return FitsWithin(held + request.spec.need + worker.reserved, worker.info.capacity);
-}
-
-/// Keeps another worker instead if that one becomes free clearly sooner.
-void MoveHold(const State& state, OwnedCell& cell, const HoldRequest& request, WorkerHold& hold) {
-  if (state.now < hold.next_choice) return;
-
-  hold.next_choice = state.now + kHoldChoiceInterval;
-  const auto stays = [&](const WorkerHold& each) {
-    return &each == &hold || !TakesPlaceOf(state, request.placement, each);
-  };
-  // The tasks of earlier holds on the worker start first.
-  const Resources amount = HeldOn(
-      cell, hold.worker, [&](const WorkerHold& each) { return &each <= &hold && stays(each); });
-  const Millis fits_after =
-      ForecastRoom(state, cell, cell.workers.at(hold.worker), amount, EvictingPriority(request));
-  if (fits_after <= kMinGainOfMove) return;
-
-  const WorkerChoice other = ChooseWorkerToKeep(state, cell, request, stays);
-  if (other.worker == nullptr || other.fits_after + kMinGainOfMove >= fits_after) return;
-
-  CountEndOfHold(state, HoldEvent::kMoved, hold);
-  hold.worker = other.worker->info.id;
-  hold.since = state.now;
-  // Where forecasts are wrong, a hold that moves again and again is never used.
-  hold.next_choice = state.now + kMaxForecast;
-}
-
 size_t MaxHolds(const OwnedCell& cell) {
   return std::max<size_t>(cell.workers.size() * kMaxHoldsPercent / 100, 1);
 }
@@ -252,28 +87,12 @@
                  .expires_at = expires_at});
 }
 
-/// Returns whether the task that was stopped because of the worker of a hold may still come.
-bool IsAboutToUse(const State& state, const OwnedCell& cell, const WorkerHold& hold) {
-  if (!hold.stopped) return false;
-
-  const auto job = cell.jobs.find(hold.stopped->job);
-  if (job == cell.jobs.end()) return false;
-
-  const TaskState& task = TaskOf(job->second, *hold.stopped);
-  if (task.phase == TaskPhase::kStopping) return true;
-
-  return task.phase == TaskPhase::kWaiting && state.now >= task.not_before;
-}
+}  // namespace
 
-/// Returns whether a hold is not for a task of its step, as another one was stopped because of the
-/// worker.
-bool IsForAnother(const State& state, const OwnedCell& cell, const WorkerHold& hold,
-                  const std::optional<TaskRef>& task) {
-  return hold.stopped != task && IsAboutToUse(state, cell, hold);
+void CountEndOfHold(const State& state, HoldEvent event, const WorkerHold& hold) {
+  state.counts.AddEndOfHold(event, hold.is_long_running, state.now - hold.since);
 }
 
-}  // namespace
-
 bool YieldsToInterrupted(const State& state, const StepSpec& spec, std::string_view service,
                          bool is_interrupted) {
   if (!spec.is_long_running || spec.best_effort || is_interrupted) return false;
@@ -300,7 +119,7 @@
     // The holds of further interrupted tasks are asked for separately.
     if (kept == request.tasks && is_interrupted) break;
 
-    if (kept == request.tasks || !IsUsable(state, cell, placement, *hold)) {
+    if (kept == request.tasks || !IsHoldUsable(state, cell, placement, *hold)) {
       CountEndOfHold(state, HoldEvent::kDropped, *hold);
       hold = cell.holds.erase(hold);
       continue;
@@ -385,7 +204,7 @@
                    const WorkerState& worker) {
   const VmId& id = worker.info.id;
 
-  while (!FitsBesideLongRunning(cell, worker, HeldOn(cell, id) + request.spec.need)) {
+  while (!FitsBesideLongRunning(cell, worker, KeptOn(cell, worker) + request.spec.need)) {
     const auto hold = std::ranges::find_if(cell.holds, [&](const WorkerHold& each) {
       return each.worker == id && TakesPlaceOf(state, request, each);
     });
@@ -504,50 +323,4 @@
   }
 }
 
-Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker) {
-  Resources left = worker.info.capacity;
-  const int64_t not_reserved = left.millicores - worker.long_running_millicores;
-
-  for (const TaskRef& ref : worker.tasks) {
-    const StepSpec& spec = SpecOf(cell.jobs.at(ref.job), ref);
-    if (!spec.is_long_running) continue;
-
-    if (!spec.best_effort) left.millicores -= spec.need.millicores;
-    left.memory_mib -= spec.need.memory_mib;
-    left.accelerators -= spec.need.accelerators;
-  }
-
-  left.millicores = std::min(left.millicores, not_reserved);
-  return left;
-}
-
-Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker) {
-  return HeldOn(cell, worker.info.id, [](const WorkerHold& hold) { return hold.is_interrupted; });
-}
-
-Resources KeptOn(const OwnedCell& cell, const WorkerState& worker) {
-  return HeldOn(cell, worker.info.id);
-}
-
-Resources KeptFrom(const State& state, const OwnedCell& cell, const PlacementRequest& request,
-                   const WorkerState& worker) {
-  const VmId& id = worker.info.id;
-  const auto own = std::ranges::find_if(cell.holds, [&](const WorkerHold& hold) {
-    return hold.worker == id && hold.name == request.name &&
-           hold.is_interrupted == request.absent_since.has_value() &&
-           !IsForAnother(state, cell, hold, request.task);
-  });
-  const bool has_hold = own != cell.holds.end();
-
-  return HeldOn(cell, id, [&](const WorkerHold& hold) {
-    if (hold.name == request.name) return IsForAnother(state, cell, hold, request.task);
-    if (TakesPlaceOf(state, request, hold)) return false;
-    if (!has_hold || hold.is_interrupted != request.absent_since.has_value()) return true;
-
-    // All tasks for which one worker is kept fit there, so long-running ones don't wait for each
-    // other. A step may have more short tasks than holds, and these use the worker in turn.
-    return !request.spec.is_long_running && &hold < &*own;
-  });
-}
-
 }  // namespace currantpost::scheduler
--- a/lib/scheduler/source/worker_hold.h
+++ b/lib/scheduler/source/worker_hold.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kept_room.h"
 #include "reservations.h"
 
 /// Keeps workers of a cell free for long-running tasks that have waited long. Short tasks take each
@@ -37,10 +38,6 @@
   int32_t priority = 0;
 };
 
-/// How much longer than another one a task has to be without a run to take a worker that was kept
-/// for that one. Covers the age of load reports.
-inline constexpr Millis kOvertakeMargin = Millis(1'000);
-
 /// Keeps workers for tasks that fit on none now, or goes on keeping them. Interrupted tasks
 /// take the place of new ones, of those that have had a run since, and of those that still run.
 /// Returns for how many of the tasks a worker is kept.
@@ -93,17 +90,7 @@
 /// Ends holds that nobody has asked for again.
 void ExpireHolds(State& state, OwnedCell& cell);
 
-/// Returns what a worker has left once the short tasks there have ended.
-Resources RoomBesideLongRunning(const OwnedCell& cell, const WorkerState& worker);
-
-/// Returns what is kept on a worker for interrupted tasks.
-Resources KeptForInterrupted(const OwnedCell& cell, const WorkerState& worker);
-
-/// Returns what is kept on a worker for any task.
-Resources KeptOn(const OwnedCell& cell, const WorkerState& worker);
-
-/// Returns what is kept on a worker from a task.
-Resources KeptFrom(const State& state, const OwnedCell& cell, const PlacementRequest& request,
-                   const WorkerState& worker);
+/// Counts an event that ends a hold, and how long the worker was kept.
+void CountEndOfHold(const State& state, HoldEvent event, const WorkerHold& hold);
 
 }  // namespace currantpost::scheduler
