--- a/lib/scheduler/source/wait_log.cc
+++ b/lib/scheduler/source/wait_log.cc
@@ -86,8 +86,13 @@
   if (state.now < job.next_wait_log) return;
 
   const TaskRef* ref = LongestWaiting(cell, job, state.now);
-  const Millis since = ref == nullptr ? state.now : TaskOf(job, *ref).waiting_since;
-  const Millis waited = state.now - since;
+  if (ref == nullptr) {
+    job.next_wait_log = state.now + kWaitCheckInterval;
+    return;
+  }
+
+  const TaskState& task = TaskOf(job, *ref);
+  const Millis waited = state.now - task.waiting_since;
 
   if (waited < kLongWaitToLog) {
     job.next_wait_log = state.now + std::min(kWaitCheckInterval, kLongWaitToLog - waited);
@@ -97,7 +102,6 @@
   job.next_wait_log = state.now + kWaitLogInterval;
   if (!MayWriteLine(state)) return;
 
-  const TaskState& task = TaskOf(job, *ref);
   const StepSpec& spec = SpecOf(job, *ref);
   const SearchCounts search = std::exchange(job.search, {});
   const WorkerHold* hold = FindHold(cell, job, *ref);
--- a/tests/scheduler/batch_wait_audit_test.cc
+++ b/tests/scheduler/batch_wait_audit_test.cc
@@ -430,7 +430,7 @@
 
   /// Records short jobs that need a share of what the long-running tasks leave for a time.
   void AddLoad(int64_t percent, Millis span) {
-    const int64_t left = Cells() * kWorkersPerCell * kWorkerNeed - long_running_need_;
+    const int64_t left = int64_t{Cells()} * kWorkersPerCell * kWorkerNeed - long_running_need_;
     load_due_ += left * percent / 100 * span.Count();
 
     while (load_due_ > 0) {
