--- a/lib/scheduler/source/capacity_offers.cc
+++ b/lib/scheduler/source/capacity_offers.cc
@@ -88,7 +88,7 @@
   });
   if (hold == cell->holds.end()) return;
 
-  state.counts.AddEndOfHold(HoldEvent::kRefused, hold->is_long_running, state.now - hold->since);
+  CountEndOfHold(state, HoldEvent::kRefused, *hold);
   cell->holds.erase(hold);
   cell->placement_due = true;
 }
